refuser: refusals as problem details

Callers need a stable kind, whether the work ran and when to come back. One package writes them, so that every shell gives the same status for a kind.

The kind in-progress is new: the draft on Idempotency-Key asks for 409 while the first request is still running, which differs from outcome-unknown (504), where nobody will ever report an outcome. The problem type is a URN, because the project has no address of its own to point to. key-expired is 410: the record is gone and another try with the same key can't help.

--- a/enums.go
+++ b/enums.go
@@ -49,6 +49,7 @@
 	KindNotReady                       // not-ready
 	KindInternal                       // internal
 	KindNotFound                       // not-found
+	KindInProgress                     // in-progress
 )
 
 // Role is the part that a VM plays.
--- /dev/null
+++ b/refuser/refuser.go
@@ -0,0 +1,105 @@
+// Package refuser writes a refusal to a caller as problem details (RFC 9457)
+// with the stable kind, whether the work ran, and when to come back.
+package refuser
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/currantwood/currantwood"
+)
+
+// typePrefix and the kind make the problem type, which callers may rely on.
+const typePrefix = "urn:currantwood:refusal:"
+
+// Refuser maps refusals to HTTP. It keeps no state.
+type Refuser struct{}
+
+// New returns a Refuser.
+func New() *Refuser { return &Refuser{} }
+
+// problem is the body of a refusal.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Kind   string `json:"kind"`
+	Ran    string `json:"ran"`
+	// Operation is asked about with GET /operations/{id}.
+	Operation string `json:"operation,omitempty"`
+	// RetryAfterMS is absent where asking again cannot help.
+	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
+}
+
+// Write answers the request with the refusal.
+func (r *Refuser) Write(w http.ResponseWriter, refusal *currantwood.Refusal) {
+	header := w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Cache-Control", "no-store")
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatInt(wholeSeconds(refusal.RetryAfter), 10))
+	}
+	if refusal.Kind == currantwood.KindUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(r.Status(refusal.Kind))
+	_, _ = w.Write(r.Body(refusal))
+}
+
+// Body returns the problem as one line of JSON. A stream that has already sent
+// its header carries it in its last event.
+func (r *Refuser) Body(refusal *currantwood.Refusal) []byte {
+	body, err := json.Marshal(problem{
+		Type:         typePrefix + refusal.Kind.String(),
+		Title:        title(refusal.Kind),
+		Status:       r.Status(refusal.Kind),
+		Detail:       refusal.Detail,
+		Kind:         refusal.Kind.String(),
+		Ran:          refusal.Ran.String(),
+		Operation:    refusal.Operation,
+		RetryAfterMS: wholeMilliseconds(refusal.RetryAfter),
+	})
+	if err != nil {
+		panic(err) // unreachable: the struct holds only strings and integers
+	}
+	return append(body, '\n')
+}
+
+// Status returns the HTTP status of a kind.
+func (r *Refuser) Status(kind currantwood.Kind) int {
+	switch kind {
+	case currantwood.KindBadRequest, currantwood.KindKeyRequired:
+		return http.StatusBadRequest
+	case currantwood.KindUnauthorized:
+		return http.StatusUnauthorized
+	case currantwood.KindNoRule, currantwood.KindNotFound:
+		return http.StatusNotFound
+	case currantwood.KindInProgress:
+		return http.StatusConflict
+	case currantwood.KindKeyExpired:
+		return http.StatusGone
+	case currantwood.KindKeyConflict, currantwood.KindQuarantined:
+		return http.StatusUnprocessableEntity
+	case currantwood.KindOverLimit:
+		return http.StatusTooManyRequests
+	case currantwood.KindGenerationLost, currantwood.KindLinkLost, currantwood.KindUpstreamError, currantwood.KindUpstreamCrash:
+		return http.StatusBadGateway
+	case currantwood.KindNoCapacity, currantwood.KindNoUpstream, currantwood.KindLogDown, currantwood.KindShuttingDown, currantwood.KindNotReady:
+		return http.StatusServiceUnavailable
+	case currantwood.KindDeadline, currantwood.KindOutcomeUnknown:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+func wholeSeconds(d time.Duration) int64 {
+	return int64((d + time.Second - 1) / time.Second)
+}
+
+func wholeMilliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/refuser/title.go
@@ -0,0 +1,60 @@
+package refuser
+
+import "github.com/currantwood/currantwood"
+
+// title is a short sentence that is the same for every refusal of a kind.
+func title(kind currantwood.Kind) string {
+	switch kind {
+	case currantwood.KindBadRequest:
+		return "The request is malformed."
+	case currantwood.KindUnauthorized:
+		return "The key in Authorization is missing or unknown."
+	case currantwood.KindNoRule:
+		return "No rule matches the request."
+	case currantwood.KindKeyRequired:
+		return "The request needs an Idempotency-Key."
+	case currantwood.KindKeyConflict:
+		return "The Idempotency-Key was used with another request."
+	case currantwood.KindKeyExpired:
+		return "The Idempotency-Key may be older than the log remembers."
+	case currantwood.KindOverLimit:
+		return "The customer is over its limit."
+	case currantwood.KindNoCapacity:
+		return "No upstream has room."
+	case currantwood.KindNoUpstream:
+		return "No upstream is known that serves the request."
+	case currantwood.KindDeadline:
+		return "The deadline passed."
+	case currantwood.KindQuarantined:
+		return "The request has crashed upstreams and is not run again."
+	default:
+		return failureTitle(kind)
+	}
+}
+
+func failureTitle(kind currantwood.Kind) string {
+	switch kind {
+	case currantwood.KindLogDown:
+		return "The log service is down, so the operation can't be recorded."
+	case currantwood.KindGenerationLost:
+		return "The generation was lost and can't be resumed."
+	case currantwood.KindOutcomeUnknown:
+		return "The operation may have run; its outcome is not known."
+	case currantwood.KindInProgress:
+		return "The operation is still running."
+	case currantwood.KindShuttingDown:
+		return "The process is shutting down."
+	case currantwood.KindLinkLost:
+		return "The connection to the upstream's side was lost."
+	case currantwood.KindUpstreamError:
+		return "The upstream failed."
+	case currantwood.KindUpstreamCrash:
+		return "The upstream crashed."
+	case currantwood.KindNotReady:
+		return "The process is not ready."
+	case currantwood.KindNotFound:
+		return "Nothing is known under this id."
+	default:
+		return "Internal error."
+	}
+}
