serviceclient: calls of plain services that are never sent twice

net/http sends a request again on its own when a kept connection turns out to be dead, also a POST as soon as it carries an Idempotency-Key and its body can be read again. Calls that are not repeatable get a connection of their own; net/http never retries on a fresh one. Redirects are handed back as answers and HTTP/2, which retries refused streams, is off. ErrNotDispatched is said only where no connection was obtained.

Weighed: hiding GetBody from net/http. That stops the retry too, but a dead kept connection would then give an unknown outcome for a payment that nobody saw. A connection for each call costs a dial to a neighbour.

standin/service counts runs by key and can freeze, delay, refuse and lose the answer after the run, as in docs/PROTOCOLS.md.

--- /dev/null
+++ b/serviceclient/serviceclient_test.go
@@ -0,0 +1,138 @@
+package serviceclient_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/serviceclient"
+	"github.com/currantwood/currantwood/standin/service"
+)
+
+func payment(key string) currantwood.ServiceCall {
+	return currantwood.ServiceCall{
+		Method: http.MethodPost, Path: "/pay?fee=3", Body: []byte("amount=3"),
+		Header: http.Header{"Idempotency-Key": {key}},
+	}
+}
+
+// cutter accepts connections, answers the first request on each and cuts the
+// connection when a second one arrives. It counts the requests it read.
+func cutter(requests *atomic.Int32) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for first := true; ; first = false {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					requests.Add(1)
+					if !first {
+						return
+					}
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+				}
+			}()
+		}
+	}()
+	return listener
+}
+
+var _ = Describe("Call", func() {
+	It("passes a call and its answer on unchanged", func() {
+		server := httptest.NewServer(service.New())
+		defer server.Close()
+		client, err := serviceclient.New(server.URL)
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := client.Call(context.Background(), payment("k1"))
+		Expect(err).NotTo(HaveOccurred())
+		var seen service.Answer
+		Expect(json.Unmarshal(answer.Body, &seen)).To(Succeed())
+		Expect(seen).To(Equal(service.Answer{Run: 1, Method: "POST", Path: "/pay?fee=3", Key: "k1", Body: "amount=3"}))
+	})
+
+	DescribeTable("a failed call",
+		func(faults service.Faults, dispatched bool, runs int) {
+			standin := service.New()
+			server := httptest.NewServer(standin)
+			defer server.Close()
+			defer standin.SetFaults(service.Faults{})
+			standin.SetFaults(faults)
+			client, _ := serviceclient.New(server.URL)
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			_, err := client.Call(ctx, payment("k1"))
+			Expect(err).To(HaveOccurred())
+			Expect(errors.Is(err, currantwood.ErrNotDispatched)).To(Equal(!dispatched))
+			Expect(standin.Runs("k1")).To(Equal(runs))
+		},
+		Entry("answer lost after the run", service.Faults{LoseAnswers: 1}, true, 1),
+		Entry("frozen before the run", service.Faults{Freeze: true}, true, 0),
+	)
+
+	It("says not dispatched when nobody listens", func() {
+		server := httptest.NewServer(service.New())
+		client, _ := serviceclient.New(server.URL)
+		server.Close()
+		_, err := client.Call(context.Background(), payment("k1"))
+		Expect(errors.Is(err, currantwood.ErrNotDispatched)).To(BeTrue())
+	})
+
+	It("never sends a call that is not repeatable twice, whatever the connection does", func() {
+		var requests atomic.Int32
+		listener := cutter(&requests)
+		defer listener.Close()
+		client, _ := serviceclient.New("http://" + listener.Addr().String())
+		for range 3 {
+			_, _ = client.Call(context.Background(), payment("k1"))
+		}
+		Expect(requests.Load()).To(BeEquivalentTo(3))
+	})
+
+	It("hands a redirect back instead of following it", func() {
+		var requests atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			requests.Add(1)
+			http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+		}))
+		defer server.Close()
+		client, _ := serviceclient.New(server.URL)
+		answer, err := client.Call(context.Background(), payment("k1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Status).To(Equal(http.StatusTemporaryRedirect))
+		Expect(requests.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("reports a truncated answer as an error that is not 'not dispatched'", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("half"))
+		}))
+		defer server.Close()
+		client, _ := serviceclient.New(server.URL)
+		_, err := client.Call(context.Background(), payment("k1"))
+		Expect(err).To(HaveOccurred())
+		Expect(errors.Is(err, currantwood.ErrNotDispatched)).To(BeFalse())
+	})
+})
--- a/upstream.go
+++ b/upstream.go
@@ -105,6 +105,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Repeatable allows the transport to send the call again by itself.
+	Repeatable bool
 }
 
 // ServiceAnswer is a whole answer of a plain service.
