Add the model engine stand-in and the engine client

Cause: nothing can be routed or measured without an engine that fills its memory mid-generation.

Change: standin/batcher is the pure stepping core (batch, memory, preemption of the last to come, prefix cache, pause), standin/engine serves it over HTTP as docs/PROTOCOLS.md says, engineclient implements currantwood.Engine and parses server-sent events in the caller's goroutine.

--- /dev/null
+++ b/standin/engine/handlers.go
@@ -0,0 +1,257 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/standin/batcher"
+)
+
+// routes lists the calls of docs/PROTOCOLS.md.
+func (e *Engine) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams", e.start)
+	mux.HandleFunc("GET /v1/streams/{id}", e.resume)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.cancel)
+	mux.HandleFunc("POST /v1/streams/{id}/pause", e.pause)
+	mux.HandleFunc("POST /v1/streams/{id}/unpause", e.unpause)
+	mux.HandleFunc("GET /load", e.load)
+	mux.HandleFunc("GET /cache-events", e.cacheEvents)
+	mux.HandleFunc("POST /orders", e.order)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	return mux
+}
+
+// ServeHTTP answers one call. A crashed engine cuts the connection; a frozen
+// one doesn't answer. Faults and counts answer always.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/faults":
+		e.setFaults(w, r)
+		return
+	case "/counts":
+		e.writeCounts(w)
+		return
+	}
+	e.waitUntilThawed(r)
+	if e.isDown(time.Now()) {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) waitUntilThawed(r *http.Request) {
+	e.mu.Lock()
+	thawed := e.thawed
+	e.mu.Unlock()
+	select {
+	case <-thawed:
+	case <-r.Context().Done():
+	case <-e.stop:
+	}
+}
+
+func (e *Engine) isDown(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.downUntil)
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Freeze && !faults.Freeze {
+		close(e.thawed)
+	}
+	if !e.faults.Freeze && faults.Freeze {
+		e.thawed = make(chan struct{})
+	}
+	e.faults = faults
+	e.nudge()
+}
+
+func (e *Engine) writeCounts(w http.ResponseWriter) {
+	e.mu.Lock()
+	counts, totals := e.counts, e.totals()
+	e.mu.Unlock()
+	counts.Tokens = totals.Tokens
+	counts.Preemptions = totals.Preemptions
+	counts.Pauses = totals.Pauses
+	counts.RepeatedTokens = totals.RepeatedTokens
+	writeJSON(w, counts)
+}
+
+// nudge wakes an idle batch. The caller holds the lock or doesn't need it.
+func (e *Engine) nudge() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) start(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	job := jobOf(r, body)
+	if job.Stream == "" {
+		http.Error(w, "X-Stream-Id is missing", http.StatusBadRequest)
+		return
+	}
+	s, life, status := e.open(job, body)
+	switch status {
+	case http.StatusOK:
+		e.relay(w, r, s, life, 0)
+	case 0:
+		panic(http.ErrAbortHandler)
+	default:
+		http.Error(w, http.StatusText(status), status)
+	}
+}
+
+// open starts a stream. Status 0 says that the engine crashed on it.
+func (e *Engine) open(job batcher.Job, body []byte) (*stream, chan struct{}, int) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Reject {
+		return nil, nil, http.StatusServiceUnavailable
+	}
+	if _, known := e.streams[job.Stream]; known {
+		return nil, nil, http.StatusConflict
+	}
+	e.counts.Streams++
+	if e.faults.CrashOn != "" && bytes.Contains(body, []byte(e.faults.CrashOn)) {
+		e.crash(now)
+		return nil, nil, 0
+	}
+	s := &stream{id: job.Stream, mark: markOf(job.Stream), readers: 1, changed: make(chan struct{})}
+	e.streams[job.Stream] = s
+	e.batch.Add(job)
+	e.nudge()
+	return s, e.life, http.StatusOK
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	s, known := e.streams[streamID(r)]
+	if known {
+		s.readers++
+	}
+	life := e.life
+	e.mu.Unlock()
+	if !known {
+		http.NotFound(w, r)
+		return
+	}
+	e.relay(w, r, s, life, from)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	id := streamID(r)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, known := e.streams[id]
+	if !known {
+		http.NotFound(w, r)
+		return
+	}
+	e.batch.Cancel(id)
+	delete(e.streams, id)
+	if !s.done {
+		e.counts.Cancelled++
+	}
+	s.cancelled = true
+	s.announce()
+}
+
+func (e *Engine) pause(w http.ResponseWriter, r *http.Request) {
+	e.change(w, r, func(id currantwood.EngineStreamID) { e.batch.Pause(id) })
+}
+
+func (e *Engine) unpause(w http.ResponseWriter, r *http.Request) {
+	e.change(w, r, func(id currantwood.EngineStreamID) { e.batch.Unpause(id) })
+}
+
+// change applies a change to a known stream. One that is complete is left as
+// it is.
+func (e *Engine) change(w http.ResponseWriter, r *http.Request, apply func(currantwood.EngineStreamID)) {
+	id := streamID(r)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, known := e.streams[id]; !known {
+		http.NotFound(w, r)
+		return
+	}
+	apply(id)
+	e.nudge()
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	load := e.lateLoad(time.Now())
+	e.mu.Unlock()
+	writeJSON(w, load)
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	e.mu.Lock()
+	events := e.batch.CacheEvents(after)
+	share := e.faults.DropEvents
+	e.mu.Unlock()
+	writeJSON(w, dropEvents(events, share))
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var order currantwood.EngineOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, "order: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if stale := order.Fencing < e.fencing; stale {
+		if e.faults.CheckFencing {
+			http.Error(w, "a higher fencing number was seen", http.StatusConflict)
+			return
+		}
+		e.counts.StaleOrders++
+	}
+	e.fencing = max(e.fencing, order.Fencing)
+	e.apply(order)
+}
+
+func (e *Engine) apply(order currantwood.EngineOrder) {
+	e.counts.Orders++
+	switch order.Name {
+	case currantwood.OrderLoadModel.String():
+		e.model = order.Model
+	case currantwood.OrderSetVersion.String():
+		e.version = order.Version
+	case currantwood.OrderSetPool.String():
+		e.pool = order.Pool
+	}
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
