The whole path, thin: entry, side, commands and an in-process system

Cause: nothing served a request yet. Change: distributor (links and frames to stages), tracker, forwarder and entryserver for the entry, runner and sideserver for the side, settingsreader with every key documented in docs/settings.toml, operatorserver, the commands entry, side, standin and version, and demonstrator, which runs all roles over loopback with delays between regions. Seen: the demonstrator's test streams 30 tokens and [DONE] through entry, link, side and engine stand-in under the race detector; settingsreader's table of refusals passes. Its documented-file tests failed first, while the file was missing. Not measured: anything else.

--- a/relayer/suite_test.go
+++ b/demonstrator/suite_test.go
@@ -1,4 +1,4 @@
-package relayer_test
+package demonstrator_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestRelayer(t *testing.T) {
+func TestDemonstrator(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "relayer")
+	RunSpecs(t, "demonstrator")
 }
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -24,6 +24,8 @@
 
 // Options says what a dialer needs of its owner.
 type Options struct {
+	// Dial connects to an address; nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Link opens a link over a connection that was dialed to address.
 	Link func(conn net.Conn, address string) (*linker.Link, error)
 	// Up is called with each new link.
@@ -46,6 +48,9 @@
 
 // New makes a dialer without peers.
 func New(options Options) *Dialer {
+	if options.Dial == nil {
+		options.Dial = dialTCP
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Dialer{
 		options: options,
@@ -117,14 +122,20 @@
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (*linker.Link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := d.options.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial, peer %s", address)
 	}
 	return d.options.Link(conn, address)
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- /dev/null
+++ b/entryserver/entryserver.go
@@ -0,0 +1,223 @@
+// Package entryserver is the shell of the entry process towards callers. Each
+// request passes the stages in order: authenticate, read, match a rule, hold the
+// customer to its share, then forward a generation or call a plain service.
+package entryserver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/forwarder"
+	"github.com/currantwood/currantwood/matcher"
+	"github.com/currantwood/currantwood/refuser"
+)
+
+const (
+	step = "entryserver"
+	// retryAfterNotReady is when to come back to an entry without rules.
+	retryAfterNotReady = time.Second
+	// bearerPrefix starts the Authorization header.
+	bearerPrefix = "Bearer "
+)
+
+// Call is one call of a plain service on its way.
+type Call struct {
+	Request  currantwood.RequestID
+	Customer currantwood.CustomerID
+	Rule     currantwood.Rule
+	// Arrival is when the call was received; the deadline counts from it.
+	Arrival time.Time
+	HTTP    *http.Request
+	Body    []byte
+}
+
+// CallForwarder carries calls of plain services to their sides.
+type CallForwarder interface {
+	// Forward returns an answer or a refusal, never both.
+	Forward(ctx context.Context, call Call) (*currantwood.ServiceAnswer, *currantwood.Refusal)
+}
+
+// Options says what an entry needs.
+type Options struct {
+	Region currantwood.RegionID
+	// Rules returns the rules in force; nil until a head is known.
+	Rules     func() *matcher.Matcher
+	Forwarder *forwarder.Forwarder
+	Calls     CallForwarder
+	Limiter   currantwood.Limiter
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	Logger       *zap.Logger
+}
+
+// Server handles the requests of callers. It is an http.Handler.
+type Server struct {
+	options  Options
+	refuser  *refuser.Refuser
+	inFlight sync.WaitGroup
+	count    atomic.Int64
+}
+
+// New makes the handler.
+func New(options Options) *Server {
+	return &Server{options: options, refuser: refuser.New()}
+}
+
+// InFlight returns the number of requests that are being served.
+func (s *Server) InFlight() int64 { return s.count.Load() }
+
+// Wait returns when no request is in flight.
+func (s *Server) Wait() { s.inFlight.Wait() }
+
+// arrival is a request that passed the stages before routing.
+type arrival struct {
+	id       currantwood.RequestID
+	at       time.Time
+	customer currantwood.Customer
+	rule     currantwood.Rule
+	body     []byte
+	// prompt is nil for calls of plain services.
+	prompt *prompt
+}
+
+// ServeHTTP serves one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	s.count.Add(1)
+	defer s.inFlight.Done()
+	defer s.count.Add(-1)
+	a, refusal := s.receive(w, r, time.Now())
+	if refusal != nil {
+		s.refuser.Write(w, refusal)
+		return
+	}
+	if a.prompt != nil {
+		s.complete(w, r, a)
+		return
+	}
+	s.call(w, r, a)
+}
+
+// receive takes a request through the stages up to its rule.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request, now time.Time) (arrival, *currantwood.Refusal) {
+	rules := s.options.Rules()
+	if rules == nil {
+		return arrival{}, currantwood.Refuse(currantwood.KindNotReady, step, "this entry has no rules yet", retryAfterNotReady)
+	}
+	customer, known := rules.CustomerByKey(callerKey(r))
+	if !known {
+		return arrival{}, currantwood.Refuse(currantwood.KindUnauthorized, step, "the key in Authorization is not known", 0)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes))
+	if err != nil {
+		return arrival{}, currantwood.Refuse(currantwood.KindBadRequest, step, "body could not be read: "+err.Error(), 0)
+	}
+	a := arrival{id: currantwood.RequestID(uuid.NewString()), at: now, customer: customer, body: body}
+	var model currantwood.ModelID
+	if isCompletion(r) {
+		if a.prompt, err = parsePrompt(r.URL.Path, body); err != nil {
+			return arrival{}, currantwood.Refuse(currantwood.KindBadRequest, step, err.Error(), 0)
+		}
+		model = currantwood.ModelID(a.prompt.Model)
+	}
+	rule, matched := rules.Match(matcher.Request{Customer: customer.ID, Method: r.Method, Path: r.URL.Path, Model: model})
+	if !matched || (a.prompt != nil) != generates(rule.Class) {
+		return arrival{}, currantwood.Refuse(currantwood.KindNoRule, step, "no rule matches this customer, method, path and model", 0)
+	}
+	a.rule = rule
+	return a, nil
+}
+
+// demand says what is known of a generation before it is routed.
+func (s *Server) demand(a arrival) currantwood.Demand {
+	return currantwood.Demand{
+		Request:      a.id,
+		Customer:     a.customer.ID,
+		Rule:         a.rule.ID,
+		Class:        a.rule.Class,
+		Priority:     a.rule.Priority,
+		Model:        currantwood.ModelID(a.prompt.Model),
+		PromptTokens: a.prompt.tokens(),
+		Prefix:       a.prompt.prefix(),
+		MaxTokens:    a.prompt.maxTokens(),
+		Deadline:     a.at.Add(a.rule.Deadline),
+		Region:       s.options.Region,
+	}
+}
+
+// complete serves a generation.
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, a arrival) {
+	demand := s.demand(a)
+	if verdict := s.options.Limiter.Admit(a.at, demand); verdict.Refusal != nil {
+		s.refuser.Write(w, verdict.Refusal)
+		return
+	}
+	request := forwarder.Request{
+		Demand:      demand,
+		Group:       a.rule.Group,
+		Fingerprint: currantwood.Fingerprint(xxhash.Sum64(a.body)),
+		Body:        a.body,
+	}
+	out := newAnswer(w, a)
+	completion, refusal := s.options.Forwarder.Forward(r.Context(), request, out.deliver)
+	s.options.Limiter.Done(time.Now(), a.customer.ID, a.id, completion.TokenSeconds)
+	out.end(completion, refusal, s.refuser)
+	s.log(a, refusal)
+}
+
+// call serves a call of a plain service.
+func (s *Server) call(w http.ResponseWriter, r *http.Request, a arrival) {
+	ctx, cancel := context.WithDeadline(r.Context(), a.at.Add(a.rule.Deadline))
+	defer cancel()
+	answer, refusal := s.options.Calls.Forward(ctx, Call{
+		Request: a.id, Customer: a.customer.ID, Rule: a.rule, Arrival: a.at, HTTP: r, Body: a.body,
+	})
+	s.log(a, refusal)
+	if refusal != nil {
+		s.refuser.Write(w, refusal)
+		return
+	}
+	for name, values := range answer.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func (s *Server) log(a arrival, refusal *currantwood.Refusal) {
+	fields := []zap.Field{
+		zap.String("request-id", string(a.id)),
+		zap.String("customer", string(a.customer.ID)),
+		zap.String("rule", string(a.rule.ID)),
+		zap.Duration("took", time.Since(a.at)),
+	}
+	if refusal == nil {
+		s.options.Logger.Debug("request served", fields...)
+		return
+	}
+	s.options.Logger.Info("request refused", append(fields,
+		zap.Stringer("kind", refusal.Kind), zap.Stringer("ran", refusal.Ran),
+		zap.String("step", refusal.Step), zap.String("peer", refusal.Peer), zap.String("detail", refusal.Detail))...)
+}
+
+func callerKey(r *http.Request) string {
+	return strings.TrimPrefix(r.Header.Get("Authorization"), bearerPrefix)
+}
+
+func isCompletion(r *http.Request) bool {
+	return r.Method == http.MethodPost && (r.URL.Path == pathCompletions || r.URL.Path == pathChat)
+}
+
+func generates(class currantwood.Class) bool {
+	return class == currantwood.ClassStream || class == currantwood.ClassCheck
+}
--- /dev/null
+++ b/entrystarter/entrystarter.go
@@ -0,0 +1,266 @@
+// Package entrystarter starts an entry process from its settings and shuts it
+// down.
+package entrystarter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/dialer"
+	"github.com/currantwood/currantwood/distributor"
+	"github.com/currantwood/currantwood/entryserver"
+	"github.com/currantwood/currantwood/forwarder"
+	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/matcher"
+	"github.com/currantwood/currantwood/operatorserver"
+	"github.com/currantwood/currantwood/settingsreader"
+	"github.com/currantwood/currantwood/tracker"
+	"github.com/currantwood/currantwood/vmclient"
+	"github.com/currantwood/currantwood/wire"
+)
+
+// Options says what an entry needs.
+type Options struct {
+	Settings settingsreader.Settings
+	Logger   *zap.Logger
+	// Dial connects to other processes; nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Entry is one running entry process.
+type Entry struct {
+	settings  settingsreader.Settings
+	logger    *zap.Logger
+	vms       currantwood.VMList
+	tracker   *tracker.Tracker
+	forwarder *forwarder.Forwarder
+	server    *entryserver.Server
+	links     *distributor.Distributor
+	dialer    *dialer.Dialer
+	http      *http.Server
+	operators *operatorserver.Server
+	callers   net.Listener
+	peers     net.Listener
+	operator  net.Listener
+	hello     *wire.Hello
+	leaving   atomic.Bool
+	matcher   atomic.Pointer[matcher.Matcher]
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+}
+
+// New starts an entry. It serves until Shutdown or Kill.
+func New(options Options) (*Entry, error) {
+	settings := options.Settings
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{settings: settings, logger: options.Logger, ctx: ctx, cancel: cancel, tracker: tracker.New(), hello: hello(settings)}
+	if err := e.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	e.vms = vmclient.New(vmclient.Options{Address: settings.Platform.VMList, Timeout: vmListTimeout})
+	e.assemble(options)
+	e.serve()
+	return e, nil
+}
+
+// CallerAddress is where the entry takes requests of callers.
+func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
+
+// LinkAddress is where the entry takes links of its peers.
+func (e *Entry) LinkAddress() string { return e.peers.Addr().String() }
+
+// OperatorAddress is where the entry serves operators.
+func (e *Entry) OperatorAddress() string { return e.operator.Addr().String() }
+
+// Shutdown reports not ready, serves on for the balancer's lag and ends when no
+// request is in flight.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.leaving.Store(true)
+	timer := time.NewTimer(e.settings.Shutdown.BalancerLag.Std())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	err := e.http.Shutdown(ctx)
+	e.Kill()
+	return errors.Wrap(err, "entry: shutdown")
+}
+
+// Kill ends the entry at once, as a crash would.
+func (e *Entry) Kill() {
+	e.cancel()
+	_ = e.http.Close()
+	_ = e.peers.Close()
+	e.dialer.Close()
+	for _, link := range e.links.Links() {
+		link.Close()
+	}
+	_ = e.operators.Close(e.ctx)
+	e.wait.Wait()
+}
+
+func (e *Entry) listen() error {
+	var err error
+	if e.callers, err = net.Listen("tcp", e.settings.Listen.Callers); err != nil {
+		return errors.Wrap(err, "entry: listen for callers")
+	}
+	if e.peers, err = net.Listen("tcp", e.settings.Listen.Links); err != nil {
+		_ = e.callers.Close()
+		return errors.Wrap(err, "entry: listen for links")
+	}
+	if e.operator, err = net.Listen("tcp", e.settings.Listen.Operators); err != nil {
+		_ = e.callers.Close()
+		_ = e.peers.Close()
+		return errors.Wrap(err, "entry: listen for operators")
+	}
+	return nil
+}
+
+func (e *Entry) assemble(options Options) {
+	e.forwarder = forwarder.New(forwarder.Options{
+		Tracker:       e.tracker,
+		Picker:        e.picker(),
+		NewGeneration: func() currantwood.GenerationID { return currantwood.GenerationID(uuid.NewString()) },
+	})
+	e.links = distributor.New(&sideHandler{entry: e})
+	e.dialer = dialer.New(dialer.Options{
+		Dial:   options.Dial,
+		Link:   func(conn net.Conn, _ string) (*linker.Link, error) { return linker.New(conn, e.linkOptions(true)) },
+		Up:     func(link *linker.Link, _ string) { e.links.Up(link) },
+		Failed: e.dialFailed,
+	})
+	e.server = entryserver.New(entryserver.Options{
+		Region:       currantwood.RegionID(e.settings.Region),
+		Rules:        e.rules,
+		Forwarder:    e.forwarder,
+		Calls:        e.calls(),
+		Limiter:      e.limiter(),
+		MaxBodyBytes: e.settings.Entry.MaxBodyBytes,
+		Logger:       e.logger,
+	})
+	e.http = &http.Server{Handler: e.server, ReadHeaderTimeout: headerTimeout}
+}
+
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 10 * time.Second
+
+func (e *Entry) serve() {
+	e.operators = operatorserver.New(operatorserver.Options{
+		Listener: e.operator,
+		Ready:    e.ready,
+		Metrics:  metrics.NewRegistry(),
+	})
+	e.wait.Add(3)
+	go func() {
+		defer e.wait.Done()
+		_ = e.http.Serve(e.callers)
+	}()
+	go func() {
+		defer e.wait.Done()
+		e.accept()
+	}()
+	go func() {
+		defer e.wait.Done()
+		e.follow()
+	}()
+}
+
+func (e *Entry) linkOptions(dialed bool) linker.Options {
+	return linker.Options{
+		Dialed:    dialed,
+		Hello:     e.hello,
+		Heartbeat: e.settings.Links.Heartbeat.Std(),
+		Silence:   e.settings.Links.Silence.Std(),
+		Frame:     e.links.Frame,
+		Closed:    e.links.Down,
+	}
+}
+
+// accept takes links of peers.
+func (e *Entry) accept() {
+	for {
+		conn, err := e.peers.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			link, err := linker.New(conn, e.linkOptions(false))
+			if err != nil {
+				e.logger.Warn("link refused", zap.Error(err))
+				return
+			}
+			e.links.Up(link)
+		}()
+	}
+}
+
+// follow reads the VM list again and again and dials what it names.
+func (e *Entry) follow() {
+	ticker := time.NewTicker(e.settings.Platform.VMListInterval.Std())
+	defer ticker.Stop()
+	for {
+		if vms, err := e.vms.VMs(e.ctx); err == nil {
+			e.dialer.Set(e.addresses(vms))
+		} else if e.ctx.Err() == nil {
+			e.logger.Warn("VM list not read", zap.Error(err))
+		}
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// addresses chooses whom to dial: the sides, and the entries whose VM's name is
+// lower, so that two entries keep one link.
+func (e *Entry) addresses(vms []currantwood.VM) []string {
+	var addresses []string
+	for _, vm := range vms {
+		if vm.Role == currantwood.RoleSide.String() || string(vm.ID) < e.settings.VM {
+			addresses = append(addresses, vm.Address)
+		}
+	}
+	return addresses
+}
+
+func (e *Entry) dialFailed(address string, err error) {
+	e.logger.Debug("dial failed", zap.String("peer", address), zap.Error(err))
+}
+
+func (e *Entry) ready() error {
+	if e.leaving.Load() {
+		return errors.New("leaving")
+	}
+	if e.rules() == nil {
+		return errors.New("no rules yet")
+	}
+	return nil
+}
+
+func hello(settings settingsreader.Settings) *wire.Hello {
+	return &wire.Hello{
+		Process:     settings.Process,
+		Role:        currantwood.RoleEntry.String(),
+		Region:      settings.Region,
+		Zone:        settings.Zone,
+		Incarnation: rand.Uint64(),
+	}
+}
+
+// vmListTimeout bounds one read of the VM list.
+const vmListTimeout = 5 * time.Second
--- /dev/null
+++ b/entrystarter/sidehandler.go
@@ -0,0 +1,46 @@
+package entrystarter
+
+import (
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/wire"
+)
+
+// sideHandler deals with the links to sides: their loads, and the frames of
+// generations.
+type sideHandler struct {
+	entry *Entry
+}
+
+func (h *sideHandler) Up(link *linker.Link) {
+	if isSide(link) {
+		h.entry.tracker.Up(link)
+	}
+}
+
+func (h *sideHandler) Frame(link *linker.Link, frame *wire.Frame) bool {
+	switch body := frame.Body.(type) {
+	case *wire.Frame_Load:
+		h.entry.tracker.Load(time.Now(), link, body.Load)
+	case *wire.Frame_Leaving:
+		h.entry.tracker.Leaving(link)
+	case *wire.Frame_Tokens, *wire.Frame_Final, *wire.Frame_Queued:
+		h.entry.forwarder.Frame(link, frame)
+	default:
+		return false
+	}
+	return true
+}
+
+func (h *sideHandler) Down(link *linker.Link, _ error) {
+	if isSide(link) {
+		h.entry.tracker.Down(link)
+		h.entry.forwarder.LinkClosed(link)
+	}
+}
+
+func isSide(link *linker.Link) bool {
+	return link.Peer().Role == currantwood.RoleSide.String()
+}
--- a/enums.go
+++ b/enums.go
@@ -50,7 +50,6 @@
 	KindInternal                       // internal
 	KindNotFound                       // not-found
 	KindInProgress                     // in-progress
-	KindTakenOver                      // taken-over
 )
 
 // Role is the part that a VM plays.
--- a/estimator/suite_test.go
+++ b/settingsreader/suite_test.go
@@ -1,4 +1,4 @@
-package estimator_test
+package settingsreader_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestEstimator(t *testing.T) {
+func TestSettingsReader(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "estimator")
+	RunSpecs(t, "settingsreader")
 }
--- /dev/null
+++ b/sideserver/sideserver.go
@@ -0,0 +1,284 @@
+// Package sideserver is the shell of the side process: it listens for links of
+// entries, hands their frames to the stages that serve them and reports the
+// upstream's load.
+package sideserver
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/distributor"
+	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/runner"
+	"github.com/currantwood/currantwood/wire"
+)
+
+const (
+	step = "sideserver"
+	// reportInterval is the time between two load reports to an entry.
+	reportInterval = 250 * time.Millisecond
+	// retryAfterLeaving is when to come back to an upstream that leaves; by
+	// then the request reaches another one.
+	retryAfterLeaving = 500 * time.Millisecond
+)
+
+// CallServer serves the calls of a plain service.
+type CallServer interface {
+	// Call runs one call to its final answer.
+	Call(ctx context.Context, call *wire.Call) *wire.Answer
+	// Ask looks the outcome of an operation up and runs nothing.
+	Ask(ctx context.Context, ask *wire.Ask) *wire.Answer
+}
+
+// Options says what a side needs.
+type Options struct {
+	// Hello describes this process to its peers; Upstream is set.
+	Hello *wire.Hello
+	// Listener takes links. The side owns it.
+	Listener net.Listener
+	// Engine is nil beside a plain service, Calls is nil beside an engine.
+	Engine currantwood.Engine
+	Calls  CallServer
+	// Handlers deal with the frames that are not of calls or generations.
+	Handlers []distributor.Handler
+	// Heartbeat and Silence are as in linker.Options.
+	Heartbeat, Silence time.Duration
+	Logger             *zap.Logger
+}
+
+// Server is one running side.
+type Server struct {
+	options Options
+	links   *distributor.Distributor
+	runner  *runner.Runner
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu sync.Mutex
+	// leaving is set once and never taken back.
+	leaving bool
+	calls   sync.WaitGroup
+}
+
+// New starts a side.
+func New(options Options) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{options: options, ctx: ctx, cancel: cancel}
+	s.links = distributor.New(append([]distributor.Handler{s}, options.Handlers...)...)
+	if options.Engine != nil {
+		s.runner = runner.New(runner.Options{
+			Engine:   options.Engine,
+			Upstream: currantwood.UpstreamID(options.Hello.Upstream),
+		})
+	}
+	s.wait.Add(2)
+	go func() {
+		defer s.wait.Done()
+		s.accept()
+	}()
+	go func() {
+		defer s.wait.Done()
+		s.report()
+	}()
+	return s
+}
+
+// Ready reports whether the side takes new work.
+func (s *Server) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leaving
+}
+
+// Leave refuses new work from now on and tells all entries so.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.links.Broadcast(&wire.Frame{Body: &wire.Frame_Leaving{Leaving: &wire.Leaving{
+		Upstream: s.options.Hello.Upstream,
+		Process:  s.options.Hello.Process,
+	}}})
+}
+
+// Drain leaves and returns when nothing is in flight any more or ctx is done.
+func (s *Server) Drain(ctx context.Context) error {
+	s.Leave()
+	idle := make(chan struct{})
+	go func() {
+		if s.runner != nil {
+			s.runner.Wait()
+		}
+		s.calls.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "%s: drain, peer %s", step, s.options.Hello.Upstream)
+	}
+}
+
+// Close ends the side at once, without a drain.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.options.Listener.Close()
+	for _, link := range s.links.Links() {
+		link.Close()
+	}
+	s.wait.Wait()
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.options.Listener.Accept()
+		if err != nil {
+			if s.ctx.Err() == nil {
+				s.options.Logger.Error("accept failed", zap.String("step", step), zap.Error(err))
+			}
+			return
+		}
+		go func() { s.open(conn) }()
+	}
+}
+
+func (s *Server) open(conn net.Conn) {
+	link, err := linker.New(conn, linker.Options{
+		Hello:     s.options.Hello,
+		Heartbeat: s.options.Heartbeat,
+		Silence:   s.options.Silence,
+		Frame:     s.links.Frame,
+		Closed:    s.links.Down,
+	})
+	if err != nil {
+		s.options.Logger.Warn("link refused", zap.String("step", step), zap.Error(err))
+		return
+	}
+	s.links.Up(link)
+}
+
+// Up tells a new link the load.
+func (s *Server) Up(link *linker.Link) { _ = link.Send(s.loadFrame()) }
+
+// Down logs the end of a link.
+func (s *Server) Down(link *linker.Link, cause error) {
+	s.options.Logger.Info("link closed", zap.String("step", step), zap.String("peer", link.Peer().Process), zap.Error(cause))
+}
+
+// Frame serves calls and generations.
+func (s *Server) Frame(link *linker.Link, frame *wire.Frame) bool {
+	switch body := frame.Body.(type) {
+	case *wire.Frame_Start:
+		s.start(link, body.Start)
+	case *wire.Frame_Cancel:
+		s.cancelRun(body.Cancel)
+	case *wire.Frame_Call:
+		s.call(link, body.Call)
+	case *wire.Frame_Ask:
+		s.ask(link, body.Ask)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Server) cancelRun(cancel *wire.Cancel) {
+	if s.runner != nil {
+		s.runner.Cancel(currantwood.GenerationID(cancel.GenerationId))
+	}
+}
+
+func (s *Server) start(link *linker.Link, start *wire.Start) {
+	refusal := s.refuseNew(s.options.Engine != nil)
+	if refusal == nil {
+		s.runner.Start(link, start)
+		return
+	}
+	_ = link.Send(&wire.Frame{Body: &wire.Frame_Final{Final: &wire.Final{
+		RequestId:    start.RequestId,
+		GenerationId: start.GenerationId,
+		Refusal:      wire.FromRefusal(refusal),
+	}}})
+}
+
+func (s *Server) call(link *linker.Link, call *wire.Call) {
+	if refusal := s.refuseNew(s.options.Calls != nil); refusal != nil {
+		s.answer(link, call.RequestId, &wire.Answer{Refusal: wire.FromRefusal(refusal)})
+		return
+	}
+	s.serve(link, call.RequestId, time.Duration(call.DeadlineMs)*time.Millisecond, func(ctx context.Context) *wire.Answer {
+		return s.options.Calls.Call(ctx, call)
+	})
+}
+
+// askTimeout bounds the look-up of an outcome.
+const askTimeout = 5 * time.Second
+
+func (s *Server) ask(link *linker.Link, ask *wire.Ask) {
+	if s.options.Calls == nil {
+		return
+	}
+	s.serve(link, ask.RequestId, askTimeout, func(ctx context.Context) *wire.Answer {
+		return s.options.Calls.Ask(ctx, ask)
+	})
+}
+
+func (s *Server) serve(link *linker.Link, request string, timeout time.Duration, run func(context.Context) *wire.Answer) {
+	s.calls.Add(1)
+	go func() {
+		defer s.calls.Done()
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
+		defer cancel()
+		s.answer(link, request, run(ctx))
+	}()
+}
+
+func (s *Server) answer(link *linker.Link, request string, answer *wire.Answer) {
+	answer.RequestId = request
+	_ = link.Send(&wire.Frame{Body: &wire.Frame_Answer{Answer: answer}})
+}
+
+// refuseNew says why new work of a kind can't be taken; nil when it can.
+func (s *Server) refuseNew(served bool) *currantwood.Refusal {
+	if !served {
+		return currantwood.Refuse(currantwood.KindNoUpstream, step, "this upstream does not serve the kind of work", 0)
+	}
+	if !s.Ready() {
+		return currantwood.Refuse(currantwood.KindShuttingDown, step, "the upstream is leaving", retryAfterLeaving)
+	}
+	return nil
+}
+
+func (s *Server) report() {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+			s.links.Broadcast(s.loadFrame())
+		}
+	}
+}
+
+func (s *Server) loadFrame() *wire.Frame {
+	load := &wire.Load{
+		Upstream: s.options.Hello.Upstream,
+		Leaving:  !s.Ready(),
+		EngineUp: true,
+		Model:    s.options.Hello.Model,
+	}
+	if s.runner != nil {
+		load.Running = uint32(s.runner.Running())
+	}
+	return &wire.Frame{Body: &wire.Frame_Load{Load: load}}
+}
--- /dev/null
+++ b/sidestarter/sidestarter.go
@@ -0,0 +1,121 @@
+// Package sidestarter starts a side process from its settings and shuts it down.
+package sidestarter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/engineclient"
+	"github.com/currantwood/currantwood/operatorserver"
+	"github.com/currantwood/currantwood/settingsreader"
+	"github.com/currantwood/currantwood/sideserver"
+	"github.com/currantwood/currantwood/wire"
+)
+
+// Side is one running side process.
+type Side struct {
+	settings  settingsreader.Settings
+	server    *sideserver.Server
+	operators *operatorserver.Server
+	links     net.Addr
+	operator  net.Addr
+}
+
+// New starts a side. It serves until Shutdown or Kill.
+func New(settings settingsreader.Settings, logger *zap.Logger) (*Side, error) {
+	links, err := net.Listen("tcp", settings.Listen.Links)
+	if err != nil {
+		return nil, errors.Wrap(err, "side: listen for links")
+	}
+	operators, err := net.Listen("tcp", settings.Listen.Operators)
+	if err != nil {
+		_ = links.Close()
+		return nil, errors.Wrap(err, "side: listen for operators")
+	}
+	s := &Side{settings: settings, links: links.Addr(), operator: operators.Addr()}
+	s.server = sideserver.New(s.options(links, logger))
+	s.operators = operatorserver.New(operatorserver.Options{
+		Listener: operators,
+		Ready:    s.ready,
+		Metrics:  metrics.NewRegistry(),
+	})
+	return s, nil
+}
+
+// LinkAddress is where the side takes links.
+func (s *Side) LinkAddress() string { return s.links.String() }
+
+// OperatorAddress is where the side serves operators.
+func (s *Side) OperatorAddress() string { return s.operator.String() }
+
+// Shutdown refuses new work at once and ends when nothing is in flight.
+func (s *Side) Shutdown(ctx context.Context) error {
+	err := s.server.Drain(ctx)
+	s.server.Close()
+	_ = s.operators.Close(ctx)
+	return err
+}
+
+// Kill ends the side at once, as a crash would.
+func (s *Side) Kill() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.server.Close()
+	_ = s.operators.Close(ctx)
+}
+
+func (s *Side) ready() error {
+	if !s.server.Ready() {
+		return errors.New("leaving")
+	}
+	return nil
+}
+
+func (s *Side) options(links net.Listener, logger *zap.Logger) sideserver.Options {
+	options := sideserver.Options{
+		Hello:     s.hello(),
+		Listener:  links,
+		Heartbeat: s.settings.Links.Heartbeat.Std(),
+		Silence:   s.settings.Links.Silence.Std(),
+		Logger:    logger,
+	}
+	if s.settings.Side.Kind == currantwood.UpstreamEngine.String() {
+		options.Engine = engineclient.New(&http.Client{Transport: transport()}, s.settings.Side.Address)
+	}
+	return options
+}
+
+func (s *Side) hello() *wire.Hello {
+	return &wire.Hello{
+		Process:     s.settings.Process,
+		Role:        currantwood.RoleSide.String(),
+		Region:      s.settings.Region,
+		Zone:        s.settings.Zone,
+		Incarnation: rand.Uint64(),
+		Upstream:    s.settings.Side.Upstream,
+		Group:       s.settings.Side.Group,
+		Model:       s.settings.Side.Model,
+	}
+}
+
+const (
+	// maxIdleConns keeps connections to the one upstream open between requests.
+	maxIdleConns = 256
+	idleTimeout  = 30 * time.Second
+)
+
+func transport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConns:        maxIdleConns,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
--- /dev/null
+++ b/tracker/tracker.go
@@ -0,0 +1,144 @@
+// Package tracker keeps an entry's view of the upstreams that it has links to:
+// which link leads to which upstream and what its side last reported.
+package tracker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/wire"
+)
+
+// Tracker is safe for concurrent use.
+type Tracker struct {
+	mu sync.RWMutex
+	// sides holds the newest link to each upstream.
+	sides map[currantwood.UpstreamID]*side
+}
+
+type side struct {
+	link *linker.Link
+	// load is the last report; nil until one arrived.
+	load       *wire.Load
+	reportedAt time.Time
+	leaving    bool
+	inFlight   int
+}
+
+// New makes an empty view.
+func New() *Tracker {
+	return &Tracker{sides: make(map[currantwood.UpstreamID]*side)}
+}
+
+// Up takes in a new link to a side. It replaces an older one.
+func (t *Tracker) Up(link *linker.Link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	upstream := currantwood.UpstreamID(link.Peer().Upstream)
+	previous := t.sides[upstream]
+	next := &side{link: link}
+	if previous != nil {
+		next.inFlight = previous.inFlight
+	}
+	t.sides[upstream] = next
+}
+
+// Down takes a closed link out, unless a newer one has replaced it.
+func (t *Tracker) Down(link *linker.Link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	upstream := currantwood.UpstreamID(link.Peer().Upstream)
+	if s := t.sides[upstream]; s != nil && s.link == link {
+		delete(t.sides, upstream)
+	}
+}
+
+// Load takes in a side's report.
+func (t *Tracker) Load(now time.Time, link *linker.Link, load *wire.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.sides[currantwood.UpstreamID(link.Peer().Upstream)]
+	if s == nil || s.link != link {
+		return
+	}
+	s.load = load
+	s.reportedAt = now
+	s.leaving = s.leaving || load.Leaving
+}
+
+// Leaving notes that a side takes no new work.
+func (t *Tracker) Leaving(link *linker.Link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.sides[currantwood.UpstreamID(link.Peer().Upstream)]; s != nil && s.link == link {
+		s.leaving = true
+	}
+}
+
+// Link returns the live link to an upstream, or nil.
+func (t *Tracker) Link(upstream currantwood.UpstreamID) *linker.Link {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if s := t.sides[upstream]; s != nil {
+		return s.link
+	}
+	return nil
+}
+
+// Links returns all live links, in no order.
+func (t *Tracker) Links() []*linker.Link {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	links := make([]*linker.Link, 0, len(t.sides))
+	for _, s := range t.sides {
+		links = append(links, s.link)
+	}
+	return links
+}
+
+// Begin and End count this entry's own work in flight at an upstream.
+func (t *Tracker) Begin(upstream currantwood.UpstreamID) { t.count(upstream, 1) }
+
+// End is called once for each Begin.
+func (t *Tracker) End(upstream currantwood.UpstreamID) { t.count(upstream, -1) }
+
+func (t *Tracker) count(upstream currantwood.UpstreamID, change int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.sides[upstream]; s != nil {
+		s.inFlight = max(0, s.inFlight+change)
+	}
+}
+
+// Candidates returns the upstreams of a group that take new work.
+func (t *Tracker) Candidates(group currantwood.GroupID) []currantwood.Candidate {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var candidates []currantwood.Candidate
+	for upstream, s := range t.sides {
+		peer := s.link.Peer()
+		if s.leaving || currantwood.GroupID(peer.Group) != group {
+			continue
+		}
+		candidates = append(candidates, s.candidate(upstream))
+	}
+	return candidates
+}
+
+func (s *side) candidate(upstream currantwood.UpstreamID) currantwood.Candidate {
+	c := currantwood.Candidate{
+		Upstream:   upstream,
+		Region:     currantwood.RegionID(s.link.Peer().Region),
+		Zone:       currantwood.ZoneID(s.link.Peer().Zone),
+		InFlight:   s.inFlight,
+		ReportedAt: s.reportedAt,
+	}
+	if s.load != nil {
+		c.Headroom = currantwood.TokenCount(s.load.HeadroomTokens)
+		c.Queue = int(s.load.Queued)
+		c.PredictedWait = time.Duration(s.load.PredictedWaitMs) * time.Millisecond
+	}
+	return c
+}
