--- /dev/null
+++ b/encoder/encoder_test.go
@@ -0,0 +1,89 @@
+package encoder_test
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/encoder"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+func golden(name string, got []byte) {
+	path := filepath.Join("testdata", name)
+	if *update {
+		Expect(os.WriteFile(path, got, 0o644)).To(Succeed())
+	}
+	want, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(got)).To(Equal(string(want)))
+}
+
+func newEncoder(chat bool) *encoder.Encoder {
+	e := encoder.New(encoder.Options{
+		Request: "r1", Model: "summary-7b", Created: time.Unix(1772438400, 0),
+		Chat: chat, IncludeUsage: true, PromptTokens: 12,
+	})
+	e.Bind("g1", "kingston-1")
+	return e
+}
+
+var _ = Describe("Encoder", func() {
+	texts := []string{"Filed", " \"today\"", "\n", " é<b>", "\u2028"}
+
+	DescribeTable("streams", func(chat bool, file string) {
+		e := newEncoder(chat)
+		out := e.Tokens(nil, 0, texts[:2])
+		out = e.Heartbeat(out)
+		out = e.Tokens(out, 2, texts[2:])
+		golden(file, e.Done(out, 5, "stop"))
+	},
+		Entry("completions", false, "completions.golden"),
+		Entry("chat completions", true, "chat-completions.golden"),
+	)
+
+	DescribeTable("whole answers", func(chat bool, file string) {
+		out := newEncoder(chat).Whole(nil, texts, "stop")
+		Expect(json.Valid(out)).To(BeTrue())
+		golden(file, out)
+	},
+		Entry("completions", false, "completions-whole.golden"),
+		Entry("chat completions", true, "chat-completions-whole.golden"),
+	)
+
+	It("writes a restart, then the new generation from 0", func() {
+		e := newEncoder(true)
+		out := e.Tokens(nil, 0, texts[:1])
+		e.Bind("g2", "kingston-2")
+		golden("restart.golden", e.Tokens(e.Restart(out), 0, texts[:1]))
+	})
+
+	It("ends a broken stream with an error and without [DONE]", func() {
+		out, err := newEncoder(true).Failure(nil, &currantwood.Refusal{
+			Kind: currantwood.KindGenerationLost, Ran: currantwood.RanDone,
+			RetryAfter: 1500 * time.Millisecond, Detail: "the engine died",
+		})
+		Expect(err).NotTo(HaveOccurred())
+		golden("failure.golden", out)
+	})
+
+	DescribeTable("event ids that are not ours", func(id string) {
+		_, err := currantwood.ParsePosition(id)
+		Expect(err).To(MatchError(ContainSubstring("event id")))
+	},
+		Entry("empty", ""), Entry("a number", "17"), Entry("no generation", "r//u/1"),
+		Entry("a negative index", "r/g/u/-1"), Entry("too many parts", "r/g/u/1/2"),
+	)
+
+	It("reads its own event ids", func() {
+		want := currantwood.Position{Request: "r", Generation: "g", Upstream: "u", Next: 9}
+		Expect(currantwood.ParsePosition(want.String())).To(Equal(want))
+	})
+})
--- a/enums.go
+++ b/enums.go
@@ -50,6 +50,7 @@
 	KindInternal                       // internal
 	KindNotFound                       // not-found
 	KindInProgress                     // in-progress
+	KindTakenOver                      // taken-over
 )
 
 // Role is the part that a VM plays.
--- a/enums_string.go
+++ b/enums_string.go
@@ -72,11 +72,12 @@
 	_ = x[KindInternal-20]
 	_ = x[KindNotFound-21]
 	_ = x[KindInProgress-22]
+	_ = x[KindTakenOver-23]
 }
 
-const _Kind_name = "bad-requestunauthorizedno-rulekey-requiredkey-conflictkey-expiredover-limitno-capacityno-upstreamdeadlinequarantinedlog-downgeneration-lostoutcome-unknownshutting-downlink-lostupstream-errorupstream-crashnot-readyinternalnot-foundin-progress"
+const _Kind_name = "bad-requestunauthorizedno-rulekey-requiredkey-conflictkey-expiredover-limitno-capacityno-upstreamdeadlinequarantinedlog-downgeneration-lostoutcome-unknownshutting-downlink-lostupstream-errorupstream-crashnot-readyinternalnot-foundin-progresstaken-over"
 
-var _Kind_index = [...]uint8{0, 11, 23, 30, 42, 54, 65, 75, 86, 97, 105, 116, 124, 139, 154, 167, 176, 190, 204, 213, 221, 230, 241}
+var _Kind_index = [...]uint8{0, 11, 23, 30, 42, 54, 65, 75, 86, 97, 105, 116, 124, 139, 154, 167, 176, 190, 204, 213, 221, 230, 241, 251}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
