Add the gatekeeper: admission by predicted peak memory

Cause: an engine that is filled by what fits now preempts in the middle of long answers, since each stream grows by a token a step.

Change: the gatekeeper predicts memory at thirteen horizons from the conditional lengths of all that is running (mean and variance, 2.5 standard deviations) and starts a request only while the highest stays below the limit. What doesn't fit waits for at most 300 ms or is refused as not run, with the time at which the prediction has room. Checks have a reserved share. When memory fills all the same the victim is the lowest priority with the least work lost. The queue is fair by weight (start time fair queueing). Demand gets Weight and Promised. The engine stand-in prefills by priority.

--- /dev/null
+++ b/gatekeeper/options.go
@@ -0,0 +1,43 @@
+package gatekeeper
+
+import (
+	"time"
+
+	"github.com/currantwood/currantwood"
+)
+
+// Options bound what one engine is given.
+type Options struct {
+	// MemoryTokens is the engine's memory until it reports its own.
+	MemoryTokens currantwood.TokenCount
+	// Deviations is how many standard deviations the predicted peak must stay
+	// below the limit: the confidence of admission.
+	Deviations float64
+	// CheckReserve is the share of memory that only small checks may use.
+	CheckReserve currantwood.Share
+	// MaxRunning bounds the streams at the engine.
+	MaxRunning int
+	// MaxPrefill bounds the prompt tokens that were started and have no first
+	// token yet, so that the first token comes soon after the start.
+	MaxPrefill currantwood.TokenCount
+	// MaxQueue bounds the requests that wait.
+	MaxQueue int
+	// MaxWait is how long a request may wait before it is refused.
+	MaxWait time.Duration
+	// StepTime is the time between tokens until it was observed.
+	StepTime time.Duration
+}
+
+// DefaultOptions suit an engine whose step takes about 20 ms.
+func DefaultOptions() Options {
+	return Options{
+		MemoryTokens: 32_000,
+		Deviations:   2.5,
+		CheckReserve: 0.04,
+		MaxRunning:   120,
+		MaxPrefill:   3000,
+		MaxQueue:     64,
+		MaxWait:      300 * time.Millisecond,
+		StepTime:     20 * time.Millisecond,
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -18,6 +18,11 @@
 	// Deadline is absolute.
 	Deadline time.Time
 	Region   RegionID
+	// Weight is the customer's part in the fair shares; 0 counts as 1.
+	Weight uint32
+	// Promised says that the caller was refused before, was told when to come
+	// back and has come back then. It goes before others of its priority.
+	Promised bool
 }
 
 // Candidate is one upstream as an entry sees it: late.
--- a/standin/batcher/batcher.go
+++ b/standin/batcher/batcher.go
@@ -36,7 +36,7 @@
 type Batcher struct {
 	options Options
 	streams map[currantwood.EngineStreamID]*stream
-	// running is in the order of admission.
+	// running is ordered by descending priority, then by admission.
 	running []*stream
 	// waiting is ordered by descending priority, evicted streams first, then
 	// by arrival.
@@ -187,7 +187,8 @@
 	s.state = stateRunning
 	s.held = context
 	b.used += context
-	b.running = append(b.running, s)
+	at := sort.Search(len(b.running), func(i int) bool { return b.running[i].job.Priority < s.job.Priority })
+	b.running = insert(b.running, at, s)
 }
 
 // prefill spends the step's chunk on running streams in order and returns the
@@ -309,9 +310,14 @@
 func (b *Batcher) enqueue(s *stream) {
 	s.state = stateWaiting
 	at := sort.Search(len(b.waiting), func(i int) bool { return before(s, b.waiting[i]) })
-	b.waiting = append(b.waiting, nil)
-	copy(b.waiting[at+1:], b.waiting[at:])
-	b.waiting[at] = s
+	b.waiting = insert(b.waiting, at, s)
+}
+
+func insert(into []*stream, at int, s *stream) []*stream {
+	into = append(into, nil)
+	copy(into[at+1:], into[at:])
+	into[at] = s
+	return into
 }
 
 func before(a, b *stream) bool {
