parser, printer, matcher: rules text

There was no way from an operator's text to currantwood.Rules. The parser reports every faulty line (up to 20) with line, column, what was expected and what was found; the printer has the one canonical form and keeps comment lines and single blank lines; the matcher finds the first rule in file order by an index over customer and path.

Refused besides the obvious: a generation that is not repeatable (a Start has no operation key), a model for a plain service, a window shorter than the deadline, two customers with one key. A request's path with dot segments or empty segments matches nothing, since an upstream that resolves it could run a booking under the rule of a lookup.

--- /dev/null
+++ b/standin/sites/sites_test.go
@@ -0,0 +1,36 @@
+package sites_test
+
+import (
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/matcher"
+	"github.com/currantwood/currantwood/parser"
+	"github.com/currantwood/currantwood/printer"
+	"github.com/currantwood/currantwood/standin/sites"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = DescribeTable("a user's rules",
+	func(site sites.Site) {
+		rules, err := parser.Parse(site.Rules)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(printer.Format(site.Rules)).To(Equal(site.Rules))
+		index := matcher.New(rules)
+		Expect(site.Keys).To(HaveLen(len(rules.Customers)))
+		for i, key := range site.Keys {
+			customer, ok := index.CustomerByKey(key.Key)
+			Expect(ok).To(BeTrue())
+			Expect(customer.ID).To(Equal(key.Customer))
+			Expect(customer.ID).To(Equal(rules.Customers[i].ID))
+		}
+		groups := map[currantwood.GroupID]bool{}
+		for _, upstreams := range site.Upstreams {
+			groups[upstreams.Group] = true
+		}
+		for _, rule := range rules.Rules {
+			Expect(groups).To(HaveKey(rule.Group))
+		}
+	},
+	Entry("Harbourline", sites.Harbourline()),
+	Entry("the cooperative", sites.Cooperative()),
+)
