--- /dev/null
+++ b/picker/picker_test.go
@@ -0,0 +1,113 @@
+package picker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/picker"
+)
+
+var start = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+
+// at makes a candidate with a fresh report.
+func at(region string, headroom int, wait time.Duration) currantwood.Candidate {
+	c := currantwood.Candidate{
+		Region: currantwood.RegionID(region), Headroom: currantwood.TokenCount(headroom),
+		PredictedWait: wait, ReportedAt: start, Latency: time.Millisecond,
+	}
+	if region != "home" {
+		c.Latency = 12 * time.Millisecond
+	}
+	return c
+}
+
+func newPicker() *picker.Picker {
+	return picker.New(picker.DefaultOptions("home"), rand.New(rand.NewPCG(1, 1)))
+}
+
+var _ = Describe("Picker", func() {
+	demand := currantwood.Demand{PromptTokens: 200}
+
+	DescribeTable("picks",
+		func(want int, change func(*currantwood.Candidate), candidates ...currantwood.Candidate) {
+			for i := range candidates {
+				candidates[i].Upstream = currantwood.UpstreamID(fmt.Sprint(i))
+			}
+			if change != nil {
+				change(&candidates[0])
+			}
+			for range 50 {
+				Expect(newPicker().Pick(start, demand, candidates)).To(Equal(want))
+			}
+		},
+		Entry("nothing from nothing", -1, nil),
+		Entry("the one with headroom", 1, nil, at("home", 100, 0), at("home", 9000, 0)),
+		Entry("the shorter wait", 1, nil, at("home", 9000, 200*time.Millisecond), at("home", 9000, 0)),
+		Entry("the holder of the prefix", 0,
+			func(c *currantwood.Candidate) { c.CachedTokens = 190 }, at("home", 9000, 0), at("home", 9000, 0)),
+		Entry("not the holder that is full", 1,
+			func(c *currantwood.Candidate) { c.CachedTokens = 190 }, at("home", 400, 0), at("home", 9000, 0)),
+		Entry("the own region though it is more crowded", 0, nil, at("home", 600, 50*time.Millisecond), at("far", 9000, 0)),
+		Entry("the own region while its wait is short", 0, nil, at("home", 0, 80*time.Millisecond), at("far", 9000, 0)),
+		Entry("another region once its wait beats the link", 1, nil, at("home", 0, time.Second), at("far", 9000, 0)),
+		Entry("another region that is all there is", 0, nil, at("far", 0, time.Second)),
+		Entry("not what an old report says", 1,
+			func(c *currantwood.Candidate) { c.ReportedAt = start.Add(-20 * time.Second) }, at("home", 9000, 0), at("home", 9000, 0)),
+	)
+
+	It("spreads requests over equal candidates", func() {
+		p := newPicker()
+		candidates := make([]currantwood.Candidate, 10)
+		for i := range candidates {
+			candidates[i] = at("home", 100_000, 0)
+			candidates[i].Upstream = currantwood.UpstreamID(fmt.Sprint(i))
+		}
+		counts := make([]int, len(candidates))
+		for range 1000 {
+			counts[p.Pick(start, demand, candidates)]++
+		}
+		for _, n := range counts {
+			Expect(n).To(BeNumerically("~", 100, 25))
+		}
+	})
+
+	It("stops sending where its own requests have used the reported headroom", func() {
+		p := newPicker()
+		candidates := []currantwood.Candidate{at("home", 5000, 0), at("home", 1000, 0)}
+		candidates[0].Upstream, candidates[1].Upstream = "large", "small"
+		small := 0
+		for range 11 {
+			small += p.Pick(start, demand, candidates)
+		}
+		Expect(small).To(BeNumerically("<=", 2))
+	})
+})
+
+// BenchmarkPick shows the cost of a choice over the candidates in view.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{15, 60, 250, 1000} {
+		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
+			p := newPicker()
+			candidates := make([]currantwood.Candidate, n)
+			for i := range candidates {
+				region := "home"
+				if i%3 > 0 {
+					region = "far"
+				}
+				candidates[i] = at(region, 1<<40, time.Duration(i)*time.Millisecond)
+				candidates[i].Upstream = currantwood.UpstreamID(fmt.Sprint("engine-", i))
+			}
+			now := start.Add(time.Second)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Pick(now, currantwood.Demand{PromptTokens: 200}, candidates)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/prefixtracker/tracker_test.go
@@ -0,0 +1,39 @@
+package prefixtracker_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/prefixtracker"
+)
+
+func TestPrefixtracker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "prefixtracker")
+}
+
+var _ = Describe("Tracker", func() {
+	start := time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+
+	It("believes reports less as they grow older, and within bounds", func() {
+		options := prefixtracker.DefaultOptions()
+		options.PerUpstream = 2
+		t := prefixtracker.New(options)
+		for prefix := range currantwood.PrefixID(4) {
+			t.Hold(start, "a", prefix, 1000)
+		}
+		Expect(t.Cached(start, "a", 0)).To(BeZero(), "no prefix")
+		Expect(t.Cached(start, "a", 1)).To(BeZero(), "made room")
+		Expect(t.Cached(start, "a", 3)).To(BeEquivalentTo(1000))
+		Expect(t.Cached(start.Add(options.HalfLife), "a", 3)).To(BeEquivalentTo(500))
+		Expect(t.Cached(start, "b", 3)).To(BeZero(), "another upstream")
+		t.Drop("a", 3)
+		Expect(t.Cached(start, "a", 3)).To(BeZero())
+		t.Forget("a")
+		Expect(t.Cached(start, "a", 2)).To(BeZero())
+	})
+})
