--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,161 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/limiter"
+)
+
+func TestLimiter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limiter")
+}
+
+var start = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+
+// admit asks for n requests and returns how many were admitted.
+func admit(l *limiter.Limiter, now time.Time, customer string, n int) (admitted int) {
+	for i := range n {
+		demand := currantwood.Demand{
+			Customer: currantwood.CustomerID(customer),
+			Request:  currantwood.RequestID(fmt.Sprint(customer, now.UnixNano(), i)),
+		}
+		verdict := l.Admit(now, demand)
+		if verdict.Refusal == nil {
+			admitted++
+			continue
+		}
+		Expect(verdict.Refusal.Kind).To(Equal(currantwood.KindOverLimit))
+		Expect(verdict.Refusal.Ran).To(Equal(currantwood.NotRun))
+		Expect(verdict.Refusal.RetryAfter).To(BeNumerically(">", 0))
+	}
+	return admitted
+}
+
+var _ = Describe("Limiter", func() {
+	var l *limiter.Limiter
+	BeforeEach(func() { l = limiter.New(limiter.DefaultOptions()) })
+
+	It("admits everyone while memory is free", func() {
+		l.Free(100_000)
+		l.Tick(start)
+		Expect(admit(l, start, "flood", 100)).To(Equal(100))
+	})
+
+	It("bounds a customer's streams over all entries", func() {
+		l.SetCustomers([]currantwood.Customer{{ID: "a", Weight: 1, MaxStreams: 5}})
+		l.Exchange(start, "other", []limiter.Use{{Customer: "a", InFlight: 2, Held: 800}})
+		l.Free(100_000)
+		l.Tick(start)
+		Expect(admit(l, start, "a", 10)).To(Equal(3))
+		l.Tick(start.Add(time.Minute))
+		By("forgetting an entry that is gone")
+		Expect(admit(l, start.Add(time.Minute), "a", 10)).To(Equal(2))
+	})
+
+	It("lets a flood not starve nine small customers", func() {
+		admit(l, start, "flood", 100)
+		l.Tick(start)
+		Expect(admit(l, start, "flood", 10)).To(BeZero())
+		for i := range 9 {
+			Expect(admit(l, start, fmt.Sprint("small-", i), 3)).To(Equal(3))
+		}
+		l.Tick(start.Add(time.Second))
+		for i := range 9 {
+			Expect(admit(l, start.Add(time.Second), fmt.Sprint("small-", i), 1)).To(Equal(1))
+		}
+		Expect(admit(l, start.Add(time.Second), "flood", 1)).To(BeZero())
+	})
+
+	It("learns what a customer's requests hold", func() {
+		for range 50 {
+			admit(l, start, "a", 1)
+			id := currantwood.RequestID(fmt.Sprint("a", start.UnixNano(), 0))
+			l.Done(start.Add(2*time.Second), "a", id, 2000)
+		}
+		admit(l, start, "a", 1)
+		Expect(l.Uses()).To(HaveLen(1))
+		Expect(l.Uses()[0].Held).To(BeNumerically("~", 1000, 10))
+	})
+
+	It("gives by weight and never less than the equal share, whatever others ask", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			l := limiter.New(limiter.DefaultOptions())
+			n := rapid.IntRange(2, 12).Draw(t, "customers")
+			weights := make([]uint32, n)
+			var sum uint32
+			var declared []currantwood.Customer
+			for i := range weights {
+				weights[i] = rapid.Uint32Range(1, 4).Draw(t, "weight")
+				sum += weights[i]
+				declared = append(declared, currantwood.Customer{ID: currantwood.CustomerID(fmt.Sprint(i)), Weight: weights[i]})
+			}
+			l.SetCustomers(declared)
+			inFlight := make([]int, n)
+			for i := range inFlight {
+				inFlight[i] = admit(l, start, fmt.Sprint(i), rapid.IntRange(1, 60).Draw(t, "held"))
+			}
+			total := 0
+			for _, held := range inFlight {
+				total += held
+			}
+			now := start.Add(time.Second)
+			l.Tick(now)
+			for i := range inFlight {
+				fair := total * int(weights[i]) / int(sum)
+				if inFlight[i]+1 <= fair && admit(l, now, fmt.Sprint(i), 1) == 0 {
+					t.Fatalf("customer %d with %d of its %d was refused", i, inFlight[i], fair)
+				}
+			}
+		})
+	})
+})
+
+// BenchmarkAdmit shows the cost of a request over the number of customers.
+func BenchmarkAdmit(b *testing.B) {
+	for _, customers := range []int{10, 100, 1000, 9500} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			l, names := filled(customers)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				demand := currantwood.Demand{Customer: names[i%customers], Request: "r"}
+				l.Admit(start, demand)
+				l.Done(start.Add(time.Second), demand.Customer, "r", 400)
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkTick shows the cost of setting the level over the customers.
+func BenchmarkTick(b *testing.B) {
+	for _, customers := range []int{10, 100, 1000, 9500} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			l, names := filled(customers)
+			for i, name := range names {
+				l.Admit(start, currantwood.Demand{Customer: name, Request: currantwood.RequestID(fmt.Sprint(i))})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Tick(start)
+			}
+		})
+	}
+}
+
+func filled(customers int) (*limiter.Limiter, []currantwood.CustomerID) {
+	l := limiter.New(limiter.DefaultOptions())
+	names := make([]currantwood.CustomerID, customers)
+	for i := range names {
+		names[i] = currantwood.CustomerID(fmt.Sprintf("customer-%d", i))
+	}
+	return l, names
+}
