linker: bytes that arrive count as life

Cause: silence was counted from the last whole frame. A body of a few megabytes over a slow connection between regions takes longer than the silence, so the link was closed while it worked, and again after each redial.

Ruled out: noting the time at the yamux stream. yamux hands a window of data on as a whole, so the stream was silent for as long; the connection isn't.

--- a/linker/linker.go
+++ b/linker/linker.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -58,14 +59,16 @@
 	reader  *bufio.Reader
 	peer    *wire.Hello
 
+	// heardAt is when the last bytes arrived, in nanoseconds since the epoch.
+	// A large frame on a slow connection counts as life while it arrives.
+	heardAt atomic.Int64
+
 	mu sync.Mutex
 	// queue holds the frames that the writer hasn't taken yet. It is nil once
 	// the link is closed.
 	queue  []*wire.Frame
 	closed bool
 	cause  error
-	// lastReceived is when the last frame arrived.
-	lastReceived time.Time
 
 	wake chan struct{}
 	done chan struct{}
@@ -75,11 +78,11 @@
 // the call on.
 func New(conn net.Conn, options Options) (*Link, error) {
 	l := &Link{
-		options:      options,
-		lastReceived: time.Now(),
-		wake:         make(chan struct{}, 1),
-		done:         make(chan struct{}),
+		options: options,
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
 	}
+	l.heardAt.Store(time.Now().UnixNano())
 	if err := l.open(conn); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "link: open, peer %s", conn.RemoteAddr())
@@ -126,6 +129,7 @@
 	config.EnableKeepAlive = false
 	config.LogOutput = io.Discard
 	config.MaxStreamWindowSize = streamWindowBytes
+	conn = heardConn{Conn: conn, link: l}
 	var err error
 	if l.options.Dialed {
 		l.session, err = yamux.Client(conn, config)
@@ -215,9 +219,6 @@
 			l.close(errors.Wrapf(err, "link: read, peer %s", l.peer.GetProcess()))
 			break
 		}
-		l.mu.Lock()
-		l.lastReceived = time.Now()
-		l.mu.Unlock()
 		if frame.GetHeartbeat() == nil {
 			l.options.Frame(l, frame)
 		}
@@ -261,9 +262,21 @@
 }
 
 func (l *Link) quietFor(now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return now.Sub(l.lastReceived)
+	return now.Sub(time.Unix(0, l.heardAt.Load()))
+}
+
+// heardConn notes the time of all that is read from the connection.
+type heardConn struct {
+	net.Conn
+	link *Link
+}
+
+func (c heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.link.heardAt.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
 func (l *Link) reason() error {
