--- /dev/null
+++ b/cmd/currantwood/demo.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood/demonstrator"
+	"github.com/currantwood/currantwood/player"
+	"github.com/currantwood/currantwood/standin/sites"
+)
+
+const (
+	// readyTimeout bounds the start of a demo.
+	readyTimeout = 30 * time.Second
+	// settleTime is what requests get to end after the last was sent.
+	settleTime = 60 * time.Second
+	// defaultRate is the mixed trace's requests a second at each site.
+	defaultRate = 20.0
+)
+
+// demoFlags are the flags of the demo.
+type demoFlags struct {
+	length  time.Duration
+	rate    float64
+	seed    uint64
+	faults  string
+	verbose bool
+}
+
+func demoCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("currantwood demo", flag.ContinueOnError)
+	var f demoFlags
+	flags.DurationVar(&f.length, "for", 0, "drive a mixed trace for `DURATION` and end; 0 serves until interrupted")
+	flags.Float64Var(&f.rate, "rate", defaultRate, "requests a `SECOND` at each site")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of the trace and of the faults")
+	flags.StringVar(&f.faults, "faults", "none", "none or all: kills, cuts, freezes and outages during the trace")
+	flags.BoolVar(&f.verbose, "verbose", false, "log to standard error")
+	return &ffcli.Command{
+		Name:       "demo",
+		ShortUsage: "currantwood demo [flags]",
+		ShortHelp:  "run both users' systems over loopback on stand-ins",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			return demo(ctx, f, os.Stdout, os.Stderr)
+		},
+	}
+}
+
+func demo(ctx context.Context, f demoFlags, out, progress io.Writer) error {
+	if f.faults != "none" && f.faults != "all" {
+		return &exitError{exitUsage, errors.Errorf("demo: --faults %s: expected none or all", f.faults)}
+	}
+	logger := zap.NewNop()
+	if f.verbose {
+		var err error
+		if logger, err = newLogger("info"); err != nil {
+			return err
+		}
+	}
+	var running []*demoSite
+	defer func() {
+		for _, s := range running {
+			s.system.Close()
+		}
+	}()
+	for _, site := range []sites.Site{sites.Harbourline(), sites.Cooperative()} {
+		s, err := startSite(ctx, site, logger)
+		if err != nil {
+			return err
+		}
+		running = append(running, s)
+		s.introduce(progress)
+	}
+	if f.length == 0 {
+		_, _ = fmt.Fprintln(progress, "serving until interrupted")
+		<-ctx.Done()
+		return nil
+	}
+	return driveDemo(ctx, f, running, out, progress)
+}
+
+// demoSite is one user's system.
+type demoSite struct {
+	site   sites.Site
+	system *demonstrator.Demonstrator
+}
+
+func startSite(ctx context.Context, site sites.Site, logger *zap.Logger) (*demoSite, error) {
+	options := demonstrator.Options{
+		Name:             site.Name,
+		Regions:          site.Regions,
+		EntriesPerRegion: 1,
+		RegionDelay:      site.RegionDelay,
+		ZoneDelay:        site.ZoneDelay,
+		Rules:            site.Rules,
+		Logger:           logger,
+	}
+	for _, g := range site.Upstreams {
+		options.Groups = append(options.Groups, demonstrator.Group{Name: g.Group, Kind: g.Kind, Model: g.Model, Count: g.Count})
+	}
+	system, err := demonstrator.New(options)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := system.WaitReady(ctx); err != nil {
+		system.Close()
+		return nil, err
+	}
+	return &demoSite{site: site, system: system}, nil
+}
+
+// introduce prints how to send a request.
+func (s *demoSite) introduce(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%s: %d upstreams, %d entries\n", s.site.Name, len(s.system.Upstreams), len(s.system.Entries))
+	for _, entry := range s.system.Entries {
+		_, _ = fmt.Fprintf(w, "  entry in %s: http://%s  operators: http://%s\n", entry.Region, entry.CallerAddress(), entry.OperatorAddress())
+	}
+	_, _ = fmt.Fprintf(w, "  curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"prompt\":\"fees of case 12\",\"stream\":true}'\n",
+		s.system.Entries[0].CallerAddress(), s.site.Keys[0].Key, s.site.Upstreams[0].Model)
+}
+
+func driveDemo(ctx context.Context, f demoFlags, running []*demoSite, out, progress io.Writer) error {
+	limit, cancel := context.WithTimeout(ctx, f.length+settleTime)
+	defer cancel()
+	total := player.NewReport()
+	reports := make(chan *player.Report)
+	for i, s := range running {
+		go func() { reports <- s.play(limit, f, uint64(i), progress) }()
+	}
+	for range running {
+		total.Merge(<-reports)
+	}
+	if err := total.WriteTable(out); err != nil {
+		return err
+	}
+	if err := total.WriteJSON(out); err != nil {
+		return err
+	}
+	if n := total.Violations(); n > 0 {
+		return errors.Errorf("demo: %d counts that must be zero are not", n)
+	}
+	return nil
+}
+
+// play drives the site's mixed trace and completes the report with what the
+// stand-ins counted.
+func (s *demoSite) play(ctx context.Context, f demoFlags, stream uint64, progress io.Writer) *player.Report {
+	var entries []string
+	for _, entry := range s.system.Entries {
+		entries = append(entries, "http://"+entry.CallerAddress())
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxIdleConnsPerHost = 512
+	defer transport.CloseIdleConnections()
+	p := player.New(player.Options{
+		Entries: entries,
+		HTTP:    &http.Client{Transport: transport},
+		Progress: func(ended int) {
+			if ended%100 == 0 {
+				_, _ = fmt.Fprintf(progress, "%s: %d requests ended\n", s.site.Name, ended)
+			}
+		},
+	})
+	before := s.system.Preemptions()
+	report := p.Play(ctx, mixedTrace(s.site, f, stream))
+	report.Preemptions = s.system.Preemptions() - before
+	report.RepeatedOperations = s.system.RepeatedOperations()
+	return report
+}
--- a/cmd/currantwood/main.go
+++ b/cmd/currantwood/main.go
@@ -80,6 +80,7 @@
 			entryCommand(),
 			sideCommand(),
 			standinCommand(),
+			demoCommand(),
 			versionCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -17,6 +17,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/entrystarter"
+	"github.com/currantwood/currantwood/parser"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/sidestarter"
 	"github.com/currantwood/currantwood/standin/delayer"
@@ -48,6 +49,8 @@
 	// RegionDelay and ZoneDelay are the one-way delays between regions and
 	// within one.
 	RegionDelay, ZoneDelay time.Duration
+	// Rules is the text of the rules in force; empty leaves the entries without.
+	Rules string
 	// Engine changes the options of each engine; nil changes nothing.
 	Engine func(*engine.Options)
 	// Settings changes the settings of each process; nil changes nothing.
@@ -122,6 +125,71 @@
 // VMListAddress is the base address of the VM list.
 func (d *Demonstrator) VMListAddress() string { return d.platform[1].URL }
 
+// readyPoll is the time between two looks at the entries.
+const readyPoll = 20 * time.Millisecond
+
+// WaitReady returns when every entry is ready and linked to all sides.
+func (d *Demonstrator) WaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		pending := d.pending()
+		if pending == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "demonstrator: wait for %s", pending)
+		case <-ticker.C:
+		}
+	}
+}
+
+// pending names what is not ready yet; empty when all is.
+func (d *Demonstrator) pending() string {
+	for _, entry := range d.Entries {
+		if err := entry.Ready(); err != nil {
+			return fmt.Sprintf("entry %s: %s", entry.VM, err)
+		}
+		if linked := entry.Linked(); linked < len(d.Upstreams) {
+			return fmt.Sprintf("entry %s: linked to %d of %d sides", entry.VM, linked, len(d.Upstreams))
+		}
+	}
+	return ""
+}
+
+// Preemptions adds up what the engine stand-ins counted.
+func (d *Demonstrator) Preemptions() uint64 {
+	var sum uint64
+	for _, u := range d.Upstreams {
+		if u.Engine != nil {
+			sum += uint64(u.Engine.Counts().Preemptions)
+		}
+	}
+	return sum
+}
+
+// RepeatedOperations counts the runs beyond the first of each operation key, over
+// all plain service stand-ins together.
+func (d *Demonstrator) RepeatedOperations() uint64 {
+	runs := make(map[string]int)
+	for _, u := range d.Upstreams {
+		if u.Service == nil {
+			continue
+		}
+		for _, key := range u.Service.Counts().RunsByKey {
+			if key.Key != "" {
+				runs[key.Key] += key.Runs
+			}
+		}
+	}
+	var repeated uint64
+	for _, n := range runs {
+		repeated += uint64(max(0, n-1))
+	}
+	return repeated
+}
+
 // Close ends everything at once.
 func (d *Demonstrator) Close() {
 	for _, entry := range d.Entries {
@@ -230,12 +298,19 @@
 }
 
 func (d *Demonstrator) startEntries() error {
+	rules, err := parser.Parse(d.options.Rules)
+	if err != nil {
+		return errors.Wrap(err, "demonstrator: rules")
+	}
 	for _, region := range d.options.Regions {
 		for i := range d.options.EntriesPerRegion {
 			entry, err := d.StartEntry(fmt.Sprintf("entry-%s-%d", region, i+1), region)
 			if err != nil {
 				return err
 			}
+			if d.options.Rules != "" {
+				entry.SetRules(rules)
+			}
 			d.Entries = append(d.Entries, entry)
 		}
 	}
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -161,7 +161,7 @@
 func (e *Entry) serve() {
 	e.operators = operatorserver.New(operatorserver.Options{
 		Listener: e.operator,
-		Ready:    e.ready,
+		Ready:    e.Ready,
 		Metrics:  metrics.NewRegistry(),
 	})
 	e.wait.Add(3)
@@ -242,7 +242,11 @@
 	e.logger.Debug("dial failed", zap.String("peer", address), zap.Error(err))
 }
 
-func (e *Entry) ready() error {
+// Linked returns the number of sides that the entry has links to.
+func (e *Entry) Linked() int { return len(e.tracker.Links()) }
+
+// Ready says nil when the entry may be sent requests, else why not.
+func (e *Entry) Ready() error {
 	if e.leaving.Load() {
 		return errors.New("leaving")
 	}
--- /dev/null
+++ b/player/report.go
@@ -0,0 +1,232 @@
+package player
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// StallBound is the gap between two tokens beyond which time is a stall.
+	StallBound = 200 * time.Millisecond
+	// maxRecorded is the largest time that a histogram keeps.
+	maxRecorded = time.Hour
+	// significantDigits of the histograms.
+	significantDigits = 3
+)
+
+// Report is what all callers saw. Preemptions and RepeatedOperations are filled
+// in by who can ask the upstreams.
+type Report struct {
+	Requests, Completed, RefusedNotRun, Unknown uint64
+	// EndedEarly counts generations that ended by a typed final error.
+	EndedEarly uint64
+	// CutOff counts requests that got no final answer.
+	CutOff uint64
+	// GivenUp counts requests that the player itself ended.
+	GivenUp uint64
+	// Tokens counts each token once; LostTokens are missing from answers that
+	// were passed off as whole.
+	Tokens, DuplicatedTokens, LostTokens, OutOfOrder uint64
+	// MixedGenerations counts answers with tokens of two generations.
+	MixedGenerations   uint64
+	Reconnects         uint64
+	RepeatedOperations uint64
+	Preemptions        uint64
+	Stall              time.Duration
+	Elapsed            time.Duration
+
+	mu            sync.Mutex
+	firstToken    *hdrhistogram.Histogram
+	betweenTokens *hdrhistogram.Histogram
+	stalls        *hdrhistogram.Histogram
+	refusals      map[string]uint64
+}
+
+// NewReport makes an empty report, to merge others into.
+func NewReport() *Report {
+	histogram := func() *hdrhistogram.Histogram {
+		return hdrhistogram.New(1, maxRecorded.Microseconds(), significantDigits)
+	}
+	return &Report{
+		firstToken:    histogram(),
+		betweenTokens: histogram(),
+		stalls:        histogram(),
+		refusals:      make(map[string]uint64),
+	}
+}
+
+// Merge adds another report, which must not change any more. Elapsed becomes the
+// longer of both.
+func (r *Report) Merge(other *Report) {
+	r.Requests += other.Requests
+	r.Completed += other.Completed
+	r.RefusedNotRun += other.RefusedNotRun
+	r.Unknown += other.Unknown
+	r.EndedEarly += other.EndedEarly
+	r.CutOff += other.CutOff
+	r.GivenUp += other.GivenUp
+	r.Tokens += other.Tokens
+	r.DuplicatedTokens += other.DuplicatedTokens
+	r.LostTokens += other.LostTokens
+	r.OutOfOrder += other.OutOfOrder
+	r.MixedGenerations += other.MixedGenerations
+	r.Reconnects += other.Reconnects
+	r.RepeatedOperations += other.RepeatedOperations
+	r.Preemptions += other.Preemptions
+	r.Stall += other.Stall
+	r.Elapsed = max(r.Elapsed, other.Elapsed)
+	r.firstToken.Merge(other.firstToken)
+	r.betweenTokens.Merge(other.betweenTokens)
+	r.stalls.Merge(other.stalls)
+	for kind, count := range other.refusals {
+		r.refusals[kind] += count
+	}
+}
+
+// add takes in one ended request. The caller holds mu.
+func (r *Report) add(request Request, s *sight) {
+	r.Requests++
+	r.Reconnects += uint64(s.reconnects)
+	switch s.outcome {
+	case outcomeWhole:
+		r.Completed++
+		r.LostTokens += missing(request, s)
+	case outcomeNotRun:
+		r.RefusedNotRun++
+	case outcomeUnknown:
+		r.Unknown++
+	case outcomeRan:
+		r.EndedEarly++
+	case outcomeGivenUp:
+		r.GivenUp++
+	default:
+		r.CutOff++
+	}
+	if s.kind != "" {
+		r.refusals[s.kind]++
+	}
+	r.addTokens(request, s)
+}
+
+func (r *Report) addTokens(request Request, s *sight) {
+	r.Tokens += s.tokens
+	r.DuplicatedTokens += s.duplicated
+	r.OutOfOrder += s.outOfOrder
+	if s.mixed {
+		r.MixedGenerations++
+	}
+	if s.tokens == 0 || !request.Stream {
+		return
+	}
+	_ = r.firstToken.RecordValue(s.firstToken.Microseconds())
+	var stall time.Duration
+	for _, gap := range s.gaps {
+		_ = r.betweenTokens.RecordValue(gap.Microseconds())
+		stall += max(0, gap-StallBound)
+	}
+	_ = r.stalls.RecordValue(stall.Microseconds())
+	r.Stall += stall
+}
+
+func missing(request Request, s *sight) uint64 {
+	if s.tokens >= request.Tokens {
+		return 0
+	}
+	return request.Tokens - s.tokens
+}
+
+// Violations returns the sum of the counts that must be zero.
+func (r *Report) Violations() uint64 {
+	return r.DuplicatedTokens + r.LostTokens + r.OutOfOrder + r.MixedGenerations + r.RepeatedOperations + r.CutOff
+}
+
+// summary is the report's form for machines.
+type summary struct {
+	Requests           uint64  `json:"requests"`
+	Completed          uint64  `json:"completed"`
+	RefusedNotRun      uint64  `json:"refused-not-run"`
+	Unknown            uint64  `json:"unknown"`
+	EndedEarly         uint64  `json:"ended-early"`
+	CutOff             uint64  `json:"cut-off"`
+	GivenUp            uint64  `json:"given-up"`
+	Reconnects         uint64  `json:"reconnects"`
+	Tokens             uint64  `json:"tokens"`
+	DuplicatedTokens   uint64  `json:"duplicated-tokens"`
+	LostTokens         uint64  `json:"lost-tokens"`
+	OutOfOrder         uint64  `json:"out-of-order-tokens"`
+	MixedGenerations   uint64  `json:"mixed-generations"`
+	RepeatedOperations uint64  `json:"repeated-operations"`
+	Preemptions        uint64  `json:"preemptions"`
+	PreemptionsPer1000 float64 `json:"preemptions-per-1000"`
+	GoodputTokensPerS  float64 `json:"goodput-tokens-per-s"`
+	FirstTokenP95Ms    float64 `json:"first-token-p95-ms"`
+	BetweenTokensP95Ms float64 `json:"between-tokens-p95-ms"`
+	BetweenTokensP99Ms float64 `json:"between-tokens-p99-ms"`
+	StallP95Ms         float64 `json:"stall-p95-ms"`
+	StallMs            float64 `json:"stall-ms"`
+}
+
+func (r *Report) summary() summary {
+	s := summary{
+		Requests: r.Requests, Completed: r.Completed, RefusedNotRun: r.RefusedNotRun, Unknown: r.Unknown,
+		EndedEarly: r.EndedEarly, CutOff: r.CutOff, GivenUp: r.GivenUp, Reconnects: r.Reconnects,
+		Tokens: r.Tokens, DuplicatedTokens: r.DuplicatedTokens, LostTokens: r.LostTokens, OutOfOrder: r.OutOfOrder,
+		MixedGenerations: r.MixedGenerations, RepeatedOperations: r.RepeatedOperations, Preemptions: r.Preemptions,
+		FirstTokenP95Ms:    milliseconds(r.firstToken, 95),
+		BetweenTokensP95Ms: milliseconds(r.betweenTokens, 95),
+		BetweenTokensP99Ms: milliseconds(r.betweenTokens, 99),
+		StallP95Ms:         milliseconds(r.stalls, 95),
+		StallMs:            float64(r.Stall.Microseconds()) / 1e3,
+	}
+	if streams := r.firstToken.TotalCount(); streams > 0 {
+		s.PreemptionsPer1000 = 1000 * float64(r.Preemptions) / float64(streams)
+	}
+	if r.Elapsed > 0 {
+		s.GoodputTokensPerS = float64(r.Tokens) / r.Elapsed.Seconds()
+	}
+	return s
+}
+
+func milliseconds(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtQuantile(percentile)) / 1e3
+}
+
+// WriteJSON writes the report as one line of JSON.
+func (r *Report) WriteJSON(w io.Writer) error { return json.NewEncoder(w).Encode(r.summary()) }
+
+// WriteTable writes the report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	s := r.summary()
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(t, "%s\t%v\n", name, value) }
+	row("requests", s.Requests)
+	row("completed", s.Completed)
+	row("refused as not run", s.RefusedNotRun)
+	row("outcome unknown", s.Unknown)
+	row("ended early, typed", s.EndedEarly)
+	row("given up by the player", s.GivenUp)
+	row("reconnects", s.Reconnects)
+	row("tokens", s.Tokens)
+	row("must be zero: cut off", s.CutOff)
+	row("must be zero: duplicated tokens", s.DuplicatedTokens)
+	row("must be zero: lost tokens", s.LostTokens)
+	row("must be zero: out of order tokens", s.OutOfOrder)
+	row("must be zero: mixed generations", s.MixedGenerations)
+	row("must be zero: repeated operations", s.RepeatedOperations)
+	row("preemptions", s.Preemptions)
+	row("first token p95", fmt.Sprintf("%.1f ms", s.FirstTokenP95Ms))
+	row("between tokens p95 / p99", fmt.Sprintf("%.1f / %.1f ms", s.BetweenTokensP95Ms, s.BetweenTokensP99Ms))
+	row("stall time, all streams", fmt.Sprintf("%.1f ms", s.StallMs))
+	for _, kind := range slices.Sorted(maps.Keys(r.refusals)) {
+		row("refused: "+kind, r.refusals[kind])
+	}
+	return t.Flush()
+}
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -35,7 +35,7 @@
 		e.setFaults(w, r)
 		return
 	case "/counts":
-		e.writeCounts(w)
+		writeJSON(w, e.Counts())
 		return
 	}
 	e.waitUntilThawed(r)
@@ -80,15 +80,16 @@
 	e.nudge()
 }
 
-func (e *Engine) writeCounts(w http.ResponseWriter) {
+// Counts returns what the engine saw over all its lives.
+func (e *Engine) Counts() Counts {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	counts, totals := e.counts, e.totals()
-	e.mu.Unlock()
 	counts.Tokens = totals.Tokens
 	counts.Preemptions = totals.Preemptions
 	counts.Pauses = totals.Pauses
 	counts.RepeatedTokens = totals.RepeatedTokens
-	writeJSON(w, counts)
+	return counts
 }
 
 // nudge wakes an idle batch. The caller holds the lock or doesn't need it.
