--- /dev/null
+++ b/subsetter/subsetter_test.go
@@ -0,0 +1,230 @@
+package subsetter
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+)
+
+// The developers' target size.
+const (
+	fullEntries   = 2200
+	fullSides     = 10000
+	fullRegions   = 6
+	fullZones     = 21
+	fullGroups    = 4
+	replacedADay  = 1800
+	rackSize      = 40
+	sampleEntries = 25
+	daySample     = 6
+)
+
+// fleet is a member list that VMs are replaced in.
+type fleet struct {
+	vms    []currantwood.VM
+	serial int
+	random *rand.Rand
+}
+
+func newFleet(entries, sides, regions, zones, groups int) *fleet {
+	f := &fleet{random: rand.New(rand.NewSource(1))}
+	for i := range entries {
+		f.vms = append(f.vms, f.vm(currantwood.RoleEntry, i%zones, regions, ""))
+	}
+	for i := range sides {
+		group := fmt.Sprintf("group-%d", (i/zones)%groups)
+		f.vms = append(f.vms, f.vm(currantwood.RoleSide, i%zones, regions, currantwood.GroupID(group)))
+	}
+	return f
+}
+
+func (f *fleet) vm(role currantwood.Role, zone, regions int, group currantwood.GroupID) currantwood.VM {
+	f.serial++
+	return currantwood.VM{
+		ID:     currantwood.VMID(fmt.Sprintf("%s-%06d", role, f.serial)),
+		Role:   role.String(),
+		Zone:   currantwood.ZoneID(fmt.Sprintf("zone-%d", zone)),
+		Region: currantwood.RegionID(fmt.Sprintf("region-%d", zone%regions)),
+		Group:  group,
+	}
+}
+
+// replace gives one VM, drawn at random, a new id in the same place.
+func (f *fleet) replace() {
+	vm := &f.vms[f.random.Intn(len(f.vms))]
+	f.serial++
+	vm.ID = currantwood.VMID(fmt.Sprintf("%s-%06d", vm.Role, f.serial))
+}
+
+func (f *fleet) entries() []currantwood.VM {
+	return slices.DeleteFunc(slices.Clone(f.vms), func(vm currantwood.VM) bool {
+		return vm.Role != currantwood.RoleEntry.String()
+	})
+}
+
+// linkCounts counts links at both ends over the given entries' subsets.
+func linkCounts(f *fleet) (perSide, perEntry map[currantwood.VMID]int) {
+	perSide = make(map[currantwood.VMID]int)
+	perEntry = make(map[currantwood.VMID]int)
+	s := New(Options{})
+	for _, entry := range f.entries() {
+		subset := s.Subset(entry, f.vms)
+		perEntry[entry.ID] = len(subset)
+		for _, side := range subset {
+			perSide[side.ID]++
+		}
+	}
+	return perSide, perEntry
+}
+
+func spread(counts map[currantwood.VMID]int) (lowest, mean, highest float64) {
+	lowest = float64(1 << 30)
+	for _, count := range counts {
+		mean += float64(count) / float64(len(counts))
+		lowest = min(lowest, float64(count))
+		highest = max(highest, float64(count))
+	}
+	return lowest, mean, highest
+}
+
+// changed counts the ids of next that are not in last.
+func changed(last, next []currantwood.VM) int {
+	known := make(map[currantwood.VMID]bool, len(last))
+	for _, vm := range last {
+		known[vm.ID] = true
+	}
+	added := 0
+	for _, vm := range next {
+		if !known[vm.ID] {
+			added++
+		}
+	}
+	return added
+}
+
+var _ = Describe("Subset", func() {
+	DescribeTable("keeps all sides of small groups",
+		func(entries, sides int) {
+			f := newFleet(entries, sides, 3, 6, 2)
+			for _, entry := range f.entries() {
+				Expect(New(Options{}).Subset(entry, f.vms)).To(HaveLen(sides))
+			}
+		},
+		Entry("today's Harbourline", 6, 17),
+		Entry("today's cooperative", 6, 15),
+		Entry("one entry", 1, 4),
+		Entry("as large as the bound", 9, 2*DefaultAll),
+	)
+
+	It("leaves no side without entries and no entry without sides", func() {
+		f := newFleet(60, 600, 3, 6, 2)
+		perSide, perEntry := linkCounts(f)
+		Expect(perSide).To(HaveLen(600))
+		lowest, mean, highest := spread(perSide)
+		Expect(lowest).To(BeNumerically(">=", minEntriesPerSide))
+		Expect(highest / mean).To(BeNumerically("<=", 1.25))
+		lowest, _, _ = spread(perEntry)
+		Expect(lowest).To(BeNumerically(">=", 2*(DefaultOwn/2+2*DefaultSpill/2)))
+	})
+
+	It("counts an entry that the list doesn't show and leaves out leaving VMs", func() {
+		f := newFleet(60, 600, 3, 6, 2)
+		self := f.vm(currantwood.RoleEntry, 0, 3, "")
+		before := New(Options{}).Subset(self, f.vms)
+		Expect(before).NotTo(BeEmpty())
+		gone := before[0].ID
+		for i := range f.vms {
+			f.vms[i].Leaving = f.vms[i].ID == gone
+		}
+		after := New(Options{}).Subset(self, f.vms)
+		Expect(after).NotTo(ContainElement(HaveField("ID", gone)))
+		Expect(changed(before, after)).To(BeNumerically("<=", 2))
+	})
+
+	It("does not depend on the order of the list", func() {
+		f := newFleet(60, 600, 3, 6, 2)
+		self := f.entries()[7]
+		want := New(Options{}).Subset(self, f.vms)
+		f.random.Shuffle(len(f.vms), func(i, j int) { f.vms[i], f.vms[j] = f.vms[j], f.vms[i] })
+		Expect(New(Options{}).Subset(self, f.vms)).To(Equal(want))
+	})
+
+	DescribeTable("an entry at full size keeps sides of every group when a part is lost",
+		func(lost func(currantwood.VM) bool, atLeast int) {
+			f := newFleet(fullEntries, fullSides, fullRegions, fullZones, fullGroups)
+			for _, self := range f.entries()[:sampleEntries] {
+				left := make(map[currantwood.GroupID]int)
+				for _, side := range New(Options{}).Subset(self, f.vms) {
+					if !lost(side) {
+						left[side.Group]++
+					}
+				}
+				Expect(left).To(HaveLen(fullGroups))
+				for _, count := range left {
+					Expect(count).To(BeNumerically(">=", atLeast))
+				}
+			}
+		},
+		Entry("a rack", func(vm currantwood.VM) bool { return vm.ID < "side-002240" }, 20),
+		Entry("a zone", func(vm currantwood.VM) bool { return vm.Zone == "zone-0" }, 15),
+		Entry("the entry's region", func(vm currantwood.VM) bool { return vm.Region == "region-0" }, 5),
+	)
+})
+
+// BenchmarkEvenness measures links at both ends over every entry at full size.
+func BenchmarkEvenness(b *testing.B) {
+	f := newFleet(fullEntries, fullSides, fullRegions, fullZones, fullGroups)
+	for b.Loop() {
+		perSide, perEntry := linkCounts(f)
+		lowest, mean, highest := spread(perSide)
+		b.ReportMetric(mean, "entries/side")
+		b.ReportMetric(highest/mean, "side-max/mean")
+		b.ReportMetric(lowest/mean, "side-min/mean")
+		lowest, mean, highest = spread(perEntry)
+		b.ReportMetric(mean, "sides/entry")
+		b.ReportMetric(highest, "sides/entry-max")
+		b.ReportMetric(lowest, "sides/entry-min")
+	}
+}
+
+// BenchmarkDayOfReplacements measures the new links of an entry over a day.
+func BenchmarkDayOfReplacements(b *testing.B) {
+	for b.Loop() {
+		f := newFleet(fullEntries, fullSides, fullRegions, fullZones, fullGroups)
+		s := New(Options{})
+		sample := f.entries()[:daySample]
+		last := make([][]currantwood.VM, len(sample))
+		added := 0
+		for step := range replacedADay + 1 {
+			for i, self := range sample {
+				next := s.Subset(self, f.vms)
+				if step > 0 {
+					added += changed(last[i], next)
+				}
+				last[i] = next
+			}
+			f.replace()
+		}
+		b.ReportMetric(float64(added)/float64(len(sample)), "new-links/entry/day")
+	}
+}
+
+// BenchmarkSlopeSubset measures one subset against the size of the list.
+func BenchmarkSlopeSubset(b *testing.B) {
+	for _, percent := range []int{12, 25, 50, 100} {
+		f := newFleet(fullEntries*percent/100, fullSides*percent/100, fullRegions, fullZones, fullGroups)
+		self := f.entries()[0]
+		b.Run(fmt.Sprintf("vms=%d", len(f.vms)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				New(Options{}).Subset(self, f.vms)
+			}
+		})
+	}
+}
