--- a/cmd/currantwood/demo.go
+++ b/cmd/currantwood/demo.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood/demonstrator"
+	"github.com/currantwood/currantwood/injector"
 	"github.com/currantwood/currantwood/player"
 	"github.com/currantwood/currantwood/standin/sites"
 )
@@ -92,6 +94,7 @@
 type demoSite struct {
 	site   sites.Site
 	system *demonstrator.Demonstrator
+	logger *zap.Logger
 }
 
 func startSite(ctx context.Context, site sites.Site, logger *zap.Logger) (*demoSite, error) {
@@ -117,7 +120,7 @@
 		system.Close()
 		return nil, err
 	}
-	return &demoSite{site: site, system: system}, nil
+	return &demoSite{site: site, system: system, logger: logger}, nil
 }
 
 // introduce prints how to send a request.
@@ -135,12 +138,19 @@
 	defer cancel()
 	total := player.NewReport()
 	reports := make(chan *player.Report)
+	faulty, stopFaults := context.WithTimeout(limit, f.length)
+	defer stopFaults()
+	var faults sync.WaitGroup
 	for i, s := range running {
+		if f.faults == "all" {
+			faults.Go(func() { s.injectFaults(faulty, f.seed+uint64(i), progress) })
+		}
 		go func() { reports <- s.play(limit, f, uint64(i), progress) }()
 	}
 	for range running {
 		total.Merge(<-reports)
 	}
+	faults.Wait()
 	if err := total.WriteTable(out); err != nil {
 		return err
 	}
@@ -153,6 +163,15 @@
 	return nil
 }
 
+// injectFaults brings faults until ctx is done and prints how often each came.
+func (s *demoSite) injectFaults(ctx context.Context, seed uint64, progress io.Writer) {
+	i := injector.New(s.system, seed, s.logger)
+	i.Run(ctx)
+	for _, count := range i.Counts() {
+		_, _ = fmt.Fprintf(progress, "%s: %s brought %d times\n", s.site.Name, count.Fault, count.Times)
+	}
+}
+
 // play drives the site's mixed trace and completes the report with what the
 // stand-ins counted.
 func (s *demoSite) play(ctx context.Context, f demoFlags, stream uint64, progress io.Writer) *player.Report {
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -31,6 +31,9 @@
 // loopback makes a listener choose a free port.
 const loopback = "127.0.0.1:0"
 
+// vmPrefix and a process's name make its VM's name.
+const vmPrefix = "vm-"
+
 // Group is a set of equal upstreams, spread over the regions in turn.
 type Group struct {
 	Name  currantwood.GroupID
@@ -91,7 +94,10 @@
 	Entries   []*Entry
 
 	platform []*httptest.Server
+	rules    currantwood.Rules
 	mu       sync.Mutex
+	// conns holds the newest delayed connections between processes.
+	conns []*delayer.Conn
 	// regions says where the listener of an address stands.
 	regions map[string]currantwood.RegionID
 }
@@ -239,9 +245,10 @@
 	return nil
 }
 
-// StartEntry starts an entry in a region.
-func (d *Demonstrator) StartEntry(name string, region currantwood.RegionID) (*Entry, error) {
+// StartEntry starts an entry in a region, at an address for callers.
+func (d *Demonstrator) StartEntry(name string, region currantwood.RegionID, callers string) (*Entry, error) {
 	settings := d.settings(name, region)
+	settings.Listen.Callers = callers
 	entry, err := entrystarter.New(entrystarter.Options{
 		Settings: settings,
 		Logger:   d.options.Logger.Named(name),
@@ -252,6 +259,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "demonstrator: entry %s", name)
 	}
+	if d.options.Rules != "" {
+		entry.SetRules(d.rules)
+	}
 	d.place(entry.LinkAddress(), region)
 	d.VMs.Put(currantwood.VM{
 		ID:              currantwood.VMID(settings.VM),
@@ -298,19 +308,16 @@
 }
 
 func (d *Demonstrator) startEntries() error {
-	rules, err := parser.Parse(d.options.Rules)
-	if err != nil {
+	var err error
+	if d.rules, err = parser.Parse(d.options.Rules); err != nil {
 		return errors.Wrap(err, "demonstrator: rules")
 	}
 	for _, region := range d.options.Regions {
 		for i := range d.options.EntriesPerRegion {
-			entry, err := d.StartEntry(fmt.Sprintf("entry-%s-%d", region, i+1), region)
+			entry, err := d.StartEntry(fmt.Sprintf("entry-%s-%d", region, i+1), region, loopback)
 			if err != nil {
 				return err
 			}
-			if d.options.Rules != "" {
-				entry.SetRules(rules)
-			}
 			d.Entries = append(d.Entries, entry)
 		}
 	}
@@ -320,7 +327,7 @@
 func (d *Demonstrator) settings(process string, region currantwood.RegionID) settingsreader.Settings {
 	settings := settingsreader.Defaults()
 	settings.Process = process
-	settings.VM = "vm-" + process
+	settings.VM = vmPrefix + process
 	settings.Region = string(region)
 	settings.Zone = string(region) + "-a"
 	settings.Listen = settingsreader.Listen{Callers: loopback, Links: loopback, Operators: loopback}
@@ -352,8 +359,15 @@
 	if to != from {
 		delay = d.options.RegionDelay
 	}
-	if delay == 0 {
-		return conn, nil
+	delayed := delayer.New(conn, delay)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conns = append(d.conns, delayed)
+	if len(d.conns) > maxConns {
+		d.conns = d.conns[1:]
 	}
-	return delayer.New(conn, delay), nil
+	return delayed, nil
 }
+
+// maxConns bounds the connections that faults can choose from.
+const maxConns = 512
--- a/standin/delayer/delayer.go
+++ b/standin/delayer/delayer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +24,7 @@
 	incoming *io.PipeReader
 	closed   chan struct{}
 	once     sync.Once
+	silent   atomic.Bool
 }
 
 type chunk struct {
@@ -71,6 +73,10 @@
 	return c.Conn.Close()
 }
 
+// Silence swallows all bytes from now on, in both directions, and keeps the
+// connection open.
+func (c *Conn) Silence() { c.silent.Store(true) }
+
 // forward passes chunks on when they are due.
 func (c *Conn) forward(chunks <-chan chunk, to io.Writer) {
 	for {
@@ -82,6 +88,9 @@
 				return
 			}
 			time.Sleep(time.Until(piece.due))
+			if c.silent.Load() {
+				continue
+			}
 			if _, err := to.Write(piece.data); err != nil {
 				return
 			}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -198,6 +198,13 @@
 	return currantwood.EngineLoad{MemoryTokens: e.options.Batch.MemoryTokens, Model: e.model, Version: e.version, Pool: e.pool}
 }
 
+// Crash ends the engine as a fault of its own would, and restarts it.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash(time.Now())
+}
+
 // crash loses every stream and the cache and takes the engine away for the
 // restart. The caller holds the lock.
 func (e *Engine) crash(now time.Time) {
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -68,6 +68,11 @@
 		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	e.SetFaults(faults)
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(faults Faults) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.Freeze && !faults.Freeze {
