--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,180 @@
+package registrar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/currantwood/currantwood"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func side(i int) currantwood.VM {
+	return currantwood.VM{
+		ID:      currantwood.VMID(fmt.Sprintf("side-%05d", i)),
+		Role:    currantwood.RoleSide.String(),
+		Region:  "kingston",
+		Address: fmt.Sprintf("10.0.0.%d:7000", i),
+	}
+}
+
+func sides(count int) []currantwood.VM {
+	vms := make([]currantwood.VM, count)
+	for i := range vms {
+		vms[i] = side(i)
+	}
+	return vms
+}
+
+func ids(vms []currantwood.VM) []currantwood.VMID {
+	names := make([]currantwood.VMID, len(vms))
+	for i, vm := range vms {
+		names[i] = vm.ID
+	}
+	return names
+}
+
+// at returns the time some seconds after the start.
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+var _ = Describe("Registrar", func() {
+	DescribeTable("after ten sides were listed and linked",
+		func(event func(r *Registrar), wantKnown int, wantUsable bool) {
+			r := New(Options{})
+			r.List(start, sides(10))
+			for i := range 10 {
+				Expect(r.Connected(start, Peer{VM: side(i), Incarnation: 7})).To(BeTrue())
+			}
+			event(r)
+			Expect(r.VMs(at(1))).To(HaveLen(wantKnown))
+			Expect(r.Usable(at(1), "side-00000")).To(Equal(wantUsable))
+		},
+		Entry("nothing happens", func(*Registrar) {}, 10, true),
+		Entry("its own notice, and a late list that doesn't know", func(r *Registrar) {
+			r.Left(start, "side-00000", 7)
+			r.List(at(1), sides(10))
+		}, 10, false),
+		Entry("the list marks it", func(r *Registrar) {
+			vms := sides(10)
+			vms[0].Leaving = true
+			r.List(start, vms)
+		}, 10, false),
+		Entry("its notice, then a new incarnation", func(r *Registrar) {
+			r.Left(start, "side-00000", 7)
+			r.Connected(start, Peer{VM: side(0), Incarnation: 8})
+		}, 10, true),
+		Entry("a late notice of the earlier incarnation", func(r *Registrar) {
+			r.Connected(start, Peer{VM: side(0), Incarnation: 8})
+			r.Left(start, "side-00000", 7)
+		}, 10, true),
+		Entry("a late link of the earlier incarnation", func(r *Registrar) {
+			r.Connected(start, Peer{VM: side(0), Incarnation: 8})
+			r.Left(start, "side-00000", 8)
+			Expect(r.Connected(start, Peer{VM: side(0), Incarnation: 7})).To(BeFalse())
+		}, 10, false),
+		Entry("the list drops it while it answers", func(r *Registrar) {
+			r.List(start, sides(10)[1:])
+		}, 10, true),
+		Entry("the list drops it after its link ended", func(r *Registrar) {
+			r.Disconnected(at(-5), "side-00000", 7)
+			r.List(at(3), sides(10)[1:])
+		}, 9, false),
+		Entry("the list is empty", func(r *Registrar) {
+			r.List(at(1), nil)
+		}, 10, true),
+		Entry("another process answers at its address", func(r *Registrar) {
+			r.Disconnected(start, "side-00000", 7)
+			other := side(50)
+			other.Address = side(0).Address
+			r.Connected(start, Peer{VM: other, Incarnation: 9})
+		}, 11, false),
+	)
+
+	It("stops using a linked side that has gone silent", func() {
+		r := New(Options{})
+		r.Connected(start, Peer{VM: side(1), Incarnation: 1})
+		Expect(r.Usable(at(1.9), side(1).ID)).To(BeTrue())
+		Expect(r.Usable(at(2.1), side(1).ID)).To(BeFalse())
+		r.Heard(at(60), side(1).ID, 1)
+		Expect(r.Usable(at(61), side(1).ID)).To(BeTrue())
+	})
+
+	It("keeps unlinked VMs through a list that lost most of them", func() {
+		r := New(Options{})
+		r.List(start, sides(100))
+		r.Connected(start, Peer{VM: side(80), Incarnation: 1})
+		r.Heard(at(30), side(80).ID, 1)
+		r.List(at(31), sides(10))
+		Expect(r.VMs(at(31))).To(HaveLen(100))
+		r.List(at(90), sides(10))
+		Expect(r.VMs(at(90))).To(HaveLen(11), "nobody answers any more; one is still linked")
+	})
+
+	It("never drops a side that answers, nor uses one that left", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			checkSchedule(t)
+		})
+	})
+})
+
+// checkSchedule drives a registrar with drawn events and compares it with what
+// the sides did.
+func checkSchedule(t *rapid.T) {
+	const count = 6
+	r := New(Options{})
+	now := start
+	incarnations := make([]currantwood.Incarnation, count)
+	left := make([]bool, count)
+	next := currantwood.Incarnation(1)
+	for range rapid.IntRange(1, 60).Draw(t, "events") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+		i := rapid.IntRange(0, count-1).Draw(t, "side")
+		switch rapid.IntRange(0, 4).Draw(t, "event") {
+		case 0:
+			incarnations[i], left[i] = next, false
+			next++
+			r.Connected(now, Peer{VM: side(i), Incarnation: incarnations[i]})
+		case 1:
+			if incarnations[i] != 0 {
+				left[i] = true
+				r.Left(now, side(i).ID, incarnations[i])
+			}
+		case 2:
+			from := rapid.IntRange(0, count).Draw(t, "from")
+			r.List(now, sides(count)[from:])
+		case 3:
+			r.Left(now, side(i).ID, next+100)
+		case 4:
+			r.Disconnected(now, side(i).ID, next+100)
+		}
+		for j := range count {
+			if incarnations[j] == 0 {
+				continue
+			}
+			r.Heard(now, side(j).ID, incarnations[j])
+			if r.Usable(now, side(j).ID) == left[j] {
+				t.Fatalf("side %d: left %v, usable %v", j, left[j], !left[j])
+			}
+		}
+	}
+}
+
+func BenchmarkSlopeList(b *testing.B) {
+	for _, count := range []int{1500, 3000, 6000, 12000} {
+		b.Run(fmt.Sprintf("vms=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			vms := sides(count)
+			r := New(Options{})
+			for b.Loop() {
+				r.List(start, vms)
+			}
+		})
+	}
+}
