Service-level burn: observer in each entry, report over all

Cause: operators could not see how fast an objective's budget burns. Ways weighed: a store of samples (needs disks or the log), counting at scrape time (loses events between scrapes), counters and mergeable histograms in the entries; the last keeps nothing outside memory, so the report says since when all entries have counted. Change: observer (rings of one minute and one hour, two halves of an HdrHistogram for each objective), the page /service-levels, reporter (merge, burn rates, table, JSON, one HTML page with plots), command report, default objectives.

--- a/cmd/currantwood/demo.go
+++ b/cmd/currantwood/demo.go
@@ -126,6 +126,7 @@
 // introduce prints how to send a request.
 func (s *demoSite) introduce(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "%s: %d upstreams, %d entries\n", s.site.Name, len(s.system.Upstreams), len(s.system.Entries))
+	_, _ = fmt.Fprintf(w, "  currantwood report --vm-list %s\n", s.system.VMListAddress())
 	for _, entry := range s.system.Entries {
 		_, _ = fmt.Fprintf(w, "  entry in %s: http://%s  operators: http://%s\n", entry.Region, entry.CallerAddress(), entry.OperatorAddress())
 	}
--- a/cmd/currantwood/main.go
+++ b/cmd/currantwood/main.go
@@ -81,6 +81,7 @@
 			sideCommand(),
 			standinCommand(),
 			demoCommand(),
+			reportCommand(),
 			versionCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -326,6 +326,7 @@
 
 func (d *Demonstrator) settings(process string, region currantwood.RegionID) settingsreader.Settings {
 	settings := settingsreader.Defaults()
+	settings.Objective = settingsreader.DefaultObjectives()
 	settings.Process = process
 	settings.VM = vmPrefix + process
 	settings.Region = string(region)
--- a/entryserver/entryserver.go
+++ b/entryserver/entryserver.go
@@ -19,6 +19,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/forwarder"
 	"github.com/currantwood/currantwood/matcher"
+	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/refuser"
 )
 
@@ -55,6 +56,8 @@
 	Forwarder *forwarder.Forwarder
 	Calls     CallForwarder
 	Limiter   currantwood.Limiter
+	// Observer counts how the service-level objectives are met.
+	Observer *observer.Observer
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	Logger       *zap.Logger
@@ -169,9 +172,14 @@
 		Body:        a.body,
 	}
 	out := newAnswer(w, a)
-	completion, refusal := s.options.Forwarder.Forward(r.Context(), request, out.deliver)
+	watch := s.options.Observer.Begin(a.at, a.customer.ID, a.rule.ID)
+	completion, refusal := s.options.Forwarder.Forward(r.Context(), request, func(first currantwood.TokenIndex, texts []string) error {
+		watch.Tokens(time.Now())
+		return out.deliver(first, texts)
+	})
 	s.options.Limiter.Done(time.Now(), a.customer.ID, a.id, completion.TokenSeconds)
 	out.end(completion, refusal, s.refuser)
+	watch.End(time.Now(), refusal == nil)
 	s.log(a, refusal)
 }
 
@@ -179,9 +187,11 @@
 func (s *Server) call(w http.ResponseWriter, r *http.Request, a arrival) {
 	ctx, cancel := context.WithDeadline(r.Context(), a.at.Add(a.rule.Deadline))
 	defer cancel()
+	watch := s.options.Observer.Begin(a.at, a.customer.ID, a.rule.ID)
 	answer, refusal := s.options.Calls.Forward(ctx, Call{
 		Request: a.id, Customer: a.customer.ID, Rule: a.rule, Arrival: a.at, HTTP: r, Body: a.body,
 	})
+	watch.End(time.Now(), refusal == nil)
 	s.log(a, refusal)
 	if refusal != nil {
 		s.refuser.Write(w, refusal)
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -23,7 +23,9 @@
 	"github.com/currantwood/currantwood/forwarder"
 	"github.com/currantwood/currantwood/linker"
 	"github.com/currantwood/currantwood/matcher"
+	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/operatorserver"
+	"github.com/currantwood/currantwood/reporter"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/tracker"
 	"github.com/currantwood/currantwood/vmclient"
@@ -54,6 +56,7 @@
 	peers     net.Listener
 	operator  net.Listener
 	hello     *wire.Hello
+	observer  *observer.Observer
 	leaving   atomic.Bool
 	matcher   atomic.Pointer[matcher.Matcher]
 	ctx       context.Context
@@ -66,6 +69,7 @@
 	settings := options.Settings
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{settings: settings, logger: options.Logger, ctx: ctx, cancel: cancel, tracker: tracker.New(), hello: hello(settings)}
+	e.observer = observer.New(time.Now(), settings.Objective)
 	if err := e.listen(); err != nil {
 		cancel()
 		return nil, err
@@ -149,6 +153,7 @@
 		Forwarder:    e.forwarder,
 		Calls:        e.calls(),
 		Limiter:      e.limiter(),
+		Observer:     e.observer,
 		MaxBodyBytes: e.settings.Entry.MaxBodyBytes,
 		Logger:       e.logger,
 	})
@@ -163,6 +168,7 @@
 		Listener: e.operator,
 		Ready:    e.Ready,
 		Metrics:  metrics.NewRegistry(),
+		Pages:    []operatorserver.Page{{Path: reporter.Path, Handler: e.serveLevels}},
 	})
 	e.wait.Add(3)
 	go func() {
@@ -242,6 +248,16 @@
 	e.logger.Debug("dial failed", zap.String("peer", address), zap.Error(err))
 }
 
+// serveLevels answers with what this entry saw of its objectives.
+func (e *Entry) serveLevels(w http.ResponseWriter, _ *http.Request) {
+	levels, err := e.observer.Levels(time.Now(), e.settings.Process)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	operatorserver.WriteJSON(w, levels)
+}
+
 // Linked returns the number of sides that the entry has links to.
 func (e *Entry) Linked() int { return len(e.tracker.Links()) }
 
--- /dev/null
+++ b/observer/observer_test.go
@@ -0,0 +1,71 @@
+package observer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood/observer"
+	"github.com/currantwood/currantwood/settingsreader"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func objective(measure string, bound time.Duration) settingsreader.Objective {
+	return settingsreader.Objective{
+		Name: measure, Measure: measure, Rule: "summaries", Share: 0.95,
+		Bound: settingsreader.Duration(bound), Window: settingsreader.Duration(30 * 24 * time.Hour),
+	}
+}
+
+// windows returns good and bad of the first objective by window.
+func windows(o *observer.Observer, now time.Time) []observer.Window {
+	levels, err := o.Levels(now, "e1")
+	Expect(err).NotTo(HaveOccurred())
+	return levels.Objectives[0].Windows
+}
+
+var _ = Describe("Observer", func() {
+	DescribeTable("judges each measure by its bound",
+		func(measure string, bound time.Duration, tokensAt []time.Duration, answered bool, good, bad int) {
+			o := observer.New(start, []settingsreader.Objective{objective(measure, bound)})
+			r := o.Begin(start, "chambers", "summaries")
+			for _, at := range tokensAt {
+				r.Tokens(start.Add(at))
+			}
+			r.End(start.Add(time.Minute), answered)
+			w := windows(o, start.Add(time.Minute))[0]
+			Expect([]uint64{w.Good, w.Bad}).To(Equal([]uint64{uint64(good), uint64(bad)}))
+		},
+		Entry("first token in time", "first-token", 370*time.Millisecond, []time.Duration{370 * time.Millisecond}, true, 1, 0),
+		Entry("first token late", "first-token", 370*time.Millisecond, []time.Duration{371 * time.Millisecond}, true, 0, 1),
+		Entry("gaps", "between-tokens", 30*time.Millisecond, []time.Duration{0, 30 * time.Millisecond, 61 * time.Millisecond}, true, 1, 1),
+		Entry("no stall", "stall", 0*time.Second, []time.Duration{0, 200 * time.Millisecond}, true, 1, 0),
+		Entry("a stall", "stall", 0*time.Second, []time.Duration{0, 201 * time.Millisecond}, true, 0, 1),
+		Entry("answered", "answered", 0*time.Second, nil, true, 1, 0),
+		Entry("not answered", "answered", 0*time.Second, nil, false, 0, 1),
+	)
+
+	It("counts only what an objective covers", func() {
+		o := observer.New(start, []settingsreader.Objective{objective("answered", 0)})
+		o.Begin(start, "chambers", "payments").End(start, true)
+		Expect(windows(o, start)[0]).To(Equal(observer.Window{Seconds: 300}))
+	})
+
+	It("forgets by window", func() {
+		o := observer.New(start, []settingsreader.Objective{objective("answered", 0)})
+		o.Begin(start, "chambers", "summaries").End(start, false)
+		bad := func(after time.Duration) (counts []uint64) {
+			for _, w := range windows(o, start.Add(after)) {
+				counts = append(counts, w.Bad)
+			}
+			return counts
+		}
+		Expect(bad(0)).To(Equal([]uint64{1, 1, 1, 1, 1}))
+		Expect(bad(5 * time.Minute)).To(Equal([]uint64{0, 1, 1, 1, 1}))
+		Expect(bad(time.Hour)).To(Equal([]uint64{0, 0, 1, 1, 1}))
+		Expect(bad(72 * time.Hour)).To(Equal([]uint64{0, 0, 0, 0, 1}))
+		Expect(bad(40 * 24 * time.Hour)).To(Equal([]uint64{0, 0, 0, 0, 0}))
+	})
+})
--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -118,6 +118,20 @@
 	Window Duration `toml:"window"`
 }
 
+// DefaultObjectives hold where a settings file names none: the product's goals
+// for all customers and rules together.
+func DefaultObjectives() []Objective {
+	objective := func(measure string, bound time.Duration, share float64) Objective {
+		return Objective{Name: measure, Measure: measure, Bound: Duration(bound), Share: share, Window: Duration(30 * 24 * time.Hour)}
+	}
+	return []Objective{
+		objective("first-token", 370*time.Millisecond, 0.95),
+		objective("between-tokens", 30*time.Millisecond, 0.95),
+		objective("stall", 0, 0.95),
+		objective("answered", 0, 0.99),
+	}
+}
+
 // Defaults returns the settings that hold for keys a file leaves out.
 func Defaults() Settings {
 	return Settings{
--- a/settingsreader/settingsreader.go
+++ b/settingsreader/settingsreader.go
@@ -43,6 +43,9 @@
 	if err := decoder.Decode(&settings); err != nil {
 		return Settings{}, positioned(file, err)
 	}
+	if len(settings.Objective) == 0 {
+		settings.Objective = DefaultObjectives()
+	}
 	if override != nil {
 		override(&settings)
 	}
