player: a table of what a caller can see; roles log their addresses

Cause: the counts of the demo had no test of their own, and a process that listens on a free port didn't say which. Change: the table (each fault must be counted), addresses in the log event started.

--- a/cmd/currantwood/roles.go
+++ b/cmd/currantwood/roles.go
@@ -22,6 +22,8 @@
 
 // process is a running role.
 type process interface {
+	// Addresses lists what the process listens on.
+	Addresses() settingsreader.Listen
 	Shutdown(ctx context.Context) error
 }
 
@@ -108,7 +110,9 @@
 	if err != nil {
 		return err
 	}
-	logger.Info("started", zap.String("region", settings.Region), zap.String("zone", settings.Zone))
+	listen := p.Addresses()
+	logger.Info("started", zap.String("region", settings.Region), zap.String("zone", settings.Zone),
+		zap.String("callers", listen.Callers), zap.String("links", listen.Links), zap.String("operators", listen.Operators))
 	<-ctx.Done()
 	logger.Info("shutting down")
 	limit, cancel := context.WithTimeout(context.Background(), settings.Shutdown.Limit.Std())
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -89,6 +89,11 @@
 // OperatorAddress is where the entry serves operators.
 func (e *Entry) OperatorAddress() string { return e.operator.Addr().String() }
 
+// Addresses lists what the entry listens on.
+func (e *Entry) Addresses() settingsreader.Listen {
+	return settingsreader.Listen{Callers: e.CallerAddress(), Links: e.LinkAddress(), Operators: e.OperatorAddress()}
+}
+
 // Shutdown reports not ready, serves on for the balancer's lag and ends when no
 // request is in flight.
 func (e *Entry) Shutdown(ctx context.Context) error {
--- /dev/null
+++ b/player/player_test.go
@@ -0,0 +1,67 @@
+package player_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood/player"
+)
+
+// event is one token of a completion as an entry sends it.
+func event(index int, mark string) string {
+	return fmt.Sprintf("id: r/g/u/%d\ndata: {\"choices\":[{\"text\":\"%d:%s \"}]}\n\n", index+1, index, mark)
+}
+
+const (
+	done   = "data: [DONE]\n\n"
+	failed = "event: error\ndata: {\"error\":{\"code\":\"generation-lost\",\"ran\":\"ran\"}}\n\n"
+)
+
+// count names what a case expects of one counter.
+type count struct {
+	name  string
+	value func(*player.Report) uint64
+	want  uint64
+}
+
+var _ = Describe("Player", func() {
+	completed := func(n uint64) count {
+		return count{"completed", func(r *player.Report) uint64 { return r.Completed }, n}
+	}
+	violations := func(n uint64) count {
+		return count{"violations", (*player.Report).Violations, n}
+	}
+	DescribeTable("counts what a caller sees",
+		func(bodies []string, counts ...count) {
+			var calls atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				n := min(int(calls.Add(1)), len(bodies))
+				_, _ = fmt.Fprint(w, bodies[n-1])
+			}))
+			defer server.Close()
+			p := player.New(player.Options{Entries: []string{server.URL}, HTTP: server.Client()})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			report := p.Play(ctx, []player.Request{{Method: http.MethodPost, Path: "/v1/completions", Stream: true, Tokens: 2}})
+			for _, c := range counts {
+				Expect(c.value(report)).To(Equal(c.want), c.name)
+			}
+		},
+		Entry("whole", []string{event(0, "a") + event(1, "a") + done}, completed(1), violations(0)),
+		Entry("lost", []string{event(0, "a") + done}, completed(1), violations(1)),
+		Entry("twice", []string{event(0, "a") + event(0, "a") + event(1, "a") + done}, completed(1), violations(1)),
+		Entry("out of order", []string{event(1, "a") + event(0, "a") + done}, completed(1), violations(3)),
+		Entry("two generations", []string{event(0, "a") + event(1, "b") + done}, completed(1), violations(1)),
+		Entry("cut and resumed", []string{event(0, "a"), event(1, "a") + done}, completed(1), violations(0)),
+		Entry("a typed end", []string{event(0, "a") + failed}, completed(0), violations(0)),
+		Entry("restarted", []string{event(0, "a") + "event: restart\ndata: {\"restart\":true}\n\n" + event(0, "b") + event(1, "b") + done}, completed(1), violations(0)),
+		Entry("never answered", []string{""}, completed(0), violations(1)),
+	)
+})
--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -56,6 +56,11 @@
 // OperatorAddress is where the side serves operators.
 func (s *Side) OperatorAddress() string { return s.operator.String() }
 
+// Addresses lists what the side listens on.
+func (s *Side) Addresses() settingsreader.Listen {
+	return settingsreader.Listen{Links: s.LinkAddress(), Operators: s.OperatorAddress()}
+}
+
 // Shutdown refuses new work at once and ends when nothing is in flight.
 func (s *Side) Shutdown(ctx context.Context) error {
 	err := s.server.Drain(ctx)
