Add traces, the replay and its command

Cause: policy under load is to be measured, with the same seed giving the same bytes, before constants are chosen.

Change: tracer reads, writes and generates traces (eight profiles with stated distributions, offered load 1 by construction); replayer plays one through the real picker, limiter, gatekeeper, estimator and batcher on the trace's clock, with round-robin, fewest-outstanding, two-choices and stream-count as baselines and an oracle that knows every length; currantwood replay prints the table. Preemptions count the engines' own and the side's pauses. The limiter sums in a fixed order now: map order made the last bits of its level differ between runs.

--- a/cmd/currantwood/main.go
+++ b/cmd/currantwood/main.go
@@ -82,6 +82,7 @@
 			standinCommand(),
 			demoCommand(),
 			reportCommand(),
+			replayCommand(),
 			versionCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/currantwood/currantwood"
 )
 
@@ -212,11 +214,7 @@
 }
 
 func (e *Estimator) shardOf(customer currantwood.CustomerID) *shard {
-	hash := uint32(2166136261)
-	for i := range len(customer) {
-		hash = (hash ^ uint32(customer[i])) * 16777619
-	}
-	return &e.shards[hash%shards]
+	return &e.shards[xxhash.Sum64String(string(customer))%shards]
 }
 
 // Pairs returns how many customer and rule pairs are kept.
--- a/gatekeeper/forecast.go
+++ b/gatekeeper/forecast.go
@@ -45,6 +45,9 @@
 // of steps more, where now is its curve's survival at what it has produced.
 func (r *request) survives(now, steps float64) float64 {
 	later := float64(r.produced) + steps
+	if r.known > 0 {
+		return stepFunction(later, float64(r.known))
+	}
 	if r.demand.MaxTokens > 0 && later >= float64(r.demand.MaxTokens) {
 		return 0
 	}
@@ -54,6 +57,14 @@
 	return min(r.curve.Survival(later)/now, 1)
 }
 
+// stepFunction is the survival of a stream of known length.
+func stepFunction(tokens, length float64) float64 {
+	if tokens < length {
+		return 1
+	}
+	return 0
+}
+
 // outlivedShare sets the life of a stream that is longer than any seen: a
 // quarter of what it has produced, on average.
 const outlivedShare = 4
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -31,6 +31,8 @@
 	produced currantwood.TokenCount
 	// seen is when the last token came; zero before the first.
 	seen time.Time
+	// known is the output length where it is known in advance; else 0.
+	known currantwood.TokenCount
 	// pauses counts how often it was the victim.
 	pauses int
 	// expected is the memory that it was expected to add at its arrival.
@@ -121,6 +123,9 @@
 		order:   g.arrivals,
 		arrived: now,
 	}
+	if g.options.Known != nil {
+		r.known = g.options.Known(demand.Request)
+	}
 	r.expected = r.need()
 	g.usual += usualGain * (r.expected - g.usual)
 	return r
--- a/gatekeeper/options.go
+++ b/gatekeeper/options.go
@@ -26,6 +26,9 @@
 	MaxWait time.Duration
 	// StepTime is the time between tokens until it was observed.
 	StepTime time.Duration
+	// Known tells a request's output length in advance. It is nil but in a
+	// replay that measures what foresight would give.
+	Known func(currantwood.RequestID) currantwood.TokenCount
 }
 
 // DefaultOptions suit an engine whose step takes about 20 ms.
--- a/limiter/level.go
+++ b/limiter/level.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -32,8 +33,8 @@
 	remote, free := l.gather(now)
 	var wants []want
 	var total float64
-	l.each(func(id currantwood.CustomerID, c *customer) {
-		c.remote = remote[id]
+	l.each(func(c *customer) {
+		c.remote = remote[c.id]
 		total += c.use()
 		if now.Sub(c.asked) < l.options.Forget || c.use() > 0 {
 			wants = append(wants, l.wantOf(now, c))
@@ -60,11 +61,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	remote = map[currantwood.CustomerID]Use{}
-	for entry, told := range l.peers {
-		if now.Sub(told.at) > peerForget {
-			delete(l.peers, entry)
-			continue
-		}
+	l.peers = slices.DeleteFunc(l.peers, func(told exchange) bool { return now.Sub(told.at) > peerForget })
+	for _, told := range l.peers {
 		for _, use := range told.uses {
 			sum := remote[use.Customer]
 			sum.InFlight += use.InFlight
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/currantwood/currantwood"
 )
 
@@ -51,6 +53,7 @@
 
 // customer is what is known of one customer.
 type customer struct {
+	id         currantwood.CustomerID
 	weight     float64
 	maxStreams uint32
 	inFlight   uint32
@@ -79,7 +82,10 @@
 type shard struct {
 	mu        sync.Mutex
 	customers map[currantwood.CustomerID]*customer
-	requests  map[currantwood.RequestID]started
+	// order has the same customers in the order in which they were first seen,
+	// so that sums over them come out the same each time.
+	order    []*customer
+	requests map[currantwood.RequestID]started
 }
 
 // Limiter holds customers to their shares. It is safe for concurrent use. Tick
@@ -92,21 +98,22 @@
 	level atomic.Uint64
 
 	mu sync.Mutex
-	// peers holds each other entry's last exchange.
-	peers map[currantwood.VMID]exchange
+	// peers holds each other entry's last exchange, at most one for an entry.
+	peers []exchange
 	// free is the memory that could still be given out everywhere.
 	free float64
 }
 
 // exchange is what another entry told.
 type exchange struct {
-	at   time.Time
-	uses []Use
+	entry currantwood.VMID
+	at    time.Time
+	uses  []Use
 }
 
 // New returns a limiter without customers.
 func New(options Options) *Limiter {
-	l := &Limiter{options: options, peers: map[currantwood.VMID]exchange{}}
+	l := &Limiter{options: options}
 	for i := range l.shards {
 		l.shards[i].customers = map[currantwood.CustomerID]*customer{}
 		l.shards[i].requests = map[currantwood.RequestID]started{}
@@ -191,9 +198,9 @@
 // flight, for the exchange with other entries.
 func (l *Limiter) Uses() []Use {
 	var uses []Use
-	l.each(func(id currantwood.CustomerID, c *customer) {
+	l.each(func(c *customer) {
 		if c.inFlight > 0 {
-			uses = append(uses, Use{Customer: id, InFlight: c.inFlight, Held: float64(c.inFlight) * c.held})
+			uses = append(uses, Use{Customer: c.id, InFlight: c.inFlight, Held: float64(c.inFlight) * c.held})
 		}
 	})
 	return uses
@@ -204,7 +211,14 @@
 func (l *Limiter) Exchange(now time.Time, entry currantwood.VMID, uses []Use) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers[entry] = exchange{at: now, uses: uses}
+	told := exchange{entry: entry, at: now, uses: uses}
+	for i := range l.peers {
+		if l.peers[i].entry == entry {
+			l.peers[i] = told
+			return
+		}
+	}
+	l.peers = append(l.peers, told)
 }
 
 // Free takes in the memory that the engines in view could still be given.
@@ -219,33 +233,31 @@
 	c, known := s.customers[id]
 	if !known {
 		c = &customer{
+			id:     id,
 			weight: 1,
 			held:   float64(l.options.UsualHeld),
 			life:   l.options.UsualLife.Seconds(),
 		}
 		s.customers[id] = c
+		s.order = append(s.order, c)
 	}
 	return c
 }
 
 // each visits all customers, one shard at a time under its lock.
-func (l *Limiter) each(visit func(currantwood.CustomerID, *customer)) {
+func (l *Limiter) each(visit func(*customer)) {
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
-		for id, c := range s.customers {
-			visit(id, c)
+		for _, c := range s.order {
+			visit(c)
 		}
 		s.mu.Unlock()
 	}
 }
 
 func (l *Limiter) shardOf(id currantwood.CustomerID) *shard {
-	hash := uint32(2166136261)
-	for i := range len(id) {
-		hash = (hash ^ uint32(id[i])) * 16777619
-	}
-	return &l.shards[hash%shards]
+	return &l.shards[xxhash.Sum64String(string(id))%shards]
 }
 
 func (l *Limiter) setLevel(level float64) { l.level.Store(math.Float64bits(level)) }
--- /dev/null
+++ b/replayer/replayer_test.go
@@ -0,0 +1,129 @@
+package replayer_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantwood/currantwood/replayer"
+	"github.com/currantwood/currantwood/tracer"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func TestReplayer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replayer")
+}
+
+// committed is the seed and size of the traces in testdata.
+const (
+	committedSeed     = 1
+	committedRequests = 800
+)
+
+// golden compares with a file in testdata, or writes it.
+func golden(name string, got []byte) {
+	path := filepath.Join("testdata", name)
+	if *update {
+		Expect(os.WriteFile(path, got, 0o644)).To(Succeed())
+		return
+	}
+	want, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(got)).To(Equal(string(want)), "run with -update where the change is meant")
+}
+
+func readTrace(profile string) *tracer.Trace {
+	file, err := os.Open(filepath.Join("testdata", profile+".trace.jsonl"))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = file.Close() }()
+	trace, err := tracer.Read(file)
+	Expect(err).NotTo(HaveOccurred())
+	return trace
+}
+
+func play(trace *tracer.Trace, policy string, load float64) replayer.Result {
+	r, err := replayer.New(trace, replayer.Options{Policy: policy, Load: load, Seed: 1})
+	Expect(err).NotTo(HaveOccurred())
+	return r.Run()
+}
+
+// outcome plays a trace at each load, a few at a time.
+func outcome(trace *tracer.Trace) []byte {
+	loads := []float64{0.7, 1.0, 1.5}
+	names := []string{"two-choices", "currantwood"}
+	results := make([]replayer.Result, len(loads)*len(names))
+	var group errgroup.Group
+	group.SetLimit(3)
+	for i := range results {
+		group.Go(func() error {
+			r, err := replayer.New(trace, replayer.Options{Policy: names[i%2], Load: loads[i/2], Seed: 1})
+			if err == nil {
+				results[i] = r.Run()
+			}
+			return err
+		})
+	}
+	Expect(group.Wait()).To(Succeed())
+	var lines bytes.Buffer
+	encoder := json.NewEncoder(&lines)
+	for i := range results {
+		Expect(encoder.Encode(results[i])).To(Succeed())
+	}
+	return lines.Bytes()
+}
+
+var _ = Describe("Replayer", func() {
+	DescribeTable("gives the stated outcome",
+		func(profile string) {
+			trace, err := tracer.Generate(tracer.GenerateOptions{Profile: profile, Seed: committedSeed, Requests: committedRequests})
+			Expect(err).NotTo(HaveOccurred())
+			var file bytes.Buffer
+			Expect(trace.Write(&file)).To(Succeed())
+			golden(profile+".trace.jsonl", file.Bytes())
+
+			trace = readTrace(profile)
+			golden(profile+".outcome.jsonl", outcome(trace))
+		},
+		profiles(),
+	)
+
+	DescribeTable("accounts for every request under every policy",
+		func(policy string) {
+			result := play(readTrace("reclaimed-third"), policy, 1.5)
+			Expect(result.Completed + result.NeverServed + result.Lost).To(Equal(result.Requests))
+		},
+		policies(),
+	)
+
+	DescribeTable("refuses",
+		func(options replayer.Options, want string) {
+			_, err := replayer.New(readTrace("one-flood"), options)
+			Expect(err).To(MatchError(ContainSubstring(want)))
+		},
+		Entry("an unknown policy", replayer.Options{Policy: "none", Load: 1}, "round-robin"),
+		Entry("no load", replayer.Options{Policy: "oracle"}, "load 0"),
+	)
+})
+
+func profiles() (entries []TableEntry) {
+	for _, name := range tracer.Profiles() {
+		entries = append(entries, Entry(name, name))
+	}
+	return entries
+}
+
+func policies() (entries []TableEntry) {
+	for _, name := range replayer.Policies() {
+		entries = append(entries, Entry(name, name))
+	}
+	return entries
+}
