Streams resume: relayer and holder drive the entry and the side

Cause: in the thin path a closed link, a killed side or a cut connection to the engine ended every stream on it, and a caller could not reconnect.

Change: forwarder follows one generation at a time through relayer: a fresh link to the same upstream resumes by index, a request of which the caller has seen nothing goes on to another upstream, a caller that reconnects with Last-Event-ID is bound to the generation, side and index that the id names. runner drives one goroutine for each generation through holder: it reads from the engine while the window has room, opens a cut stream again, and keeps a generation for a grace time without a reader. A second entry that resumes takes the stream over; the first is told, or both would ask for it in turn. entryserver writes through encoder and flushes once for each wake-up.

A caller that reconnects is not held to its share again, since its generation was admitted; it is before a new generation is started for it.

Ruled out: failing requests on a closed link and leaving the retry to the caller (the generation runs on at the engine, so the work would be done twice).

relayer: a caller that has no token yet waits 2.5 s of silence, others 15 s.

--- a/entryserver/answer.go
+++ b/entryserver/answer.go
@@ -1,84 +1,138 @@
 package entryserver
 
 import (
-	"encoding/json"
-	"fmt"
 	"net/http"
-	"strings"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/encoder"
 	"github.com/currantwood/currantwood/forwarder"
+	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/refuser"
 )
 
-// answer writes one generation to its caller, streamed or whole.
+const (
+	// headerRestart declares that the caller understands a restart event.
+	headerRestart = "X-Accept-Restart"
+	// headerLastEvent holds the position from which a caller goes on.
+	headerLastEvent = "Last-Event-ID"
+	// writeTimeout bounds one write to a caller. A caller that takes longer
+	// counts as gone.
+	writeTimeout = 30 * time.Second
+)
+
+// answer writes one generation to its caller, streamed or whole. It is the
+// forwarder's sink.
 type answer struct {
 	w       http.ResponseWriter
-	arrival arrival
+	control *http.ResponseController
+	encoder *encoder.Encoder
+	// watch counts how the answer meets the service-level objectives.
+	watch *observer.Request
+	// streamed is false when the caller wants one whole answer.
+	streamed bool
 	// started is true once the header was sent.
 	started bool
-	text    strings.Builder
+	// buffer holds encoded events that were not written.
+	buffer []byte
+	// texts are the tokens of a whole answer.
+	texts []string
 }
 
 func newAnswer(w http.ResponseWriter, a arrival) *answer {
-	return &answer{w: w, arrival: a}
-}
-
-// choice is the one choice of an answer or chunk.
-type choice struct {
-	Index        int     `json:"index"`
-	Text         *string `json:"text,omitempty"`
-	Delta        *part   `json:"delta,omitempty"`
-	Message      *part   `json:"message,omitempty"`
-	FinishReason *string `json:"finish_reason"`
+	return &answer{
+		w:       w,
+		control: http.NewResponseController(w),
+		encoder: encoder.New(encoder.Options{
+			Request:      a.id,
+			Model:        a.prompt.Model,
+			Created:      a.at,
+			Chat:         a.prompt.chat,
+			IncludeUsage: a.prompt.StreamOptions.IncludeUsage,
+			PromptTokens: a.prompt.tokens(),
+		}),
+		streamed: a.prompt.Stream,
+	}
 }
 
-type part struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
+// Bind names the generation of what follows.
+func (o *answer) Bind(generation currantwood.GenerationID, upstream currantwood.UpstreamID, restart bool) error {
+	o.encoder.Bind(generation, upstream)
+	o.texts = nil
+	if !restart || !o.streamed {
+		return nil
+	}
+	o.buffer = o.encoder.Restart(o.buffer)
+	return o.Flush()
 }
 
-type body struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
+// Deliver takes in tokens.
+func (o *answer) Deliver(first currantwood.TokenIndex, texts []string) error {
+	o.watch.Tokens(time.Now())
+	if o.streamed {
+		o.buffer = o.encoder.Tokens(o.buffer, first, texts)
+		return nil
+	}
+	o.texts = append(o.texts, texts...)
+	return nil
 }
 
-func (o *answer) deliver(first currantwood.TokenIndex, texts []string) error {
-	if !o.arrival.prompt.Stream {
-		for _, text := range texts {
-			o.text.WriteString(text)
-		}
+// Flush writes what was taken in to a caller that reads a stream.
+func (o *answer) Flush() error {
+	if !o.streamed || len(o.buffer) == 0 {
 		return nil
 	}
 	o.start()
-	for i, text := range texts {
-		next := uint64(first) + uint64(i) + 1
-		if err := o.event(fmt.Sprintf("%s.%d", o.arrival.id, next), o.chunk(text, nil)); err != nil {
-			return err
-		}
+	_ = o.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := o.w.Write(o.buffer)
+	o.buffer = o.buffer[:0]
+	if err == nil {
+		err = o.control.Flush()
+	}
+	return errors.Wrapf(err, "%s: write to caller", step)
+}
+
+// Idle sends a heartbeat. Before the first token there is none: a refusal with
+// its own status may still be the answer.
+func (o *answer) Idle() error {
+	if !o.started {
+		return nil
 	}
-	return http.NewResponseController(o.w).Flush()
+	o.buffer = o.encoder.Heartbeat(o.buffer)
+	return o.Flush()
 }
 
+// end writes the end of the answer.
 func (o *answer) end(completion forwarder.Completion, refusal *currantwood.Refusal, refuser *refuser.Refuser) {
 	switch {
 	case refusal != nil && !o.started:
 		refuser.Write(o.w, refusal)
 	case refusal != nil:
-		_, _ = fmt.Fprintf(o.w, "event: error\ndata: %s\n\n", strings.TrimSpace(string(refuser.Body(refusal))))
-	case o.arrival.prompt.Stream:
-		o.start()
-		_ = o.event(fmt.Sprintf("%s.%d", o.arrival.id, completion.Tokens), o.chunk("", &completion.FinishReason))
-		_, _ = fmt.Fprint(o.w, "data: [DONE]\n\n")
+		o.fail(refusal)
+	case o.streamed:
+		o.buffer = o.encoder.Done(o.buffer, completion.Tokens, completion.FinishReason)
+		_ = o.Flush()
 	default:
-		o.w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(o.w).Encode(o.whole(completion))
+		o.whole(completion)
 	}
 }
 
+// fail ends a stream that is not whole. The connection is cut where the error
+// event can't be written, so that no caller takes the end for a whole answer.
+func (o *answer) fail(refusal *currantwood.Refusal) {
+	var err error
+	if o.buffer, err = o.encoder.Failure(o.buffer, refusal); err != nil || o.Flush() != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (o *answer) whole(completion forwarder.Completion) {
+	o.w.Header().Set("Content-Type", "application/json")
+	_, _ = o.w.Write(o.encoder.Whole(nil, o.texts, completion.FinishReason))
+}
+
 func (o *answer) start() {
 	if o.started {
 		return
@@ -88,37 +142,3 @@
 	o.w.Header().Set("Cache-Control", "no-store")
 	o.w.WriteHeader(http.StatusOK)
 }
-
-func (o *answer) event(id string, content body) error {
-	data, err := json.Marshal(content)
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(o.w, "id: %s\ndata: %s\n\n", id, data)
-	return err
-}
-
-func (o *answer) body(object string, c choice) body {
-	return body{
-		ID:      string(o.arrival.id),
-		Object:  object,
-		Created: o.arrival.at.Unix(),
-		Model:   o.arrival.prompt.Model,
-		Choices: []choice{c},
-	}
-}
-
-func (o *answer) chunk(text string, finish *string) body {
-	if o.arrival.prompt.chat {
-		return o.body("chat.completion.chunk", choice{Delta: &part{Content: text}, FinishReason: finish})
-	}
-	return o.body("text_completion", choice{Text: &text, FinishReason: finish})
-}
-
-func (o *answer) whole(completion forwarder.Completion) body {
-	text := o.text.String()
-	if o.arrival.prompt.chat {
-		return o.body("chat.completion", choice{Message: &part{Role: "assistant", Content: text}, FinishReason: &completion.FinishReason})
-	}
-	return o.body("text_completion", choice{Text: &text, FinishReason: &completion.FinishReason})
-}
--- a/entryserver/entryserver.go
+++ b/entryserver/entryserver.go
@@ -91,6 +91,10 @@
 	body     []byte
 	// prompt is nil for calls of plain services.
 	prompt *prompt
+	// resume is where a caller that reconnects goes on; nil for new requests.
+	resume *currantwood.Position
+	// restart says that the caller understands a restart event.
+	restart bool
 }
 
 // ServeHTTP serves one request of a caller.
@@ -126,11 +130,11 @@
 		return arrival{}, currantwood.Refuse(currantwood.KindBadRequest, step, "body could not be read: "+err.Error(), 0)
 	}
 	a := arrival{id: currantwood.RequestID(uuid.NewString()), at: now, customer: customer, body: body}
+	if refusal := readPrompt(r, &a); refusal != nil {
+		return arrival{}, refusal
+	}
 	var model currantwood.ModelID
-	if isCompletion(r) {
-		if a.prompt, err = parsePrompt(r.URL.Path, body); err != nil {
-			return arrival{}, currantwood.Refuse(currantwood.KindBadRequest, step, err.Error(), 0)
-		}
+	if a.prompt != nil {
 		model = currantwood.ModelID(a.prompt.Model)
 	}
 	rule, matched := rules.Match(matcher.Request{Customer: customer.ID, Method: r.Method, Path: r.URL.Path, Model: model})
@@ -141,6 +145,29 @@
 	return a, nil
 }
 
+// readPrompt takes in what is particular to a generation.
+func readPrompt(r *http.Request, a *arrival) *currantwood.Refusal {
+	if !isCompletion(r) {
+		return nil
+	}
+	var err error
+	if a.prompt, err = parsePrompt(r.URL.Path, a.body); err != nil {
+		return currantwood.Refuse(currantwood.KindBadRequest, step, err.Error(), 0)
+	}
+	a.restart = r.Header.Get(headerRestart) == "true"
+	last := r.Header.Get(headerLastEvent)
+	if last == "" || !a.prompt.Stream {
+		return nil
+	}
+	position, err := currantwood.ParsePosition(last)
+	if err != nil {
+		return currantwood.Refuse(currantwood.KindBadRequest, step, headerLastEvent+": "+err.Error(), 0)
+	}
+	a.resume = &position
+	a.id = position.Request
+	return nil
+}
+
 // demand says what is known of a generation before it is routed.
 func (s *Server) demand(a arrival) currantwood.Demand {
 	return currantwood.Demand{
@@ -158,29 +185,40 @@
 	}
 }
 
-// complete serves a generation.
+// complete serves a generation. A caller that reconnects was admitted before;
+// it is asked for anew only when a new generation has to be started.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, a arrival) {
 	demand := s.demand(a)
-	if verdict := s.options.Limiter.Admit(a.at, demand); verdict.Refusal != nil {
-		s.refuser.Write(w, verdict.Refusal)
-		return
+	admitted := false
+	admit := func(now time.Time) *currantwood.Refusal {
+		verdict := s.options.Limiter.Admit(now, demand)
+		admitted = verdict.Refusal == nil
+		return verdict.Refusal
 	}
-	request := forwarder.Request{
-		Demand:      demand,
-		Group:       a.rule.Group,
-		Fingerprint: currantwood.Fingerprint(xxhash.Sum64(a.body)),
-		Body:        a.body,
+	if a.resume == nil {
+		if refusal := admit(a.at); refusal != nil {
+			s.refuser.Write(w, refusal)
+			return
+		}
 	}
 	out := newAnswer(w, a)
-	watch := s.options.Observer.Begin(a.at, a.customer.ID, a.rule.ID)
-	completion, refusal := s.options.Forwarder.Forward(r.Context(), request, func(first currantwood.TokenIndex, texts []string) error {
-		watch.Tokens(time.Now())
-		return out.deliver(first, texts)
-	})
-	s.options.Limiter.Done(time.Now(), a.customer.ID, a.id, completion.TokenSeconds)
-	out.end(completion, refusal, s.refuser)
-	watch.End(time.Now(), refusal == nil)
+	out.watch = s.options.Observer.Begin(a.at, a.customer.ID, a.rule.ID)
+	completion, refusal := s.options.Forwarder.Forward(r.Context(), forwarder.Request{
+		Demand:          demand,
+		Group:           a.rule.Group,
+		Fingerprint:     currantwood.Fingerprint(xxhash.Sum64(a.body)),
+		Body:            a.body,
+		Resume:          a.resume,
+		Admit:           admit,
+		Streamed:        a.prompt.Stream,
+		RestartDeclared: a.restart,
+	}, out)
+	if admitted {
+		s.options.Limiter.Done(time.Now(), a.customer.ID, a.id, completion.TokenSeconds)
+	}
+	out.watch.End(time.Now(), refusal == nil)
 	s.log(a, refusal)
+	out.end(completion, refusal, s.refuser)
 }
 
 // call serves a call of a plain service.
--- a/entryserver/prompt.go
+++ b/entryserver/prompt.go
@@ -28,13 +28,18 @@
 	Messages  []message       `json:"messages"`
 	MaxTokens int64           `json:"max_tokens"`
 	// MaxCompletionTokens is the newer name of MaxTokens for chats.
-	MaxCompletionTokens int64 `json:"max_completion_tokens"`
+	MaxCompletionTokens int64         `json:"max_completion_tokens"`
+	StreamOptions       streamOptions `json:"stream_options"`
 	// Choices is the number of answers wanted; only one is served.
 	Choices int `json:"n"`
 
 	chat bool
 }
 
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
 type message struct {
 	Role    string          `json:"role"`
 	Content json.RawMessage `json:"content"`
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -94,6 +94,9 @@
 	return settingsreader.Listen{Callers: e.CallerAddress(), Links: e.LinkAddress(), Operators: e.OperatorAddress()}
 }
 
+// Sides is the number of upstreams in view.
+func (e *Entry) Sides() int { return len(e.tracker.Links()) }
+
 // Shutdown reports not ready, serves on for the balancer's lag and ends when no
 // request is in flight.
 func (e *Entry) Shutdown(ctx context.Context) error {
@@ -144,6 +147,8 @@
 		Tracker:       e.tracker,
 		Picker:        e.picker(),
 		NewGeneration: func() currantwood.GenerationID { return currantwood.GenerationID(uuid.NewString()) },
+		Limits:        forwarder.DefaultLimits(),
+		IdleEvery:     callerHeartbeat,
 	})
 	e.links = distributor.New(&sideHandler{entry: e})
 	e.dialer = dialer.New(dialer.Options{
@@ -165,6 +170,10 @@
 	e.http = &http.Server{Handler: e.server, ReadHeaderTimeout: headerTimeout}
 }
 
+// callerHeartbeat is the time between heartbeats to a caller whose stream is
+// idle.
+const callerHeartbeat = 5 * time.Second
+
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 10 * time.Second
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -1,17 +1,18 @@
 // Package forwarder carries a caller's generation request to a side and its
-// tokens back. It is the one owner of retries: a request that a side refused as
-// not run goes on to another upstream within its deadline.
+// tokens back. It is the one owner of retries: a request of which the caller
+// has seen nothing goes on to another upstream within its deadline, and a
+// stream whose link or side is gone is resumed by index.
 package forwarder
 
 import (
 	"context"
-	"fmt"
 	"hash/maphash"
 	"sync"
 	"time"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/relayer"
 	"github.com/currantwood/currantwood/tracker"
 	"github.com/currantwood/currantwood/wire"
 )
@@ -26,12 +27,28 @@
 	retryAfterNoUpstream = 2 * time.Second
 )
 
+// DefaultLimits are the limits of a stream in service. LostAfter is the time
+// that a replaced side has to come up.
+func DefaultLimits() relayer.Options {
+	return relayer.Options{
+		ResumeAfter:     time.Second,
+		LostAfter:       15 * time.Second,
+		UnseenLostAfter: 2500 * time.Millisecond,
+		AckEvery:        64,
+		RetryAfter:      retryAfterLost,
+	}
+}
+
 // Options says what a forwarder needs.
 type Options struct {
 	Tracker *tracker.Tracker
 	Picker  currantwood.Picker
 	// NewGeneration draws a generation id.
 	NewGeneration func() currantwood.GenerationID
+	// Limits are those of each stream; RestartDeclared is set by the request.
+	Limits relayer.Options
+	// IdleEvery is the time between two calls of Sink.Idle; > 0.
+	IdleEvery time.Duration
 }
 
 // Request is one generation to run.
@@ -40,6 +57,16 @@
 	Group       currantwood.GroupID
 	Fingerprint currantwood.Fingerprint
 	Body        []byte
+	// Resume is where a caller that reconnects goes on; nil for a new request.
+	Resume *currantwood.Position
+	// Admit is asked before a generation is started for a caller that
+	// reconnected; nil admits it.
+	Admit func(now time.Time) *currantwood.Refusal
+	// Streamed says that the caller reads tokens as they come, and may
+	// reconnect when it is cut off.
+	Streamed bool
+	// RestartDeclared says that the caller understands a restart event.
+	RestartDeclared bool
 }
 
 // Completion is the end of a whole generation.
@@ -70,33 +97,68 @@
 	return f
 }
 
-// Forward runs a request to its end. Deliver is called with consecutive tokens
-// from index 0 on. The refusal is nil exactly when the completion is whole.
-func (f *Forwarder) Forward(ctx context.Context, request Request, deliver func(first currantwood.TokenIndex, texts []string) error) (Completion, *currantwood.Refusal) {
+// Forward runs a request to its end. The refusal is nil exactly when the
+// completion is whole, that is when the sink was handed every token.
+func (f *Forwarder) Forward(ctx context.Context, request Request, sink Sink) (Completion, *currantwood.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, request.Demand.Deadline)
 	defer cancel()
-	fl := newFlight(request, deliver)
+	fl := newFlight(f.options, request, sink)
 	f.add(fl)
 	defer f.remove(fl)
+	if request.Resume != nil {
+		refusal, again := f.resume(ctx, fl)
+		if !again {
+			return fl.completion, refusal
+		}
+	}
+	return f.startAnew(ctx, fl)
+}
+
+// resume goes on with the generation that a reconnected caller names. It
+// returns true when a new generation may be started in its place.
+func (f *Forwarder) resume(ctx context.Context, fl *flight) (*currantwood.Refusal, bool) {
+	at := fl.request.Resume
+	link := f.options.Tracker.Link(at.Upstream)
+	refusal, again := fl.run(ctx, target{upstream: at.Upstream, link: link, generation: at.Generation, next: at.Next})
+	if !again {
+		return refusal, false
+	}
+	if fl.request.Admit == nil {
+		return nil, true
+	}
+	if refused := fl.request.Admit(time.Now()); refused != nil {
+		return refused, false
+	}
+	return nil, true
+}
+
+// startAnew tries one upstream after the other until a generation is whole or
+// must not be run again.
+func (f *Forwarder) startAnew(ctx context.Context, fl *flight) (Completion, *currantwood.Refusal) {
 	tried := make(map[currantwood.UpstreamID]bool)
 	var last *currantwood.Refusal
 	for {
-		upstream, link := f.pick(request, tried)
+		upstream, link := f.pick(fl.request, tried)
 		if link == nil {
-			return Completion{}, f.noUpstream(last)
+			return Completion{}, noUpstream(last)
 		}
 		tried[upstream] = true
-		completion, refusal := f.attempt(ctx, fl, upstream, link)
-		if refusal == nil {
-			return completion, nil
+		refusal, again := f.attempt(ctx, fl, target{
+			upstream: upstream, link: link, generation: f.options.NewGeneration(), start: true,
+		})
+		if !again {
+			return fl.completion, refusal
 		}
 		last = refusal
-		if refusal.Ran != currantwood.NotRun || fl.next > 0 || ctx.Err() != nil {
-			return Completion{}, refusal
-		}
 	}
 }
 
+func (f *Forwarder) attempt(ctx context.Context, fl *flight, t target) (*currantwood.Refusal, bool) {
+	f.options.Tracker.Begin(t.upstream)
+	defer f.options.Tracker.End(t.upstream)
+	return fl.run(ctx, t)
+}
+
 // Frame takes in a frame of a side. It doesn't block.
 func (f *Forwarder) Frame(link *linker.Link, frame *wire.Frame) {
 	if fl := f.find(requestOf(frame)); fl != nil {
@@ -104,13 +166,18 @@
 	}
 }
 
+// LinkUp tells the requests that wait for an upstream of a new link to it.
+func (f *Forwarder) LinkUp(link *linker.Link) { f.pushAll(event{link: link, up: true}) }
+
 // LinkClosed tells the requests on a link that it is gone.
-func (f *Forwarder) LinkClosed(link *linker.Link) {
+func (f *Forwarder) LinkClosed(link *linker.Link) { f.pushAll(event{link: link, down: true}) }
+
+func (f *Forwarder) pushAll(e event) {
 	for i := range f.shards {
 		s := &f.shards[i]
 		s.mu.Lock()
 		for _, fl := range s.flights {
-			fl.push(event{link: link})
+			fl.push(e)
 		}
 		s.mu.Unlock()
 	}
@@ -132,49 +199,38 @@
 	return upstream, f.options.Tracker.Link(upstream)
 }
 
-func (f *Forwarder) noUpstream(last *currantwood.Refusal) *currantwood.Refusal {
+func noUpstream(last *currantwood.Refusal) *currantwood.Refusal {
 	if last != nil {
 		return last
 	}
 	return currantwood.Refuse(currantwood.KindNoUpstream, step, "no upstream of the rule's group is in view", retryAfterNoUpstream)
 }
 
-func (f *Forwarder) attempt(ctx context.Context, fl *flight, upstream currantwood.UpstreamID, link *linker.Link) (Completion, *currantwood.Refusal) {
-	f.options.Tracker.Begin(upstream)
-	defer f.options.Tracker.End(upstream)
-	fl.bind(f.options.NewGeneration(), link)
-	if err := link.Send(startFrame(fl)); err != nil {
-		return Completion{}, linkLost(link, currantwood.NotRun)
-	}
-	for {
-		select {
-		case <-fl.wake:
-		case <-ctx.Done():
-			_ = link.Send(cancelFrame(fl, "deadline or caller gone"))
-			return Completion{}, deadlinePassed(link)
-		}
-		if completion, refusal, ended := fl.drain(); ended {
-			return completion, refusal
-		}
-	}
-}
-
 func (f *Forwarder) shard(id currantwood.RequestID) *shard {
 	return &f.shards[maphash.String(f.seed, string(id))%shardCount]
 }
 
+// add makes fl the reader of its request. A reader that was there before, whose
+// caller has reconnected, ends.
 func (f *Forwarder) add(fl *flight) {
-	s := f.shard(fl.request.Demand.Request)
+	id := fl.request.Demand.Request
+	s := f.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.flights[fl.request.Demand.Request] = fl
+	if previous := s.flights[id]; previous != nil {
+		previous.push(event{takenOver: true})
+	}
+	s.flights[id] = fl
 }
 
 func (f *Forwarder) remove(fl *flight) {
-	s := f.shard(fl.request.Demand.Request)
+	id := fl.request.Demand.Request
+	s := f.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.flights, fl.request.Demand.Request)
+	if s.flights[id] == fl {
+		delete(s.flights, id)
+	}
 }
 
 func (f *Forwarder) find(id currantwood.RequestID) *flight {
@@ -183,25 +239,3 @@
 	defer s.mu.Unlock()
 	return s.flights[id]
 }
-
-func linkLost(link *linker.Link, ran currantwood.Ran) *currantwood.Refusal {
-	return &currantwood.Refusal{
-		Kind:       currantwood.KindLinkLost,
-		Ran:        ran,
-		RetryAfter: retryAfterLost,
-		Step:       step,
-		Peer:       link.Peer().Process,
-		Detail:     "the link to the side was lost",
-	}
-}
-
-func deadlinePassed(link *linker.Link) *currantwood.Refusal {
-	return &currantwood.Refusal{
-		Kind:       currantwood.KindDeadline,
-		Ran:        currantwood.RanUnknown,
-		RetryAfter: retryAfterLost,
-		Step:       step,
-		Peer:       link.Peer().Process,
-		Detail:     fmt.Sprintf("the deadline passed while %s held the request", link.Peer().Upstream),
-	}
-}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -175,9 +175,13 @@
 
 // Lost ends a generation that the engine can't go on with.
 func (h *Holder) Lost(detail string) Actions {
+	ran := currantwood.RanUnknown
+	if h.Produced() > 0 {
+		ran = currantwood.RanDone
+	}
 	return h.Refuse(&currantwood.Refusal{
 		Kind:       currantwood.KindGenerationLost,
-		Ran:        currantwood.RanDone,
+		Ran:        ran,
 		RetryAfter: h.opts.RetryAfter,
 		Step:       "holder",
 		Detail:     detail,
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,6 +17,10 @@
 	// LostAfter is the silence, through all resumes, after which the
 	// generation counts as lost; > ResumeAfter.
 	LostAfter time.Duration
+	// UnseenLostAfter stands in for LostAfter while the caller has no token:
+	// another upstream serves it sooner than a side that has to come back.
+	// ResumeAfter < UnseenLostAfter <= LostAfter.
+	UnseenLostAfter time.Duration
 	// AckEvery is the number of delivered tokens between two
 	// acknowledgements; at least 1 and less than the side's window.
 	AckEvery currantwood.TokenCount
@@ -188,7 +192,7 @@
 		return Actions{}
 	}
 	silence := now.Sub(r.heardAt)
-	if silence >= r.opts.LostAfter {
+	if silence >= r.lostAfter() {
 		refusal := currantwood.Refuse(currantwood.KindLinkLost, "relayer",
 			"the side did not answer", r.opts.RetryAfter)
 		refusal.Ran = currantwood.RanUnknown
@@ -209,12 +213,19 @@
 	if again := r.askedAt.Add(r.opts.ResumeAfter); again.After(due) {
 		due = again
 	}
-	if lost := r.heardAt.Add(r.opts.LostAfter); lost.Before(due) {
+	if lost := r.heardAt.Add(r.lostAfter()); lost.Before(due) {
 		due = lost
 	}
 	return due
 }
 
+func (r *Relayer) lostAfter() time.Duration {
+	if r.shown {
+		return r.opts.LostAfter
+	}
+	return r.opts.UnseenLostAfter
+}
+
 func (r *Relayer) bound(request, generation string) bool {
 	return !r.ended &&
 		request == string(r.request) &&
--- a/sideserver/sideserver.go
+++ b/sideserver/sideserver.go
@@ -76,6 +76,7 @@
 		s.runner = runner.New(runner.Options{
 			Engine:   options.Engine,
 			Upstream: currantwood.UpstreamID(options.Hello.Upstream),
+			Limits:   runner.DefaultLimits(),
 		})
 	}
 	s.wait.Add(2)
@@ -134,6 +135,9 @@
 	for _, link := range s.links.Links() {
 		link.Close()
 	}
+	if s.runner != nil {
+		s.runner.Close()
+	}
 	s.wait.Wait()
 }
 
@@ -168,8 +172,11 @@
 // Up tells a new link the load.
 func (s *Server) Up(link *linker.Link) { _ = link.Send(s.loadFrame()) }
 
-// Down logs the end of a link.
+// Down leaves what the link's peer was reading to a resume.
 func (s *Server) Down(link *linker.Link, cause error) {
+	if s.runner != nil {
+		s.runner.LinkClosed(link)
+	}
 	s.options.Logger.Info("link closed", zap.String("step", step), zap.String("peer", link.Peer().Process), zap.Error(cause))
 }
 
@@ -178,8 +185,8 @@
 	switch body := frame.Body.(type) {
 	case *wire.Frame_Start:
 		s.start(link, body.Start)
-	case *wire.Frame_Cancel:
-		s.cancelRun(body.Cancel)
+	case *wire.Frame_Resume, *wire.Frame_Ack, *wire.Frame_Cancel:
+		s.follow(link, frame)
 	case *wire.Frame_Call:
 		s.call(link, body.Call)
 	case *wire.Frame_Ask:
@@ -190,9 +197,19 @@
 	return true
 }
 
-func (s *Server) cancelRun(cancel *wire.Cancel) {
-	if s.runner != nil {
-		s.runner.Cancel(currantwood.GenerationID(cancel.GenerationId))
+// follow hands on a frame of a generation that was started before. A side that
+// leaves still serves these.
+func (s *Server) follow(link *linker.Link, frame *wire.Frame) {
+	if s.runner == nil {
+		return
+	}
+	switch body := frame.Body.(type) {
+	case *wire.Frame_Resume:
+		s.runner.Resume(link, body.Resume)
+	case *wire.Frame_Ack:
+		s.runner.Ack(body.Ack)
+	case *wire.Frame_Cancel:
+		s.runner.Cancel(link, body.Cancel)
 	}
 }
 
