--- a/subsetter/subsetter_test.go
+++ b/subsetter/subsetter_test.go
@@ -141,6 +141,12 @@
 		}
 	})
 
+	It("links every side to three entries however few there are", func() {
+		perSide, _ := linkCounts(newFleet(4, 400, 1, 1, 1))
+		lowest, _, _ := spread(perSide)
+		Expect(lowest).To(BeNumerically(">=", minEntriesPerSide))
+	})
+
 	It("counts an entry that the list doesn't show and leaves out leaving VMs", func() {
 		f := newFleet(60, 600, 3, 6, 2)
 		self := f.vm(currantwood.RoleEntry, 0, 3, "")
