--- a/cmd/currantwood/main.go
+++ b/cmd/currantwood/main.go
@@ -81,6 +81,7 @@
 			sideCommand(),
 			standinCommand(),
 			demoCommand(),
+			loadCommand(),
 			reportCommand(),
 			replayCommand(),
 			versionCommand(),
--- a/entryserver/entryserver.go
+++ b/entryserver/entryserver.go
@@ -21,6 +21,8 @@
 	"github.com/currantwood/currantwood/matcher"
 	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/refuser"
+	"github.com/currantwood/currantwood/requestkeeper"
+	"github.com/currantwood/currantwood/tracer"
 )
 
 const (
@@ -58,6 +60,8 @@
 	Limiter   currantwood.Limiter
 	// Observer counts how the service-level objectives are met.
 	Observer *observer.Observer
+	// Recent keeps what was served for recording.
+	Recent *requestkeeper.Keeper
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	Metrics      metrics.Registry
@@ -224,6 +228,25 @@
 	out.watch.End(time.Now(), refusal == nil)
 	s.end(a, refusal)
 	out.end(completion, refusal, s.refuser)
+	if refusal == nil {
+		s.options.Recent.Add(a.at, served(demand, a.rule, completion))
+	}
+}
+
+// served describes a served generation for a trace.
+func served(demand currantwood.Demand, rule currantwood.Rule, completion forwarder.Completion) tracer.Request {
+	return tracer.Request{
+		Region:       demand.Region,
+		Customer:     demand.Customer,
+		Rule:         demand.Rule,
+		Class:        demand.Class.String(),
+		Priority:     demand.Priority,
+		Model:        demand.Model,
+		PromptTokens: demand.PromptTokens,
+		PrefixID:     demand.Prefix,
+		OutputTokens: currantwood.TokenCount(completion.Tokens),
+		DeadlineMs:   rule.Deadline.Milliseconds(),
+	}
 }
 
 // call serves a call of a plain service.
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -26,6 +26,7 @@
 	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/operatorserver"
 	"github.com/currantwood/currantwood/reporter"
+	"github.com/currantwood/currantwood/requestkeeper"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/tracker"
 	"github.com/currantwood/currantwood/vmclient"
@@ -58,6 +59,7 @@
 	hello     *wire.Hello
 	observer  *observer.Observer
 	metrics   metrics.Registry
+	recent    *requestkeeper.Keeper
 	leaving   atomic.Bool
 	matcher   atomic.Pointer[matcher.Matcher]
 	ctx       context.Context
@@ -71,6 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{settings: settings, logger: options.Logger, ctx: ctx, cancel: cancel, tracker: tracker.New(), hello: hello(settings)}
 	e.metrics = metrics.NewRegistry()
+	e.recent = requestkeeper.New(recentRequests)
 	e.observer = observer.New(time.Now(), settings.Objective)
 	if err := e.listen(); err != nil {
 		cancel()
@@ -167,6 +170,7 @@
 		Limiter:      e.limiter(),
 		Observer:     e.observer,
 		Metrics:      e.metrics,
+		Recent:       e.recent,
 		MaxBodyBytes: e.settings.Entry.MaxBodyBytes,
 		Logger:       e.logger,
 	})
@@ -185,7 +189,7 @@
 		Listener: e.operator,
 		Ready:    e.Ready,
 		Metrics:  e.metrics,
-		Pages:    []operatorserver.Page{{Path: reporter.Path, Handler: e.serveLevels}},
+		Pages:    []operatorserver.Page{{Path: reporter.Path, Handler: e.serveLevels}, {Path: requestkeeper.Path, Handler: e.serveRecent}},
 	})
 	e.wait.Add(3)
 	go func() {
@@ -275,6 +279,13 @@
 	operatorserver.WriteJSON(w, levels)
 }
 
+// recentRequests is how many served generations are kept for recording.
+const recentRequests = 4096
+
+func (e *Entry) serveRecent(w http.ResponseWriter, _ *http.Request) {
+	operatorserver.WriteJSON(w, e.recent.Recent())
+}
+
 // Linked returns the number of sides that the entry has links to.
 func (e *Entry) Linked() int { return len(e.tracker.Links()) }
 
