refuser: status and title of taken-over

The kind came with resuming streams; the golden test over all kinds failed on main because it had no status of its own. 409, as for in-progress: another request of the same caller has the stream.

go test -race ./refuser: failed before, passes now.

--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -77,7 +77,7 @@
 		return http.StatusUnauthorized
 	case currantwood.KindNoRule, currantwood.KindNotFound:
 		return http.StatusNotFound
-	case currantwood.KindInProgress:
+	case currantwood.KindInProgress, currantwood.KindTakenOver:
 		return http.StatusConflict
 	case currantwood.KindKeyExpired:
 		return http.StatusGone
--- a/refuser/title.go
+++ b/refuser/title.go
@@ -42,6 +42,8 @@
 		return "The operation may have run; its outcome is not known."
 	case currantwood.KindInProgress:
 		return "The operation is still running."
+	case currantwood.KindTakenOver:
+		return "Another request reads on from this stream."
 	case currantwood.KindShuttingDown:
 		return "The process is shutting down."
 	case currantwood.KindLinkLost:
