Wire gatekeeper, picker and limiter into the side and the entry

Cause: the thin path admits everything and routes by requests in flight.

Change: admitter is the gatekeeper's shell (time, the engine's reports, held back requests, pauses); the runner asks it before a stream is started, and a refusal there is not run. The side reports headroom, queue, wait and cache events; the entry feeds them to the picker, the prefix tracker and the limiter and exchanges use with the other entries each second. Start carries weight and promised. The gatekeeper's confidence is a probability, as in the settings, and its memory is the engine's word unless set.

Seen on the way: the picker sent nothing to the third of three idle engines, since waits that differ by a millisecond always lost against two draws; proof/streams 'gives declared callers a whole new generation after a restart event' failed on it (no caller on the killed engine). Each own request in flight now counts as 2 ms.

--- a/entryserver/entryserver.go
+++ b/entryserver/entryserver.go
@@ -189,6 +189,7 @@
 		MaxTokens:    a.prompt.maxTokens(),
 		Deadline:     a.at.Add(a.rule.Deadline),
 		Region:       s.options.Region,
+		Weight:       a.customer.Weight,
 	}
 }
 
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -21,10 +21,12 @@
 	"github.com/currantwood/currantwood/distributor"
 	"github.com/currantwood/currantwood/entryserver"
 	"github.com/currantwood/currantwood/forwarder"
+	"github.com/currantwood/currantwood/limiter"
 	"github.com/currantwood/currantwood/linker"
 	"github.com/currantwood/currantwood/matcher"
 	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/operatorserver"
+	"github.com/currantwood/currantwood/prefixtracker"
 	"github.com/currantwood/currantwood/reporter"
 	"github.com/currantwood/currantwood/requestkeeper"
 	"github.com/currantwood/currantwood/settingsreader"
@@ -47,6 +49,8 @@
 	logger    *zap.Logger
 	vms       currantwood.VMList
 	tracker   *tracker.Tracker
+	prefixes  *prefixtracker.Tracker
+	limiter   *limiter.Limiter
 	forwarder *forwarder.Forwarder
 	server    *entryserver.Server
 	links     *distributor.Distributor
@@ -148,14 +152,17 @@
 }
 
 func (e *Entry) assemble(options Options) {
+	e.prefixes = prefixtracker.New(prefixtracker.DefaultOptions())
+	e.limiter = limiter.New(limiter.DefaultOptions())
 	e.forwarder = forwarder.New(forwarder.Options{
 		Tracker:       e.tracker,
 		Picker:        e.picker(),
+		Prefixes:      e.prefixes,
 		NewGeneration: func() currantwood.GenerationID { return currantwood.GenerationID(uuid.NewString()) },
 		Limits:        forwarder.DefaultLimits(),
 		IdleEvery:     callerHeartbeat,
 	})
-	e.links = distributor.New(&sideHandler{entry: e})
+	e.links = distributor.New(&sideHandler{entry: e}, &usageHandler{limiter: e.limiter})
 	e.dialer = dialer.New(dialer.Options{
 		Dial:   options.Dial,
 		Link:   func(conn net.Conn, _ string) (*linker.Link, error) { return linker.New(conn, e.linkOptions(true)) },
@@ -167,7 +174,7 @@
 		Rules:        e.rules,
 		Forwarder:    e.forwarder,
 		Calls:        e.calls(),
-		Limiter:      e.limiter(),
+		Limiter:      e.limiter,
 		Observer:     e.observer,
 		Metrics:      e.metrics,
 		Recent:       e.recent,
@@ -191,7 +198,7 @@
 		Metrics:  e.metrics,
 		Pages:    []operatorserver.Page{{Path: reporter.Path, Handler: e.serveLevels}, {Path: requestkeeper.Path, Handler: e.serveRecent}},
 	})
-	e.wait.Add(3)
+	e.wait.Add(4)
 	go func() {
 		defer e.wait.Done()
 		_ = e.http.Serve(e.callers)
@@ -204,6 +211,10 @@
 		defer e.wait.Done()
 		e.follow()
 	}()
+	go func() {
+		defer e.wait.Done()
+		e.shareUsage()
+	}()
 }
 
 func (e *Entry) linkOptions(dialed bool) linker.Options {
--- a/entrystarter/sidehandler.go
+++ b/entrystarter/sidehandler.go
@@ -24,7 +24,7 @@
 func (h *sideHandler) Frame(link *linker.Link, frame *wire.Frame) bool {
 	switch body := frame.Body.(type) {
 	case *wire.Frame_Load:
-		h.entry.tracker.Load(time.Now(), link, body.Load)
+		h.load(time.Now(), link, body.Load)
 	case *wire.Frame_Leaving:
 		h.entry.tracker.Leaving(link)
 	case *wire.Frame_Tokens, *wire.Frame_Final, *wire.Frame_Queued:
@@ -35,9 +35,24 @@
 	return true
 }
 
+// load takes in a side's report.
+func (h *sideHandler) load(now time.Time, link *linker.Link, load *wire.Load) {
+	h.entry.tracker.Load(now, link, load)
+	upstream := currantwood.UpstreamID(link.Peer().Upstream)
+	for _, cached := range load.Cached {
+		prefix := currantwood.PrefixID(cached.Prefix)
+		if cached.Tokens == 0 {
+			h.entry.prefixes.Drop(upstream, prefix)
+			continue
+		}
+		h.entry.prefixes.Hold(now, upstream, prefix, currantwood.TokenCount(cached.Tokens))
+	}
+}
+
 func (h *sideHandler) Down(link *linker.Link, _ error) {
 	if isSide(link) {
 		h.entry.tracker.Down(link)
+		h.entry.prefixes.Forget(currantwood.UpstreamID(link.Peer().Upstream))
 		h.entry.forwarder.LinkClosed(link)
 	}
 }
--- a/entrystarter/stages.go
+++ b/entrystarter/stages.go
@@ -2,51 +2,29 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"math/rand/v2"
 	"time"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/entryserver"
 	"github.com/currantwood/currantwood/matcher"
+	"github.com/currantwood/currantwood/picker"
 )
 
 // SetRules puts rules in force.
-func (e *Entry) SetRules(rules currantwood.Rules) { e.matcher.Store(matcher.New(rules)) }
+func (e *Entry) SetRules(rules currantwood.Rules) {
+	e.limiter.SetCustomers(rules.Customers)
+	e.matcher.Store(matcher.New(rules))
+}
 
 func (e *Entry) rules() *matcher.Matcher { return e.matcher.Load() }
 
-func (e *Entry) picker() currantwood.Picker { return &leastInFlight{} }
-
-func (e *Entry) limiter() currantwood.Limiter { return noLimit{} }
-
-func (e *Entry) calls() entryserver.CallForwarder { return refuseCalls{} }
-
-// leastInFlight picks the upstream with the fewest of this entry's own requests.
-type leastInFlight struct {
-	// turn breaks ties in turn.
-	turn atomic.Uint64
+func (e *Entry) picker() currantwood.Picker {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return picker.New(picker.DefaultOptions(currantwood.RegionID(e.settings.Region)), random)
 }
 
-// Pick returns the index of the candidate, or -1 without candidates.
-func (p *leastInFlight) Pick(_ time.Time, _ currantwood.Demand, candidates []currantwood.Candidate) int {
-	best := -1
-	start := int(p.turn.Add(1))
-	for i := range candidates {
-		at := (start + i) % len(candidates)
-		if best < 0 || candidates[at].InFlight < candidates[best].InFlight {
-			best = at
-		}
-	}
-	return best
-}
-
-// noLimit admits everything.
-type noLimit struct{}
-
-func (noLimit) Admit(time.Time, currantwood.Demand) currantwood.Verdict { return currantwood.Verdict{} }
-
-func (noLimit) Done(time.Time, currantwood.CustomerID, currantwood.RequestID, currantwood.TokenSeconds) {
-}
+func (e *Entry) calls() entryserver.CallForwarder { return refuseCalls{} }
 
 // refuseCalls refuses calls of plain services.
 type refuseCalls struct{}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/prefixtracker"
 	"github.com/currantwood/currantwood/relayer"
 	"github.com/currantwood/currantwood/tracker"
 	"github.com/currantwood/currantwood/wire"
@@ -43,6 +44,8 @@
 type Options struct {
 	Tracker *tracker.Tracker
 	Picker  currantwood.Picker
+	// Prefixes says which upstream is believed to hold a prompt's prefix.
+	Prefixes *prefixtracker.Tracker
 	// NewGeneration draws a generation id.
 	NewGeneration func() currantwood.GenerationID
 	// Limits are those of each stream; RestartDeclared is set by the request.
@@ -185,17 +188,21 @@
 
 func (f *Forwarder) pick(request Request, tried map[currantwood.UpstreamID]bool) (currantwood.UpstreamID, *linker.Link) {
 	all := f.options.Tracker.Candidates(request.Group)
+	now := time.Now()
+	demand := request.Demand
 	candidates := all[:0]
 	for _, c := range all {
 		if !tried[c.Upstream] {
+			c.CachedTokens = min(f.options.Prefixes.Cached(now, c.Upstream, demand.Prefix), demand.PromptTokens)
 			candidates = append(candidates, c)
 		}
 	}
-	i := f.options.Picker.Pick(time.Now(), request.Demand, candidates)
+	i := f.options.Picker.Pick(now, demand, candidates)
 	if i < 0 {
 		return "", nil
 	}
 	upstream := candidates[i].Upstream
+	f.options.Prefixes.Hold(now, upstream, demand.Prefix, demand.PromptTokens)
 	return upstream, f.options.Tracker.Link(upstream)
 }
 
--- a/forwarder/frames.go
+++ b/forwarder/frames.go
@@ -38,6 +38,8 @@
 		Body:         fl.request.Body,
 		Fingerprint:  uint64(fl.request.Fingerprint),
 		Region:       string(d.Region),
+		Weight:       d.Weight,
+		Promised:     d.Promised,
 	}}}
 }
 
--- a/gatekeeper/forecast.go
+++ b/gatekeeper/forecast.go
@@ -107,7 +107,7 @@
 	g.refresh(now)
 	with := g.forecast
 	with.add(r)
-	return with.peak(g.options.Deviations) <= g.limit(r)
+	return with.peak(g.deviations) <= g.limit(r)
 }
 
 // limit is the memory that a request of this kind may fill.
@@ -124,13 +124,13 @@
 	room := float64(g.memory)*(1-float64(g.options.CheckReserve)) - tokens
 	steps := horizons[len(horizons)-1]
 	for i := len(horizons) - 1; i >= 0; i-- {
-		bound := g.forecast.at(i, g.options.Deviations)
+		bound := g.forecast.at(i, g.deviations)
 		if bound > room {
 			break
 		}
 		steps = 0
 		if i > 0 {
-			steps = crossing(i, g.forecast.at(i-1, g.options.Deviations), bound, room)
+			steps = crossing(i, g.forecast.at(i-1, g.deviations), bound, room)
 		}
 	}
 	return time.Duration(steps * float64(g.stepTime))
@@ -150,7 +150,7 @@
 func (g *Gatekeeper) Headroom(now time.Time) currantwood.TokenCount {
 	g.refresh(now)
 	limit := float64(g.memory) * (1 - float64(g.options.CheckReserve))
-	room := limit - g.forecast.peak(g.options.Deviations)
+	room := limit - g.forecast.peak(g.deviations)
 	for _, r := range g.queue {
 		room -= r.expected
 	}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -1,6 +1,8 @@
 package gatekeeper
 
 import (
+	"cmp"
+	"math"
 	"time"
 
 	"github.com/currantwood/currantwood"
@@ -66,6 +68,8 @@
 	stepTime time.Duration
 	// usual is the expected memory of recent requests.
 	usual float64
+	// deviations is the confidence in standard deviations.
+	deviations float64
 	// served is the work given to each customer over its weight.
 	served     served
 	forecast   forecast
@@ -74,20 +78,29 @@
 	stale bool
 }
 
+// assumedMemory is the memory of an engine that has not reported its own yet.
+const assumedMemory currantwood.TokenCount = 8000
+
 // New returns the gatekeeper of an idle engine. Finished streams are told to
 // the estimator.
 func New(options Options, estimator *estimator.Estimator) *Gatekeeper {
 	return &Gatekeeper{
-		options:   options,
-		estimator: estimator,
-		requests:  map[currantwood.RequestID]*request{},
-		memory:    options.MemoryTokens,
-		stepTime:  options.StepTime,
-		served:    newServed(),
-		stale:     true,
+		options:    options,
+		estimator:  estimator,
+		requests:   map[currantwood.RequestID]*request{},
+		memory:     cmp.Or(options.MemoryTokens, assumedMemory),
+		stepTime:   options.StepTime,
+		deviations: deviations(options.Confidence),
+		served:     newServed(),
+		stale:      true,
 	}
 }
 
+// deviations turns a confidence into standard deviations above the mean.
+func deviations(confidence currantwood.Share) float64 {
+	return math.Sqrt2 * math.Erfinv(2*float64(confidence)-1)
+}
+
 // Offer takes in a new request. A request id that is already known is ignored.
 func (g *Gatekeeper) Offer(now time.Time, demand currantwood.Demand) []Action {
 	if _, known := g.requests[demand.Request]; known {
@@ -232,7 +245,7 @@
 
 // EngineLoad takes in the engine's late report of itself.
 func (g *Gatekeeper) EngineLoad(_ time.Time, load currantwood.EngineLoad) {
-	if load.MemoryTokens > 0 {
+	if g.options.MemoryTokens == 0 && load.MemoryTokens > 0 {
 		g.memory = load.MemoryTokens
 	}
 }
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -125,7 +125,7 @@
 
 	It("pauses the lowest priority with the least work when memory fills, and lets it run on", func() {
 		options := small()
-		options.Deviations, options.MemoryTokens = -10, 1300
+		options.Confidence, options.MemoryTokens = 1e-12, 1300
 		g = gatekeeper.New(options, learned())
 		important := plan("a")
 		important.Priority = 5
--- a/gatekeeper/options.go
+++ b/gatekeeper/options.go
@@ -8,11 +8,11 @@
 
 // Options bound what one engine is given.
 type Options struct {
-	// MemoryTokens is the engine's memory until it reports its own.
+	// MemoryTokens is the engine's memory; 0 takes the engine's word.
 	MemoryTokens currantwood.TokenCount
-	// Deviations is how many standard deviations the predicted peak must stay
-	// below the limit: the confidence of admission.
-	Deviations float64
+	// Confidence is the probability with which the predicted peak must stay
+	// below the limit; more than 0 and less than 1.
+	Confidence currantwood.Share
 	// CheckReserve is the share of memory that only small checks may use.
 	CheckReserve currantwood.Share
 	// MaxRunning bounds the streams at the engine.
@@ -34,8 +34,7 @@
 // DefaultOptions suit an engine whose step takes about 20 ms.
 func DefaultOptions() Options {
 	return Options{
-		MemoryTokens: 32_000,
-		Deviations:   2.5,
+		Confidence:   0.99,
 		CheckReserve: 0.04,
 		MaxRunning:   120,
 		MaxPrefill:   3000,
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -33,6 +33,9 @@
 	// CrowdingDelay is added to a candidate's time as its headroom is used up:
 	// whole when nothing is left after this request.
 	CrowdingDelay time.Duration
+	// InFlightDelay is added for each of this entry's own requests at a
+	// candidate, so that equal candidates share the work.
+	InFlightDelay time.Duration
 	// PaidDelay is the wait that is accepted to save the bytes of another
 	// region's answer.
 	PaidDelay time.Duration
@@ -46,6 +49,7 @@
 		PrefillPerToken: 50 * time.Microsecond,
 		HalfTrust:       2 * time.Second,
 		CrowdingDelay:   40 * time.Millisecond,
+		InFlightDelay:   2 * time.Millisecond,
 		PaidDelay:       100 * time.Millisecond,
 	}
 }
@@ -171,6 +175,7 @@
 		crowding = min(float64(p.need(demand))/float64(left), 1)
 	}
 	return c.PredictedWait + 2*c.Latency +
+		time.Duration(c.InFlight)*p.options.InFlightDelay +
 		time.Duration(uncached)*p.options.PrefillPerToken +
 		time.Duration(crowding*float64(p.options.CrowdingDelay))
 }
--- a/runner/run.go
+++ b/runner/run.go
@@ -94,6 +94,7 @@
 			}
 		}
 		event, err := source.Next()
+		u.account(event, err)
 		if !u.take(source, epoch, event, err) {
 			source = nil
 		}
@@ -107,6 +108,12 @@
 	}
 	u.mu.Lock()
 	u.opening = false
+	u.mu.Unlock()
+	if !u.admit() {
+		return nil, 0
+	}
+	u.mu.Lock()
+	u.beganAt = time.Now()
 	epoch := u.epoch
 	u.mu.Unlock()
 	generation := generationOf(u.stream, u.origin.start)
@@ -352,15 +359,3 @@
 		u.apply(u.holder.Tick(now))
 	}
 }
-
-func generationOf(stream currantwood.EngineStreamID, start *wire.Start) currantwood.Generation {
-	return currantwood.Generation{
-		Stream:       stream,
-		Model:        currantwood.ModelID(start.Model),
-		Priority:     currantwood.Priority(start.Priority),
-		Prompt:       start.Body,
-		PromptTokens: currantwood.TokenCount(start.PromptTokens),
-		Prefix:       currantwood.PrefixID(start.Prefix),
-		MaxTokens:    currantwood.TokenCount(start.MaxTokens),
-	}
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/admitter"
 	"github.com/currantwood/currantwood/holder"
 	"github.com/currantwood/currantwood/linker"
 	"github.com/currantwood/currantwood/wire"
@@ -40,6 +41,9 @@
 type Options struct {
 	Engine   currantwood.Engine
 	Upstream currantwood.UpstreamID
+	// Admitter says when a generation may be started. The caller closes it
+	// after the runner.
+	Admitter *admitter.Admitter
 	// Limits are those of each generation.
 	Limits holder.Options
 }
@@ -228,6 +232,7 @@
 // forget lets go of a run. One that was resumed without success is remembered
 // as refused.
 func (r *Runner) forget(run *run, refused bool) {
+	r.options.Admitter.Cancel(run.admission())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.runs, run.origin.generation)
--- a/sideserver/sideserver.go
+++ b/sideserver/sideserver.go
@@ -14,7 +14,9 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/admitter"
 	"github.com/currantwood/currantwood/distributor"
+	"github.com/currantwood/currantwood/gatekeeper"
 	"github.com/currantwood/currantwood/linker"
 	"github.com/currantwood/currantwood/runner"
 	"github.com/currantwood/currantwood/wire"
@@ -45,7 +47,9 @@
 	Listener net.Listener
 	// Engine is nil beside a plain service, Calls is nil beside an engine.
 	Engine currantwood.Engine
-	Calls  CallServer
+	// Gatekeeper bounds what the engine is given.
+	Gatekeeper gatekeeper.Options
+	Calls      CallServer
 	// Handlers deal with the frames that are not of calls or generations.
 	Handlers []distributor.Handler
 	// Heartbeat and Silence are as in linker.Options.
@@ -58,10 +62,12 @@
 type Server struct {
 	options Options
 	links   *distributor.Distributor
-	runner  *runner.Runner
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wait    sync.WaitGroup
+	// admitter and runner are nil beside a plain service.
+	admitter *admitter.Admitter
+	runner   *runner.Runner
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
 
 	mu sync.Mutex
 	// leaving is set once and never taken back.
@@ -75,8 +81,14 @@
 	s := &Server{options: options, ctx: ctx, cancel: cancel}
 	s.links = distributor.New(append([]distributor.Handler{s}, options.Handlers...)...)
 	if options.Engine != nil {
+		s.admitter = admitter.New(admitter.Options{
+			Engine:     options.Engine,
+			Gatekeeper: options.Gatekeeper,
+			Logger:     options.Logger,
+		})
 		s.runner = runner.New(runner.Options{
 			Engine:   options.Engine,
+			Admitter: s.admitter,
 			Upstream: currantwood.UpstreamID(options.Hello.Upstream),
 			Limits:   runner.DefaultLimits(),
 		})
@@ -140,6 +152,7 @@
 	}
 	if s.runner != nil {
 		s.runner.Close()
+		s.admitter.Close()
 	}
 	s.wait.Wait()
 }
@@ -173,7 +186,7 @@
 }
 
 // Up tells a new link the load.
-func (s *Server) Up(link *linker.Link) { _ = link.Send(s.loadFrame()) }
+func (s *Server) Up(link *linker.Link) { _ = link.Send(s.loadFrame(nil)) }
 
 // Down leaves what the link's peer was reading to a resume.
 func (s *Server) Down(link *linker.Link, cause error) {
@@ -285,20 +298,43 @@
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
-			s.links.Broadcast(s.loadFrame())
+			s.links.Broadcast(s.loadFrame(s.cacheEvents()))
+		}
+	}
+}
+
+// cacheEvents takes the engine's cache events since the last report.
+func (s *Server) cacheEvents() []*wire.Cached {
+	if s.admitter == nil {
+		return nil
+	}
+	var cached []*wire.Cached
+	for _, event := range s.admitter.TakeEvents() {
+		c := &wire.Cached{Prefix: uint64(event.Prefix), Tokens: int64(event.Tokens)}
+		if event.Dropped {
+			c.Tokens = 0
 		}
+		cached = append(cached, c)
 	}
+	return cached
 }
 
-func (s *Server) loadFrame() *wire.Frame {
+func (s *Server) loadFrame(cached []*wire.Cached) *wire.Frame {
 	load := &wire.Load{
 		Upstream: s.options.Hello.Upstream,
 		Leaving:  !s.Ready(),
 		EngineUp: true,
 		Model:    s.options.Hello.Model,
 	}
-	if s.runner != nil {
-		load.Running = uint32(s.runner.Running())
+	if s.admitter != nil {
+		report := s.admitter.Report()
+		load.HeadroomTokens = int64(report.Headroom)
+		load.Running = uint32(report.Running)
+		load.Queued = uint32(report.Queued)
+		load.PredictedWaitMs = report.PredictedWait.Milliseconds()
+		load.EngineUp = report.EngineUp
+		load.TokensPerSecond = report.Load.TokensPerSec
+		load.Cached = cached
 	}
 	return &wire.Frame{Body: &wire.Frame_Load{Load: load}}
 }
--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -14,6 +14,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/engineclient"
+	"github.com/currantwood/currantwood/gatekeeper"
 	"github.com/currantwood/currantwood/operatorserver"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/sideserver"
@@ -96,10 +97,19 @@
 	}
 	if s.settings.Side.Kind == currantwood.UpstreamEngine.String() {
 		options.Engine = engineclient.New(&http.Client{Transport: transport()}, s.settings.Side.Address)
+		options.Gatekeeper = s.gatekeeper()
 	}
 	return options
 }
 
+func (s *Side) gatekeeper() gatekeeper.Options {
+	options := gatekeeper.DefaultOptions()
+	options.Confidence = currantwood.Share(s.settings.Side.Confidence)
+	options.CheckReserve = currantwood.Share(s.settings.Side.ReservedShare)
+	options.MemoryTokens = currantwood.TokenCount(s.settings.Side.MemoryTokens)
+	return options
+}
+
 func (s *Side) hello() *wire.Hello {
 	return &wire.Hello{
 		Process:     s.settings.Process,
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -98,6 +98,19 @@
 	return links
 }
 
+// Headroom sums up what all sides in view last said they could still admit.
+func (t *Tracker) Headroom() currantwood.TokenCount {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var sum currantwood.TokenCount
+	for _, s := range t.sides {
+		if s.load != nil && !s.leaving {
+			sum += currantwood.TokenCount(s.load.HeadroomTokens)
+		}
+	}
+	return sum
+}
+
 // Begin and End count this entry's own work in flight at an upstream.
 func (t *Tracker) Begin(upstream currantwood.UpstreamID) { t.count(upstream, 1) }
 
