Engine stand-in: marks of 32 bits

Cause: a token's text named its stream by 16 bits of a hash. Among 24 streams two collide once in 240 runs, and proof/streams plays 46 such runs: seen once, 'every caller has a generation of its own' at faults_test.go:126.

Ruled out: a real mix of generations; the test's six runs before and nine after the failure passed, and each caller's own tokens had one mark.

Conclusion: with 32 bits it is once in 15 million.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -12,7 +12,7 @@
 // stream is what the HTTP side knows of a stream.
 type stream struct {
 	id   currantwood.EngineStreamID
-	mark uint16
+	mark uint32
 	// ready is the number of tokens that a reader may have.
 	ready uint64
 	done  bool
--- a/standin/engine/job.go
+++ b/standin/engine/job.go
@@ -71,8 +71,8 @@
 }
 
 // markOf hashes a stream's id for its tokens' text.
-func markOf(id currantwood.EngineStreamID) uint16 {
-	return uint16(xxhash.Sum64String(string(id)))
+func markOf(id currantwood.EngineStreamID) uint32 {
+	return uint32(xxhash.Sum64String(string(id)))
 }
 
 // dropEvents leaves out the given share of events, the same ones each time.
--- a/standin/engine/relay.go
+++ b/standin/engine/relay.go
@@ -83,7 +83,7 @@
 	s.idleSince = time.Now()
 }
 
-func appendToken(to []byte, index uint64, mark uint16) []byte {
+func appendToken(to []byte, index uint64, mark uint32) []byte {
 	to = append(to, "id: "...)
 	to = strconv.AppendUint(to, index, 10)
 	to = append(to, "\ndata: {\"text\": \""...)
