--- a/ledger/append.go
+++ b/ledger/append.go
@@ -25,7 +25,6 @@
 
 // Appended says that the records are in the log.
 func (l *Ledger) Appended(records []Record) {
-	l.downUntil = time.Time{}
 	l.unsureInRow = 0
 	for _, record := range records {
 		if record.Kind != RecordIntent {
@@ -56,6 +55,27 @@
 	return actions
 }
 
+// ReadFailed says that the log could not be read. When that goes on, calls are
+// refused at once, because no intent could be read back.
+func (l *Ledger) ReadFailed(now time.Time) {
+	l.readFailures++
+	if l.readFailures >= readFailureLimit {
+		l.downUntil = now.Add(logRetryAfter)
+	}
+}
+
+// Unsettled returns how many outcomes and voids are not known to be in the log
+// and how many dispatched calls have no outcome.
+func (l *Ledger) Unsettled() int {
+	unsettled := len(l.finals)
+	for _, c := range l.calls {
+		if c.state == stateDispatched {
+			unsettled++
+		}
+	}
+	return unsettled
+}
+
 func (l *Ledger) noteFailure(now time.Time, sure bool) {
 	if !sure {
 		l.unsureInRow++
--- a/ledger/apply.go
+++ b/ledger/apply.go
@@ -11,6 +11,7 @@
 // their windows are over.
 func (l *Ledger) Read(now time.Time, page Page) []Action {
 	var actions []Action
+	l.readFailures = 0
 	if !l.coverage.started || page.First > l.next {
 		actions = l.restart(now, page.First)
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -32,6 +32,10 @@
 	// MaxCall bounds the time from a call's arrival to its deadline.
 	MaxCall = 10 * time.Minute
 
+	// MaxRecordedBytes bounds the body of an answer that is recorded. The
+	// caller whose call ran gets a longer answer, but it can't be replayed.
+	MaxRecordedBytes = 16 << 10
+
 	maxClockSkew = 5 * time.Second
 
 	// logRetryAfter is how long appends are held back after one failed.
@@ -49,6 +53,9 @@
 	// unsureLimit is the number of appends in a row without a known result
 	// after which the log counts as down.
 	unsureLimit = 2
+	// readFailureLimit is the number of failed reads in a row after which the
+	// log counts as down.
+	readFailureLimit = 2
 	// markInterval is the longest time without a batch in a shard.
 	markInterval = 10 * time.Minute
 )
@@ -155,6 +162,8 @@
 	downUntil time.Time
 	// unsureInRow counts the appends since the last one with a known result.
 	unsureInRow int
+	// readFailures counts the reads that failed since the last one that didn't.
+	readFailures int
 }
 
 // New returns a ledger that has read nothing.
@@ -308,7 +317,7 @@
 	l.forget(c)
 	record := Record{
 		Kind: RecordOutcome, Scope: c.operation.Scope, Attempt: c.attempt, At: now.Round(0),
-		Fingerprint: c.operation.Fingerprint, Outcome: &outcome,
+		Fingerprint: c.operation.Fingerprint, Outcome: outcome.abridged(),
 	}
 	actions := []Action{l.conclusive(record)}
 	if !c.answered {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/currantwood/currantwood"
@@ -46,6 +47,12 @@
 	Key      currantwood.OperationKey `json:"key"`
 }
 
+// Shard returns the shard that keeps the operation, below Shards.
+func (s Scope) Shard() int {
+	text := string(s.Customer) + "\n" + string(s.Rule) + "\n" + string(s.Key)
+	return int(xxhash.Sum64String(text) % Shards)
+}
+
 // operationPrefix starts every operation id.
 const operationPrefix = "op-"
 
@@ -78,6 +85,14 @@
 	Omitted bool `json:"omitted,omitempty"`
 }
 
+// abridged returns the outcome as it is recorded.
+func (o Outcome) abridged() *Outcome {
+	if len(o.Answer.Body) > MaxRecordedBytes {
+		return &Outcome{Omitted: true}
+	}
+	return &o
+}
+
 // Record is one statement about an operation.
 type Record struct {
 	Kind    RecordKind            `json:"kind"`
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -89,6 +89,15 @@
 	return customer, ok
 }
 
+// Rule returns a rule by name.
+func (m *Matcher) Rule(id currantwood.RuleID) (currantwood.Rule, bool) {
+	at := slices.IndexFunc(m.rules, func(rule currantwood.Rule) bool { return rule.ID == id })
+	if at < 0 {
+		return currantwood.Rule{}, false
+	}
+	return m.rules[at], true
+}
+
 // Match returns the first rule in file order that matches. A path with dot
 // segments or empty segments matches none: an upstream that resolves them
 // could run other work than the rule speaks of.
