Entry and side serve plain services; GET /operations/{id}

The entry hands calls to caller, the side beside a plain service runs recorder and serviceclient. A side that shuts down waits for outcomes to be recorded. GET /operations/{id} answers with the recorded answer or says what is known.

--- a/entryserver/entryserver.go
+++ b/entryserver/entryserver.go
@@ -18,6 +18,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/forwarder"
+	"github.com/currantwood/currantwood/ledger"
 	"github.com/currantwood/currantwood/matcher"
 	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/refuser"
@@ -48,6 +49,8 @@
 type CallForwarder interface {
 	// Forward returns an answer or a refusal, never both.
 	Forward(ctx context.Context, call Call) (*currantwood.ServiceAnswer, *currantwood.Refusal)
+	// Ask looks up the outcome of an operation and runs nothing.
+	Ask(ctx context.Context, request currantwood.RequestID, scope ledger.Scope, rule currantwood.Rule) (*currantwood.ServiceAnswer, *currantwood.Refusal)
 }
 
 // Options says what an entry needs.
@@ -109,6 +112,10 @@
 	defer s.inFlight.Done()
 	defer s.meters.inFlight.Dec(1)
 	now := time.Now()
+	if isQuestion(r) {
+		s.question(w, r, now)
+		return
+	}
 	a, refusal := s.receive(w, r, now)
 	if refusal != nil {
 		s.meters.end(time.Since(now), refusal)
@@ -122,15 +129,24 @@
 	s.call(w, r, a)
 }
 
-// receive takes a request through the stages up to its rule.
-func (s *Server) receive(w http.ResponseWriter, r *http.Request, now time.Time) (arrival, *currantwood.Refusal) {
+// authenticate finds the customer in the rules in force.
+func (s *Server) authenticate(r *http.Request) (*matcher.Matcher, currantwood.Customer, *currantwood.Refusal) {
 	rules := s.options.Rules()
 	if rules == nil {
-		return arrival{}, currantwood.Refuse(currantwood.KindNotReady, step, "this entry has no rules yet", retryAfterNotReady)
+		return nil, currantwood.Customer{}, currantwood.Refuse(currantwood.KindNotReady, step, "this entry has no rules yet", retryAfterNotReady)
 	}
 	customer, known := rules.CustomerByKey(callerKey(r))
 	if !known {
-		return arrival{}, currantwood.Refuse(currantwood.KindUnauthorized, step, "the key in Authorization is not known", 0)
+		return nil, currantwood.Customer{}, currantwood.Refuse(currantwood.KindUnauthorized, step, "the key in Authorization is not known", 0)
+	}
+	return rules, customer, nil
+}
+
+// receive takes a request through the stages up to its rule.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request, now time.Time) (arrival, *currantwood.Refusal) {
+	rules, customer, refusal := s.authenticate(r)
+	if refusal != nil {
+		return arrival{}, refusal
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes))
 	if err != nil {
@@ -264,6 +280,10 @@
 		s.refuser.Write(w, refusal)
 		return
 	}
+	write(w, answer)
+}
+
+func write(w http.ResponseWriter, answer *currantwood.ServiceAnswer) {
 	for name, values := range answer.Header {
 		w.Header()[name] = values
 	}
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -162,7 +162,8 @@
 		Limits:        forwarder.DefaultLimits(),
 		IdleEvery:     callerHeartbeat,
 	})
-	e.links = distributor.New(&sideHandler{entry: e}, &usageHandler{limiter: e.limiter})
+	calls := e.newCaller()
+	e.links = distributor.New(&sideHandler{entry: e}, &usageHandler{limiter: e.limiter}, calls)
 	e.dialer = dialer.New(dialer.Options{
 		Dial:   options.Dial,
 		Link:   func(conn net.Conn, _ string) (*linker.Link, error) { return linker.New(conn, e.linkOptions(true)) },
@@ -173,7 +174,7 @@
 		Region:       currantwood.RegionID(e.settings.Region),
 		Rules:        e.rules,
 		Forwarder:    e.forwarder,
-		Calls:        e.calls(),
+		Calls:        calls,
 		Limiter:      e.limiter,
 		Observer:     e.observer,
 		Metrics:      e.metrics,
--- a/entrystarter/stages.go
+++ b/entrystarter/stages.go
@@ -1,14 +1,14 @@
 package entrystarter
 
 import (
-	"context"
+	mathrand "math/rand"
 	"math/rand/v2"
-	"time"
 
 	"github.com/currantwood/currantwood"
-	"github.com/currantwood/currantwood/entryserver"
+	"github.com/currantwood/currantwood/caller"
 	"github.com/currantwood/currantwood/matcher"
 	"github.com/currantwood/currantwood/picker"
+	"github.com/currantwood/currantwood/retrier"
 )
 
 // SetRules puts rules in force.
@@ -24,11 +24,11 @@
 	return picker.New(picker.DefaultOptions(currantwood.RegionID(e.settings.Region)), random)
 }
 
-func (e *Entry) calls() entryserver.CallForwarder { return refuseCalls{} }
-
-// refuseCalls refuses calls of plain services.
-type refuseCalls struct{}
-
-func (refuseCalls) Forward(context.Context, entryserver.Call) (*currantwood.ServiceAnswer, *currantwood.Refusal) {
-	return nil, currantwood.Refuse(currantwood.KindNoUpstream, "entrystarter", "calls of plain services are not served yet", time.Second)
+func (e *Entry) newCaller() *caller.Caller {
+	return caller.New(caller.Options{
+		Region:  currantwood.RegionID(e.settings.Region),
+		Tracker: e.tracker,
+		Retry:   retrier.Options{Share: currantwood.Share(e.settings.Entry.RetryShare)},
+		Random:  mathrand.New(mathrand.NewSource(rand.Int64())),
+	})
 }
--- /dev/null
+++ b/proof/operations/suite_test.go
@@ -0,0 +1,13 @@
+package operations_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestOperations(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proof of operations")
+}
--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -15,7 +15,10 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/engineclient"
 	"github.com/currantwood/currantwood/gatekeeper"
+	"github.com/currantwood/currantwood/logclient"
 	"github.com/currantwood/currantwood/operatorserver"
+	"github.com/currantwood/currantwood/recorder"
+	"github.com/currantwood/currantwood/serviceclient"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/sideserver"
 	"github.com/currantwood/currantwood/wire"
@@ -23,8 +26,10 @@
 
 // Side is one running side process.
 type Side struct {
-	settings  settingsreader.Settings
-	server    *sideserver.Server
+	settings settingsreader.Settings
+	server   *sideserver.Server
+	// recorder is nil beside an engine.
+	recorder  *recorder.Recorder
 	operators *operatorserver.Server
 	links     net.Addr
 	operator  net.Addr
@@ -43,7 +48,13 @@
 		return nil, errors.Wrap(err, "side: listen for operators")
 	}
 	s := &Side{settings: settings, links: links.Addr(), operator: operators.Addr(), metrics: metrics.NewRegistry()}
-	s.server = sideserver.New(s.options(links, logger))
+	serverOptions, err := s.options(links, logger)
+	if err != nil {
+		_ = links.Close()
+		_ = operators.Close()
+		return nil, err
+	}
+	s.server = sideserver.New(serverOptions)
 	s.operators = operatorserver.New(operatorserver.Options{
 		Listener: operators,
 		Ready:    s.ready,
@@ -66,8 +77,10 @@
 // Shutdown refuses new work at once and ends when nothing is in flight.
 func (s *Side) Shutdown(ctx context.Context) error {
 	err := s.server.Drain(ctx)
-	s.server.Close()
-	_ = s.operators.Close(ctx)
+	if s.recorder != nil && err == nil {
+		err = errors.Wrap(s.recorder.Drain(ctx), "side: record outcomes")
+	}
+	s.close(ctx)
 	return err
 }
 
@@ -75,7 +88,14 @@
 func (s *Side) Kill() {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
+	s.close(ctx)
+}
+
+func (s *Side) close(ctx context.Context) {
 	s.server.Close()
+	if s.recorder != nil {
+		s.recorder.Close()
+	}
 	_ = s.operators.Close(ctx)
 }
 
@@ -86,7 +106,7 @@
 	return nil
 }
 
-func (s *Side) options(links net.Listener, logger *zap.Logger) sideserver.Options {
+func (s *Side) options(links net.Listener, logger *zap.Logger) (sideserver.Options, error) {
 	options := sideserver.Options{
 		Hello:     s.hello(),
 		Listener:  links,
@@ -98,8 +118,23 @@
 	if s.settings.Side.Kind == currantwood.UpstreamEngine.String() {
 		options.Engine = engineclient.New(&http.Client{Transport: transport()}, s.settings.Side.Address)
 		options.Gatekeeper = s.gatekeeper()
+		return options, nil
 	}
-	return options
+	service, err := serviceclient.New(s.settings.Side.Address)
+	if err != nil {
+		return sideserver.Options{}, errors.Wrap(err, "side")
+	}
+	s.recorder = recorder.New(recorder.Options{
+		Log: logclient.New(logclient.Options{
+			Address: s.settings.Platform.LogService, Wait: logWait, HTTP: &http.Client{Transport: transport()},
+		}),
+		Service:  service,
+		Upstream: currantwood.UpstreamID(s.settings.Side.Upstream),
+		Metrics:  s.metrics,
+		Logger:   logger,
+	})
+	options.Calls = s.recorder
+	return options, nil
 }
 
 func (s *Side) gatekeeper() gatekeeper.Options {
@@ -110,6 +145,9 @@
 	return options
 }
 
+// logWait is how long a read of the operations log waits for a record.
+const logWait = 500 * time.Millisecond
+
 func (s *Side) hello() *wire.Hello {
 	return &wire.Hello{
 		Process:     s.settings.Process,
