--- a/parser/parser.go
+++ b/parser/parser.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// MaxTextBytes bounds a rules text; the log service takes it as one record.
-	MaxTextBytes = 4 << 20
+	// MaxTextBytes bounds a rules text; it has to fit into one
+	// record of the log service and one frame of a link.
+	MaxTextBytes = 2 << 20
 	// maxProblems bounds the report on a text that is no rules text at all.
 	maxProblems = 20
 )
