Add the promiser: a refused caller's time to come back is kept

Cause: a refusal named the time at which room came free, but new callers took it first.

Change: a virtual queue at the entry. The limiter lets it pass. The version without it stays as policy currantwood-no-promise.

An entry that didn't give the refusal doesn't know the slot.

--- a/entryserver/entryserver.go
+++ b/entryserver/entryserver.go
@@ -21,6 +21,7 @@
 	"github.com/currantwood/currantwood/ledger"
 	"github.com/currantwood/currantwood/matcher"
 	"github.com/currantwood/currantwood/observer"
+	"github.com/currantwood/currantwood/promiser"
 	"github.com/currantwood/currantwood/refuser"
 	"github.com/currantwood/currantwood/requestkeeper"
 	"github.com/currantwood/currantwood/tracer"
@@ -61,6 +62,8 @@
 	Forwarder *forwarder.Forwarder
 	Calls     CallForwarder
 	Limiter   currantwood.Limiter
+	// Promiser says when refused callers are to come back.
+	Promiser *promiser.Promiser
 	// Observer counts how the service-level objectives are met.
 	Observer *observer.Observer
 	// Recent keeps what was served for recording.
@@ -213,6 +216,8 @@
 // it is asked for anew only when a new generation has to be started.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, a arrival) {
 	demand := s.demand(a)
+	input := currantwood.Fingerprint(xxhash.Sum64(a.body))
+	demand.Promised = s.options.Promiser.Arrived(a.at, a.customer.ID, input)
 	admitted := false
 	admit := func(now time.Time) *currantwood.Refusal {
 		verdict := s.options.Limiter.Admit(now, demand)
@@ -221,6 +226,7 @@
 	}
 	if a.resume == nil {
 		if refusal := admit(a.at); refusal != nil {
+			s.promise(a, input, refusal)
 			s.end(a, refusal)
 			s.refuser.Write(w, refusal)
 			return
@@ -232,7 +238,7 @@
 	completion, refusal := s.options.Forwarder.Forward(r.Context(), forwarder.Request{
 		Demand:          demand,
 		Group:           a.rule.Group,
-		Fingerprint:     currantwood.Fingerprint(xxhash.Sum64(a.body)),
+		Fingerprint:     input,
 		Body:            a.body,
 		Resume:          a.resume,
 		Admit:           admit,
@@ -243,6 +249,11 @@
 		s.options.Limiter.Done(time.Now(), a.customer.ID, a.id, completion.TokenSeconds)
 	}
 	out.watch.End(time.Now(), refusal == nil)
+	if refusal != nil {
+		s.promise(a, input, refusal)
+	} else if a.rule.Class == currantwood.ClassStream {
+		s.options.Promiser.Finished(time.Now())
+	}
 	s.end(a, refusal)
 	out.end(completion, refusal, s.refuser)
 	if refusal == nil {
@@ -250,6 +261,15 @@
 	}
 }
 
+// promise gives a caller that was refused for want of room the time at which it
+// is served.
+func (s *Server) promise(a arrival, input currantwood.Fingerprint, refusal *currantwood.Refusal) {
+	room := refusal.Kind == currantwood.KindNoCapacity || refusal.Kind == currantwood.KindOverLimit
+	if refusal.Ran == currantwood.NotRun && room {
+		refusal.RetryAfter = s.options.Promiser.Refused(time.Now(), a.customer.ID, a.customer.Weight, input, refusal.RetryAfter)
+	}
+}
+
 // served describes a served generation for a trace.
 func served(demand currantwood.Demand, rule currantwood.Rule, completion forwarder.Completion) tracer.Request {
 	return tracer.Request{
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -27,6 +27,7 @@
 	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/operatorserver"
 	"github.com/currantwood/currantwood/prefixtracker"
+	"github.com/currantwood/currantwood/promiser"
 	"github.com/currantwood/currantwood/reporter"
 	"github.com/currantwood/currantwood/requestkeeper"
 	"github.com/currantwood/currantwood/settingsreader"
@@ -176,6 +177,7 @@
 		Forwarder:    e.forwarder,
 		Calls:        calls,
 		Limiter:      e.limiter,
+		Promiser:     promiser.New(promiser.DefaultOptions()),
 		Observer:     e.observer,
 		Metrics:      e.metrics,
 		Recent:       e.recent,
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -147,7 +147,7 @@
 		return l.refuse(now, c, "the customer's number of streams is used up", 1/float64(c.maxStreams))
 	}
 	share := c.weight * l.currentLevel()
-	if over := c.use() + c.held - share; over > 0 && c.use() > 0 {
+	if over := c.use() + c.held - share; over > 0 && c.use() > 0 && !demand.Promised {
 		return l.refuse(now, c, "the customer's fair share of engine memory is used up", over/c.use())
 	}
 	c.inFlight++
--- /dev/null
+++ b/promiser/promiser_test.go
@@ -0,0 +1,91 @@
+package promiser_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/promiser"
+)
+
+func TestPromiser(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "promiser")
+}
+
+var start = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+
+var _ = Describe("Promiser", func() {
+	var p *promiser.Promiser
+	BeforeEach(func() {
+		options := promiser.DefaultOptions()
+		options.Part, options.UsualRate = 0.5, 4
+		p = promiser.New(options)
+	})
+	// refused returns the times that n refusals at the start name.
+	refused := func(customer string, weight uint32, n int) (times []time.Duration) {
+		for i := range n {
+			times = append(times, p.Refused(start, currantwood.CustomerID(customer), weight, currantwood.Fingerprint(i), 0))
+		}
+		return times
+	}
+
+	It("hands out slots no faster than the promised part of the places", func() {
+		const least = 300 * time.Millisecond
+		Expect(refused("a", 1, 3)).To(Equal([]time.Duration{least, least + 500*time.Millisecond, least + time.Second}))
+	})
+
+	It("names no time before the side's own, and the same one to who asks again early", func() {
+		Expect(p.Refused(start, "a", 1, 1, 7*time.Second)).To(Equal(7 * time.Second))
+		Expect(p.Refused(start.Add(time.Second), "a", 1, 1, 0)).To(Equal(6 * time.Second))
+	})
+
+	It("knows who comes in a slot, once, and not before it or long after", func() {
+		slots := refused("a", 1, 2)
+		in := start.Add(slots[0])
+		Expect(p.Arrived(start, "a", 0)).To(BeFalse(), "too early")
+		Expect(p.Arrived(in, "b", 0)).To(BeFalse(), "another customer")
+		Expect(p.Arrived(in, "a", 7)).To(BeFalse(), "another input")
+		Expect(p.Arrived(in, "a", 0)).To(BeTrue())
+		Expect(p.Arrived(in, "a", 0)).To(BeFalse(), "taken")
+		Expect(p.Arrived(start.Add(time.Minute), "a", 1)).To(BeFalse(), "too late")
+	})
+
+	It("gives customers their weighted part, so that a flood delays only itself", func() {
+		refused("flood", 1, 100)
+		small := refused("small", 3, 4)
+		Expect(small[3] - small[0]).To(BeNumerically("~", 2*time.Second, time.Millisecond))
+		Expect(p.Refused(start, "flood", 1, 1000, 0)).To(BeNumerically(">", 40*time.Second))
+	})
+
+	It("follows the rate at which streams end", func() {
+		for i := range 400 {
+			p.Finished(start.Add(time.Duration(i) * 50 * time.Millisecond))
+		}
+		times := refused("a", 1, 2)
+		Expect(times[1] - times[0]).To(BeNumerically("~", 100*time.Millisecond, 5*time.Millisecond))
+	})
+})
+
+// BenchmarkRefused shows the cost of a refusal over the customers that wait.
+func BenchmarkRefused(b *testing.B) {
+	for _, customers := range []int{10, 100, 1000, 9500} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			p := promiser.New(promiser.DefaultOptions())
+			ids := make([]currantwood.CustomerID, customers)
+			for i := range ids {
+				ids[i] = currantwood.CustomerID(fmt.Sprintf("customer-%d", i))
+				p.Refused(start, ids[i], 1, 0, time.Hour)
+			}
+			i := 0
+			for b.Loop() {
+				p.Refused(start, ids[i%customers], 1, currantwood.Fingerprint(i), 0)
+				i++
+			}
+		})
+	}
+}
--- a/replayer/entry.go
+++ b/replayer/entry.go
@@ -8,6 +8,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/limiter"
 	"github.com/currantwood/currantwood/prefixtracker"
+	"github.com/currantwood/currantwood/promiser"
 )
 
 // entry is one region's entry with its late view of all engines.
@@ -18,6 +19,8 @@
 	// limiter is nil in policies without one.
 	limiter  *limiter.Limiter
 	prefixes *prefixtracker.Tracker
+	// promiser is nil in policies without one.
+	promiser *promiser.Promiser
 	// reports, inFlight and leaving have one element for each engine.
 	reports  []report
 	inFlight []int
@@ -45,6 +48,9 @@
 	if r.policy.limits {
 		e.limiter = limiter.New(limiter.DefaultOptions())
 	}
+	if r.policy.promises {
+		e.promiser = promiser.New(promiser.DefaultOptions())
+	}
 	for i := range e.reports {
 		e.reports[i] = report{at: r.now, view: r.engines[i].gate.view(r.now)}
 	}
@@ -59,6 +65,26 @@
 	return e.limiter.Admit(now, demand).Refusal
 }
 
+// promised reports whether an attempt comes in a slot.
+func (e *entry) promised(now time.Time, f *flight) bool {
+	return e.promiser != nil && e.promiser.Arrived(now, f.request.Customer, f.fingerprint())
+}
+
+// comeBack returns when a refused caller is told to come back.
+func (e *entry) comeBack(now time.Time, f *flight, atLeast time.Duration) time.Duration {
+	if e.promiser == nil {
+		return atLeast
+	}
+	return e.promiser.Refused(now, f.request.Customer, 1, f.fingerprint(), atLeast)
+}
+
+// finished tells the promiser that a stream ended.
+func (e *entry) finished(now time.Time) {
+	if e.promiser != nil {
+		e.promiser.Finished(now)
+	}
+}
+
 // done tells the limiter what an attempt held.
 func (e *entry) done(now time.Time, f *flight) {
 	if e.limiter == nil {
--- a/replayer/flight.go
+++ b/replayer/flight.go
@@ -25,6 +25,8 @@
 	tried []*engine
 	// retryAfter is the shortest that a side named in this attempt; 0 is none.
 	retryAfter time.Duration
+	// promised says that the attempt comes in a slot of its customer.
+	promised bool
 	// cameBack says that the caller was refused and has come back.
 	cameBack bool
 	// started says that an engine runs or ran it in this attempt.
@@ -56,9 +58,15 @@
 		Prefix:       f.request.PrefixID,
 		Deadline:     f.deadline,
 		Region:       f.request.Region,
+		Promised:     f.promised,
 	}
 }
 
+// fingerprint stands for a hash of the input.
+func (f *flight) fingerprint() currantwood.Fingerprint {
+	return currantwood.Fingerprint(f.index + 1)
+}
+
 func (f *flight) hasTried(e *engine) bool {
 	for _, other := range f.tried {
 		if other == e {
@@ -77,6 +85,7 @@
 	f.tried = f.tried[:0]
 	f.retryAfter = 0
 	r.measure.arrivals++
+	f.promised = f.entry.promised(r.now, f)
 	if refusal := f.entry.admit(r.now, f.demand()); refusal != nil {
 		r.refuse(f, refusal.RetryAfter)
 		return
@@ -139,6 +148,7 @@
 	if retryAfter <= 0 {
 		retryAfter = usualRetryAfter
 	}
+	retryAfter = f.entry.comeBack(r.now, f, retryAfter)
 	f.cameBack = true
 	if r.now.Add(retryAfter).Before(f.deadline) {
 		r.after(retryAfter, func() { r.arrive(f) })
@@ -186,6 +196,9 @@
 // complete ends a flight whose answer is whole.
 func (r *Replayer) complete(f *flight, at time.Time) {
 	r.measure.complete(f, at)
+	if !f.request.IsCheck() {
+		f.entry.finished(r.now)
+	}
 	r.leaveEntry(f)
 	r.detach(f)
 	r.end(f)
--- a/replayer/policies.go
+++ b/replayer/policies.go
@@ -23,6 +23,8 @@
 	gate    func(r *Replayer, size batcher.Options) gate
 	// limits says that entries hold customers to their shares.
 	limits bool
+	// promises says that entries tell refused callers a slot of their own.
+	promises bool
 }
 
 var policies = []policy{
@@ -30,8 +32,9 @@
 	{name: "fewest-outstanding", chooser: newFewestOutstanding, gate: newOpenGate},
 	{name: "two-choices", chooser: newTwoChoices, gate: newOpenGate},
 	{name: "stream-count", chooser: newTwoChoices, gate: newStreamCountGate},
-	{name: "oracle", chooser: newPicker, gate: newOracleGate, limits: true},
-	{name: "currantwood", chooser: newPicker, gate: newKeeperGate, limits: true},
+	{name: "oracle", chooser: newPicker, gate: newOracleGate, limits: true, promises: true},
+	{name: "currantwood-no-promise", chooser: newPicker, gate: newKeeperGate, limits: true},
+	{name: "currantwood", chooser: newPicker, gate: newKeeperGate, limits: true, promises: true},
 }
 
 // Policies lists the names of all policies.
