A request that crashes engines is stopped at its second crash, everywhere

Cause: nothing told entries of a crash; a resend crashed two more engines each time.

Change: the side reports crashes and clearances to its entries (crashreporter), an entry passes on what is new to the other entries, refuses what is quarantined and announces suspects to sides (crashhandler). A new entry is ready once a peer has told it what it knows, or alone, or after 3 s.

Three at once of the same request, before any report has spread, can crash three engines.

--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/crashhandler"
 	"github.com/currantwood/currantwood/dialer"
 	"github.com/currantwood/currantwood/distributor"
 	"github.com/currantwood/currantwood/entryserver"
@@ -28,6 +29,7 @@
 	"github.com/currantwood/currantwood/operatorserver"
 	"github.com/currantwood/currantwood/prefixtracker"
 	"github.com/currantwood/currantwood/promiser"
+	"github.com/currantwood/currantwood/quarantiner"
 	"github.com/currantwood/currantwood/reporter"
 	"github.com/currantwood/currantwood/requestkeeper"
 	"github.com/currantwood/currantwood/settingsreader"
@@ -52,6 +54,10 @@
 	tracker   *tracker.Tracker
 	prefixes  *prefixtracker.Tracker
 	limiter   *limiter.Limiter
+	crashes   *crashhandler.Handler
+	startedAt time.Time
+	// alone says that the last VM list showed no other entry.
+	alone     atomic.Bool
 	forwarder *forwarder.Forwarder
 	server    *entryserver.Server
 	links     *distributor.Distributor
@@ -76,7 +82,7 @@
 func New(options Options) (*Entry, error) {
 	settings := options.Settings
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{settings: settings, logger: options.Logger, ctx: ctx, cancel: cancel, tracker: tracker.New(), hello: hello(settings)}
+	e := &Entry{startedAt: time.Now(), settings: settings, logger: options.Logger, ctx: ctx, cancel: cancel, tracker: tracker.New(), hello: hello(settings)}
 	e.metrics = metrics.NewRegistry()
 	e.recent = requestkeeper.New(recentRequests)
 	e.observer = observer.New(time.Now(), settings.Objective)
@@ -155,8 +161,10 @@
 func (e *Entry) assemble(options Options) {
 	e.prefixes = prefixtracker.New(prefixtracker.DefaultOptions())
 	e.limiter = limiter.New(limiter.DefaultOptions())
+	e.crashes = crashhandler.New(quarantiner.Options{})
 	e.forwarder = forwarder.New(forwarder.Options{
 		Tracker:       e.tracker,
+		Quarantine:    e.crashes,
 		Picker:        e.picker(),
 		Prefixes:      e.prefixes,
 		NewGeneration: func() currantwood.GenerationID { return currantwood.GenerationID(uuid.NewString()) },
@@ -164,7 +172,7 @@
 		IdleEvery:     callerHeartbeat,
 	})
 	calls := e.newCaller()
-	e.links = distributor.New(&sideHandler{entry: e}, &usageHandler{limiter: e.limiter}, calls)
+	e.links = distributor.New(&sideHandler{entry: e}, &usageHandler{limiter: e.limiter}, e.crashes, calls)
 	e.dialer = dialer.New(dialer.Options{
 		Dial:   options.Dial,
 		Link:   func(conn net.Conn, _ string) (*linker.Link, error) { return linker.New(conn, e.linkOptions(true)) },
@@ -271,11 +279,16 @@
 // lower, so that two entries keep one link.
 func (e *Entry) addresses(vms []currantwood.VM) []string {
 	var addresses []string
+	alone := true
 	for _, vm := range vms {
+		if vm.Role == currantwood.RoleEntry.String() && string(vm.ID) != e.settings.VM {
+			alone = false
+		}
 		if vm.Role == currantwood.RoleSide.String() || string(vm.ID) < e.settings.VM {
 			addresses = append(addresses, vm.Address)
 		}
 	}
+	e.alone.Store(alone)
 	return addresses
 }
 
@@ -311,9 +324,15 @@
 	if e.rules() == nil {
 		return errors.New("no rules yet")
 	}
+	if !e.crashes.Informed() && !e.alone.Load() && time.Since(e.startedAt) < informTimeout {
+		return errors.New("no peer has told of crashes yet")
+	}
 	return nil
 }
 
+// informTimeout is how long a new entry waits for a peer to tell what it knows.
+const informTimeout = 3 * time.Second
+
 func hello(settings settingsreader.Settings) *wire.Hello {
 	return &wire.Hello{
 		Process:     settings.Process,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -46,6 +46,8 @@
 	Picker  currantwood.Picker
 	// Prefixes says which upstream is believed to hold a prompt's prefix.
 	Prefixes *prefixtracker.Tracker
+	// Quarantine stops requests that crash upstreams; nil stops none.
+	Quarantine Quarantine
 	// NewGeneration draws a generation id.
 	NewGeneration func() currantwood.GenerationID
 	// Limits are those of each stream; RestartDeclared is set by the request.
@@ -54,6 +56,14 @@
 	IdleEvery time.Duration
 }
 
+// Quarantine knows the requests that crash upstreams.
+type Quarantine interface {
+	// Check refuses a quarantined request; nil lets it run.
+	Check(now time.Time, fingerprint currantwood.Fingerprint) *currantwood.Refusal
+	// Announce tells a side of a suspect, ahead of its start on the same link.
+	Announce(now time.Time, link *linker.Link, fingerprint currantwood.Fingerprint)
+}
+
 // Request is one generation to run.
 type Request struct {
 	Demand      currantwood.Demand
@@ -141,6 +151,9 @@
 	tried := make(map[currantwood.UpstreamID]bool)
 	var last *currantwood.Refusal
 	for {
+		if refusal := f.quarantined(fl.request, last); refusal != nil {
+			return Completion{}, refusal
+		}
 		upstream, link := f.pick(fl.request, tried)
 		if link == nil {
 			return Completion{}, noUpstream(last)
@@ -156,9 +169,25 @@
 	}
 }
 
+// quarantined refuses a request that is known to crash upstreams, be it known
+// from its own tries.
+func (f *Forwarder) quarantined(request Request, last *currantwood.Refusal) *currantwood.Refusal {
+	if f.options.Quarantine == nil {
+		return nil
+	}
+	refusal := f.options.Quarantine.Check(time.Now(), request.Fingerprint)
+	if refusal != nil && last != nil {
+		refusal.Ran = last.Ran
+	}
+	return refusal
+}
+
 func (f *Forwarder) attempt(ctx context.Context, fl *flight, t target) (*currantwood.Refusal, bool) {
 	f.options.Tracker.Begin(t.upstream)
 	defer f.options.Tracker.End(t.upstream)
+	if f.options.Quarantine != nil {
+		f.options.Quarantine.Announce(time.Now(), t.link, fl.request.Fingerprint)
+	}
 	return fl.run(ctx, t)
 }
 
--- a/sideserver/sideserver.go
+++ b/sideserver/sideserver.go
@@ -124,6 +124,9 @@
 	}}})
 }
 
+// Broadcast sends a frame on every live link.
+func (s *Server) Broadcast(frame *wire.Frame) { s.links.Broadcast(frame) }
+
 // Drain leaves and returns when nothing is in flight any more or ctx is done.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Leave()
--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/crashreporter"
 	"github.com/currantwood/currantwood/engineclient"
 	"github.com/currantwood/currantwood/gatekeeper"
 	"github.com/currantwood/currantwood/logclient"
@@ -116,7 +117,9 @@
 		Logger:    logger,
 	}
 	if s.settings.Side.Kind == currantwood.UpstreamEngine.String() {
-		options.Engine = engineclient.New(&http.Client{Transport: transport()}, s.settings.Side.Address)
+		crashes := s.crashReporter()
+		options.Engine = crashes.Engine()
+		options.Handlers = append(options.Handlers, crashes)
 		options.Gatekeeper = s.gatekeeper()
 		return options, nil
 	}
@@ -148,6 +151,16 @@
 // logWait is how long a read of the operations log waits for a record.
 const logWait = 500 * time.Millisecond
 
+// crashReporter stands between the side and its engine.
+func (s *Side) crashReporter() *crashreporter.Reporter {
+	return crashreporter.New(crashreporter.Options{
+		Engine:    engineclient.New(&http.Client{Transport: transport()}, s.settings.Side.Address),
+		Upstream:  currantwood.UpstreamID(s.settings.Side.Upstream),
+		Broadcast: func(frame *wire.Frame) { s.server.Broadcast(frame) },
+		Leaving:   func() bool { return !s.server.Ready() },
+	})
+}
+
 func (s *Side) hello() *wire.Hello {
 	return &wire.Hello{
 		Process:     s.settings.Process,
