Rules in force over the log and peer links

Entries got their rules from a method that only tests and the demo called. Now each entry and side runs a head server: entries chosen among the live ones of their region read the log, all others and the sides have the head from their peers. An entry is not ready before it has rules, a side neither. The operators' address of each shows the head in force at /head. The demonstrator publishes its rules to the log in place of handing them over.

--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -12,12 +12,14 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/entrystarter"
-	"github.com/currantwood/currantwood/parser"
+	"github.com/currantwood/currantwood/logclient"
+	"github.com/currantwood/currantwood/publisher"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/sidestarter"
 	"github.com/currantwood/currantwood/standin/delayer"
@@ -52,7 +54,7 @@
 	// RegionDelay and ZoneDelay are the one-way delays between regions and
 	// within one.
 	RegionDelay, ZoneDelay time.Duration
-	// Rules is the text of the rules in force; empty leaves the entries without.
+	// Rules is published before any process starts; empty publishes nothing.
 	Rules string
 	// Engine changes the options of each engine; nil changes nothing.
 	Engine func(*engine.Options)
@@ -94,7 +96,6 @@
 	Entries   []*Entry
 
 	platform []*httptest.Server
-	rules    currantwood.Rules
 	mu       sync.Mutex
 	// conns holds the newest delayed connections between processes.
 	conns []*delayer.Conn
@@ -114,6 +115,10 @@
 	for _, handler := range []http.Handler{d.Log, d.VMs, d.Weights} {
 		d.platform = append(d.platform, httptest.NewServer(handler))
 	}
+	if err := d.publish(); err != nil {
+		d.Close()
+		return nil, err
+	}
 	if err := d.startUpstreams(); err != nil {
 		d.Close()
 		return nil, err
@@ -125,6 +130,27 @@
 	return d, nil
 }
 
+// publishTimeout bounds the publication of the rules at the start.
+const publishTimeout = 10 * time.Second
+
+// publish puts the rules of the options into the log.
+func (d *Demonstrator) publish() error {
+	if d.options.Rules == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	p := publisher.New(publisher.Options{
+		Log:   logclient.New(logclient.Options{Address: d.LogAddress()}),
+		NewID: func() currantwood.PublicationID { return currantwood.PublicationID(uuid.NewString()) },
+	})
+	result, err := p.Publish(ctx, publisher.Edit{PublishedBy: "demonstrator", Text: d.options.Rules})
+	if err == nil && result.Outcome != publisher.Accepted {
+		err = errors.Errorf("outcome %s", result.Outcome)
+	}
+	return errors.Wrap(err, "demonstrator: publish rules")
+}
+
 // LogAddress is the base address of the log service.
 func (d *Demonstrator) LogAddress() string { return d.platform[0].URL }
 
@@ -259,9 +285,6 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "demonstrator: entry %s", name)
 	}
-	if d.options.Rules != "" {
-		entry.SetRules(d.rules)
-	}
 	d.place(entry.LinkAddress(), region)
 	d.VMs.Put(currantwood.VM{
 		ID:              currantwood.VMID(settings.VM),
@@ -308,10 +331,6 @@
 }
 
 func (d *Demonstrator) startEntries() error {
-	var err error
-	if d.rules, err = parser.Parse(d.options.Rules); err != nil {
-		return errors.Wrap(err, "demonstrator: rules")
-	}
 	for _, region := range d.options.Regions {
 		for i := range d.options.EntriesPerRegion {
 			entry, err := d.StartEntry(fmt.Sprintf("entry-%s-%d", region, i+1), region, loopback)
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -22,6 +22,7 @@
 	"github.com/currantwood/currantwood/distributor"
 	"github.com/currantwood/currantwood/entryserver"
 	"github.com/currantwood/currantwood/forwarder"
+	"github.com/currantwood/currantwood/headserver"
 	"github.com/currantwood/currantwood/limiter"
 	"github.com/currantwood/currantwood/linker"
 	"github.com/currantwood/currantwood/matcher"
@@ -61,6 +62,7 @@
 	forwarder *forwarder.Forwarder
 	server    *entryserver.Server
 	links     *distributor.Distributor
+	head      *headserver.Server
 	dialer    *dialer.Dialer
 	http      *http.Server
 	operators *operatorserver.Server
@@ -137,6 +139,7 @@
 	for _, link := range e.links.Links() {
 		link.Close()
 	}
+	e.head.Close()
 	_ = e.operators.Close(e.ctx)
 	e.wait.Wait()
 }
@@ -172,7 +175,8 @@
 		IdleEvery:     callerHeartbeat,
 	})
 	calls := e.newCaller()
-	e.links = distributor.New(&sideHandler{entry: e}, &usageHandler{limiter: e.limiter}, e.crashes, calls)
+	e.head = e.newHead()
+	e.links = distributor.New(&sideHandler{entry: e}, &usageHandler{limiter: e.limiter}, e.crashes, calls, e.head)
 	e.dialer = dialer.New(dialer.Options{
 		Dial:   options.Dial,
 		Link:   func(conn net.Conn, _ string) (*linker.Link, error) { return linker.New(conn, e.linkOptions(true)) },
@@ -207,7 +211,7 @@
 		Listener: e.operator,
 		Ready:    e.Ready,
 		Metrics:  e.metrics,
-		Pages:    []operatorserver.Page{{Path: reporter.Path, Handler: e.serveLevels}, {Path: requestkeeper.Path, Handler: e.serveRecent}},
+		Pages:    []operatorserver.Page{{Path: reporter.Path, Handler: e.serveLevels}, {Path: requestkeeper.Path, Handler: e.serveRecent}, {Path: headserver.Path, Handler: e.head.ServeHTTP}},
 	})
 	e.wait.Add(4)
 	go func() {
--- a/entrystarter/stages.go
+++ b/entrystarter/stages.go
@@ -6,19 +6,10 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/caller"
-	"github.com/currantwood/currantwood/matcher"
 	"github.com/currantwood/currantwood/picker"
 	"github.com/currantwood/currantwood/retrier"
 )
 
-// SetRules puts rules in force.
-func (e *Entry) SetRules(rules currantwood.Rules) {
-	e.limiter.SetCustomers(rules.Customers)
-	e.matcher.Store(matcher.New(rules))
-}
-
-func (e *Entry) rules() *matcher.Matcher { return e.matcher.Load() }
-
 func (e *Entry) picker() currantwood.Picker {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return picker.New(picker.DefaultOptions(currantwood.RegionID(e.settings.Region)), random)
--- a/headserver/headserver.go
+++ b/headserver/headserver.go
@@ -21,6 +21,9 @@
 	"go.uber.org/zap"
 )
 
+// Path is where operators find the head in force.
+const Path = "/head"
+
 // Options says where a process gets its rules and what it does with them.
 type Options struct {
 	Region currantwood.RegionID
@@ -28,8 +31,9 @@
 	Log currantwood.Log
 	// Retention is how long the log service keeps a record.
 	Retention time.Duration
-	// Position says whether the process reads the log; unused without Log.
-	Position func() tailer.Position
+	// Position says whether the process reads the log, given its live peers;
+	// unused without Log.
+	Position func(peers []*wire.Hello) tailer.Position
 	// Apply puts rules in force; nil where the process has no use for them. It
 	// is called for one head at a time, each higher than the last.
 	Apply  func(rules currantwood.Rules)
@@ -43,7 +47,9 @@
 	wake    chan struct{}
 	fresh   chan struct{}
 	done    chan struct{}
-	wait    sync.WaitGroup
+	// closeOnce guards done.
+	closeOnce sync.Once
+	wait      sync.WaitGroup
 
 	mu sync.Mutex
 	// keeper is what the log shows, spreader what the peers have. The
@@ -101,19 +107,19 @@
 	}()
 	if options.Log != nil {
 		s.tailer = tailer.New(tailer.Options{
-			Log: options.Log, Position: options.Position, Logger: options.Logger,
+			Log: options.Log, Position: s.position, Logger: options.Logger,
 			Want: s.want, Feed: s.feed, Checkpoint: s.checkpoint,
 		})
 	}
 	return s
 }
 
-// Close ends the server and waits for its goroutines.
+// Close ends the server and waits for its goroutines. It may be called again.
 func (s *Server) Close() {
 	if s.tailer != nil {
 		s.tailer.Close()
 	}
-	close(s.done)
+	s.closeOnce.Do(func() { close(s.done) })
 	s.wait.Wait()
 }
 
@@ -124,8 +130,8 @@
 	return s.force
 }
 
-// headPage is the answer of the operators' page.
-type headPage struct {
+// Page is the answer of the operators' page.
+type Page struct {
 	Revision    currantwood.Revision      `json:"revision"`
 	Publication currantwood.PublicationID `json:"publication"`
 	// Unreadable says why a later head is not in force.
@@ -135,7 +141,7 @@
 // ServeHTTP answers operators with the head in force.
 func (s *Server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	s.forceMu.Lock()
-	page := headPage{Revision: s.force.Revision, Publication: s.force.Publication}
+	page := Page{Revision: s.force.Revision, Publication: s.force.Publication}
 	if s.unreadable != nil {
 		page.Unreadable = s.unreadable.Error()
 	}
@@ -234,6 +240,16 @@
 	}
 }
 
+func (s *Server) position() tailer.Position {
+	s.mu.Lock()
+	peers := make([]*wire.Hello, 0, len(s.names))
+	for link := range s.names {
+		peers = append(peers, link.Peer())
+	}
+	s.mu.Unlock()
+	return s.options.Position(peers)
+}
+
 func (s *Server) want() currantwood.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -16,6 +16,7 @@
 	"github.com/currantwood/currantwood/crashreporter"
 	"github.com/currantwood/currantwood/engineclient"
 	"github.com/currantwood/currantwood/gatekeeper"
+	"github.com/currantwood/currantwood/headserver"
 	"github.com/currantwood/currantwood/logclient"
 	"github.com/currantwood/currantwood/operatorserver"
 	"github.com/currantwood/currantwood/recorder"
@@ -31,6 +32,7 @@
 	server   *sideserver.Server
 	// recorder is nil beside an engine.
 	recorder  *recorder.Recorder
+	head      *headserver.Server
 	operators *operatorserver.Server
 	links     net.Addr
 	operator  net.Addr
@@ -55,11 +57,14 @@
 		_ = operators.Close()
 		return nil, err
 	}
+	s.head = headserver.New(headserver.Options{Region: currantwood.RegionID(settings.Region), Logger: logger})
+	serverOptions.Handlers = append(serverOptions.Handlers, s.head)
 	s.server = sideserver.New(serverOptions)
 	s.operators = operatorserver.New(operatorserver.Options{
 		Listener: operators,
 		Ready:    s.ready,
 		Metrics:  s.metrics,
+		Pages:    []operatorserver.Page{{Path: headserver.Path, Handler: s.head.ServeHTTP}},
 	})
 	return s, nil
 }
@@ -94,6 +99,7 @@
 
 func (s *Side) close(ctx context.Context) {
 	s.server.Close()
+	s.head.Close()
 	if s.recorder != nil {
 		s.recorder.Close()
 	}
@@ -104,9 +110,15 @@
 	if !s.server.Ready() {
 		return errors.New("leaving")
 	}
+	if s.head.Head().Revision == 0 {
+		return errors.New("no rules yet")
+	}
 	return nil
 }
 
+// Head returns the published rules that the side knows of.
+func (s *Side) Head() currantwood.Head { return s.head.Head() }
+
 func (s *Side) options(links net.Listener, logger *zap.Logger) (sideserver.Options, error) {
 	options := sideserver.Options{
 		Hello:     s.hello(),
