Estimator: a life table that counts running streams

Cause: lengths that grow were learnt only when the first long stream ended, so after noon the side admitted on the morning's lengths for a whole life.

Change: the histogram counts how many streams reached each bucket and how many ended there. The gatekeeper tells a running stream's progress about thirty times in its life, so that a stream that outlives the usual length counts at once.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -11,7 +11,7 @@
 
 // Options bound what an estimator keeps and how fast it forgets.
 type Options struct {
-	// MaxPairs bounds the customer and rule pairs that are kept, at about 700
+	// MaxPairs bounds the customer and rule pairs that are kept, at about 1,000
 	// bytes each.
 	MaxPairs int
 	// Memory is the number of streams after which an observation has lost
@@ -24,7 +24,7 @@
 	PriorCount float64
 }
 
-// DefaultOptions keep 9,500 customers with three rules each within 20 MB.
+// DefaultOptions keep 9,500 customers with three rules each within 30 MB.
 func DefaultOptions() Options {
 	return Options{
 		MaxPairs:   28_500,
@@ -50,6 +50,8 @@
 	curve *Curve
 	// made is the made of the wide view that curve leans on.
 	made uint64
+	// used is when it was last changed.
+	used time.Time
 }
 
 // shard keeps some of the pairs.
@@ -89,11 +91,42 @@
 
 var _ currantwood.Estimator = (*Estimator)(nil)
 
-// Observe takes in a finished stream. One that was cut short must not be
-// given: its length is not known.
+// Observe takes in a finished stream of which nothing was told before. One that
+// was cut short must not be given: its length is not known.
 func (e *Estimator) Observe(now time.Time, customer currantwood.CustomerID, rule currantwood.RuleID, length currantwood.TokenCount) {
+	e.Finished(now, customer, rule, 0, length)
+}
+
+// Reached takes in that a stream still runs after soFar tokens, where counted
+// is the soFar that was told of it before; 0 the first time. It returns at how
+// many tokens it needs to be called again.
+func (e *Estimator) Reached(now time.Time, customer currantwood.CustomerID, rule currantwood.RuleID, counted, soFar currantwood.TokenCount) currantwood.TokenCount {
+	e.update(now, customer, rule, func(h *histogram) { h.reach(firstNew(counted), bucketOf(soFar)) })
+	return currantwood.TokenCount(upper(bucketOf(soFar))) + 1
+}
+
+// Finished takes in that a stream ended, where counted is what was told to
+// Reached last; 0 when it never was.
+func (e *Estimator) Finished(now time.Time, customer currantwood.CustomerID, rule currantwood.RuleID, counted, length currantwood.TokenCount) {
 	bucket := bucketOf(length)
-	e.observeWide(now, rule, bucket)
+	e.update(now, customer, rule, func(h *histogram) {
+		h.age(now, e.options.Memory, e.options.HalfLife)
+		h.reach(firstNew(counted), bucket)
+		h.end(bucket)
+	})
+}
+
+// firstNew is the first bucket that a stream was not yet counted in.
+func firstNew(counted currantwood.TokenCount) int {
+	if counted == 0 {
+		return 0
+	}
+	return bucketOf(counted) + 1
+}
+
+// update changes the pair's, the rule's and the global histogram.
+func (e *Estimator) update(now time.Time, customer currantwood.CustomerID, rule currantwood.RuleID, change func(*histogram)) {
+	e.updateWide(rule, change)
 	s := e.shardOf(customer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,7 +135,8 @@
 	if !known {
 		kept = s.add(key, max(e.options.MaxPairs/shards, 1))
 	}
-	kept.histogram.observe(now, bucket, e.options.Memory, e.options.HalfLife)
+	change(&kept.histogram)
+	kept.used = now
 	kept.curve = nil
 }
 
@@ -120,7 +154,7 @@
 	}
 	oldest := s.hand
 	for range min(evictionSample, len(s.keys)) {
-		if s.pairs[s.keys[s.hand]].histogram.seen.Before(s.pairs[s.keys[oldest]].histogram.seen) {
+		if s.pairs[s.keys[s.hand]].used.Before(s.pairs[s.keys[oldest]].used) {
 			oldest = s.hand
 		}
 		s.hand = (s.hand + 1) % len(s.keys)
@@ -155,7 +189,7 @@
 }
 
 // curveLag is how many of a rule's observations a pair's curve may be behind.
-const curveLag = 8
+const curveLag = 32
 
 // wideView is a rule's distribution, leaned on the global one. It is not
 // changed after it was made.
@@ -179,11 +213,11 @@
 	view *wideView
 }
 
-// observeWide adds a length to the rule's and the global histogram.
-func (e *Estimator) observeWide(now time.Time, rule currantwood.RuleID, bucket int) {
+// updateWide changes the rule's and the global histogram.
+func (e *Estimator) updateWide(rule currantwood.RuleID, change func(*histogram)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.global.observe(now, bucket, e.options.Memory, e.options.HalfLife)
+	change(&e.global)
 	kept, known := e.rules[rule]
 	if !known {
 		if len(e.rules) >= maxRules {
@@ -192,7 +226,7 @@
 		kept = &ruleEntry{}
 		e.rules[rule] = kept
 	}
-	kept.histogram.observe(now, bucket, e.options.Memory, e.options.HalfLife)
+	change(&kept.histogram)
 	kept.observed++
 }
 
--- a/estimator/histogram.go
+++ b/estimator/histogram.go
@@ -18,22 +18,24 @@
 // scaled down.
 const maxStep = 1e6
 
-// histogram counts lengths with weights that decay. The zero value is empty.
+// histogram is a life table: how many streams reached each bucket, and how many
+// of them ended in it, with weights that decay. A stream that still runs counts
+// in the buckets that it has reached, so that lengths which grow are learnt
+// before the first long stream ends. The zero value is empty.
 type histogram struct {
-	// weights are at least 0, relative to step.
-	weights [buckets]float32
+	// reached and ended are relative to step; 0 <= ended[i] <= reached[i].
+	reached [buckets]float32
+	ended   [buckets]float32
 	// step is the weight of the next observation; it grows instead of all the
 	// others shrinking.
 	step float64
-	// total is the sum of weights.
-	total float64
-	// seen is when the last observation came.
+	// seen is when step was last changed.
 	seen time.Time
 }
 
-// observe adds a length. Each one takes the share 1/memory from all before it,
-// and each halfLife of time takes half.
-func (h *histogram) observe(now time.Time, bucket int, memory float64, halfLife time.Duration) {
+// age lets earlier observations lose weight: the share 1/memory for this
+// observation, and half for each halfLife of time.
+func (h *histogram) age(now time.Time, memory float64, halfLife time.Duration) {
 	if h.step == 0 {
 		h.step = 1
 	} else {
@@ -44,39 +46,48 @@
 	if h.step > maxStep {
 		h.rescale()
 	}
-	h.weights[bucket] += float32(h.step)
-	h.total += h.step
 }
 
 func (h *histogram) rescale() {
-	h.total = 0
-	for i := range h.weights {
-		h.weights[i] = float32(float64(h.weights[i]) / h.step)
-		h.total += float64(h.weights[i])
+	for i := range h.reached {
+		h.reached[i] = float32(float64(h.reached[i]) / h.step)
+		h.ended[i] = float32(float64(h.ended[i]) / h.step)
 	}
 	h.step = 1
 }
 
-// count returns the effective number of observations.
-func (h *histogram) count() float64 {
+// reach counts a stream that reached the buckets from first up to last.
+func (h *histogram) reach(first, last int) {
 	if h.step == 0 {
-		return 0
+		h.step = 1
+	}
+	for i := first; i <= last; i++ {
+		h.reached[i] += float32(h.step)
 	}
-	return h.total / h.step
 }
 
-// lean mixes the histogram with a prior density that counts as priorCount
-// observations. The result is a density: it sums to 1.
+// end counts a stream that ended in a bucket that it was counted to have
+// reached.
+func (h *histogram) end(bucket int) {
+	h.ended[bucket] += float32(h.step)
+}
+
+// lean mixes the life table with a prior density that counts as priorCount
+// streams. The result is a density: it sums to 1.
 func (h *histogram) lean(prior *density, priorCount float64) density {
 	var mixed density
-	count := h.count()
-	whole := count + priorCount
+	step := max(h.step, 1)
+	alive, priorAlive := 1.0, 1.0
 	for i := range mixed {
-		own := 0.0
-		if h.step > 0 {
-			own = float64(h.weights[i]) / h.step
+		ended := float64(h.ended[i])/step + priorCount*prior[i]
+		reached := float64(h.reached[i])/step + priorCount*priorAlive
+		hazard := 1.0
+		if reached > 0 && i < buckets-1 {
+			hazard = min(ended/reached, 1)
 		}
-		mixed[i] = (own + priorCount*prior[i]) / whole
+		mixed[i] = alive * hazard
+		alive -= mixed[i]
+		priorAlive = max(priorAlive-prior[i], 0)
 	}
 	return mixed
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -31,6 +31,9 @@
 	arrived time.Time
 	// produced never falls.
 	produced currantwood.TokenCount
+	// counted is what the estimator was told of it; markAt is at how many
+	// tokens it is to be told again.
+	counted, markAt currantwood.TokenCount
 	// seen is when the last token came; zero before the first.
 	seen time.Time
 	// known is the output length where it is known in advance; else 0.
@@ -173,6 +176,10 @@
 		}
 	}
 	r.produced = produced
+	if produced >= r.markAt {
+		r.markAt = g.estimator.Reached(now, r.demand.Customer, r.demand.Rule, r.counted, produced)
+		r.counted = produced
+	}
 	if g.isFull() {
 		return g.relieve()
 	}
@@ -202,7 +209,7 @@
 	if !known {
 		return nil
 	}
-	g.estimator.Observe(now, r.demand.Customer, r.demand.Rule, r.produced)
+	g.estimator.Finished(now, r.demand.Customer, r.demand.Rule, r.counted, r.produced)
 	g.forget(r)
 	return g.resume(now)
 }
