Estimator: a memory of 40 streams, a prior of 15

Cause: a pair's histogram remembered 150 streams; with ten customers at an engine that is half of the afternoon after a shift at noon.

The rule's histogram, which sees ten times as many streams, carries more of the belief.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -28,9 +28,9 @@
 func DefaultOptions() Options {
 	return Options{
 		MaxPairs:   28_500,
-		Memory:     150,
+		Memory:     40,
 		HalfLife:   20 * time.Minute,
-		PriorCount: 6,
+		PriorCount: 15,
 	}
 }
 
