Gatekeeper: running streams' curves are renewed

Cause: a running stream kept the curve of its arrival while lengths shifted.

Change: the forecast renews all curves each 250 ms.

--- a/gatekeeper/forecast.go
+++ b/gatekeeper/forecast.go
@@ -86,13 +86,24 @@
 		return
 	}
 	g.forecast = forecast{}
+	renew := now.Sub(g.curvesAt) >= curveAge
+	if renew {
+		g.curvesAt = now
+	}
 	for _, r := range g.running {
+		if renew {
+			r.curve = g.estimator.Curve(r.demand.Customer, r.demand.Rule)
+		}
 		g.forecast.add(r)
 	}
 	g.stale = false
 	g.forecastAt = now
 }
 
+// curveAge is how often the running requests' curves are renewed, since lengths
+// may shift while they run.
+const curveAge = 250 * time.Millisecond
+
 // forecastAge bounds how old a forecast may be, about a step.
 const forecastAge = 20 * time.Millisecond
 
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -77,6 +77,8 @@
 	served     served
 	forecast   forecast
 	forecastAt time.Time
+	// curvesAt is when the running requests' curves were renewed.
+	curvesAt time.Time
 	// stale says that a request left since the forecast was made.
 	stale bool
 }
