demo: check 'not run' against the services' counts

Cause: the demo counted refusals as not run without asking whether it was true. Change: operation keys whose every caller was told not-run are looked up in the plain service stand-ins; a run counts as false-not-run, which must be zero.

--- a/cmd/currantwood/demo.go
+++ b/cmd/currantwood/demo.go
@@ -196,5 +196,6 @@
 	report := p.Play(ctx, mixedTrace(s.site, f, stream))
 	report.Preemptions = s.system.Preemptions() - before
 	report.RepeatedOperations = s.system.RepeatedOperations()
+	report.FalseNotRun = s.system.Ran(report.NotRunOperations())
 	return report
 }
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -222,6 +222,19 @@
 	return repeated
 }
 
+// Ran counts those of the operation keys that some plain service stand-in ran.
+func (d *Demonstrator) Ran(keys []string) uint64 {
+	var ran uint64
+	for _, key := range keys {
+		for _, u := range d.Upstreams {
+			if u.Service != nil && u.Service.Runs(key) > 0 {
+				ran++
+			}
+		}
+	}
+	return ran
+}
+
 // Close ends everything at once.
 func (d *Demonstrator) Close() {
 	for _, entry := range d.Entries {
--- a/player/report.go
+++ b/player/report.go
@@ -39,15 +39,21 @@
 	MixedGenerations   uint64
 	Reconnects         uint64
 	RepeatedOperations uint64
-	Preemptions        uint64
-	Stall              time.Duration
-	Elapsed            time.Duration
+	// FalseNotRun counts operations that ran although every caller who sent
+	// them was told that they had not.
+	FalseNotRun uint64
+	Preemptions uint64
+	Stall       time.Duration
+	Elapsed     time.Duration
 
 	mu            sync.Mutex
 	firstToken    *hdrhistogram.Histogram
 	betweenTokens *hdrhistogram.Histogram
 	stalls        *hdrhistogram.Histogram
 	refusals      map[string]uint64
+	// operations says for each operation key whether all who sent it were
+	// told that it was not run.
+	operations map[string]bool
 }
 
 // NewReport makes an empty report, to merge others into.
@@ -60,6 +66,7 @@
 		betweenTokens: histogram(),
 		stalls:        histogram(),
 		refusals:      make(map[string]uint64),
+		operations:    make(map[string]bool),
 	}
 }
 
@@ -80,6 +87,7 @@
 	r.MixedGenerations += other.MixedGenerations
 	r.Reconnects += other.Reconnects
 	r.RepeatedOperations += other.RepeatedOperations
+	r.FalseNotRun += other.FalseNotRun
 	r.Preemptions += other.Preemptions
 	r.Stall += other.Stall
 	r.Elapsed = max(r.Elapsed, other.Elapsed)
@@ -113,6 +121,10 @@
 	if s.kind != "" {
 		r.refusals[s.kind]++
 	}
+	if request.Operation != "" {
+		others, seen := r.operations[request.Operation]
+		r.operations[request.Operation] = s.outcome == outcomeNotRun && (others || !seen)
+	}
 	r.addTokens(request, s)
 }
 
@@ -143,9 +155,21 @@
 	return request.Tokens - s.tokens
 }
 
+// NotRunOperations lists the operation keys that, by what all their callers were
+// told, were not run.
+func (r *Report) NotRunOperations() []string {
+	var keys []string
+	for key, notRun := range r.operations {
+		if notRun {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Violations returns the sum of the counts that must be zero.
 func (r *Report) Violations() uint64 {
-	return r.DuplicatedTokens + r.LostTokens + r.OutOfOrder + r.MixedGenerations + r.RepeatedOperations + r.CutOff
+	return r.DuplicatedTokens + r.LostTokens + r.OutOfOrder + r.MixedGenerations + r.RepeatedOperations + r.FalseNotRun + r.CutOff
 }
 
 // summary is the report's form for machines.
@@ -164,6 +188,7 @@
 	OutOfOrder         uint64  `json:"out-of-order-tokens"`
 	MixedGenerations   uint64  `json:"mixed-generations"`
 	RepeatedOperations uint64  `json:"repeated-operations"`
+	FalseNotRun        uint64  `json:"false-not-run"`
 	Preemptions        uint64  `json:"preemptions"`
 	PreemptionsPer1000 float64 `json:"preemptions-per-1000"`
 	GoodputTokensPerS  float64 `json:"goodput-tokens-per-s"`
@@ -179,7 +204,7 @@
 		Requests: r.Requests, Completed: r.Completed, RefusedNotRun: r.RefusedNotRun, Unknown: r.Unknown,
 		EndedEarly: r.EndedEarly, CutOff: r.CutOff, GivenUp: r.GivenUp, Reconnects: r.Reconnects,
 		Tokens: r.Tokens, DuplicatedTokens: r.DuplicatedTokens, LostTokens: r.LostTokens, OutOfOrder: r.OutOfOrder,
-		MixedGenerations: r.MixedGenerations, RepeatedOperations: r.RepeatedOperations, Preemptions: r.Preemptions,
+		MixedGenerations: r.MixedGenerations, RepeatedOperations: r.RepeatedOperations, FalseNotRun: r.FalseNotRun, Preemptions: r.Preemptions,
 		FirstTokenP95Ms:    milliseconds(r.firstToken, 95),
 		BetweenTokensP95Ms: milliseconds(r.betweenTokens, 95),
 		BetweenTokensP99Ms: milliseconds(r.betweenTokens, 99),
@@ -221,6 +246,7 @@
 	row("must be zero: out of order tokens", s.OutOfOrder)
 	row("must be zero: mixed generations", s.MixedGenerations)
 	row("must be zero: repeated operations", s.RepeatedOperations)
+	row("must be zero: told not run, but ran", s.FalseNotRun)
 	row("preemptions", s.Preemptions)
 	row("first token p95", fmt.Sprintf("%.1f ms", s.FirstTokenP95Ms))
 	row("between tokens p95 / p99", fmt.Sprintf("%.1f / %.1f ms", s.BetweenTokensP95Ms, s.BetweenTokensP99Ms))
