Picker: checks stay in their region

Cause: a side's headroom doesn't show the memory that only checks use, so under load the picker found no room for a check at home and sent it across a slow link.

Change: a check may be drawn whatever the headroom, and the wait of streams isn't counted for it.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -118,12 +118,11 @@
 // sample returns the better of two feasible candidates drawn at random and of
 // the one that holds most of the prefix.
 func (p *Picker) sample(now time.Time, demand currantwood.Demand, candidates []currantwood.Candidate, own bool) choice {
-	need := p.need(demand)
 	drawn := [2]int{-1, -1}
 	holder, feasible := -1, 0
 	for i := range candidates {
 		c := &candidates[i]
-		if (c.Region == p.options.Region) != own || p.trusted(now, c) < need {
+		if (c.Region == p.options.Region) != own || !p.canTake(demand, p.trusted(now, c)) {
 			continue
 		}
 		feasible++
@@ -134,7 +133,7 @@
 	}
 	best := choice{index: -1}
 	for _, i := range [...]int{drawn[0], drawn[1], holder} {
-		if i >= 0 && p.left(now, &candidates[i]) >= need {
+		if i >= 0 && p.canTake(demand, p.left(now, &candidates[i])) {
 			best.offer(i, p.timeTo(now, demand, &candidates[i]))
 		}
 	}
@@ -174,7 +173,11 @@
 	if left > 0 {
 		crowding = min(float64(p.need(demand))/float64(left), 1)
 	}
-	return c.PredictedWait + 2*c.Latency +
+	wait := c.PredictedWait
+	if demand.Class == currantwood.ClassCheck {
+		wait = 0
+	}
+	return wait + 2*c.Latency +
 		time.Duration(c.InFlight)*p.options.InFlightDelay +
 		time.Duration(uncached)*p.options.PrefillPerToken +
 		time.Duration(crowding*float64(p.options.CrowdingDelay))
@@ -189,6 +192,12 @@
 	return demand.PromptTokens + output
 }
 
+// canTake reports whether a candidate may be drawn. A check always fits: each
+// side has memory that only checks use, which its headroom doesn't show.
+func (p *Picker) canTake(demand currantwood.Demand, headroom currantwood.TokenCount) bool {
+	return demand.Class == currantwood.ClassCheck || headroom >= p.need(demand)
+}
+
 // trusted is the reported headroom, less for the report's age.
 func (p *Picker) trusted(now time.Time, c *currantwood.Candidate) currantwood.TokenCount {
 	age := now.Sub(c.ReportedAt)
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -61,6 +61,13 @@
 			func(c *currantwood.Candidate) { c.ReportedAt = start.Add(-20 * time.Second) }, at("home", 9000, 0), at("home", 9000, 0)),
 	)
 
+	It("keeps a check in its region, since each side has memory for checks", func() {
+		check := demand
+		check.Class = currantwood.ClassCheck
+		candidates := []currantwood.Candidate{at("home", 0, time.Second), at("far", 9000, 0)}
+		Expect(newPicker().Pick(start, check, candidates)).To(Equal(0))
+	})
+
 	It("spreads requests over equal candidates", func() {
 		p := newPicker()
 		candidates := make([]currantwood.Candidate, 10)
