Gatekeeper: a request is judged over its own life only

Cause: a check was kept out while the others' predicted peak, hundreds of steps later, passed the limit, though the check ends within ten steps.

Change: a horizon counts for a request only where it adds more than 20 tokens of expected memory. Tried at 2 tokens: no change, since the prior's tail keeps a check's survival above that.

--- a/gatekeeper/forecast.go
+++ b/gatekeeper/forecast.go
@@ -121,9 +121,25 @@
 	g.refresh(now)
 	with := g.forecast
 	with.add(r)
-	return with.peak(g.deviations) <= g.limit(r)
+	return g.staysBelow(&with, g.limit(r))
 }
 
+// staysBelow reports whether the forecast with a request stays below a limit at
+// each horizon that the request may live to see. What others fill after its end
+// doesn't keep it out.
+func (g *Gatekeeper) staysBelow(with *forecast, limit float64) bool {
+	for i := range horizons {
+		adds := with.mean[i] - g.forecast.mean[i]
+		if adds > negligible && with.at(i, g.deviations) > limit {
+			return false
+		}
+	}
+	return true
+}
+
+// negligible is the memory in tokens that is too little to keep a request out.
+const negligible = 20
+
 // limit is the memory that a request of this kind may fill.
 func (g *Gatekeeper) limit(r *request) float64 {
 	memory := float64(g.memory) - float64(pauseMargin*(len(g.running)+1))
