--- a/cmd/currantwood/replay.go
+++ b/cmd/currantwood/replay.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/replayer"
 	"github.com/currantwood/currantwood/tracer"
 )
@@ -23,6 +24,7 @@
 	trace    string
 	profile  string
 	requests int
+	memory   int64
 	write    string
 	policy   string
 	load     string
@@ -36,6 +38,7 @@
 	flags.StringVar(&s.trace, "trace", "", "`FILE` with the trace to play")
 	flags.StringVar(&s.profile, "profile", "", "generate a trace of this `NAME` instead: "+strings.Join(tracer.Profiles(), ", "))
 	flags.IntVar(&s.requests, "requests", 2000, "number of requests to generate")
+	flags.Int64Var(&s.memory, "memory", 0, "memory of each engine of a generated trace, in tokens; 0 takes 8000")
 	flags.StringVar(&s.write, "write", "", "write the trace to this `FILE` and play nothing")
 	flags.StringVar(&s.policy, "policy", "all", "`NAME` of a policy, or all: "+strings.Join(replayer.Policies(), ", "))
 	flags.StringVar(&s.load, "load", "0.7,1.0,1.5", "offered loads, as parts of the engines' capacity")
@@ -80,7 +83,12 @@
 
 func (s *replaySettings) read() (*tracer.Trace, error) {
 	if s.profile != "" {
-		return tracer.Generate(tracer.GenerateOptions{Profile: s.profile, Seed: s.seed, Requests: s.requests})
+		return tracer.Generate(tracer.GenerateOptions{
+			Profile:      s.profile,
+			Seed:         s.seed,
+			Requests:     s.requests,
+			MemoryTokens: currantwood.TokenCount(s.memory),
+		})
 	}
 	file, err := os.Open(s.trace)
 	if err != nil {
