--- a/headkeeper/headkeeper.go
+++ b/headkeeper/headkeeper.go
@@ -256,11 +256,7 @@
 	if c.Next < first || c.Next < k.anchor.Next || c.Revision < k.anchor.Head.Revision {
 		return false
 	}
-	k.anchor = Anchor{
-		Head:        currantwood.Head{Revision: c.Revision, Publication: c.ID, Text: c.Text},
-		PublishedBy: c.PublishedBy,
-		Next:        c.Next,
-	}
+	k.anchor = c.anchor()
 	k.anchored = true
 	return true
 }
--- a/headkeeper/record.go
+++ b/headkeeper/record.go
@@ -54,6 +54,31 @@
 	return encode(envelope{Checkpoint: &c})
 }
 
+// EncodeAnchor returns an anchor in the form of a checkpoint, to hand it to a
+// process over its operators' address.
+func EncodeAnchor(a Anchor) ([]byte, error) {
+	return EncodeCheckpoint(Checkpoint{
+		Revision: a.Head.Revision, ID: a.Head.Publication, PublishedBy: a.PublishedBy, Text: a.Head.Text, Next: a.Next,
+	})
+}
+
+// DecodeAnchor reads what EncodeAnchor made.
+func DecodeAnchor(data []byte) (Anchor, error) {
+	c := decode(data).Checkpoint
+	if c == nil || c.Revision == 0 || c.ID == "" {
+		return Anchor{}, errors.New("expected a checkpoint with revision and id")
+	}
+	return c.anchor(), nil
+}
+
+func (c Checkpoint) anchor() Anchor {
+	return Anchor{
+		Head:        currantwood.Head{Revision: c.Revision, Publication: c.ID, Text: c.Text},
+		PublishedBy: c.PublishedBy,
+		Next:        c.Next,
+	}
+}
+
 func encode(e envelope) ([]byte, error) {
 	data, err := json.Marshal(e)
 	return data, errors.Wrap(err, "encode record of the rules stream")
--- a/headserver/headserver.go
+++ b/headserver/headserver.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -24,6 +25,10 @@
 // Path is where operators find the head in force.
 const Path = "/head"
 
+// maxHeadBytes bounds a head that an operator hands over; its text is written
+// in JSON.
+const maxHeadBytes = 2*parser.MaxTextBytes + 4096
+
 // Options says where a process gets its rules and what it does with them.
 type Options struct {
 	Region currantwood.RegionID
@@ -138,15 +143,42 @@
 	Unreadable string `json:"unreadable,omitempty"`
 }
 
-// ServeHTTP answers operators with the head in force.
-func (s *Server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+// ServeHTTP answers operators with the head in force. By POST it first takes a
+// head that the log has accepted from the operator who published it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeadBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		anchor, err := headkeeper.DecodeAnchor(body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.adopt(time.Now(), anchor)
+	}
+	operatorserver.WriteJSON(w, s.page())
+}
+
+func (s *Server) page() Page {
 	s.forceMu.Lock()
+	defer s.forceMu.Unlock()
 	page := Page{Revision: s.force.Revision, Publication: s.force.Publication}
 	if s.unreadable != nil {
 		page.Unreadable = s.unreadable.Error()
 	}
-	s.forceMu.Unlock()
-	operatorserver.WriteJSON(w, page)
+	return page
+}
+
+// adopt takes a head that came neither by the log nor by a link.
+func (s *Server) adopt(now time.Time, anchor headkeeper.Anchor) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Adopt(anchor)
+	s.send(s.spreader.Adopt(now, anchor))
+	signal(s.fresh)
 }
 
 // Up takes in a link.
--- a/publisher/outcome.go
+++ b/publisher/outcome.go
@@ -1,6 +1,9 @@
 package publisher
 
-import "github.com/currantwood/currantwood"
+import (
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/headkeeper"
+)
 
 //go:generate go tool stringer -linecomment -type=Outcome
 
@@ -39,6 +42,10 @@
 	Publication currantwood.PublicationID
 	// Revision is that of the accepted text.
 	Revision currantwood.Revision
+	// Anchor is the head that the log showed together with an acceptance, to be
+	// handed to running processes. A later publication may have replaced the
+	// accepted text in it.
+	Anchor headkeeper.Anchor
 	// Head is the head at the time of the answer; set on Same and Conflict.
 	Head currantwood.Head
 	// First is who came first on Conflict. It has no revision where that was
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -170,17 +170,17 @@
 
 // verdict says what the log decided, where it shows that.
 func (r *run) verdict() (Result, bool) {
-	if verdict, known := r.keeper.Verdict(r.id); known {
-		if verdict.Accepted {
-			return Result{Outcome: Accepted, Publication: r.id, Revision: verdict.Revision}, true
-		}
-		return r.settled(Conflict), true
-	}
 	anchor, _ := r.keeper.Anchor()
-	if anchor.Head.Publication == r.id {
-		return Result{Outcome: Accepted, Publication: r.id, Revision: anchor.Head.Revision}, true
+	result := Result{Outcome: Accepted, Publication: r.id, Revision: anchor.Head.Revision, Anchor: anchor}
+	verdict, known := r.keeper.Verdict(r.id)
+	switch {
+	case known && verdict.Accepted:
+		result.Revision = verdict.Revision
+		return result, true
+	case known:
+		return r.settled(Conflict), true
 	}
-	return Result{}, false
+	return result, anchor.Head.Publication == r.id
 }
 
 // settled makes the result of an edit that the present head rules out.
