logservice: an outage ends reads that wait

A read that waited when the log went down still brought the next record, so that a test of an outage right after a publication passed without its guard.

--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -136,12 +136,7 @@
 }
 
 func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
-	faults := s.faults.Faults()
-	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
-	if faults.Down {
-		http.Error(w, "the log service is down", http.StatusServiceUnavailable)
-		return
-	}
+	time.Sleep(time.Duration(s.faults.Faults().DelayMS) * time.Millisecond)
 	query := r.URL.Query()
 	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
 	limit, err := strconv.Atoi(query.Get("limit"))
@@ -153,6 +148,10 @@
 
 	name := currantwood.StreamName(r.PathValue("name"))
 	for {
+		if s.faults.Faults().Down {
+			http.Error(w, "the log service is down", http.StatusServiceUnavailable)
+			return
+		}
 		window := s.read(name, currantwood.Offset(from), limit)
 		if len(window.Records) > 0 || !time.Now().Before(deadline) || r.Context().Err() != nil {
 			writeWindow(w, window)
