--- a/cmd/currantwood/demo.go
+++ b/cmd/currantwood/demo.go
@@ -127,6 +127,7 @@
 func (s *demoSite) introduce(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "%s: %d upstreams, %d entries\n", s.site.Name, len(s.system.Upstreams), len(s.system.Entries))
 	_, _ = fmt.Fprintf(w, "  currantwood report --vm-list %s\n", s.system.VMListAddress())
+	_, _ = fmt.Fprintf(w, "  currantwood rules --log-service %s --vm-list %s --get FILE\n", s.system.LogAddress(), s.system.VMListAddress())
 	for _, entry := range s.system.Entries {
 		_, _ = fmt.Fprintf(w, "  entry in %s: http://%s  operators: http://%s\n", entry.Region, entry.CallerAddress(), entry.OperatorAddress())
 	}
--- /dev/null
+++ b/cmd/currantwood/rules.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/comparer"
+	"github.com/currantwood/currantwood/headclient"
+	"github.com/currantwood/currantwood/parser"
+	"github.com/currantwood/currantwood/publisher"
+	"github.com/currantwood/currantwood/stamper"
+	"github.com/currantwood/currantwood/vmclient"
+)
+
+// rulesFlags are the flags of rules.
+type rulesFlags struct {
+	log, list, get string
+	json           bool
+}
+
+func rulesCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("currantwood rules", flag.ContinueOnError)
+	var f rulesFlags
+	flags.StringVar(&f.log, "log-service", "", "base `ADDRESS` of the log service; required")
+	flags.StringVar(&f.list, "vm-list", "", "base `ADDRESS` of the VM list")
+	flags.StringVar(&f.get, "get", "", "write the head to `FILE`, to edit and publish it")
+	flags.BoolVar(&f.json, "json", false, "print one line of JSON")
+	return &ffcli.Command{
+		Name:       "rules",
+		ShortUsage: "currantwood rules --log-service ADDRESS [--vm-list ADDRESS] [--get FILE] [--json]",
+		ShortHelp:  "show the published rules and where they are in force",
+		LongHelp:   "Exit codes: 0 in force everywhere, 1 not so or not known, 2 usage.",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 0 || f.log == "" {
+				return &exitError{exitUsage, errors.New("rules: expected --log-service and no argument")}
+			}
+			return showRules(ctx, f, os.Stdout)
+		},
+	}
+}
+
+// rulesReport is the JSON form of what the command shows.
+type rulesReport struct {
+	Revision    currantwood.Revision      `json:"revision"`
+	Publication currantwood.PublicationID `json:"publication"`
+	PublishedBy string                    `json:"published-by"`
+	Processes   int                       `json:"processes"`
+	Behind      int                       `json:"behind"`
+}
+
+func showRules(ctx context.Context, f rulesFlags, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	anchor, logErr := newPublisher(f.log).Head(ctx)
+	if logErr == nil && f.get != "" {
+		base := publisher.Base{Revision: anchor.Head.Revision, Publication: anchor.Head.Publication}
+		if err := writeEdit(f.get, base, anchor.Head.Text); err != nil {
+			return err
+		}
+	}
+	report := rulesReport{Revision: anchor.Head.Revision, Publication: anchor.Head.Publication, PublishedBy: anchor.PublishedBy}
+	var standings []headclient.Standing
+	if f.list != "" {
+		vms, err := vmclient.New(vmclient.Options{Address: f.list, Timeout: logCallTimeout}).VMs(ctx)
+		if err != nil {
+			return err
+		}
+		standings = headclient.New(nil).Survey(ctx, vms)
+		for _, s := range standings {
+			if s.Page.Revision > report.Revision {
+				report = rulesReport{Revision: s.Page.Revision, Publication: s.Page.Publication}
+			}
+		}
+	}
+	report.Processes, report.Behind = len(standings), len(behind(standings, report.Revision))
+	if err := printRules(out, f, report, standings); err != nil {
+		return err
+	}
+	if logErr != nil {
+		return errors.Wrap(logErr, "the head is shown as the processes have it")
+	}
+	if report.Behind > 0 {
+		return errors.Errorf("revision %d is not in force at %d of %d processes", report.Revision, report.Behind, report.Processes)
+	}
+	return nil
+}
+
+func printRules(out io.Writer, f rulesFlags, report rulesReport, standings []headclient.Standing) error {
+	if f.json {
+		return json.NewEncoder(out).Encode(report)
+	}
+	by := report.PublishedBy
+	if by == "" {
+		by = "unknown"
+	}
+	_, err := fmt.Fprintf(out, "head: revision %d, publication %s, published by %s\n%s",
+		report.Revision, report.Publication, by, standingLines(standings))
+	return err
+}
+
+func checkCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("currantwood check", flag.ContinueOnError)
+	log := flags.String("log-service", "", "base `ADDRESS` of the log service, to compare with the head")
+	trace := flags.String("trace", "", "recorded requests in `FILE`, JSON Lines, to show which change rule")
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "currantwood check [--log-service ADDRESS [--trace FILE]] FILE",
+		ShortHelp:  "read a rules file and show what publishing it would change",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 || (*trace != "" && *log == "") {
+				return &exitError{exitUsage, errors.New("check: expected one FILE, and --log-service where there is --trace")}
+			}
+			return check(ctx, *log, *trace, args[0], os.Stdout)
+		},
+	}
+}
+
+func check(ctx context.Context, log, trace, file string, out io.Writer) error {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	_, text, err := formatFile(string(content))
+	if err != nil && !errors.Is(err, stamper.ErrNoStamp) {
+		return errors.Wrapf(err, "check: %s", file)
+	}
+	rules, err := parser.Parse(text)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(out, "%s: %d customers, %d rules\n", file, len(rules.Customers), len(rules.Rules))
+	if log == "" {
+		return nil
+	}
+	return compareWithHead(ctx, log, trace, text, out)
+}
+
+func compareWithHead(ctx context.Context, log, trace, text string, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	anchor, err := newPublisher(log).Head(ctx)
+	if err != nil {
+		return err
+	}
+	diff, err := comparer.Lines(anchor.Head.Text, text, fmt.Sprintf("head, revision %d", anchor.Head.Revision), "your text")
+	if err != nil {
+		return err
+	}
+	if diff == "" {
+		diff = "no change\n"
+	}
+	_, _ = fmt.Fprint(out, diff)
+	if trace == "" {
+		return nil
+	}
+	return showEffects(trace, anchor.Head.Text, text, out)
+}
+
+func showEffects(trace, before, after string, out io.Writer) error {
+	was, err := parser.Parse(before)
+	if err != nil {
+		return errors.Wrap(err, "the head")
+	}
+	is, err := parser.Parse(after)
+	if err != nil {
+		return err
+	}
+	file, err := os.Open(trace)
+	if err != nil {
+		return errors.Wrap(err, "check")
+	}
+	defer func() { _ = file.Close() }()
+	result, err := comparer.Replay(file, was, is)
+	if err != nil {
+		return err
+	}
+	for _, effect := range result.Effects {
+		_, _ = fmt.Fprintln(out, effect)
+	}
+	_, err = fmt.Fprintf(out, "%d recorded requests, %d changes of rule\n", result.Requests, len(result.Effects))
+	return err
+}
