Picker: a refused request goes on only where there is room

Cause: at an offered load of 1.5 an attempt asked up to three sides though all were full: 0.26 to 0.54 further tries for each arrival, and each queued for up to 300 ms on the way.

Change: Demand tells how many sides refused the attempt; after the first refusal the picker names only candidates with headroom. A promised request goes on all the same, and may wait 900 ms in place of 600.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -219,6 +219,7 @@
 	all := f.options.Tracker.Candidates(request.Group)
 	now := time.Now()
 	demand := request.Demand
+	demand.Refused = len(tried)
 	candidates := all[:0]
 	for _, c := range all {
 		if !tried[c.Upstream] {
--- a/gatekeeper/options.go
+++ b/gatekeeper/options.go
@@ -42,7 +42,7 @@
 		MaxPrefill:      3000,
 		MaxQueue:        64,
 		MaxWait:         300 * time.Millisecond,
-		MaxPromisedWait: 600 * time.Millisecond,
+		MaxPromisedWait: 900 * time.Millisecond,
 		StepTime:        20 * time.Millisecond,
 	}
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -7,6 +7,8 @@
 // at random, the best holder of the prompt's prefix joins them, and the one
 // with the shortest predicted time to the first token wins. Drawing at random
 // keeps entries with the same late view from choosing the same upstream.
+// A request that a side has refused goes on only to a feasible candidate: where
+// all are full, one more try adds load and ends in one more refusal.
 // Another region is chosen only where its predicted wait beats that of the own
 // region by more than the link's delay and an allowance for the paid bytes.
 package picker
@@ -94,15 +96,19 @@
 	}
 }
 
-// Pick returns the index of the chosen candidate, or -1 when there is none.
+// Pick returns the index of the chosen candidate, or -1 when there is none worth
+// a try.
 func (p *Picker) Pick(now time.Time, demand currantwood.Demand, candidates []currantwood.Candidate) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	own := p.sample(now, demand, candidates, true)
 	if own.index < 0 {
-		own = p.shortestWait(now, demand, candidates, true)
+		fresh := demand.Refused == 0 || demand.Promised
+		if fresh {
+			own = p.shortestWait(now, demand, candidates, true)
+		}
 		other := p.sample(now, demand, candidates, false)
-		if other.index < 0 {
+		if other.index < 0 && fresh {
 			other = p.shortestWait(now, demand, candidates, false)
 		}
 		if own.index < 0 || other.index >= 0 && other.time+p.options.PaidDelay < own.time {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -68,6 +68,16 @@
 		Expect(newPicker().Pick(start, check, candidates)).To(Equal(0))
 	})
 
+	DescribeTable("sends a refused request to full sides",
+		func(promised bool, want int) {
+			refused := demand
+			refused.Refused, refused.Promised = 1, promised
+			Expect(newPicker().Pick(start, refused, []currantwood.Candidate{at("home", 0, time.Second)})).To(Equal(want))
+		},
+		Entry("not at all when it is new", false, -1),
+		Entry("when it comes in its slot", true, 0),
+	)
+
 	It("spreads requests over equal candidates", func() {
 		p := newPicker()
 		candidates := make([]currantwood.Candidate, 10)
--- a/policy.go
+++ b/policy.go
@@ -23,6 +23,8 @@
 	// Promised says that the caller was refused before, was told when to come
 	// back and has come back then. It goes before others of its priority.
 	Promised bool
+	// Refused is the number of sides that refused this attempt so far.
+	Refused int
 }
 
 // Candidate is one upstream as an entry sees it: late.
--- a/replayer/flight.go
+++ b/replayer/flight.go
@@ -59,6 +59,7 @@
 		Deadline:     f.deadline,
 		Region:       f.request.Region,
 		Promised:     f.promised,
+		Refused:      len(f.tried),
 	}
 }
 
