Streams: a link takes tokens when it writes, not one frame each

Cause: BenchmarkRelayThroughput (620 streams at full speed) closed its own link: a frame for each token filled the link's queue of 65,536, the link counted the peer as too slow and was redialed, and streams were lost.

Ruled out: a longer queue (620 streams with a window of 512 tokens are 317,440 frames), and blocking the engine's reader on the link (one slow entry would stop the reader of another).

Change: a run offers itself to its link once; the link asks it for its frames at the moment of writing, so what came since goes out as one frame. Holder says Ready and hands frames over by Take. The write deadline towards a caller is moved at most every 5 s. Closing a runner closes the sources that its goroutines read. The proof's caller now fails on a restart event that it did not declare.

--- a/entryserver/answer.go
+++ b/entryserver/answer.go
@@ -20,8 +20,10 @@
 	// headerLastEvent holds the position from which a caller goes on.
 	headerLastEvent = "Last-Event-ID"
 	// writeTimeout bounds one write to a caller. A caller that takes longer
-	// counts as gone.
+	// counts as gone. The deadline is moved when deadlineAge has passed, since
+	// moving it costs as much as a small write.
 	writeTimeout = 30 * time.Second
+	deadlineAge  = 5 * time.Second
 )
 
 // answer writes one generation to its caller, streamed or whole. It is the
@@ -38,6 +40,8 @@
 	streamed bool
 	// started is true once the header was sent.
 	started bool
+	// deadlineSet is when the write deadline was last moved.
+	deadlineSet time.Time
 	// buffer holds encoded events that were not written.
 	buffer []byte
 	// texts are the tokens of a whole answer.
@@ -89,7 +93,10 @@
 		return nil
 	}
 	o.start()
-	_ = o.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if now := time.Now(); now.Sub(o.deadlineSet) > deadlineAge {
+		_ = o.control.SetWriteDeadline(now.Add(writeTimeout))
+		o.deadlineSet = now
+	}
 	_, err := o.w.Write(o.buffer)
 	o.buffer = o.buffer[:0]
 	if err == nil {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -33,8 +33,9 @@
 // Actions is what the side has to do after an event. The zero value asks for
 // nothing.
 type Actions struct {
-	// Send are the frames for the entry that reads the generation, in order.
-	Send []*wire.Frame
+	// Ready says that there are frames for the entry that reads the
+	// generation; Take returns them. What comes until then is taken together.
+	Ready bool
 	// Reopen asks for the stream to be opened at the engine again, from index
 	// From. An open stream is closed first.
 	Reopen bool
@@ -60,6 +61,9 @@
 	// final is set once the generation is over; it is sent after all tokens.
 	final     *wire.Final
 	finalSent bool
+	// answer asks for a frame even without tokens: the entry wants to know
+	// that the side lives.
+	answer bool
 	// attached says that an entry reads the generation.
 	attached   bool
 	detachedAt time.Time
@@ -127,7 +131,7 @@
 	}
 	h.kept = append(h.kept, event.Text)
 	h.cutAt = time.Time{}
-	return h.flush()
+	return h.ready()
 }
 
 // done ends the generation. An engine that counts fewer tokens than it sent
@@ -143,7 +147,7 @@
 		Complete:     true,
 		FinishReason: event.FinishReason,
 	}
-	return h.flush()
+	return h.ready()
 }
 
 // Cut notes that the engine's stream ended without its last event, or could
@@ -198,7 +202,7 @@
 		GenerationId: string(h.generation),
 		Refusal:      wire.FromRefusal(refusal),
 	}
-	return h.flush()
+	return h.ready()
 }
 
 // Ack notes that the caller has all tokens below next. The last one ends the
@@ -226,17 +230,14 @@
 	}
 	h.attached = true
 	h.finalSent = false
+	h.answer = true
 	next = min(next, h.Produced())
 	if next < h.acked {
 		return h.rewind(next)
 	}
 	h.drop(next)
 	h.sent = next
-	actions := h.flush()
-	if len(actions.Send) == 0 {
-		actions.Send = []*wire.Frame{h.tokens()}
-	}
-	return actions
+	return h.ready()
 }
 
 // Detach notes that nobody reads any more: the link or the entry is gone, or
@@ -296,24 +297,31 @@
 	h.kept = nil
 	h.final = nil
 	h.open = false
-	return Actions{Reopen: true, From: next, Send: []*wire.Frame{h.tokens()}}
+	return Actions{Reopen: true, From: next, Ready: true}
 }
 
-// flush sends what an attached entry has not been sent.
-func (h *Holder) flush() Actions {
-	if !h.attached {
-		return Actions{}
+// ready says whether Take has frames.
+func (h *Holder) ready() Actions {
+	unsent := h.answer || h.sent < h.Produced() || h.final != nil && !h.finalSent
+	return Actions{Ready: h.attached && unsent}
+}
+
+// Take returns the frames that the attached entry has not been sent, in order.
+func (h *Holder) Take() []*wire.Frame {
+	if !h.attached || h.forgotten {
+		return nil
 	}
-	var actions Actions
-	if h.sent < h.Produced() {
-		actions.Send = append(actions.Send, h.tokens())
+	var frames []*wire.Frame
+	if h.answer || h.sent < h.Produced() {
+		frames = append(frames, h.tokens())
 		h.sent = h.Produced()
+		h.answer = false
 	}
 	if h.final != nil && !h.finalSent {
-		actions.Send = append(actions.Send, &wire.Frame{Body: &wire.Frame_Final{Final: h.final}})
+		frames = append(frames, &wire.Frame{Body: &wire.Frame_Final{Final: h.final}})
 		h.finalSent = true
 	}
-	return actions
+	return frames
 }
 
 func (h *Holder) tokens() *wire.Frame {
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/holder"
+	"github.com/currantwood/currantwood/wire"
 )
 
 var (
@@ -36,10 +37,18 @@
 	}
 }
 
+// taken are the frames that are ready.
+func taken(h *holder.Holder, a holder.Actions) []*wire.Frame {
+	if !a.Ready {
+		return nil
+	}
+	return h.Take()
+}
+
 // show writes actions down: sent texts with their first index, then the rest.
-func show(a holder.Actions) string {
+func show(h *holder.Holder, a holder.Actions) string {
 	var parts []string
-	for _, frame := range a.Send {
+	for _, frame := range taken(h, a) {
 		if f := frame.GetTokens(); f != nil {
 			parts = append(parts, fmt.Sprintf("%d:%s", f.FirstIndex, strings.Join(f.Texts, ",")))
 		}
@@ -98,7 +107,7 @@
 		h := holder.New(start, "r", "a", 0, opts)
 		var got []string
 		for _, s := range steps {
-			if line := show(s(h)); line != "" {
+			if line := show(h, s(h)); line != "" {
 				got = append(got, line)
 			}
 		}
@@ -142,16 +151,24 @@
 		h := holder.New(start, "r", "a", 0, opts)
 		for i := range uint64(4) {
 			Expect(h.Reading()).To(BeTrue())
-			h.Event(start, token(i))
+			taken(h, h.Event(start, token(i)))
 		}
 		Expect(h.Reading()).To(BeFalse())
 		h.Ack(2)
 		Expect(h.Reading()).To(BeTrue())
 	})
 
+	It("sends what came since the last frame together", func() {
+		h := holder.New(start, "r", "a", 0, opts)
+		h.Event(start, token(0))
+		h.Event(start, token(1))
+		Expect(show(h, h.Event(start, done(2)))).To(Equal("0:t0,t1 final=2"))
+		Expect(h.Take()).To(BeEmpty())
+	})
+
 	It("leaves the frames that wait to be written alone", func() {
 		h := holder.New(start, "r", "a", 0, opts)
-		frame := h.Event(start, token(0)).Send[0]
+		frame := taken(h, h.Event(start, token(0)))[0]
 		h.Ack(1)
 		h.Event(start, token(1))
 		Expect(frame.GetTokens().Texts).To(Equal([]string{"t0"}))
@@ -167,7 +184,7 @@
 					engine = uint64(a.From)
 					h.Reopened(start)
 				}
-				for _, frame := range a.Send {
+				for _, frame := range taken(h, a) {
 					if f := frame.GetTokens(); f != nil && f.FirstIndex <= given {
 						for i, text := range f.Texts {
 							if text != fmt.Sprintf("t%d", f.FirstIndex+uint64(i)) {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -27,6 +27,10 @@
 	maxQueuedFrames = 1 << 16
 	// readBufferBytes is the size of the buffer for incoming frames.
 	readBufferBytes = 64 << 10
+	// flushBytes are written at once while more waits; writeBufferBytes has
+	// room for that and a usual frame.
+	flushBytes       = 64 << 10
+	writeBufferBytes = flushBytes + 16<<10
 	// streamWindowBytes is yamux's flow control window.
 	streamWindowBytes = 1 << 20
 	// helloTimeout bounds the exchange of the first frames.
@@ -51,6 +55,19 @@
 	Closed func(link *Link, err error)
 }
 
+// Source makes frames at the moment of writing, so that a peer that reads
+// slowly gets few large frames and no long queue of small ones.
+type Source interface {
+	// Frames returns the frames to write now, in order. It must not block.
+	Frames(link *Link) []*wire.Frame
+}
+
+// queued is what waits to be written: exactly one field is set.
+type queued struct {
+	frame  *wire.Frame
+	source Source
+}
+
 // Link is one live connection to a peer.
 type Link struct {
 	options Options
@@ -64,9 +81,9 @@
 	heardAt atomic.Int64
 
 	mu sync.Mutex
-	// queue holds the frames that the writer hasn't taken yet. It is nil once
-	// the link is closed.
-	queue  []*wire.Frame
+	// queue holds what the writer hasn't taken yet. It is nil once the link is
+	// closed.
+	queue  []queued
 	closed bool
 	cause  error
 
@@ -98,13 +115,19 @@
 
 // Send queues a frame. It never blocks. It fails when the link is closed, and
 // closes the link when too many frames wait.
-func (l *Link) Send(frame *wire.Frame) error {
+func (l *Link) Send(frame *wire.Frame) error { return l.enqueue(queued{frame: frame}) }
+
+// SendFrom queues a source in the place of its frames. The caller queues a
+// source again only after its Frames was called.
+func (l *Link) SendFrom(source Source) error { return l.enqueue(queued{source: source}) }
+
+func (l *Link) enqueue(item queued) error {
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
 		return errors.Wrapf(ErrClosed, "link: send, peer %s", l.peer.GetProcess())
 	}
-	l.queue = append(l.queue, frame)
+	l.queue = append(l.queue, item)
 	overflow := len(l.queue) > maxQueuedFrames
 	l.mu.Unlock()
 	if overflow {
@@ -160,7 +183,11 @@
 	}
 	l.reader = bufio.NewReaderSize(l.stream, readBufferBytes)
 	hello := &wire.Frame{Body: &wire.Frame_Hello{Hello: l.options.Hello}}
-	if err := l.writeBatch([]*wire.Frame{hello}, nil); err != nil {
+	buffer, err := appendFrame(nil, hello)
+	if err != nil {
+		return err
+	}
+	if _, err := l.stream.Write(buffer); err != nil {
 		return err
 	}
 	first, err := l.readFrame()
@@ -175,8 +202,8 @@
 }
 
 func (l *Link) write() {
-	var batch []*wire.Frame
-	buffer := make([]byte, 0, readBufferBytes)
+	var batch []queued
+	buffer := make([]byte, 0, writeBufferBytes)
 	for {
 		select {
 		case <-l.wake:
@@ -194,16 +221,27 @@
 	}
 }
 
-func (l *Link) writeBatch(batch []*wire.Frame, buffer []byte) error {
+// writeBatch writes all that waits, a buffer at a time.
+func (l *Link) writeBatch(batch []queued, buffer []byte) error {
 	buffer = buffer[:0]
-	options := proto.MarshalOptions{}
-	for _, frame := range batch {
-		size := options.Size(frame)
-		buffer = binary.AppendUvarint(buffer, uint64(size))
-		var err error
-		if buffer, err = options.MarshalAppend(buffer, frame); err != nil {
+	for _, item := range batch {
+		frames := []*wire.Frame{item.frame}
+		if item.source != nil {
+			frames = item.source.Frames(l)
+		}
+		for _, frame := range frames {
+			var err error
+			if buffer, err = appendFrame(buffer, frame); err != nil {
+				return err
+			}
+		}
+		if len(buffer) < flushBytes {
+			continue
+		}
+		if _, err := l.stream.Write(buffer); err != nil {
 			return err
 		}
+		buffer = buffer[:0]
 	}
 	if len(buffer) == 0 {
 		return nil
@@ -212,6 +250,13 @@
 	return err
 }
 
+// appendFrame appends a frame behind its length.
+func appendFrame(buffer []byte, frame *wire.Frame) ([]byte, error) {
+	options := proto.MarshalOptions{UseCachedSize: true}
+	buffer = binary.AppendUvarint(buffer, uint64(proto.Size(frame)))
+	return options.MarshalAppend(buffer, frame)
+}
+
 func (l *Link) read() {
 	for {
 		frame, err := l.readFrame()
--- a/proof/streams/caller_test.go
+++ b/proof/streams/caller_test.go
@@ -124,6 +124,8 @@
 		return false, err
 	}
 	switch {
+	case name == "restart" && !c.restarts:
+		return false, fmt.Errorf("restart event for a caller that didn't declare it")
 	case name == "restart":
 		c.restarted++
 		c.texts = nil
--- a/runner/run.go
+++ b/runner/run.go
@@ -41,6 +41,9 @@
 	holder *holder.Holder
 	// link leads to the entry that reads the generation.
 	link *linker.Link
+	// offered is the link that will take the run's frames; nil when none was
+	// asked to.
+	offered *linker.Link
 	// source is the open stream; nil while there is none.
 	source currantwood.TokenSource
 	// epoch counts the sources that were given up. An event of an earlier
@@ -238,14 +241,8 @@
 
 // apply does what the holder asked for. The caller holds mu.
 func (u *run) apply(actions holder.Actions) {
-	for _, frame := range actions.Send {
-		if final := frame.GetFinal(); final != nil {
-			final.TokenSeconds = u.tokenSeconds()
-		}
-		if u.link.Send(frame) != nil {
-			u.holder.Detach(time.Now())
-			break
-		}
+	if actions.Ready {
+		u.offer()
 	}
 	if actions.Reopen {
 		u.closeSource()
@@ -260,6 +257,36 @@
 	}
 }
 
+// offer makes the link take the run's frames when it next writes. The caller
+// holds mu.
+func (u *run) offer() {
+	if u.offered == u.link {
+		return
+	}
+	u.offered = u.link
+	if u.link.SendFrom(u) != nil {
+		u.holder.Detach(time.Now())
+	}
+}
+
+// Frames hands the link what its entry has not been sent. A link that has been
+// replaced gets nothing.
+func (u *run) Frames(link *linker.Link) []*wire.Frame {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.link != link {
+		return nil
+	}
+	u.offered = nil
+	frames := u.holder.Take()
+	for _, frame := range frames {
+		if final := frame.GetFinal(); final != nil {
+			final.TokenSeconds = u.tokenSeconds()
+		}
+	}
+	return frames
+}
+
 // forget ends the run. The caller holds mu.
 func (u *run) forget(cancel bool) {
 	u.forgotten = true
@@ -352,6 +379,14 @@
 	u.apply(u.holder.Cancel())
 }
 
+// stop ends the run's goroutine. The stream goes on at the engine.
+func (u *run) stop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cancel()
+	u.closeSource()
+}
+
 func (u *run) tick(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -98,7 +98,7 @@
 	}
 	close(r.done)
 	for _, run := range r.all() {
-		run.cancel()
+		run.stop()
 	}
 	r.wait.Wait()
 }
