Estimator: positions of usual lengths are looked up

Cause: admission asks a curve 26 times for each running stream, and half of its time went into logarithms.

Change: a table for lengths below 4,096 tokens.

--- a/estimator/curve.go
+++ b/estimator/curve.go
@@ -31,7 +31,7 @@
 	if tokens <= 1 {
 		return 1
 	}
-	at := math.Log2(tokens) * perOctave
+	at := position(tokens)
 	bucket := int(at)
 	if bucket >= buckets {
 		return 0
@@ -41,6 +41,29 @@
 	return low + part*(high-low)
 }
 
+// tabled is the number of lengths whose position is looked up, since admission
+// asks for thousands of them.
+const tabled = 4096
+
+// positions has the position of each whole length below tabled.
+var positions = makePositions()
+
+func makePositions() (table [tabled]float32) {
+	for tokens := 1; tokens < tabled; tokens++ {
+		table[tokens] = float32(math.Log2(float64(tokens)) * perOctave)
+	}
+	return table
+}
+
+// position returns where a length lies, in buckets. Lengths below tabled are
+// rounded down to whole tokens.
+func position(tokens float64) float64 {
+	if tokens < tabled {
+		return float64(positions[int(tokens)])
+	}
+	return math.Log2(tokens) * perOctave
+}
+
 // Remaining returns what a stream that has produced soFar tokens has left, at
 // the given quantile.
 func (c *Curve) Remaining(soFar currantwood.TokenCount, quantile float64) currantwood.TokenCount {
