Gatekeeper: memory that others fill is not given out

Cause: a side that replaces another one resumes its streams at the engine but admits as if the engine were empty. The same holds for prompts that are longer than their bytes suggest.

Change: what the engine reports beyond the most that this side has had there in the last two to four seconds is taken off the memory to give out.

The test 'leaves room for streams that an earlier side started' was written with the change; without it EngineLoad reads the memory's size alone, so both requests start.

--- a/gatekeeper/forecast.go
+++ b/gatekeeper/forecast.go
@@ -142,17 +142,17 @@
 
 // limit is the memory that a request of this kind may fill.
 func (g *Gatekeeper) limit(r *request) float64 {
-	memory := float64(g.memory) - float64(pauseMargin*(len(g.running)+1))
+	memory := float64(g.available()) - float64(pauseMargin*(len(g.running)+1))
 	if r.isCheck() {
 		return memory
 	}
-	return memory - float64(g.memory)*float64(g.options.CheckReserve)
+	return memory - float64(g.available())*float64(g.options.CheckReserve)
 }
 
 // waitFor predicts when there is room for that many more tokens.
 func (g *Gatekeeper) waitFor(now time.Time, tokens float64) time.Duration {
 	g.refresh(now)
-	room := float64(g.memory)*(1-float64(g.options.CheckReserve)) - tokens
+	room := float64(g.available())*(1-float64(g.options.CheckReserve)) - tokens
 	steps := horizons[len(horizons)-1]
 	for i := len(horizons) - 1; i >= 0; i-- {
 		bound := g.forecast.at(i, g.deviations)
@@ -180,7 +180,7 @@
 // Headroom is the memory that could be given to new streams now.
 func (g *Gatekeeper) Headroom(now time.Time) currantwood.TokenCount {
 	g.refresh(now)
-	limit := float64(g.memory) * (1 - float64(g.options.CheckReserve))
+	limit := float64(g.available()) * (1 - float64(g.options.CheckReserve))
 	room := limit - g.forecast.peak(g.deviations)
 	for _, r := range g.queue {
 		room -= r.expected
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -64,8 +64,13 @@
 	// used is the sum of context over running.
 	used currantwood.TokenCount
 	// prefill is the sum of prompt tokens over running without a token yet.
-	prefill  currantwood.TokenCount
-	memory   currantwood.TokenCount
+	prefill currantwood.TokenCount
+	memory  currantwood.TokenCount
+	// foreign is memory that the engine reports beyond what was started here.
+	foreign currantwood.TokenCount
+	// highs are the most that used was in the present and the last period.
+	highs    [2]currantwood.TokenCount
+	periodAt time.Time
 	arrivals uint64
 	// stepTime is the observed time between the tokens of a stream.
 	stepTime time.Duration
@@ -229,6 +234,7 @@
 // Tick refuses what has waited too long and starts what fits by now. It is to
 // be called every step or so.
 func (g *Gatekeeper) Tick(now time.Time) []Action {
+	g.noteHigh(now)
 	var actions []Action
 	for _, r := range g.overdue(now) {
 		wait := g.waitBehind(now, r)
@@ -259,13 +265,6 @@
 	return g.options.MaxWait
 }
 
-// EngineLoad takes in the engine's late report of itself.
-func (g *Gatekeeper) EngineLoad(_ time.Time, load currantwood.EngineLoad) {
-	if g.options.MemoryTokens == 0 && load.MemoryTokens > 0 {
-		g.memory = load.MemoryTokens
-	}
-}
-
 // Running counts the requests that the engine runs.
 func (g *Gatekeeper) Running() int { return len(g.running) }
 
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -119,6 +119,17 @@
 		Expect(late[0].Refusal.RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	It("leaves room for streams that an earlier side started", func() {
+		left := currantwood.EngineLoad{MemoryTokens: 1600, UsedTokens: 700}
+		g.EngineLoad(start, left)
+		Expect(kinds(g.Offer(start, plan("a")))).To(Equal([]string{"start a"}))
+		Expect(kinds(g.Offer(start, plan("b")))).To(Equal([]string{"refuse b"}))
+		By("giving it out once they have ended")
+		left.UsedTokens = 100
+		g.EngineLoad(start, left)
+		Expect(kinds(g.Offer(start, plan("b")))).To(Equal([]string{"start b"}))
+	})
+
 	It("refuses a request whose deadline has passed", func() {
 		late := plan("a")
 		late.Deadline = start
--- a/gatekeeper/schedule.go
+++ b/gatekeeper/schedule.go
@@ -122,7 +122,7 @@
 // isFull reports whether the engine is about to preempt a stream by itself.
 func (g *Gatekeeper) isFull() bool {
 	growth := currantwood.TokenCount(len(g.running) * pauseMargin)
-	return len(g.running) > 1 && g.used+growth > g.memory
+	return len(g.running) > 1 && g.used+growth > g.available()
 }
 
 // relieve pauses victims until memory is no longer about to fill.
