--- a/picker/picker.go
+++ b/picker/picker.go
@@ -103,7 +103,7 @@
 	defer p.mu.Unlock()
 	own := p.sample(now, demand, candidates, true)
 	if own.index < 0 {
-		fresh := demand.Refused == 0 || demand.Promised
+		fresh := demand.Refused == 0 || demand.Promised && demand.Refused == 1
 		if fresh {
 			own = p.shortestWait(now, demand, candidates, true)
 		}
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -69,13 +69,14 @@
 	})
 
 	DescribeTable("sends a refused request to full sides",
-		func(promised bool, want int) {
+		func(times int, promised bool, want int) {
 			refused := demand
-			refused.Refused, refused.Promised = 1, promised
+			refused.Refused, refused.Promised = times, promised
 			Expect(newPicker().Pick(start, refused, []currantwood.Candidate{at("home", 0, time.Second)})).To(Equal(want))
 		},
-		Entry("not at all when it is new", false, -1),
-		Entry("when it comes in its slot", true, 0),
+		Entry("not at all when it is new", 1, false, -1),
+		Entry("once more when it comes in its slot", 1, true, 0),
+		Entry("not twice", 2, true, -1),
 	)
 
 	It("spreads requests over equal candidates", func() {
