--- a/promiser/promiser.go
+++ b/promiser/promiser.go
@@ -37,10 +37,10 @@
 	MaxSlots int
 }
 
-// DefaultOptions leave a quarter of the places unpromised.
+// DefaultOptions leave a third of the places unpromised.
 func DefaultOptions() Options {
 	return Options{
-		Part:      0.75,
+		Part:      0.65,
 		Least:     300 * time.Millisecond,
 		Early:     50 * time.Millisecond,
 		Late:      5 * time.Second,
