--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -12,14 +12,11 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/entrystarter"
-	"github.com/currantwood/currantwood/logclient"
-	"github.com/currantwood/currantwood/publisher"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/sidestarter"
 	"github.com/currantwood/currantwood/standin/delayer"
@@ -98,7 +95,11 @@
 	platform []*httptest.Server
 	mu       sync.Mutex
 	// conns holds the newest delayed connections between processes.
-	conns []*delayer.Conn
+	conns []connection
+	// parted are the regions that reach neither the others nor the log.
+	parted map[currantwood.RegionID]bool
+	// logs are the addresses at which each region reaches the log.
+	logs map[currantwood.RegionID]string
 	// regions says where the listener of an address stands.
 	regions map[string]currantwood.RegionID
 }
@@ -111,10 +112,17 @@
 		VMs:     vmlist.New(),
 		Weights: weightstore.New(),
 		regions: make(map[string]currantwood.RegionID),
+		parted:  make(map[currantwood.RegionID]bool),
+		logs:    make(map[currantwood.RegionID]string),
 	}
 	for _, handler := range []http.Handler{d.Log, d.VMs, d.Weights} {
 		d.platform = append(d.platform, httptest.NewServer(handler))
 	}
+	for _, region := range options.Regions {
+		server := httptest.NewServer(d.logOf(region))
+		d.platform = append(d.platform, server)
+		d.logs[region] = server.URL
+	}
 	if err := d.publish(); err != nil {
 		d.Close()
 		return nil, err
@@ -130,27 +138,6 @@
 	return d, nil
 }
 
-// publishTimeout bounds the publication of the rules at the start.
-const publishTimeout = 10 * time.Second
-
-// publish puts the rules of the options into the log.
-func (d *Demonstrator) publish() error {
-	if d.options.Rules == "" {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
-	defer cancel()
-	p := publisher.New(publisher.Options{
-		Log:   logclient.New(logclient.Options{Address: d.LogAddress()}),
-		NewID: func() currantwood.PublicationID { return currantwood.PublicationID(uuid.NewString()) },
-	})
-	result, err := p.Publish(ctx, publisher.Edit{PublishedBy: "demonstrator", Text: d.options.Rules})
-	if err == nil && result.Outcome != publisher.Accepted {
-		err = errors.Errorf("outcome %s", result.Outcome)
-	}
-	return errors.Wrap(err, "demonstrator: publish rules")
-}
-
 // LogAddress is the base address of the log service.
 func (d *Demonstrator) LogAddress() string { return d.platform[0].URL }
 
@@ -364,7 +351,7 @@
 	settings.Region = string(region)
 	settings.Zone = string(region) + "-a"
 	settings.Listen = settingsreader.Listen{Callers: loopback, Links: loopback, Operators: loopback}
-	settings.Platform.LogService = d.platform[0].URL
+	settings.Platform.LogService = d.logs[region]
 	settings.Platform.VMList = d.platform[1].URL
 	settings.Platform.WeightStore = d.platform[2].URL
 	if d.options.Settings != nil {
@@ -387,7 +374,12 @@
 	}
 	d.mu.Lock()
 	to := d.regions[address]
+	apart := from != to && (d.parted[from] || d.parted[to])
 	d.mu.Unlock()
+	if apart {
+		_ = conn.Close()
+		return nil, errors.Errorf("demonstrator: %s and %s are parted", from, to)
+	}
 	delay := d.options.ZoneDelay
 	if to != from {
 		delay = d.options.RegionDelay
@@ -395,7 +387,7 @@
 	delayed := delayer.New(conn, delay)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.conns = append(d.conns, delayed)
+	d.conns = append(d.conns, connection{Conn: delayed, from: from, to: to})
 	if len(d.conns) > maxConns {
 		d.conns = d.conns[1:]
 	}
--- /dev/null
+++ b/demonstrator/rules.go
@@ -0,0 +1,34 @@
+package demonstrator
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/logclient"
+	"github.com/currantwood/currantwood/publisher"
+)
+
+// publishTimeout bounds the publication of the rules at the start.
+const publishTimeout = 10 * time.Second
+
+// publish puts the rules of the options into the log.
+func (d *Demonstrator) publish() error {
+	if d.options.Rules == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	p := publisher.New(publisher.Options{
+		Log:   logclient.New(logclient.Options{Address: d.LogAddress()}),
+		NewID: func() currantwood.PublicationID { return currantwood.PublicationID(uuid.NewString()) },
+	})
+	result, err := p.Publish(ctx, publisher.Edit{PublishedBy: "demonstrator", Text: d.options.Rules})
+	if err == nil && result.Outcome != publisher.Accepted {
+		err = errors.Errorf("outcome %s", result.Outcome)
+	}
+	return errors.Wrap(err, "demonstrator: publish rules")
+}
