--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -110,7 +110,11 @@
 	if err != nil {
 		return c.wrap(err, "encode order")
 	}
-	return c.call(ctx, http.MethodPost, c.base+"/orders", "order", body, nil)
+	err = c.call(ctx, http.MethodPost, c.base+"/orders", "order", body, nil)
+	if errors.Is(err, errConflict) {
+		return c.wrap(currantwood.ErrStaleFencing, "order")
+	}
+	return err
 }
 
 // open sends a request that a token stream answers.
@@ -164,6 +168,10 @@
 	return err
 }
 
+// errConflict is the answer to an order with an old fencing number, and to a
+// start of a stream that the engine has already.
+var errConflict = errors.New("engine answered a conflict")
+
 func statusError(status int) error {
 	switch status {
 	case http.StatusOK:
@@ -171,7 +179,7 @@
 	case http.StatusNotFound:
 		return currantwood.ErrStreamUnknown
 	case http.StatusConflict:
-		return currantwood.ErrStaleFencing
+		return errConflict
 	case http.StatusServiceUnavailable:
 		return currantwood.ErrNotDispatched
 	default:
--- a/engineclient/client_test.go
+++ b/engineclient/client_test.go
@@ -149,6 +149,14 @@
 		}).WithTimeout(10 * time.Second).Should(MatchError(currantwood.ErrStreamUnknown))
 	})
 
+	It("does not take a second start of a stream for an order's conflict", func() {
+		start("a", 2000)
+		_, err := client.Generate(ctx, generation("a", 5, ""))
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(MatchError(currantwood.ErrStaleFencing))
+		Expect(err).NotTo(MatchError(currantwood.ErrNotDispatched))
+	})
+
 	It("says not dispatched when refused or not reached", func() {
 		setFaults(`{"reject": true}`)
 		_, err := client.Generate(ctx, generation("a", 5, ""))
