headkeeper: a fresh reader knows the age of its anchor

A reader that began at a checkpoint took the log to have none and wrote another at once, a whole text each time the choice of readers changed.

--- a/headkeeper/headkeeper.go
+++ b/headkeeper/headkeeper.go
@@ -150,7 +150,7 @@
 	if k.anchored {
 		k.follow(now, window)
 	} else {
-		k.search(window)
+		k.search(now, window)
 	}
 	return k.anchor.Head.Revision > before
 }
@@ -209,7 +209,7 @@
 }
 
 // search looks for a checkpoint that accounts for all that has expired.
-func (k *Keeper) search(window currantwood.Window) {
+func (k *Keeper) search(now time.Time, window currantwood.Window) {
 	if !k.scan.started {
 		k.scan = scan{started: true, span: firstSpan}
 		k.scan.restart(window)
@@ -220,7 +220,7 @@
 			continue
 		}
 		k.scan.at++
-		if k.anchorOn(record, window.First) {
+		if k.anchorOn(now, record, window.First) {
 			return
 		}
 	}
@@ -247,7 +247,7 @@
 
 // anchorOn takes a record for the anchor where it is a checkpoint from which
 // on all records are still in the log.
-func (k *Keeper) anchorOn(record currantwood.Record, first currantwood.Offset) bool {
+func (k *Keeper) anchorOn(now time.Time, record currantwood.Record, first currantwood.Offset) bool {
 	e := decode(record.Data)
 	c := e.Checkpoint
 	if c == nil {
@@ -258,5 +258,6 @@
 	}
 	k.anchor = c.anchor()
 	k.anchored = true
+	k.note(now, *c)
 	return true
 }
