--- a/entrystarter/rules.go
+++ b/entrystarter/rules.go
@@ -45,6 +45,7 @@
 		Retention: e.settings.Platform.LogRetention.Std(),
 		Position:  e.readerPosition(),
 		Apply:     e.SetRules,
+		Metrics:   e.metrics,
 		Logger:    e.logger.With(zap.String("step", "headserver")),
 	})
 }
--- a/headserver/headserver.go
+++ b/headserver/headserver.go
@@ -5,30 +5,21 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/headkeeper"
 	"github.com/currantwood/currantwood/linker"
-	"github.com/currantwood/currantwood/operatorserver"
 	"github.com/currantwood/currantwood/parser"
 	"github.com/currantwood/currantwood/spreader"
 	"github.com/currantwood/currantwood/tailer"
 	"github.com/currantwood/currantwood/wire"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 )
 
-// Path is where operators find the head in force.
-const Path = "/head"
-
-// maxHeadBytes bounds a head that an operator hands over; its text is written
-// in JSON.
-const maxHeadBytes = 2*parser.MaxTextBytes + 4096
-
 // Options says where a process gets its rules and what it does with them.
 type Options struct {
 	Region currantwood.RegionID
@@ -41,8 +32,11 @@
 	Position func(peers []*wire.Hello) tailer.Position
 	// Apply puts rules in force; nil where the process has no use for them. It
 	// is called for one head at a time, each higher than the last.
-	Apply  func(rules currantwood.Rules)
-	Logger *zap.Logger
+	Apply func(rules currantwood.Rules)
+	// Metrics takes "rules-revision", the revision in force, and
+	// "rules-unreadable", 1 while a later head can't be read.
+	Metrics metrics.Registry
+	Logger  *zap.Logger
 }
 
 // Server keeps the rules of one process. It is a distributor.Handler.
@@ -135,52 +129,6 @@
 	return s.force
 }
 
-// Page is the answer of the operators' page.
-type Page struct {
-	Revision    currantwood.Revision      `json:"revision"`
-	Publication currantwood.PublicationID `json:"publication"`
-	// Unreadable says why a later head is not in force.
-	Unreadable string `json:"unreadable,omitempty"`
-}
-
-// ServeHTTP answers operators with the head in force. By POST it first takes a
-// head that the log has accepted from the operator who published it.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPost {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeadBytes))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		anchor, err := headkeeper.DecodeAnchor(body)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.adopt(time.Now(), anchor)
-	}
-	operatorserver.WriteJSON(w, s.page())
-}
-
-func (s *Server) page() Page {
-	s.forceMu.Lock()
-	defer s.forceMu.Unlock()
-	page := Page{Revision: s.force.Revision, Publication: s.force.Publication}
-	if s.unreadable != nil {
-		page.Unreadable = s.unreadable.Error()
-	}
-	return page
-}
-
-// adopt takes a head that came neither by the log nor by a link.
-func (s *Server) adopt(now time.Time, anchor headkeeper.Anchor) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.keeper.Adopt(anchor)
-	s.send(s.spreader.Adopt(now, anchor))
-	signal(s.fresh)
-}
-
 // Up takes in a link.
 func (s *Server) Up(link *linker.Link) {
 	s.enqueue(event{link: link, up: true})
@@ -340,6 +288,7 @@
 		s.force = head
 	}
 	s.forceMu.Unlock()
+	s.measure()
 	if err != nil {
 		s.options.Logger.Error("published rules can't be read, former rules stay in force", append(fields, zap.Error(err))...)
 		return
@@ -347,6 +296,17 @@
 	s.options.Logger.Info("rules in force", fields...)
 }
 
+func (s *Server) measure() {
+	s.forceMu.Lock()
+	defer s.forceMu.Unlock()
+	unreadable := int64(0)
+	if s.unreadable != nil {
+		unreadable = 1
+	}
+	metrics.GetOrRegisterGauge("rules-revision", s.options.Metrics).Update(int64(s.force.Revision))
+	metrics.GetOrRegisterGauge("rules-unreadable", s.options.Metrics).Update(unreadable)
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -57,7 +57,7 @@
 		_ = operators.Close()
 		return nil, err
 	}
-	s.head = headserver.New(headserver.Options{Region: currantwood.RegionID(settings.Region), Logger: logger})
+	s.head = headserver.New(headserver.Options{Region: currantwood.RegionID(settings.Region), Metrics: s.metrics, Logger: logger})
 	serverOptions.Handlers = append(serverOptions.Handlers, s.head)
 	s.server = sideserver.New(serverOptions)
 	s.operators = operatorserver.New(operatorserver.Options{
