--- a/matcher/suite_test.go
+++ b/matcher/suite_test.go
@@ -1,12 +1,22 @@
 package matcher_test
 
 import (
+	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
+// The seed is given, so that each run is the same.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
 func TestMatcher(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "matcher")
--- /dev/null
+++ b/spreader/hop_test.go
@@ -0,0 +1,60 @@
+package spreader_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/headkeeper"
+	"github.com/currantwood/currantwood/matcher"
+	"github.com/currantwood/currantwood/spreader"
+	"github.com/currantwood/currantwood/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// BenchmarkHop measures what one process spends to take a change of one line
+// from a peer, and the bytes of the difference, by the length of the text.
+func BenchmarkHop(b *testing.B) {
+	for _, lines := range []int{1000, 2500, 5000, 10000} {
+		b.Run(fmt.Sprintf("lines=%d", lines), func(b *testing.B) { benchmarkHop(b, lines) })
+	}
+}
+
+func benchmarkHop(b *testing.B, lines int) {
+	var whole strings.Builder
+	for i := range lines {
+		fmt.Fprintf(&whole, "customer c%d key-hash=%s weight=2 max-streams=40 # asked-by Ann: load test\n", i, matcher.HashKey(fmt.Sprint(i)))
+	}
+	first := anchorOf(1, whole.String())
+	second := anchorOf(2, strings.Replace(whole.String(), "weight=2", "weight=3", 1))
+	random := rand.New(rand.NewPCG(1, 2))
+	newNode := func() *spreader.Spreader {
+		node := spreader.New(spreader.Options{Random: random})
+		node.PeerUp(start, spreader.Peer{ID: "peer"})
+		node.Adopt(start, first)
+		return node
+	}
+	source := newNode()
+	source.Adopt(start, second)
+	fetch := &wire.Frame{Body: &wire.Frame_HeadFetch{HeadFetch: &wire.HeadFetch{Have: 1}}}
+	answer := source.Handle(start, "peer", fetch)[0].Frame
+	for b.Loop() {
+		b.StopTimer()
+		node := newNode()
+		b.StartTimer()
+		node.Handle(start, "peer", answer)
+		if node.Anchor().Head.Revision != 2 {
+			b.Fatal("the head was not taken")
+		}
+	}
+	b.ReportMetric(float64(proto.Size(answer)), "bytes/hop")
+}
+
+func anchorOf(revision currantwood.Revision, text string) headkeeper.Anchor {
+	return headkeeper.Anchor{
+		Head: currantwood.Head{Revision: revision, Publication: currantwood.PublicationID(fmt.Sprint("p", revision)), Text: text},
+		Next: currantwood.Offset(revision),
+	}
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -8,7 +8,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -211,7 +210,7 @@
 		Head: currantwood.Head{
 			Revision:    revision,
 			Publication: currantwood.PublicationID(text.Publication),
-			Text:        strings.Clone(whole),
+			Text:        whole,
 		},
 		PublishedBy: text.PublishedBy,
 		Next:        currantwood.Offset(text.NextOffset),
