proof/streams: an engine is killed without a data race

Ruled out: a race in the product, since both accesses are the test's and the server's. Change: an atomic flag decides in the handler, so a killed engine still answers nothing.

--- a/proof/streams/world_test.go
+++ b/proof/streams/world_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -64,6 +65,8 @@
 	side    *sidestarter.Side
 	// kills counts the sides that were killed.
 	kills int
+	// dead makes the engine answer nothing any more.
+	dead atomic.Bool
 }
 
 type entryNode struct {
@@ -107,7 +110,7 @@
 	options.Model = model
 	options.Faults.TokensPerSecond = tokensPerSecond
 	n := &engineNode{id: currantwood.UpstreamID(fmt.Sprintf("writer-%d", i)), engine: engine.New(options)}
-	n.server = httptest.NewServer(n.engine)
+	n.server = httptest.NewServer(n)
 	DeferCleanup(n.engine.Close)
 	DeferCleanup(func() { n.server.CloseClientConnections(); n.server.Close() })
 	n.between = between(n.server.Listener.Addr().String())
@@ -180,7 +183,16 @@
 func (n *engineNode) kill() {
 	n.between.SetRefuse(true)
 	n.between.CutOpen()
-	n.server.Config.Handler = http.NotFoundHandler()
+	n.dead.Store(true)
+}
+
+// ServeHTTP hands requests to the engine until it was killed.
+func (n *engineNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if n.dead.Load() {
+		http.NotFound(w, r)
+		return
+	}
+	n.engine.ServeHTTP(w, r)
 }
 
 func between(target string) *interrupter.Interrupter {
