--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -80,6 +80,9 @@
 	return settingsreader.Listen{Links: s.LinkAddress(), Operators: s.OperatorAddress()}
 }
 
+// Leave refuses new work from now on and serves on.
+func (s *Side) Leave() { s.server.Leave() }
+
 // Shutdown refuses new work at once and ends when nothing is in flight.
 func (s *Side) Shutdown(ctx context.Context) error {
 	err := s.server.Drain(ctx)
