proof/operations: wait until the log is quiet

'Killed between intent and dispatch' failed under -race (twice; three of three when run alone): it took the mark that a side appends at its start for the payment's intent and killed the sides before that was in the log. The fault was the test's: the payment then ran rightly, once. Each world now waits until no append has come for 400 ms.

go test -race ./proof/operations: 38 specs passed in 89 s; the case alone three of three.

--- a/proof/operations/world_test.go
+++ b/proof/operations/world_test.go
@@ -27,6 +27,8 @@
 	body   = "amount=1"
 	// deadline is that of payments.
 	deadline = 2 * time.Second
+	// quiet is far longer than a side takes to append what waits.
+	quiet = 400 * time.Millisecond
 	// patience bounds every wait for a condition.
 	patience = 30 * time.Second
 )
@@ -96,9 +98,22 @@
 	defer cancel()
 	Expect(d.WaitReady(ctx)).To(Succeed())
 	w.untilPaid(0, "warm-up")
+	w.untilQuiet()
 	return w
 }
 
+// untilQuiet waits until no append has come for a while: sides mark each shard
+// when they start, and an outcome is recorded after its answer was given.
+func (w *world) untilQuiet() {
+	appends, since := 0, time.Now()
+	Eventually(func() time.Duration {
+		if now := w.Log.Counts().Appends; now != appends {
+			appends, since = now, time.Now()
+		}
+		return time.Since(since)
+	}).WithTimeout(patience).Should(BeNumerically(">", quiet))
+}
+
 // desks returns the upstreams that are plain services.
 func (w *world) desks() []*demonstrator.Upstream { return w.Upstreams[:2] }
 
