Entries follow the merged member list and keep a subset of sides

Cause: the entry dialed exactly what the VM list showed, so a list that was empty or late cut live links, and every entry linked to every side.

Change: linkkeeper feeds the registrar from the list and the links, dials the subsetter's choice and keeps links that have work in flight or whose side is leaving. A hello names the VM.

Ruled out: dialing leaving sides anew (their work goes on over the links that are there).

--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -25,6 +25,7 @@
 	"github.com/currantwood/currantwood/headserver"
 	"github.com/currantwood/currantwood/limiter"
 	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/linkkeeper"
 	"github.com/currantwood/currantwood/matcher"
 	"github.com/currantwood/currantwood/observer"
 	"github.com/currantwood/currantwood/operatorserver"
@@ -57,8 +58,7 @@
 	limiter   *limiter.Limiter
 	crashes   *crashhandler.Handler
 	startedAt time.Time
-	// alone says that the last VM list showed no other entry.
-	alone     atomic.Bool
+	keeper    *linkkeeper.Keeper
 	forwarder *forwarder.Forwarder
 	server    *entryserver.Server
 	links     *distributor.Distributor
@@ -176,7 +176,8 @@
 	})
 	calls := e.newCaller()
 	e.head = e.newHead()
-	e.links = distributor.New(&sideHandler{entry: e}, &usageHandler{limiter: e.limiter}, e.crashes, calls, e.head)
+	e.keeper = e.newKeeper()
+	e.links = distributor.New(e.keeper, &sideHandler{entry: e}, &usageHandler{limiter: e.limiter}, e.crashes, calls, e.head)
 	e.dialer = dialer.New(dialer.Options{
 		Dial:   options.Dial,
 		Link:   func(conn net.Conn, _ string) (*linker.Link, error) { return linker.New(conn, e.linkOptions(true)) },
@@ -224,7 +225,7 @@
 	}()
 	go func() {
 		defer e.wait.Done()
-		e.follow()
+		e.keeper.Follow(e.ctx)
 	}()
 	go func() {
 		defer e.wait.Done()
@@ -261,39 +262,21 @@
 	}
 }
 
-// follow reads the VM list again and again and dials what it names.
-func (e *Entry) follow() {
-	ticker := time.NewTicker(e.settings.Platform.VMListInterval.Std())
-	defer ticker.Stop()
-	for {
-		if vms, err := e.vms.VMs(e.ctx); err == nil {
-			e.dialer.Set(e.addresses(vms))
-		} else if e.ctx.Err() == nil {
-			e.logger.Warn("VM list not read", zap.Error(err))
-		}
-		select {
-		case <-e.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// addresses chooses whom to dial: the sides, and the entries whose VM's name is
-// lower, so that two entries keep one link.
-func (e *Entry) addresses(vms []currantwood.VM) []string {
-	var addresses []string
-	alone := true
-	for _, vm := range vms {
-		if vm.Role == currantwood.RoleEntry.String() && string(vm.ID) != e.settings.VM {
-			alone = false
-		}
-		if vm.Role == currantwood.RoleSide.String() || string(vm.ID) < e.settings.VM {
-			addresses = append(addresses, vm.Address)
-		}
-	}
-	e.alone.Store(alone)
-	return addresses
+func (e *Entry) newKeeper() *linkkeeper.Keeper {
+	return linkkeeper.New(linkkeeper.Options{
+		Self: currantwood.VM{
+			ID:     currantwood.VMID(e.settings.VM),
+			Role:   currantwood.RoleEntry.String(),
+			Region: currantwood.RegionID(e.settings.Region),
+			Zone:   currantwood.ZoneID(e.settings.Zone),
+		},
+		VMs:      e.vms,
+		Interval: e.settings.Platform.VMListInterval.Std(),
+		Dial:     func(addresses []string) { e.dialer.Set(addresses) },
+		Busy:     e.tracker.Busy,
+		Leaving:  e.tracker.Leaving,
+		Logger:   e.logger,
+	})
 }
 
 func (e *Entry) dialFailed(address string, err error) {
@@ -328,7 +311,7 @@
 	if e.rules() == nil {
 		return errors.New("no rules yet")
 	}
-	if !e.crashes.Informed() && !e.alone.Load() && time.Since(e.startedAt) < informTimeout {
+	if !e.crashes.Informed() && !e.keeper.Alone() && time.Since(e.startedAt) < informTimeout {
 		return errors.New("no peer has told of crashes yet")
 	}
 	return nil
@@ -340,6 +323,7 @@
 func hello(settings settingsreader.Settings) *wire.Hello {
 	return &wire.Hello{
 		Process:     settings.Process,
+		Vm:          settings.VM,
 		Role:        currantwood.RoleEntry.String(),
 		Region:      settings.Region,
 		Zone:        settings.Zone,
--- /dev/null
+++ b/linkkeeper/linkkeeper.go
@@ -0,0 +1,179 @@
+// Package linkkeeper keeps an entry linked to the right peers: it follows the
+// VM list, merges it with what the peers say and chooses whom to dial.
+package linkkeeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/registrar"
+	"github.com/currantwood/currantwood/subsetter"
+	"github.com/currantwood/currantwood/wire"
+)
+
+// Options says what a keeper needs.
+type Options struct {
+	// Self is this entry.
+	Self currantwood.VM
+	VMs  currantwood.VMList
+	// Interval is the time between two reads of the list.
+	Interval time.Duration
+	// Dial replaces the set of addresses to be linked to.
+	Dial func(addresses []string)
+	// Busy reports whether this entry has work in flight at an upstream.
+	Busy func(upstream currantwood.UpstreamID) bool
+	// Leaving is called for a link to a side that the list shows as leaving.
+	Leaving func(link *linker.Link)
+	Logger  *zap.Logger
+}
+
+// Keeper is a distributor.Handler that takes no frame for itself, so it stands
+// before the others. It is safe for concurrent use.
+type Keeper struct {
+	options   Options
+	subsetter *subsetter.Subsetter
+
+	mu        sync.Mutex
+	registrar *registrar.Registrar
+	// links holds the newest link to each VM.
+	links map[currantwood.VMID]*linker.Link
+	// alone says that the last list showed no other entry.
+	alone bool
+}
+
+// New makes a keeper that knows no peers.
+func New(options Options) *Keeper {
+	return &Keeper{
+		options:   options,
+		subsetter: subsetter.New(subsetter.Options{}),
+		registrar: registrar.New(registrar.Options{}),
+		links:     make(map[currantwood.VMID]*linker.Link),
+	}
+}
+
+// Alone reports whether the list has been read and shows no other entry.
+func (k *Keeper) Alone() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.alone
+}
+
+// Up takes in a new link. One of an earlier incarnation of its VM is closed.
+func (k *Keeper) Up(link *linker.Link) {
+	peer := peerOf(link.Peer())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.registrar.Connected(time.Now(), peer) {
+		go func() { link.Close() }()
+		return
+	}
+	k.links[peer.VM.ID] = link
+}
+
+// Frame notes that a peer answers, and its notice that it leaves.
+func (k *Keeper) Frame(link *linker.Link, frame *wire.Frame) bool {
+	peer := peerOf(link.Peer())
+	switch frame.Body.(type) {
+	case *wire.Frame_Load:
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.registrar.Heard(time.Now(), peer.VM.ID, peer.Incarnation)
+	case *wire.Frame_Leaving:
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.registrar.Left(time.Now(), peer.VM.ID, peer.Incarnation)
+	}
+	return false
+}
+
+// Down takes a closed link out, unless a newer one has replaced it.
+func (k *Keeper) Down(link *linker.Link, _ error) {
+	peer := peerOf(link.Peer())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.links[peer.VM.ID] == link {
+		delete(k.links, peer.VM.ID)
+		k.registrar.Disconnected(time.Now(), peer.VM.ID, peer.Incarnation)
+	}
+}
+
+// Follow reads the list again and again until ctx is done. While it can't be
+// read the links stay as they are.
+func (k *Keeper) Follow(ctx context.Context) {
+	ticker := time.NewTicker(k.options.Interval)
+	defer ticker.Stop()
+	for {
+		vms, err := k.options.VMs.VMs(ctx)
+		switch {
+		case err == nil:
+			k.options.Dial(k.merge(time.Now(), vms))
+		case ctx.Err() == nil:
+			k.options.Logger.Warn("VM list not read", zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// merge takes in a list and returns the addresses to be linked to.
+func (k *Keeper) merge(now time.Time, vms []currantwood.VM) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.registrar.List(now, vms)
+	known := k.registrar.VMs(now)
+	k.alone = true
+	wanted := make(map[currantwood.VMID]bool)
+	for _, side := range k.subsetter.Subset(k.options.Self, known) {
+		wanted[side.ID] = true
+	}
+	var addresses []string
+	for _, vm := range known {
+		if vm.Address != "" && (wanted[vm.ID] || k.wants(vm)) {
+			addresses = append(addresses, vm.Address)
+		}
+		if link := k.links[vm.ID]; vm.Leaving && link != nil {
+			k.options.Leaving(link)
+		}
+	}
+	return addresses
+}
+
+// wants reports whether a VM outside of the subset is to be linked: an entry of
+// a lower name, so that two entries keep one link, and a linked side with work
+// in flight. A side that leaves closes its links itself.
+func (k *Keeper) wants(vm currantwood.VM) bool {
+	if vm.Role == currantwood.RoleEntry.String() {
+		k.alone = k.alone && vm.ID == k.options.Self.ID
+		return vm.ID < k.options.Self.ID
+	}
+	return k.links[vm.ID] != nil && (vm.Leaving || k.options.Busy(vm.Upstream))
+}
+
+// peerOf is what a process says of itself. One that doesn't name its VM is
+// known by its process.
+func peerOf(hello *wire.Hello) registrar.Peer {
+	id := hello.Vm
+	if id == "" {
+		id = hello.Process
+	}
+	return registrar.Peer{
+		Incarnation: currantwood.Incarnation(hello.Incarnation),
+		VM: currantwood.VM{
+			ID:       currantwood.VMID(id),
+			Role:     hello.Role,
+			Region:   currantwood.RegionID(hello.Region),
+			Zone:     currantwood.ZoneID(hello.Zone),
+			Upstream: currantwood.UpstreamID(hello.Upstream),
+			Group:    currantwood.GroupID(hello.Group),
+			Model:    currantwood.ModelID(hello.Model),
+		},
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -35,7 +35,8 @@
 	MaxDrop currantwood.Share
 }
 
-// Peer is what a process says of itself when a link opens.
+// Peer is what a process says of itself when a link opens. Addresses may be
+// empty; those of the list then stay.
 type Peer struct {
 	VM          currantwood.VM
 	Incarnation currantwood.Incarnation
@@ -106,6 +107,7 @@
 	if !m.linked {
 		m.vm = vm
 	}
+	m.vm.Address = vm.Address
 	m.vm.OperatorAddress = vm.OperatorAddress
 	if m.shown() != before {
 		r.version++
@@ -151,9 +153,10 @@
 		m.past = append(m.past, m.current)
 		m.past = m.past[max(0, len(m.past)-maxPast):]
 	}
-	operators := m.vm.OperatorAddress
+	known := m.vm
 	m.vm = peer.VM
-	m.vm.OperatorAddress = cmp.Or(peer.VM.OperatorAddress, operators)
+	m.vm.Address = cmp.Or(peer.VM.Address, known.Address)
+	m.vm.OperatorAddress = cmp.Or(peer.VM.OperatorAddress, known.OperatorAddress)
 	m.current = peer.Incarnation
 	m.linked = true
 	m.heard = now
--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -179,6 +179,7 @@
 func (s *Side) hello() *wire.Hello {
 	return &wire.Hello{
 		Process:     s.settings.Process,
+		Vm:          s.settings.VM,
 		Role:        currantwood.RoleSide.String(),
 		Region:      s.settings.Region,
 		Zone:        s.settings.Zone,
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -111,6 +111,14 @@
 	return sum
 }
 
+// Busy reports whether this entry has work in flight at an upstream.
+func (t *Tracker) Busy(upstream currantwood.UpstreamID) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s := t.sides[upstream]
+	return s != nil && s.inFlight > 0
+}
+
 // Begin and End count this entry's own work in flight at an upstream.
 func (t *Tracker) Begin(upstream currantwood.UpstreamID) { t.count(upstream, 1) }
 
