--- a/sidestarter/sidestarter.go
+++ b/sidestarter/sidestarter.go
@@ -62,7 +62,7 @@
 	s.server = sideserver.New(serverOptions)
 	s.operators = operatorserver.New(operatorserver.Options{
 		Listener: operators,
-		Ready:    s.ready,
+		Ready:    s.Ready,
 		Metrics:  s.metrics,
 		Pages:    []operatorserver.Page{{Path: headserver.Path, Handler: s.head.ServeHTTP}},
 	})
@@ -109,7 +109,8 @@
 	_ = s.operators.Close(ctx)
 }
 
-func (s *Side) ready() error {
+// Ready says nil when the side takes new work, else why not.
+func (s *Side) Ready() error {
 	if !s.server.Ready() {
 		return errors.New("leaving")
 	}
