Entries link to few peers; subsets sized by the control budget

Cause: measured, one idle link costs 156 KB at each end and, with reports every 250 ms, some 0.2 ms of processor time a second. All pairs of 2,200 entries would take 343 MB at each; 254 sides in view would take more than 24 KB/s.

Change: above 64 entries each dials six of its region and one of each other region. The subset is 24 sides of each group in the own region and 2 in each other one, was 40 and 4.

--- a/linkkeeper/linkkeeper.go
+++ b/linkkeeper/linkkeeper.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/chooser"
 	"github.com/currantwood/currantwood/linker"
 	"github.com/currantwood/currantwood/registrar"
 	"github.com/currantwood/currantwood/subsetter"
@@ -37,6 +38,7 @@
 type Keeper struct {
 	options   Options
 	subsetter *subsetter.Subsetter
+	chooser   *chooser.Chooser
 
 	mu        sync.Mutex
 	registrar *registrar.Registrar
@@ -51,6 +53,7 @@
 	return &Keeper{
 		options:   options,
 		subsetter: subsetter.New(subsetter.Options{}),
+		chooser:   chooser.New(chooser.DefaultCount),
 		registrar: registrar.New(registrar.Options{}),
 		links:     make(map[currantwood.VMID]*linker.Link),
 	}
@@ -134,9 +137,15 @@
 	for _, side := range k.subsetter.Subset(k.options.Self, known) {
 		wanted[side.ID] = true
 	}
+	for _, id := range k.chooser.Peers(k.options.Self, known) {
+		wanted[id] = true
+	}
 	var addresses []string
 	for _, vm := range known {
-		if vm.Address != "" && (wanted[vm.ID] || k.wants(vm)) {
+		if vm.Role == currantwood.RoleEntry.String() && vm.ID != k.options.Self.ID {
+			k.alone = false
+		}
+		if vm.Address != "" && (wanted[vm.ID] || k.keeps(vm)) {
 			addresses = append(addresses, vm.Address)
 		}
 		if link := k.links[vm.ID]; vm.Leaving && link != nil {
@@ -146,15 +155,13 @@
 	return addresses
 }
 
-// wants reports whether a VM outside of the subset is to be linked: an entry of
-// a lower name, so that two entries keep one link, and a linked side with work
-// in flight. A side that leaves closes its links itself.
-func (k *Keeper) wants(vm currantwood.VM) bool {
-	if vm.Role == currantwood.RoleEntry.String() {
-		k.alone = k.alone && vm.ID == k.options.Self.ID
-		return vm.ID < k.options.Self.ID
+// keeps reports whether a link to a side outside of the subset stays: one with
+// work in flight. A side that leaves closes its links itself.
+func (k *Keeper) keeps(vm currantwood.VM) bool {
+	if vm.Role != currantwood.RoleSide.String() || k.links[vm.ID] == nil {
+		return false
 	}
-	return k.links[vm.ID] != nil && (vm.Leaving || k.options.Busy(vm.Upstream))
+	return vm.Leaving || k.options.Busy(vm.Upstream)
 }
 
 // peerOf is what a process says of itself. One that doesn't name its VM is
--- a/subsetter/subsetter.go
+++ b/subsetter/subsetter.go
@@ -20,8 +20,8 @@
 
 // Defaults of Options.
 const (
-	DefaultOwn   = 40
-	DefaultSpill = 4
+	DefaultOwn   = 24
+	DefaultSpill = 2
 	DefaultAll   = 64
 )
 
