--- /dev/null
+++ b/fitter/fitter.go
@@ -0,0 +1,77 @@
+// Package fitter fits a straight line to measurements over several sizes, so
+// that a benchmark can report the cost of one unit more and how well a line
+// describes what was measured.
+package fitter
+
+import (
+	"math"
+
+	"github.com/pkg/errors"
+)
+
+// minSizes is the least number of different sizes that a fit is made from.
+const minSizes = 4
+
+// Line is cost = Fixed + Slope * size.
+type Line struct {
+	Slope, Fixed float64
+	// Residual is the root mean square of the differences between the
+	// measurements and the line, as a share of the mean cost.
+	Residual float64
+}
+
+// Fitter collects measurements.
+type Fitter struct {
+	sizes, costs []float64
+}
+
+// New returns a fitter without measurements.
+func New() *Fitter {
+	return &Fitter{}
+}
+
+// Add takes in the cost that was measured at a size.
+func (f *Fitter) Add(size, cost float64) {
+	f.sizes = append(f.sizes, size)
+	f.costs = append(f.costs, cost)
+}
+
+// Fit returns the line of least squares. It fails with fewer than four
+// different sizes.
+func (f *Fitter) Fit() (Line, error) {
+	distinct := make(map[float64]bool)
+	for _, size := range f.sizes {
+		distinct[size] = true
+	}
+	if len(distinct) < minSizes {
+		return Line{}, errors.Errorf("fitter: %d different sizes, need %d", len(distinct), minSizes)
+	}
+	meanSize, meanCost := mean(f.sizes), mean(f.costs)
+	var covariance, variance float64
+	for i, size := range f.sizes {
+		covariance += (size - meanSize) * (f.costs[i] - meanCost)
+		variance += (size - meanSize) * (size - meanSize)
+	}
+	line := Line{Slope: covariance / variance}
+	line.Fixed = meanCost - line.Slope*meanSize
+	line.Residual = f.residual(line) / math.Abs(meanCost)
+	return line, nil
+}
+
+// residual is the root mean square of the differences from a line.
+func (f *Fitter) residual(line Line) float64 {
+	var sum float64
+	for i, size := range f.sizes {
+		difference := f.costs[i] - line.Fixed - line.Slope*size
+		sum += difference * difference
+	}
+	return math.Sqrt(sum / float64(len(f.sizes)))
+}
+
+func mean(values []float64) float64 {
+	var sum float64
+	for _, value := range values {
+		sum += value
+	}
+	return sum / float64(len(values))
+}
--- /dev/null
+++ b/fitter/fitter_test.go
@@ -0,0 +1,36 @@
+package fitter
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Fit", func() {
+	DescribeTable("finds the line of least squares",
+		func(costs []float64, slope, fixed, residual float64) {
+			f := New()
+			for i, cost := range costs {
+				f.Add(float64(i+1), cost)
+			}
+			line, err := f.Fit()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(line.Slope).To(BeNumerically("~", slope, 1e-9))
+			Expect(line.Fixed).To(BeNumerically("~", fixed, 1e-9))
+			Expect(line.Residual).To(BeNumerically("~", residual, 1e-9))
+		},
+		Entry("an exact line", []float64{5, 7, 9, 11}, 2.0, 3.0, 0.0),
+		Entry("a constant", []float64{4, 4, 4, 4}, 0.0, 4.0, 0.0),
+		Entry("points beside the line", []float64{11, 9, 9, 11}, 0.0, 10.0, 0.1),
+	)
+
+	It("refuses fewer than four sizes", func() {
+		f := New()
+		for range 5 {
+			f.Add(1, 1)
+			f.Add(2, 2)
+			f.Add(3, 3)
+		}
+		_, err := f.Fit()
+		Expect(err).To(HaveOccurred())
+	})
+})
