Readers of the log are chosen from the whole member list where links are few

Cause: above 64 entries one is linked to a few only, so the choice among live links alone would make readers of hundreds.

Change: beyond that size the merged member list is used.

--- a/chooser/peers.go
+++ b/chooser/peers.go
@@ -44,6 +44,18 @@
 	return peers
 }
 
+// Partial reports whether there are so many entries that each is linked to a few
+// of them only.
+func Partial(vms []currantwood.VM) bool {
+	count := 0
+	for i := range vms {
+		if vms[i].Role == currantwood.RoleEntry.String() && !vms[i].Leaving {
+			count++
+		}
+	}
+	return count > allPeers
+}
+
 // dialedOf returns the entries of a region that self dials.
 func dialedOf(self currantwood.VM, region currantwood.RegionID, entries []candidate, count int) []candidate {
 	if count < allPeers {
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -175,8 +175,8 @@
 		IdleEvery:     callerHeartbeat,
 	})
 	calls := e.newCaller()
-	e.head = e.newHead()
 	e.keeper = e.newKeeper()
+	e.head = e.newHead()
 	e.links = distributor.New(e.keeper, &sideHandler{entry: e}, &usageHandler{limiter: e.limiter}, e.crashes, calls, e.head)
 	e.dialer = dialer.New(dialer.Options{
 		Dial:   options.Dial,
--- a/entrystarter/rules.go
+++ b/entrystarter/rules.go
@@ -51,7 +51,8 @@
 }
 
 // readerPosition says whether this entry is among the readers of its region.
-// Live links show a reader's death sooner than the VM list does.
+// Live links show a reader's death sooner than the VM list does, but where there
+// are many entries this one is linked to a few of them only.
 func (e *Entry) readerPosition() func([]*wire.Hello) tailer.Position {
 	readers := chooser.New(0)
 	region := currantwood.RegionID(e.settings.Region)
@@ -60,7 +61,11 @@
 		for _, peer := range peers {
 			members = append(members, member(peer, false))
 		}
-		rank := slices.Index(readers.Choose(headkeeper.Stream, region, members), currantwood.VMID(e.hello.Process))
+		self := currantwood.VMID(e.hello.Process)
+		if known := e.keeper.VMs(); chooser.Partial(known) {
+			members, self = known, currantwood.VMID(e.settings.VM)
+		}
+		rank := slices.Index(readers.Choose(headkeeper.Stream, region, members), self)
 		return tailer.Position{Chosen: rank >= 0, Rank: max(rank, 0)}
 	}
 }
--- a/linkkeeper/linkkeeper.go
+++ b/linkkeeper/linkkeeper.go
@@ -66,6 +66,13 @@
 	return k.alone
 }
 
+// VMs returns the merged member list.
+func (k *Keeper) VMs() []currantwood.VM {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.registrar.VMs(time.Now())
+}
+
 // Up takes in a new link. One of an earlier incarnation of its VM is closed.
 func (k *Keeper) Up(link *linker.Link) {
 	peer := peerOf(link.Peer())
--- a/proof/fleet/leaving_test.go
+++ b/proof/fleet/leaving_test.go
@@ -74,12 +74,12 @@
 			Expect(counts.Completed).To(Equal(counts.Streams), "work in flight ran to its end")
 			Expect(t.failed.Load()).To(BeZero())
 		},
-		Entry("by its own notice, the list late", lateList, func(w *world, u *demonstrator.Upstream) {
+		Entry("by its own notice, the list late", lateList, func(_ *world, u *demonstrator.Upstream) {
 			Expect(u.Side.Shutdown(context.Background())).To(Succeed())
 		}),
 		Entry("by its own notice, the list down", func(w *world) {
 			w.VMs.SetFaults(vmlist.Faults{Down: true})
-		}, func(w *world, u *demonstrator.Upstream) {
+		}, func(_ *world, u *demonstrator.Upstream) {
 			Expect(u.Side.Shutdown(context.Background())).To(Succeed())
 		}),
 		Entry("by the list alone", func(*world) {}, func(w *world, u *demonstrator.Upstream) {
