Watcher: a stream that was given up counts until the engine confirms its end

Cause: proof/fleet failed once in five runs on a busy machine: an innocent request was quarantined. Suspects wait for each other, an entry gave one up, and it was forgotten although already sent; it then crashed the engine, and the report held the next suspect in its place.

Change: a given up stream stays in flight until the engine has confirmed the cancel, else for 3 s. Its end is not looked into.

Seen to fail: a case of an engine that dies while a stream is given up, with the linger taken out.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -23,6 +23,10 @@
 const (
 	// checkTimeout bounds the calls that tell a crash from a cut connection.
 	checkTimeout = time.Second
+	// lingerTime is how long a stream that was given up, and that the engine
+	// has not confirmed to be gone, counts as in flight: a crash may still be
+	// its doing.
+	lingerTime = 3 * time.Second
 	// maxSuspects bounds the suspects that are kept apart.
 	maxSuspects = 16 << 10
 )
@@ -52,6 +56,8 @@
 	running map[currantwood.EngineStreamID]currantwood.Fingerprint
 	// suspects holds the requests that must not run together.
 	suspects map[currantwood.Fingerprint]bool
+	// givenUp holds the running streams that were cancelled.
+	givenUp  map[currantwood.EngineStreamID]bool
 	isolator *isolator.Isolator
 	// admitted wakes the suspects that wait.
 	admitted map[currantwood.EngineStreamID]chan struct{}
@@ -66,6 +72,7 @@
 		options:  options,
 		running:  make(map[currantwood.EngineStreamID]currantwood.Fingerprint),
 		suspects: make(map[currantwood.Fingerprint]bool),
+		givenUp:  make(map[currantwood.EngineStreamID]bool),
 		isolator: isolator.New(),
 		admitted: make(map[currantwood.EngineStreamID]chan struct{}),
 	}
@@ -95,19 +102,27 @@
 	if err := w.enter(ctx, g.Stream, fingerprint); err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { w.end(g.Stream) })
+	stop := context.AfterFunc(ctx, func() { w.linger(g.Stream) })
 	source, err := w.Engine.Generate(ctx, g)
 	if err == nil {
 		return &watchedSource{TokenSource: source, watcher: w, stream: g.Stream, ctx: ctx}, nil
 	}
-	stop()
-	if !errors.Is(err, currantwood.ErrNotDispatched) {
-		w.failed(ctx, g.Stream)
+	if errors.Is(err, currantwood.ErrNotDispatched) {
+		w.end(g.Stream)
+		return nil, err
+	}
+	w.failed(ctx, g.Stream)
+	if stop() {
+		w.end(g.Stream)
 	}
-	w.end(g.Stream)
 	return nil, err
 }
 
+// linger forgets a stream after a while.
+func (w *Watcher) linger(stream currantwood.EngineStreamID) {
+	time.AfterFunc(lingerTime, func() { w.end(stream) })
+}
+
 // failed looks into a stream that could not be started. An engine that answers
 // has only refused it.
 func (w *Watcher) failed(ctx context.Context, stream currantwood.EngineStreamID) {
@@ -142,16 +157,32 @@
 	if err == nil {
 		return &watchedSource{TokenSource: source, watcher: w, stream: stream, ctx: ctx}, nil
 	}
-	if errors.Is(err, currantwood.ErrStreamUnknown) {
+	if errors.Is(err, currantwood.ErrStreamUnknown) && w.isWanted(stream) {
 		w.crashed(stream)
 	}
 	return nil, err
 }
 
-// Cancel gives a stream up. Its end says nothing about the engine.
+// Cancel gives a stream up. Its end says nothing about the engine. One that the
+// engine doesn't know may still be on its way there.
 func (w *Watcher) Cancel(ctx context.Context, stream currantwood.EngineStreamID) error {
+	w.giveUp(stream)
+	err := w.Engine.Cancel(ctx, stream)
+	if err != nil {
+		w.linger(stream)
+		return err
+	}
 	w.end(stream)
-	return w.Engine.Cancel(ctx, stream)
+	return nil
+}
+
+// giveUp notes that the end of a stream says nothing from now on.
+func (w *Watcher) giveUp(stream currantwood.EngineStreamID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, running := w.running[stream]; running {
+		w.givenUp[stream] = true
+	}
 }
 
 // enter registers a stream, for a suspect once it may run.
@@ -187,6 +218,7 @@
 // leave is end for a caller that holds mu.
 func (w *Watcher) leave(stream currantwood.EngineStreamID) {
 	delete(w.running, stream)
+	delete(w.givenUp, stream)
 	delete(w.admitted, stream)
 	next := w.isolator.Leave(stream)
 	if admitted := w.admitted[next]; admitted != nil {
@@ -210,6 +242,14 @@
 	}
 }
 
+// isWanted reports whether a stream is running and was not cancelled.
+func (w *Watcher) isWanted(stream currantwood.EngineStreamID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, running := w.running[stream]
+	return running && !w.givenUp[stream]
+}
+
 func (w *Watcher) isRunning(stream currantwood.EngineStreamID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -219,7 +259,7 @@
 
 // cut looks into the end of a stream's connection before its last event.
 func (w *Watcher) cut(ctx context.Context, stream currantwood.EngineStreamID) {
-	if ctx.Err() != nil || !w.isRunning(stream) {
+	if ctx.Err() != nil || !w.isWanted(stream) {
 		return
 	}
 	if w.answers(ctx) && w.knows(ctx, stream) {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -120,6 +120,14 @@
 		Entry("a request that crashes the engine", engine.Faults{CrashOn: marker}, func(b *bench) {
 			Eventually(b.run(ctx, "short", marker, 1)).WithTimeout(patience).Should(Receive(HaveOccurred()))
 		}, 1, 2),
+		Entry("the engine dies while one more stream is given up", engine.Faults{}, func(b *bench) {
+			given, cancel := context.WithCancel(ctx)
+			ended := b.run(given, "given-up", "z", 100000)
+			Eventually(b.streams).WithTimeout(patience).Should(BeEquivalentTo(2))
+			cancel()
+			Eventually(ended).WithTimeout(patience).Should(Receive(HaveOccurred()))
+			b.engine.Crash()
+		}, 1, 2),
 		Entry("the engine dies on its own", engine.Faults{}, func(b *bench) {
 			b.engine.Crash()
 		}, 1, 1),
