Watcher: a stream that was overtaken by a crash is not started

Cause: proof/fleet failed in one of six runs under load: an innocent request was quarantined. It had found the engine up, was registered right after the crash was reported, met the engine down and so made a second report without the culprit.

Change: whether the engine is up is looked at again under the lock that registers the stream.

Seen to fail: the case in the table with the second look taken out.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -97,7 +97,7 @@
 func (w *Watcher) Generate(ctx context.Context, g currantwood.Generation) (currantwood.TokenSource, error) {
 	fingerprint := FingerprintOf(g.Prompt)
 	if !w.isUp(ctx) {
-		return nil, errors.Wrap(currantwood.ErrNotDispatched, "watcher: the engine is down")
+		return nil, errDown()
 	}
 	if err := w.enter(ctx, g.Stream, fingerprint); err != nil {
 		return nil, err
@@ -189,9 +189,8 @@
 func (w *Watcher) enter(ctx context.Context, stream currantwood.EngineStreamID, fingerprint currantwood.Fingerprint) error {
 	w.mu.Lock()
 	if !w.suspects[fingerprint] || w.isolator.Enter(stream) {
-		w.running[stream] = fingerprint
-		w.mu.Unlock()
-		return nil
+		defer w.mu.Unlock()
+		return w.register(stream, fingerprint)
 	}
 	admitted := make(chan struct{})
 	w.admitted[stream] = admitted
@@ -204,10 +203,24 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.register(stream, fingerprint)
+}
+
+// register takes a stream in as running, unless a crash was reported since the
+// engine last answered. The caller holds mu.
+func (w *Watcher) register(stream currantwood.EngineStreamID, fingerprint currantwood.Fingerprint) error {
+	if !w.up {
+		w.leave(stream)
+		return errDown()
+	}
 	w.running[stream] = fingerprint
 	return nil
 }
 
+func errDown() error {
+	return errors.Wrap(currantwood.ErrNotDispatched, "watcher: the engine is down")
+}
+
 // end forgets a stream and lets the next suspect run.
 func (w *Watcher) end(stream currantwood.EngineStreamID) {
 	w.mu.Lock()
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -160,6 +160,16 @@
 		Expect(b.reported()).To(HaveLen(1))
 	})
 
+	It("starts no stream whose look at the engine was overtaken by a crash", func() {
+		b := newBench(engine.Faults{})
+		Expect(b.watcher.isUp(ctx)).To(BeTrue())
+		Expect(b.watcher.enter(ctx, "lost", 1)).To(Succeed())
+		b.watcher.crashed("lost")
+		Expect(b.watcher.enter(ctx, "late", 2)).To(MatchError(currantwood.ErrNotDispatched))
+		b.watcher.crashed("late")
+		Expect(b.reported()).To(HaveLen(1))
+	})
+
 	It("runs suspects one at a time, others beside them, and clears each that ends", func() {
 		b := newBench(engine.Faults{})
 		for _, text := range []string{"first", "second"} {
