--- /dev/null
+++ b/ledger/ledger_bench_test.go
@@ -0,0 +1,66 @@
+package ledger
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/currantwood/currantwood"
+)
+
+// BenchmarkMemoryPerOperation reports the bytes that a remembered operation
+// takes, with an outcome of the size given.
+func BenchmarkMemoryPerOperation(b *testing.B) {
+	for _, keys := range []int{1_000, 10_000, 100_000, 400_000} {
+		for _, size := range []int{0, 256} {
+			b.Run(fmt.Sprintf("keys=%d/answer=%d", keys, size), func(b *testing.B) {
+				for range b.N {
+					before := heapBytes()
+					l := remember(keys, size)
+					b.ReportMetric(float64(heapBytes()-before)/float64(keys), "B/key")
+					runtime.KeepAlive(l)
+				}
+			})
+		}
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// remember reads that many operations from the log, as any side does.
+func remember(keys, size int) *Ledger {
+	l := New()
+	at := time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
+	l.Read(at, Page{})
+	for n := range keys {
+		l.Read(at, operationPage(at, n, size))
+	}
+	return l
+}
+
+func operationPage(at time.Time, n, size int) Page {
+	scope := Scope{Customer: "kingston-registry", Rule: "payments", Key: currantwood.OperationKey(fmt.Sprintf("filing-%08d", n))}
+	attempt := currantwood.AttemptID(fmt.Sprintf("8b5ff0a3-60a3-4d6a-9a5d-1d6b3f0c1c11-%d.1", n))
+	answer := currantwood.ServiceAnswer{Status: 200, Body: make([]byte, size)}
+	offset := currantwood.Offset(n)
+	return Page{Next: offset + 1, Entries: []Logged{{Offset: offset, Batch: Batch{At: at, Seen: offset, Records: []Record{
+		{Kind: RecordIntent, Scope: scope, Attempt: attempt, At: at, Window: 24 * time.Hour, Fingerprint: 7},
+		{Kind: RecordOutcome, Scope: scope, Attempt: attempt, At: at, Fingerprint: 7, Outcome: &Outcome{Answer: answer}},
+	}}}}}
+}
+
+// BenchmarkApply reports the processor time of one operation read from the log.
+func BenchmarkApply(b *testing.B) {
+	l := New()
+	at := time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
+	l.Read(at, Page{})
+	for n := range b.N {
+		l.Read(at, operationPage(at, n, 256))
+	}
+}
