A caller who reconnects is taken over by any entry, also outside of its subset

Cause: at the target an entry links to 24 sides of thousands, so a caller who comes back meets an entry without a link to the side that holds its generation. Seen failing: with entries that link to a part of eight sides, the resume waited 16 s and got 502. Also sides-per-group of the settings was read by nothing, and a fresh entry was ready before it had a link, which gave 69 refusals no-upstream in a soak of 5 minutes. Ruled out: sending the caller to another entry (a balancer can't be told), and links from all entries to all sides (22 million connections). Change: the position in the event id names the upstream; the forwarder asks the link keeper to reach it, which dials the side at once and lets the link go when nothing is in flight on it any more. sides-per-group, sides-elsewhere and whole-group are in force. An entry is ready from its first link to a side on, and stays so. Sides and Linked were one method twice. Seen: six entries hand 300 tokens of one generation on from one to the next, six times, each token once; proof/rules, proof/fleet and the process test pass.

--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -170,7 +170,7 @@
 		if err := entry.Ready(); err != nil {
 			return fmt.Sprintf("entry %s: %s", entry.VM, err)
 		}
-		if linked := entry.Linked(); linked < len(d.Upstreams) {
+		if linked := entry.Sides(); linked < len(d.Upstreams) {
 			return fmt.Sprintf("entry %s: linked to %d of %d sides", entry.VM, linked, len(d.Upstreams))
 		}
 	}
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -1,8 +1,11 @@
 package demonstrator_test
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"time"
 
@@ -13,6 +16,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/demonstrator"
 	"github.com/currantwood/currantwood/matcher"
+	"github.com/currantwood/currantwood/settingsreader"
 )
 
 const callerKey = "key-of-chambers"
@@ -44,6 +48,84 @@
 	})
 })
 
+var _ = Describe("entries that link to a part of the sides", func() {
+	It("take a caller over whose generation is at any side", func() {
+		d, err := demonstrator.New(demonstrator.Options{
+			Regions:          []currantwood.RegionID{"kingston"},
+			Groups:           []demonstrator.Group{{Name: "writers", Kind: currantwood.UpstreamEngine, Model: "court-summary", Count: 8}},
+			EntriesPerRegion: 6,
+			Logger:           zap.NewNop(),
+			Settings: func(s *settingsreader.Settings) {
+				s.Entry.SidesPerGroup, s.Entry.WholeGroup = 4, 1
+			},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Close)
+		strangers := 0
+		for _, entry := range d.Entries {
+			entry.SetRules(rules)
+			Eventually(entry.Sides).WithTimeout(20 * time.Second).Should(BeNumerically(">", 0))
+			if entry.Sides() < len(d.Upstreams) {
+				strangers++
+			}
+		}
+		Expect(strangers).To(BeNumerically(">", 0), "no entry is without a link")
+		const tokens = 300
+		client := &http.Client{Transport: &http.Transport{}}
+		DeferCleanup(client.CloseIdleConnections)
+		for first := range d.Entries {
+			text := ""
+			position := ""
+			for hop := range d.Entries {
+				entry := d.Entries[(first+hop)%len(d.Entries)]
+				last := hop == len(d.Entries)-1
+				text += readPart(client, entry.CallerAddress(), &position, last, tokens)
+			}
+			Expect(wordsOf(text)).To(HaveLen(tokens), "each token once, from entry %d on", first)
+		}
+	})
+})
+
+// readPart reads on from position: some tokens, or all that are left.
+func readPart(client *http.Client, address string, position *string, all bool, tokens int) string {
+	body := fmt.Sprintf(`{"model":"court-summary","prompt":"fees","stream":true,"standin-tokens":%d}`, tokens)
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	if *position != "" {
+		request.Header.Set("Last-Event-ID", *position)
+	}
+	response, err := client.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+	text := ""
+	scanner := bufio.NewScanner(response.Body)
+	for events := 0; scanner.Scan() && (all || events < 20); {
+		line := scanner.Text()
+		Expect(line).NotTo(HavePrefix("event: error"))
+		if id, found := strings.CutPrefix(line, "id: "); found {
+			*position = id
+		}
+		if strings.HasPrefix(line, "data: {") {
+			text += line
+			events++
+		}
+	}
+	return text
+}
+
+// wordsOf finds the distinct tokens "index:mark" in the data of events.
+func wordsOf(text string) []string {
+	found := regexp.MustCompile(`"(\d+:[0-9a-f]+) "`).FindAllStringSubmatch(text, -1)
+	var words []string
+	for _, match := range found {
+		Expect(words).NotTo(ContainElement(match[1]))
+		words = append(words, match[1])
+	}
+	return words
+}
+
 func complete(g Gomega, address, body string) string {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -35,6 +35,7 @@
 	"github.com/currantwood/currantwood/reporter"
 	"github.com/currantwood/currantwood/requestkeeper"
 	"github.com/currantwood/currantwood/settingsreader"
+	"github.com/currantwood/currantwood/subsetter"
 	"github.com/currantwood/currantwood/tracker"
 	"github.com/currantwood/currantwood/vmclient"
 	"github.com/currantwood/currantwood/wire"
@@ -74,10 +75,13 @@
 	metrics   metrics.Registry
 	recent    *requestkeeper.Keeper
 	leaving   atomic.Bool
-	matcher   atomic.Pointer[matcher.Matcher]
-	ctx       context.Context
-	cancel    context.CancelFunc
-	wait      sync.WaitGroup
+	// linked is set with the first link to a side and stays: an entry that has
+	// lost all sides still gives callers their truthful refusals.
+	linked  atomic.Bool
+	matcher atomic.Pointer[matcher.Matcher]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
 }
 
 // New starts an entry. It serves until Shutdown or Kill.
@@ -170,6 +174,7 @@
 		Quarantine:    e.crashes,
 		Picker:        e.picker(),
 		Prefixes:      e.prefixes,
+		Reach:         func(now time.Time, upstream currantwood.UpstreamID) { e.keeper.Reach(now, upstream) },
 		NewGeneration: func() currantwood.GenerationID { return currantwood.GenerationID(uuid.NewString()) },
 		Limits:        forwarder.DefaultLimits(),
 		IdleEvery:     callerHeartbeat,
@@ -272,10 +277,15 @@
 		},
 		VMs:      e.vms,
 		Interval: e.settings.Platform.VMListInterval.Std(),
-		Dial:     func(addresses []string) { e.dialer.Set(addresses) },
-		Busy:     e.tracker.Busy,
-		Leaving:  e.tracker.Leaving,
-		Logger:   e.logger,
+		Subset: subsetter.Options{
+			Own:   e.settings.Entry.SidesPerGroup,
+			Spill: e.settings.Entry.SidesElsewhere,
+			All:   e.settings.Entry.WholeGroup,
+		},
+		Dial:    func(addresses []string) { e.dialer.Set(addresses) },
+		Busy:    e.tracker.Busy,
+		Leaving: e.tracker.Leaving,
+		Logger:  e.logger,
 	})
 }
 
@@ -300,9 +310,6 @@
 	operatorserver.WriteJSON(w, e.recent.Recent())
 }
 
-// Linked returns the number of sides that the entry has links to.
-func (e *Entry) Linked() int { return len(e.tracker.Links()) }
-
 // Ready says nil when the entry may be sent requests, else why not.
 func (e *Entry) Ready() error {
 	if e.leaving.Load() {
@@ -311,6 +318,9 @@
 	if e.rules() == nil {
 		return errors.New("no rules yet")
 	}
+	if !e.linked.Load() {
+		return errors.New("no link to a side yet")
+	}
 	if !e.crashes.Informed() && !e.keeper.Alone() && time.Since(e.startedAt) < informTimeout {
 		return errors.New("no peer has told of crashes yet")
 	}
--- a/entrystarter/sidehandler.go
+++ b/entrystarter/sidehandler.go
@@ -17,6 +17,7 @@
 func (h *sideHandler) Up(link *linker.Link) {
 	if isSide(link) {
 		h.entry.tracker.Up(link)
+		h.entry.linked.Store(true)
 		h.entry.forwarder.LinkUp(link)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -46,6 +46,9 @@
 	Picker  currantwood.Picker
 	// Prefixes says which upstream is believed to hold a prompt's prefix.
 	Prefixes *prefixtracker.Tracker
+	// Reach asks for a link to an upstream that is not in view; LinkUp tells
+	// that it is there.
+	Reach func(now time.Time, upstream currantwood.UpstreamID)
 	// Quarantine stops requests that crash upstreams; nil stops none.
 	Quarantine Quarantine
 	// NewGeneration draws a generation id.
@@ -132,6 +135,9 @@
 func (f *Forwarder) resume(ctx context.Context, fl *flight) (*currantwood.Refusal, bool) {
 	at := fl.request.Resume
 	link := f.options.Tracker.Link(at.Upstream)
+	if link == nil {
+		f.options.Reach(time.Now(), at.Upstream)
+	}
 	refusal, again := fl.run(ctx, target{upstream: at.Upstream, link: link, generation: at.Generation, next: at.Next})
 	if !again {
 		return refusal, false
--- a/linkkeeper/linkkeeper.go
+++ b/linkkeeper/linkkeeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	VMs  currantwood.VMList
 	// Interval is the time between two reads of the list.
 	Interval time.Duration
+	// Subset sizes the set of sides that are linked to for good.
+	Subset subsetter.Options
 	// Dial replaces the set of addresses to be linked to.
 	Dial func(addresses []string)
 	// Busy reports whether this entry has work in flight at an upstream.
@@ -44,6 +47,11 @@
 	registrar *registrar.Registrar
 	// links holds the newest link to each VM.
 	links map[currantwood.VMID]*linker.Link
+	// reached holds the sides outside of the subset that a caller came back
+	// for, and until when a link to each is wanted.
+	reached map[currantwood.UpstreamID]time.Time
+	// wake tells Follow that reached has changed.
+	wake chan struct{}
 	// alone says that the last list showed no other entry.
 	alone bool
 }
@@ -52,10 +60,12 @@
 func New(options Options) *Keeper {
 	return &Keeper{
 		options:   options,
-		subsetter: subsetter.New(subsetter.Options{}),
+		subsetter: subsetter.New(options.Subset),
 		chooser:   chooser.New(chooser.DefaultCount),
 		registrar: registrar.New(registrar.Options{}),
 		links:     make(map[currantwood.VMID]*linker.Link),
+		reached:   make(map[currantwood.UpstreamID]time.Time),
+		wake:      make(chan struct{}, 1),
 	}
 }
 
@@ -112,34 +122,74 @@
 	}
 }
 
+// reachFor is how long a link to a side outside of the subset is wanted before
+// work in flight keeps it.
+const reachFor = 10 * time.Second
+
+// Reach asks for a link to the side of an upstream that may be outside of the
+// subset, since a caller comes back for a generation that it holds. It doesn't
+// wait for the link.
+func (k *Keeper) Reach(now time.Time, upstream currantwood.UpstreamID) {
+	k.mu.Lock()
+	k.reached[upstream] = now.Add(reachFor)
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Follow reads the list again and again until ctx is done. While it can't be
 // read the links stay as they are.
 func (k *Keeper) Follow(ctx context.Context) {
 	ticker := time.NewTicker(k.options.Interval)
 	defer ticker.Stop()
+	k.read(ctx)
 	for {
-		vms, err := k.options.VMs.VMs(ctx)
-		switch {
-		case err == nil:
-			k.options.Dial(k.merge(time.Now(), vms))
-		case ctx.Err() == nil:
-			k.options.Logger.Warn("VM list not read", zap.Error(err))
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			k.read(ctx)
+		case <-k.wake:
+			k.options.Dial(k.addresses(time.Now()))
 		}
 	}
 }
 
-// merge takes in a list and returns the addresses to be linked to.
-func (k *Keeper) merge(now time.Time, vms []currantwood.VM) []string {
+// read takes in the list and links to what it shows.
+func (k *Keeper) read(ctx context.Context) {
+	vms, err := k.options.VMs.VMs(ctx)
+	switch {
+	case err == nil:
+		k.merge(time.Now(), vms)
+		k.options.Dial(k.addresses(time.Now()))
+	case ctx.Err() == nil:
+		k.options.Logger.Warn("VM list not read", zap.Error(err))
+	}
+}
+
+// merge takes in a list.
+func (k *Keeper) merge(now time.Time, vms []currantwood.VM) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.registrar.List(now, vms)
-	known := k.registrar.VMs(now)
 	k.alone = true
+	for _, vm := range k.registrar.VMs(now) {
+		if vm.Role == currantwood.RoleEntry.String() && vm.ID != k.options.Self.ID {
+			k.alone = false
+		}
+		if link := k.links[vm.ID]; vm.Leaving && link != nil {
+			k.options.Leaving(link)
+		}
+	}
+}
+
+// addresses returns the addresses to be linked to.
+func (k *Keeper) addresses(now time.Time) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known := k.registrar.VMs(now)
 	wanted := make(map[currantwood.VMID]bool)
 	for _, side := range k.subsetter.Subset(k.options.Self, known) {
 		wanted[side.ID] = true
@@ -147,17 +197,13 @@
 	for _, id := range k.chooser.Peers(k.options.Self, known) {
 		wanted[id] = true
 	}
+	maps.DeleteFunc(k.reached, func(_ currantwood.UpstreamID, until time.Time) bool { return now.After(until) })
 	var addresses []string
 	for _, vm := range known {
-		if vm.Role == currantwood.RoleEntry.String() && vm.ID != k.options.Self.ID {
-			k.alone = false
-		}
-		if vm.Address != "" && (wanted[vm.ID] || k.keeps(vm)) {
+		_, reached := k.reached[vm.Upstream]
+		if vm.Address != "" && (wanted[vm.ID] || reached || k.keeps(vm)) {
 			addresses = append(addresses, vm.Address)
 		}
-		if link := k.links[vm.ID]; vm.Leaving && link != nil {
-			k.options.Leaving(link)
-		}
 	}
 	return addresses
 }
--- a/proof/rules/world_test.go
+++ b/proof/rules/world_test.go
@@ -93,7 +93,7 @@
 // linked says whether every entry has links to all sides.
 func (w *world) linked() bool {
 	for _, entry := range w.Entries {
-		if entry.Linked() < len(w.Upstreams) {
+		if entry.Sides() < len(w.Upstreams) {
 			return false
 		}
 	}
--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -1,6 +1,10 @@
 package settingsreader
 
-import "time"
+import (
+	"time"
+
+	"github.com/currantwood/currantwood/subsetter"
+)
 
 // Duration is a time.Duration that is written as in "250ms" or "24h".
 type Duration time.Duration
@@ -78,8 +82,12 @@
 type Entry struct {
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64 `toml:"max-body-bytes"`
-	// SidesPerGroup is how many sides of a group an entry keeps links to.
-	SidesPerGroup int `toml:"sides-per-group"`
+	// SidesPerGroup is the mean number of sides of a group that an entry keeps
+	// links to in its own region, and SidesElsewhere in each other region.
+	SidesPerGroup  int `toml:"sides-per-group"`
+	SidesElsewhere int `toml:"sides-elsewhere"`
+	// WholeGroup is the size of a group up to which all its sides are linked.
+	WholeGroup int `toml:"whole-group"`
 	// RetryShare is the retry budget as a share of first attempts.
 	RetryShare float64 `toml:"retry-share"`
 }
@@ -140,7 +148,7 @@
 		Platform: Platform{VMListInterval: Duration(time.Second), LogRetention: Duration(72 * time.Hour)},
 		Links:    Links{Heartbeat: Duration(time.Second), Silence: Duration(3 * time.Second)},
 		Shutdown: Shutdown{BalancerLag: Duration(5 * time.Second), Limit: Duration(10 * time.Minute)},
-		Entry:    Entry{MaxBodyBytes: 1 << 20, SidesPerGroup: 24, RetryShare: 0.1},
+		Entry:    Entry{MaxBodyBytes: 1 << 20, SidesPerGroup: subsetter.DefaultOwn, SidesElsewhere: subsetter.DefaultSpill, WholeGroup: subsetter.DefaultAll, RetryShare: 0.1},
 		Side:     Side{Kind: "engine", ReservedShare: 0.05, Confidence: 0.95},
 	}
 }
--- a/settingsreader/settingsreader.go
+++ b/settingsreader/settingsreader.go
@@ -93,6 +93,8 @@
 		{"listen.callers", isAddress(s.Listen.Callers), "host:port"},
 		{"entry.max-body-bytes", s.Entry.MaxBodyBytes > 0 && s.Entry.MaxBodyBytes <= 2<<20, "1 to 2097152 bytes"},
 		{"entry.sides-per-group", s.Entry.SidesPerGroup > 0, "1 or more"},
+		{"entry.sides-elsewhere", s.Entry.SidesElsewhere > 0, "1 or more"},
+		{"entry.whole-group", s.Entry.WholeGroup > 0, "1 or more"},
 		{"entry.retry-share", s.Entry.RetryShare >= 0 && s.Entry.RetryShare <= 1, "0 to 1"},
 	}
 	for _, o := range s.Objective {
