--- a/proof/operations/frozen_test.go
+++ b/proof/operations/frozen_test.go
@@ -67,7 +67,7 @@
 		ID: "vm-" + currantwood.VMID(desk.ID) + "-side", Role: currantwood.RoleSide.String(), Region: desk.Region,
 		Zone: "zone-a", Address: links, Upstream: desk.ID, Group: "desks",
 	})
-	Eventually(w.Entries[0].Linked).WithTimeout(patience).Should(Equal(len(w.Upstreams)))
+	Eventually(w.Entries[0].Sides).WithTimeout(patience).Should(Equal(len(w.Upstreams)))
 	w.untilQuiet()
 	return command.Process
 }
