proof/fleet: requests are sent until the leaver holds one

Cause: the test sent as many requests as there are upstreams and waited for one at the leaver, as if they were dealt in turn. The picker draws at random: seen once, no request at the leaver within 60 s ('refuses an entry that has not heard of it', go test ./proof/fleet).

Change: it sends until one is there, and still holds every answer to be whole.

--- a/proof/fleet/leaving_test.go
+++ b/proof/fleet/leaving_test.go
@@ -95,11 +95,17 @@
 		leaver := w.Upstreams[0]
 		finals := make(chan *wire.Final, 100)
 		link := deafEntry(leaver, finals)
-		long := make(chan outcome, len(w.Upstreams))
-		for i := range len(w.Upstreams) {
-			go func() { long <- w.ask(i, fmt.Sprint("long ", i), 60) }()
-		}
-		Eventually(func() int64 { return leaver.Engine.Counts().Streams }, bound).Should(BeNumerically(">", 0))
+		const most = 500
+		long := make(chan outcome, most)
+		asked := 0
+		Eventually(func() int64 {
+			// Routing draws at random, so requests are sent until one is there.
+			if i := asked; i < most {
+				asked++
+				go func() { long <- w.ask(i, fmt.Sprint("long ", i), 60) }()
+			}
+			return leaver.Engine.Counts().Streams
+		}, bound).Should(BeNumerically(">", 0))
 		ctx, cancel := context.WithTimeout(context.Background(), bound)
 		defer cancel()
 		drained := make(chan error, 1)
@@ -118,7 +124,7 @@
 		}
 		Expect(leaver.Engine.Counts().Streams).To(Equal(started))
 		Eventually(drained, bound).Should(Receive(BeNil()))
-		for range len(w.Upstreams) {
+		for range asked {
 			var o outcome
 			Eventually(long, bound).Should(Receive(&o))
 			Expect(o.whole()).To(BeTrue(), "%+v", o)
