ledger: calls before the first read of the log are not refused

A healthy demo refused 3 of 268 requests as log-down: a fresh side refused until its first read was back, and that read waits half a second for a record on an empty stream. Ruled out: failed reads or appends; the sides logged none.

The intent is appended at once now. It is judged when it is read, with the coverage known then: it owns its key, or is voided and refused as key-expired. The first read gives no calls up, since nothing was missed before it.

--- a/ledger/apply.go
+++ b/ledger/apply.go
@@ -12,7 +12,11 @@
 func (l *Ledger) Read(now time.Time, page Page) []Action {
 	var actions []Action
 	l.readFailures = 0
-	if !l.coverage.started || page.First > l.next {
+	switch {
+	case !l.coverage.started:
+		l.coverage.begin(now, page.First)
+		l.next = page.First
+	case page.First > l.next:
 		actions = l.restart(now, page.First)
 	}
 	for _, entry := range page.Entries {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -203,9 +203,10 @@
 	if !now.Before(c.operation.Deadline) {
 		return []Action{notRun(c, currantwood.KindDeadline, "The deadline passed before the call was recorded.", 0)}
 	}
-	if !l.coverage.started || now.Before(l.downUntil) {
+	if now.Before(l.downUntil) {
 		return []Action{notRun(c, currantwood.KindLogDown, "The operations log can't be reached, so this call was not recorded.", logRetryAfter)}
 	}
+	// Before the first read nothing is missing yet; check decides then.
 	if missing := l.coverage.missing(now, c.operation.Window); missing > 0 {
 		return []Action{l.refuseUncovered(c, missing)}
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -86,6 +86,17 @@
 	Entry("a record that can't be decoded", Page{Next: 1, Entries: []Logged{{Unreadable: true}}}, "key-expired"),
 )
 
+var _ = DescribeTable("a call that arrives before the first read",
+	func(first currantwood.Offset, want ActionKind) {
+		l := New()
+		record := l.Begin(minute(0), "mine", payment(minute(0)))[0].Record
+		actions := l.Read(minute(0), page(first, record))
+		Expect(actions[0].Kind).To(Equal(want))
+	},
+	Entry("owns its key when the log has dropped nothing", currantwood.Offset(0), ActionDispatch),
+	Entry("is voided when the log doesn't reach back", currantwood.Offset(9), ActionAppend),
+)
+
 var _ = It("doesn't take a key as free because the only owner it knows gave up", func() {
 	// An owner before this reader's first record beat "a". "a" gave up without
 	// having read that; "b" came after the void of the owner, and ran.
