caller: a call that a leaving side refused goes on without the retry budget

Cause: when a side begins to leave, every call under way to it is refused as not run at the same moment. They took the retry budget one after the other, and the last were told shutting-down although another desk was free.

Ruled out: a larger budget; it is there for upstreams that fail, and this costs no upstream any work.

Change: such a refusal goes on at once while a side is left that was not tried.

--- a/caller/trip.go
+++ b/caller/trip.go
@@ -58,7 +58,7 @@
 		if refusal == nil {
 			return served(answer), nil
 		}
-		if !t.worthRetrying(refusal) || !c.again(ctx, t) {
+		if !t.worthRetrying(refusal) || !c.elsewhere(t, refusal) && !c.again(ctx, t) {
 			return nil, t.settle(refusal)
 		}
 	}
@@ -138,6 +138,18 @@
 	return refusal
 }
 
+// elsewhere says whether a call that a leaving side refused can go on to a side
+// that was not tried. That costs no upstream any work, so it is not counted as a
+// retry; when a side leaves, all calls under way to it are refused at once.
+func (c *Caller) elsewhere(t *trip, refusal *currantwood.Refusal) bool {
+	if refusal.Kind != currantwood.KindShuttingDown || refusal.Ran != currantwood.NotRun {
+		return false
+	}
+	return slices.ContainsFunc(c.options.Tracker.Candidates(t.group), func(candidate currantwood.Candidate) bool {
+		return !t.tried[candidate.Upstream]
+	})
+}
+
 // again waits for the next try; false when there is none. A try at an operation
 // counts as repeatable, because the log lets one of them run at most.
 func (c *Caller) again(ctx context.Context, t *trip) bool {
