Side: a drain ends when the entries have what was sent

Cause: a drained side closed its links as soon as its last call was answered, and closing a link drops what its queue holds. The wait for streams also used a WaitGroup that a late resume adds to while it is waited for.

Change: heartbeats carry the echo of the peer's last one, Link.Flush waits for the echo of its own, and Drain flushes every link, for at most the silence of a link. Streams are waited for by their count.

Ruled out: waiting for an empty queue; written to the socket is not yet read by the peer, and a close with unread bytes resets the connection.

--- a/linker/linker.go
+++ b/linker/linker.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -33,6 +34,8 @@
 	writeBufferBytes = flushBytes + 16<<10
 	// streamWindowBytes is yamux's flow control window.
 	streamWindowBytes = 1 << 20
+	// flushPoll is how often a flush looks for the peer's echo.
+	flushPoll = 10 * time.Millisecond
 	// helloTimeout bounds the exchange of the first frames.
 	helloTimeout = 3 * time.Second
 )
@@ -79,6 +82,10 @@
 	// heardAt is when the last bytes arrived, in nanoseconds since the epoch.
 	// A large frame on a slow connection counts as life while it arrives.
 	heardAt atomic.Int64
+	// sentSeq is the last heartbeat sent, heardSeq the last one of the peer,
+	// and echoSeq the last one of ours that the peer had when it sent its own.
+	// echoSeq <= sentSeq.
+	sentSeq, heardSeq, echoSeq atomic.Uint64
 
 	mu sync.Mutex
 	// queue holds what the writer hasn't taken yet. It is nil once the link is
@@ -264,9 +271,12 @@
 			l.close(errors.Wrapf(err, "link: read, peer %s", l.peer.GetProcess()))
 			break
 		}
-		if frame.GetHeartbeat() == nil {
-			l.options.Frame(l, frame)
+		if beat := frame.GetHeartbeat(); beat != nil {
+			l.heardSeq.Store(beat.Seq)
+			l.echoSeq.Store(beat.Echo)
+			continue
 		}
+		l.options.Frame(l, frame)
 	}
 	l.options.Closed(l, l.reason())
 }
@@ -290,7 +300,6 @@
 func (l *Link) beat() {
 	ticker := time.NewTicker(l.options.Heartbeat)
 	defer ticker.Stop()
-	var seq uint64
 	for {
 		select {
 		case <-l.done:
@@ -300,12 +309,40 @@
 				l.close(errors.Errorf("link: silent for %s, peer %s", quiet, l.peer.GetProcess()))
 				return
 			}
-			seq++
-			_ = l.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{Seq: seq}}})
+			l.sendHeartbeat()
 		}
 	}
 }
 
+// sendHeartbeat returns the number of the heartbeat.
+func (l *Link) sendHeartbeat() uint64 {
+	seq := l.sentSeq.Add(1)
+	_ = l.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{
+		Seq:  seq,
+		Echo: l.heardSeq.Load(),
+	}}})
+	return seq
+}
+
+// Flush returns when the peer has all frames that were sent before, which takes
+// up to the peer's time between heartbeats. It fails when the link closes or ctx
+// is done first.
+func (l *Link) Flush(ctx context.Context) error {
+	seq := l.sendHeartbeat()
+	ticker := time.NewTicker(flushPoll)
+	defer ticker.Stop()
+	for l.echoSeq.Load() < seq {
+		select {
+		case <-ticker.C:
+		case <-l.done:
+			return errors.Wrapf(ErrClosed, "link: flush, peer %s", l.peer.GetProcess())
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "link: flush, peer %s", l.peer.GetProcess())
+		}
+	}
+	return nil
+}
+
 func (l *Link) quietFor(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, l.heardAt.Load()))
 }
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"time"
 
@@ -142,6 +143,20 @@
 		Expect(near.closed).NotTo(Receive())
 	})
 
+	It("flushes: the peer has all that was sent before", func() {
+		near, far, between := pair()
+		between.SetDelay(heartbeat)
+		for i := range uint64(500) {
+			Expect(near.link.Send(ackFrame(i))).To(Succeed())
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
+		defer cancel()
+		Expect(near.link.Flush(ctx)).To(Succeed())
+		Expect(far.frames).To(HaveLen(500))
+		between.FreezeOpen(true, true)
+		Expect(near.link.Flush(ctx)).To(MatchError(linker.ErrClosed))
+	})
+
 	It("refuses a peer that doesn't greet", func() {
 		client, server := net.Pipe()
 		DeferCleanup(client.Close)
--- a/sideserver/sideserver.go
+++ b/sideserver/sideserver.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/admitter"
@@ -26,6 +27,8 @@
 	step = "sideserver"
 	// reportInterval is the time between two load reports to an entry.
 	reportInterval = 250 * time.Millisecond
+	// drainPoll is how often a drain looks whether streams are left.
+	drainPoll = 20 * time.Millisecond
 	// retryAfterLeaving is when to come back to an upstream that leaves; by
 	// then the request reaches another one.
 	retryAfterLeaving = 500 * time.Millisecond
@@ -127,23 +130,45 @@
 // Broadcast sends a frame on every live link.
 func (s *Server) Broadcast(frame *wire.Frame) { s.links.Broadcast(frame) }
 
-// Drain leaves and returns when nothing is in flight any more or ctx is done.
+// Drain leaves and returns when nothing is in flight any more and every entry
+// has its last answer, or ctx is done.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Leave()
 	idle := make(chan struct{})
 	go func() {
-		if s.runner != nil {
-			s.runner.Wait()
-		}
 		s.calls.Wait()
 		close(idle)
 	}()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrapf(ctx.Err(), "%s: drain, peer %s", step, s.options.Hello.Upstream)
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for idle != nil || s.runner != nil && s.runner.Running() > 0 {
+		select {
+		case <-idle:
+			idle = nil
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s: drain, peer %s", step, s.options.Hello.Upstream)
+		}
+	}
+	return s.flush(ctx)
+}
+
+// flush waits until every entry has what was sent to it. An entry that doesn't
+// answer is not waited for longer than the silence of a link.
+func (s *Server) flush(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.options.Silence)
+	defer cancel()
+	var group errgroup.Group
+	for _, link := range s.links.Links() {
+		group.Go(func() error {
+			err := link.Flush(ctx)
+			if err != nil {
+				s.options.Logger.Warn("entry may lack answers", zap.String("step", step), zap.Error(err))
+			}
+			return nil
+		})
 	}
+	return group.Wait()
 }
 
 // Close ends the side at once, without a drain.
