proof/streams: the relay benchmark runs with admission

Change: the benchmark's engine reports its load, and the gatekeeper has room for all, since admission is not what is measured.

--- a/proof/streams/relay_bench_test.go
+++ b/proof/streams/relay_bench_test.go
@@ -16,10 +16,12 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/entrystarter"
+	"github.com/currantwood/currantwood/gatekeeper"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/sideserver"
 	"github.com/currantwood/currantwood/standin/vmlist"
@@ -61,6 +63,15 @@
 	return nil, currantwood.ErrStreamUnknown
 }
 
+// Load reports room for all.
+func (e *benchEngine) Load(context.Context) (currantwood.EngineLoad, error) {
+	return currantwood.EngineLoad{MemoryTokens: 1 << 40}, nil
+}
+
+func (e *benchEngine) CacheEvents(context.Context, uint64) ([]currantwood.CacheEvent, error) {
+	return nil, nil
+}
+
 func (e *benchEngine) Cancel(context.Context, currantwood.EngineStreamID) error { return nil }
 
 // Next gives a token whose text is the time at which it was made.
@@ -87,6 +98,15 @@
 	return nil
 }
 
+// roomForAll lets every stream in at once: admission is not measured here.
+func roomForAll() gatekeeper.Options {
+	options := gatekeeper.DefaultOptions()
+	options.MemoryTokens = 1 << 40
+	options.MaxRunning = 1 << 20
+	options.MaxPrefill = 1 << 40
+	return options
+}
+
 // startRelay runs one side and one entry and returns the entry's address.
 func startRelay(b *testing.B, engine currantwood.Engine) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -97,7 +117,8 @@
 		Hello: &wire.Hello{
 			Process: "side", Role: currantwood.RoleSide.String(), Region: "kingston", Upstream: "w", Group: group, Model: model,
 		},
-		Listener: listener, Engine: engine, Heartbeat: time.Second, Silence: 10 * time.Second, Logger: zap.NewNop(),
+		Listener: listener, Engine: engine, Gatekeeper: roomForAll(), Heartbeat: time.Second, Silence: 10 * time.Second,
+		Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
 	})
 	b.Cleanup(side.Close)
 	vms := vmlist.New()
