Retries are held to a budget, and failing upstreams are left out

Cause: a generation that was lost before its first token was run anew without a bound; an engine that crashes and is back at once looks idle and drew most requests.

Change: the forwarder asks the retrier before it runs a request anew that may have run; one that was refused as not run adds no load at engines and is not held to it. The tracker keeps a prober for each group and offers no upstream that it has taken out.

--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	mathrand "math/rand"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -177,6 +178,8 @@
 		Reach:         func(now time.Time, upstream currantwood.UpstreamID) { e.keeper.Reach(now, upstream) },
 		NewGeneration: func() currantwood.GenerationID { return currantwood.GenerationID(uuid.NewString()) },
 		Limits:        forwarder.DefaultLimits(),
+		Retries:       forwarder.DefaultRetries(),
+		Random:        mathrand.New(mathrand.NewSource(time.Now().UnixNano())),
 		IdleEvery:     callerHeartbeat,
 	})
 	calls := e.newCaller()
--- a/entrystarter/sidehandler.go
+++ b/entrystarter/sidehandler.go
@@ -28,7 +28,13 @@
 		h.load(time.Now(), link, body.Load)
 	case *wire.Frame_Leaving:
 		h.entry.tracker.Leaving(link)
-	case *wire.Frame_Tokens, *wire.Frame_Final, *wire.Frame_Queued:
+	case *wire.Frame_Tokens:
+		h.entry.tracker.Progress(link)
+		h.entry.forwarder.Frame(link, frame)
+	case *wire.Frame_Queued:
+		h.entry.tracker.Delayed(link, time.Duration(body.Queued.PredictedWaitMs)*time.Millisecond)
+		h.entry.forwarder.Frame(link, frame)
+	case *wire.Frame_Final:
 		h.entry.forwarder.Frame(link, frame)
 	default:
 		return false
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"math/rand"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/currantwood/currantwood/linker"
 	"github.com/currantwood/currantwood/prefixtracker"
 	"github.com/currantwood/currantwood/relayer"
+	"github.com/currantwood/currantwood/retrier"
 	"github.com/currantwood/currantwood/tracker"
 	"github.com/currantwood/currantwood/wire"
 )
@@ -40,6 +42,12 @@
 	}
 }
 
+// DefaultRetries lets an entry run anew what it had at one lost engine, and a
+// tenth of its requests beyond that.
+func DefaultRetries() retrier.Options {
+	return retrier.Options{Reserve: 64, Tries: 4}
+}
+
 // Options says what a forwarder needs.
 type Options struct {
 	Tracker *tracker.Tracker
@@ -51,6 +59,10 @@
 	Reach func(now time.Time, upstream currantwood.UpstreamID)
 	// Quarantine stops requests that crash upstreams; nil stops none.
 	Quarantine Quarantine
+	// Retries bounds the tries of requests that may have run.
+	Retries retrier.Options
+	// Random spreads retries in time.
+	Random *rand.Rand
 	// NewGeneration draws a generation id.
 	NewGeneration func() currantwood.GenerationID
 	// Limits are those of each stream; RestartDeclared is set by the request.
@@ -96,6 +108,9 @@
 type Forwarder struct {
 	options Options
 	seed    maphash.Seed
+
+	retryMu sync.Mutex
+	retrier *retrier.Retrier
 	shards  [shardCount]shard
 }
 
@@ -107,6 +122,7 @@
 // New makes a forwarder without requests.
 func New(options Options) *Forwarder {
 	f := &Forwarder{options: options, seed: maphash.MakeSeed()}
+	f.retrier = retrier.New(options.Retries, options.Random)
 	for i := range f.shards {
 		f.shards[i].flights = make(map[currantwood.RequestID]*flight)
 	}
@@ -156,6 +172,7 @@
 func (f *Forwarder) startAnew(ctx context.Context, fl *flight) (Completion, *currantwood.Refusal) {
 	tried := make(map[currantwood.UpstreamID]bool)
 	var last *currantwood.Refusal
+	f.firstTry()
 	for {
 		if refusal := f.quarantined(fl.request, last); refusal != nil {
 			return Completion{}, refusal
@@ -168,13 +185,43 @@
 		refusal, again := f.attempt(ctx, fl, target{
 			upstream: upstream, link: link, generation: f.options.NewGeneration(), start: true,
 		})
-		if !again {
+		if !again || !f.tryAgain(ctx, fl, refusal, len(tried)) {
 			return fl.completion, refusal
 		}
 		last = refusal
 	}
 }
 
+func (f *Forwarder) firstTry() {
+	f.retryMu.Lock()
+	defer f.retryMu.Unlock()
+	f.retrier.First()
+}
+
+// tryAgain waits until a request may be tried at another upstream. One that no
+// upstream was asked to run adds no load there and is not held to the budget.
+func (f *Forwarder) tryAgain(ctx context.Context, fl *flight, refusal *currantwood.Refusal, tries int) bool {
+	if refusal.Ran == currantwood.NotRun {
+		return true
+	}
+	f.retryMu.Lock()
+	delay, reason := f.retrier.Again(time.Now(), retrier.Failure{
+		Tries: tries, Ran: refusal.Ran, Repeatable: true, Deadline: fl.request.Demand.Deadline,
+	})
+	f.retryMu.Unlock()
+	if reason != retrier.None {
+		return false
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // quarantined refuses a request that is known to crash upstreams, be it known
 // from its own tries.
 func (f *Forwarder) quarantined(request Request, last *currantwood.Refusal) *currantwood.Refusal {
@@ -190,11 +237,29 @@
 
 func (f *Forwarder) attempt(ctx context.Context, fl *flight, t target) (*currantwood.Refusal, bool) {
 	f.options.Tracker.Begin(t.upstream)
-	defer f.options.Tracker.End(t.upstream)
 	if f.options.Quarantine != nil {
 		f.options.Quarantine.Announce(time.Now(), t.link, fl.request.Fingerprint)
 	}
-	return fl.run(ctx, t)
+	refusal, again := fl.run(ctx, t)
+	switch {
+	case refusal == nil:
+		f.options.Tracker.Ended(t.upstream, true)
+	case blames(refusal.Kind):
+		f.options.Tracker.Ended(t.upstream, false)
+	default:
+		f.options.Tracker.End(t.upstream)
+	}
+	return refusal, again
+}
+
+// blames tells the kinds of refusal that speak against the upstream.
+func blames(kind currantwood.Kind) bool {
+	switch kind {
+	case currantwood.KindGenerationLost, currantwood.KindLinkLost, currantwood.KindNoUpstream,
+		currantwood.KindUpstreamCrash, currantwood.KindUpstreamError:
+		return true
+	}
+	return false
 }
 
 // Frame takes in a frame of a side. It doesn't block.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -8,6 +8,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/prober"
 	"github.com/currantwood/currantwood/wire"
 )
 
@@ -16,6 +17,8 @@
 	mu sync.RWMutex
 	// sides holds the newest link to each upstream.
 	sides map[currantwood.UpstreamID]*side
+
+	health *health
 }
 
 type side struct {
@@ -29,7 +32,7 @@
 
 // New makes an empty view.
 func New() *Tracker {
-	return &Tracker{sides: make(map[currantwood.UpstreamID]*side)}
+	return &Tracker{sides: make(map[currantwood.UpstreamID]*side), health: newHealth()}
 }
 
 // Up takes in a new link to a side. It replaces an older one.
@@ -43,6 +46,7 @@
 		next.inFlight = previous.inFlight
 	}
 	t.sides[upstream] = next
+	t.sync(currantwood.GroupID(link.Peer().Group))
 }
 
 // Down takes a closed link out, unless a newer one has replaced it.
@@ -52,6 +56,7 @@
 	upstream := currantwood.UpstreamID(link.Peer().Upstream)
 	if s := t.sides[upstream]; s != nil && s.link == link {
 		delete(t.sides, upstream)
+		t.sync(currantwood.GroupID(link.Peer().Group))
 	}
 }
 
@@ -120,10 +125,18 @@
 }
 
 // Begin and End count this entry's own work in flight at an upstream.
-func (t *Tracker) Begin(upstream currantwood.UpstreamID) { t.count(upstream, 1) }
+func (t *Tracker) Begin(upstream currantwood.UpstreamID) {
+	t.count(upstream, 1)
+	if link := t.Link(upstream); link != nil {
+		t.note(upstream, func(p *prober.Prober) { p.Started(time.Now(), upstream, patienceOf(link)) })
+	}
+}
 
-// End is called once for each Begin.
-func (t *Tracker) End(upstream currantwood.UpstreamID) { t.count(upstream, -1) }
+// End or Ended is called once for each Begin.
+func (t *Tracker) End(upstream currantwood.UpstreamID) {
+	t.count(upstream, -1)
+	t.note(upstream, func(p *prober.Prober) { p.Dropped(upstream) })
+}
 
 func (t *Tracker) count(upstream currantwood.UpstreamID, change int) {
 	t.mu.Lock()
@@ -145,7 +158,7 @@
 		}
 		candidates = append(candidates, s.candidate(upstream))
 	}
-	return candidates
+	return t.health.admitted(group, candidates)
 }
 
 func (s *side) candidate(upstream currantwood.UpstreamID) currantwood.Candidate {
