Forwarder: a link that a resumed stream needs is wanted until its end

Cause: the link to a side outside of the subset was wanted for 10 s and a resumed stream is not counted as work in flight, so a stream that took longer lost its link. Seen on main: go test -race ./demonstrator fails, the last entry gets an error event; without -race, where the stream takes less than 10 s, it passes.

Change: the forwarder asks for the link again every 4 s while the stream runs.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -152,7 +152,8 @@
 	at := fl.request.Resume
 	link := f.options.Tracker.Link(at.Upstream)
 	if link == nil {
-		f.options.Reach(time.Now(), at.Upstream)
+		stop := f.keepReached(ctx, at.Upstream)
+		defer stop()
 	}
 	refusal, again := fl.run(ctx, target{upstream: at.Upstream, link: link, generation: at.Generation, next: at.Next})
 	if !again {
@@ -167,6 +168,29 @@
 	return nil, true
 }
 
+// reachEvery is less than the time for which a link is wanted after one call of
+// Options.Reach.
+const reachEvery = 4 * time.Second
+
+// keepReached wants a link to an upstream until the returned function is called.
+func (f *Forwarder) keepReached(ctx context.Context, upstream currantwood.UpstreamID) context.CancelFunc {
+	ctx, stop := context.WithCancel(ctx)
+	f.options.Reach(time.Now(), upstream)
+	go func() {
+		ticker := time.NewTicker(reachEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-ticker.C:
+				f.options.Reach(now, upstream)
+			}
+		}
+	}()
+	return stop
+}
+
 // startAnew tries one upstream after the other until a generation is whole or
 // must not be run again.
 func (f *Forwarder) startAnew(ctx context.Context, fl *flight) (Completion, *currantwood.Refusal) {
