--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -170,6 +170,8 @@
 	e.prefixes = prefixtracker.New(prefixtracker.DefaultOptions())
 	e.limiter = limiter.New(limiter.DefaultOptions())
 	e.crashes = crashhandler.New(quarantiner.Options{})
+	retries := forwarder.DefaultRetries()
+	retries.Share = currantwood.Share(e.settings.Entry.RetryShare)
 	e.forwarder = forwarder.New(forwarder.Options{
 		Tracker:       e.tracker,
 		Quarantine:    e.crashes,
@@ -178,7 +180,7 @@
 		Reach:         func(now time.Time, upstream currantwood.UpstreamID) { e.keeper.Reach(now, upstream) },
 		NewGeneration: func() currantwood.GenerationID { return currantwood.GenerationID(uuid.NewString()) },
 		Limits:        forwarder.DefaultLimits(),
-		Retries:       forwarder.DefaultRetries(),
+		Retries:       retries,
 		Random:        mathrand.New(mathrand.NewSource(time.Now().UnixNano())),
 		IdleEvery:     callerHeartbeat,
 	})
