--- a/linker/linker.go
+++ b/linker/linker.go
@@ -27,7 +27,7 @@
 	// maxQueuedFrames bounds the frames that wait for a peer that reads slowly.
 	maxQueuedFrames = 1 << 16
 	// readBufferBytes is the size of the buffer for incoming frames.
-	readBufferBytes = 64 << 10
+	readBufferBytes = 8 << 10
 	// flushBytes are written at once while more waits; writeBufferBytes has
 	// room for that and a usual frame.
 	flushBytes       = 64 << 10
@@ -40,6 +40,13 @@
 	helloTimeout = 3 * time.Second
 )
 
+// writeBuffers are shared by all links, since few of a process's links write at
+// the same moment and an idle one should hold little.
+var writeBuffers = sync.Pool{New: func() any {
+	buffer := make([]byte, 0, writeBufferBytes)
+	return &buffer
+}}
+
 // ErrClosed says that the link is closed.
 var ErrClosed = errors.New("link is closed")
 
@@ -210,7 +217,6 @@
 
 func (l *Link) write() {
 	var batch []queued
-	buffer := make([]byte, 0, writeBufferBytes)
 	for {
 		select {
 		case <-l.wake:
@@ -220,7 +226,10 @@
 		l.mu.Lock()
 		batch, l.queue = l.queue, batch[:0]
 		l.mu.Unlock()
-		if err := l.writeBatch(batch, buffer); err != nil {
+		buffer := writeBuffers.Get().(*[]byte)
+		err := l.writeBatch(batch, *buffer)
+		writeBuffers.Put(buffer)
+		if err != nil {
 			l.close(errors.Wrapf(err, "link: write, peer %s", l.peer.GetProcess()))
 			return
 		}
