A frozen engine is noticed while its streams are asked to resume

Cause: a side answers a resume with a frame that carries no tokens, and the entry took any such frame for progress of the upstream. Entries whose streams stood still resumed again and again, so the prober never took the frozen engine out. Ruled out, by printing what each waiting request saw: lost links, the share that may be out, the doubling of the time out; the prober said 'in' 933 times of 940. Change: only a frame with tokens is progress.

--- a/entrystarter/sidehandler.go
+++ b/entrystarter/sidehandler.go
@@ -29,7 +29,11 @@
 	case *wire.Frame_Leaving:
 		h.entry.tracker.Leaving(link)
 	case *wire.Frame_Tokens:
-		h.entry.tracker.Progress(link)
+		// A side answers a resume without tokens also while its engine
+		// stands still.
+		if len(body.Tokens.Texts) > 0 {
+			h.entry.tracker.Progress(link)
+		}
 		h.entry.forwarder.Frame(link, frame)
 	case *wire.Frame_Queued:
 		h.entry.tracker.Delayed(link, time.Duration(body.Queued.PredictedWaitMs)*time.Millisecond)
--- /dev/null
+++ b/proof/fleet/frozen_test.go
@@ -0,0 +1,44 @@
+package fleet_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood/standin/engine"
+)
+
+var _ = Describe("A frozen upstream", func() {
+	It("is left out after some seconds, so that others are served as before", func() {
+		w := newWorld(nil)
+		t := w.load(42, 10)
+		Eventually(t.served.Load, bound).Should(BeNumerically(">", 84))
+		frozen := w.engines()[0]
+		frozen.SetFaults(engine.Faults{Freeze: true})
+		began := time.Now()
+		Eventually(func() time.Duration { return time.Since(began) }, bound).Should(BeNumerically(">", 6*time.Second))
+
+		var slow atomic.Int64
+		var wait sync.WaitGroup
+		for i := range 150 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				o := w.ask(i, "after", 10)
+				if !o.whole() || o.took > 2*time.Second {
+					slow.Add(1)
+				}
+			}()
+		}
+		wait.Wait()
+		GinkgoWriter.Printf("%d of 150 were slow\n", slow.Load())
+		Expect(slow.Load()).To(BeNumerically("<=", 2*len(w.Entries)), "the few that look whether it is back")
+		// What stood still goes on when the engine does.
+		frozen.SetFaults(engine.Faults{})
+		t.stop()
+		Expect(t.failed.Load()).To(BeZero())
+	})
+})
