A request without a token leaves an upstream that makes no progress

Cause: requests that a frozen engine held before their first token waited for their deadline, though nothing of them had been delivered and another engine was free. Change: from 3.5 s on, a request without a token looks each 500 ms whether its upstream is left out; if so it is cancelled there and run anew elsewhere, within the retry budget, unseen by its caller. Ruled out: a second run beside the first from the start, since it doubles load.

--- a/forwarder/flight.go
+++ b/forwarder/flight.go
@@ -35,9 +35,21 @@
 	start bool
 }
 
+const (
+	// firstLook is how long a request waits for its first token before it
+	// looks whether its upstream makes progress; nextLook is the time between
+	// further looks.
+	firstLook = 3500 * time.Millisecond
+	nextLook  = 500 * time.Millisecond
+)
+
 // flight is one request on its way. All but its events belong to the goroutine
 // of Forward.
 type flight struct {
+	// lookAt is when a request without a token next looks whether its
+	// upstream makes progress.
+	lookAt time.Time
+
 	options Options
 	request Request
 	sink    Sink
@@ -87,6 +99,7 @@
 func (fl *flight) run(ctx context.Context, t target) (*currantwood.Refusal, bool) {
 	now := time.Now()
 	fl.target = t
+	fl.lookAt = now.Add(firstLook)
 	fl.ended, fl.again, fl.refusal = false, false, nil
 	restart := fl.relayer.Bind(now, t.generation, t.next)
 	if err := fl.sink.Bind(t.generation, t.upstream, restart); err != nil {
@@ -136,11 +149,31 @@
 func (fl *flight) due() time.Time {
 	due := fl.relayer.Due()
 	if due.IsZero() || fl.idleAt.Before(due) {
-		return fl.idleAt
+		due = fl.idleAt
+	}
+	if fl.unbegun() && fl.lookAt.Before(due) {
+		due = fl.lookAt
 	}
 	return due
 }
 
+// unbegun reports whether no token has come of a generation that this request
+// has started, so that it may be run anew unseen.
+func (fl *flight) unbegun() bool {
+	_, next := fl.relayer.Position()
+	return fl.target.start && next == 0
+}
+
+// stuck reports whether a request without a token stands at an upstream that
+// is left out because it makes no progress.
+func (fl *flight) stuck(now time.Time) bool {
+	if !fl.unbegun() || now.Before(fl.lookAt) {
+		return false
+	}
+	fl.lookAt = now.Add(nextLook)
+	return fl.options.Tracker.Out(now, fl.target.upstream)
+}
+
 func (fl *flight) tick() {
 	now := time.Now()
 	if !now.Before(fl.idleAt) {
@@ -150,6 +183,11 @@
 			return
 		}
 	}
+	if fl.stuck(now) {
+		fl.cancel(wire.ReasonGivenUp)
+		fl.end(standsStill(fl.target), true)
+		return
+	}
 	fl.act(fl.relayer.Tick(now))
 }
 
--- a/forwarder/frames.go
+++ b/forwarder/frames.go
@@ -49,6 +49,19 @@
 	return refusal
 }
 
+// standsStill ends a try at an upstream that makes no progress. The upstream
+// may yet run what it holds; nobody will read it.
+func standsStill(t target) *currantwood.Refusal {
+	return &currantwood.Refusal{
+		Kind:       currantwood.KindUpstreamError,
+		Ran:        currantwood.RanUnknown,
+		RetryAfter: retryAfterLost,
+		Step:       step,
+		Peer:       string(t.upstream),
+		Detail:     "the upstream makes no progress",
+	}
+}
+
 func takenOver() *currantwood.Refusal {
 	return &currantwood.Refusal{
 		Kind:   currantwood.KindTakenOver,
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -104,6 +104,13 @@
 	return !u.out && (u.allowed == 0 || u.inFlight < u.allowed)
 }
 
+// Out reports whether the upstream is left out now. Unlike Admits it changes
+// nothing.
+func (p *Prober) Out(now time.Time, id currantwood.UpstreamID) bool {
+	u := p.upstreams[id]
+	return u != nil && u.out && now.Before(u.until)
+}
+
 // Started notes a request sent to the upstream. Patience is the longest time
 // that a healthy upstream leaves it without progress.
 func (p *Prober) Started(now time.Time, id currantwood.UpstreamID, patience time.Duration) {
--- a/proof/fleet/frozen_test.go
+++ b/proof/fleet/frozen_test.go
@@ -41,4 +41,24 @@
 		t.stop()
 		Expect(t.failed.Load()).To(BeZero())
 	})
+
+	It("gives back the requests that it holds without a token", func() {
+		w := newWorld(nil)
+		frozen := w.engines()[0]
+		var late atomic.Int64
+		var wait sync.WaitGroup
+		for i := range 300 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				if o := w.ask(i, "held", 1); !o.whole() || o.took > 15*time.Second {
+					late.Add(1)
+				}
+			}()
+		}
+		Eventually(func() int64 { return frozen.Counts().Streams }, bound, time.Millisecond).Should(BeNumerically(">", 0))
+		frozen.SetFaults(engine.Faults{Freeze: true})
+		wait.Wait()
+		Expect(late.Load()).To(BeZero(), "requests that an upstream held and never began")
+	})
 })
--- a/tracker/health.go
+++ b/tracker/health.go
@@ -59,6 +59,16 @@
 	return admitted
 }
 
+// Out reports whether an upstream is left out because it makes no progress.
+func (t *Tracker) Out(now time.Time, upstream currantwood.UpstreamID) bool {
+	out := false
+	t.note(upstream, func(p *prober.Prober) {
+		p.Frozen(now)
+		out = p.Out(now, upstream)
+	})
+	return out
+}
+
 // Ended is End for a request whose end says whether the upstream works.
 func (t *Tracker) Ended(upstream currantwood.UpstreamID, ok bool) {
 	t.count(upstream, -1)
