One bound for stalls in the entry and the player

Cause: observer and player each had the gap of 200 ms beyond which time is a stall. Change: currantwood.StallBound serves both. Behaviour is the same. Seen: vet, linter and the tests of observer, player and reporter pass.

--- a/observer/observer.go
+++ b/observer/observer.go
@@ -36,9 +36,6 @@
 	MeasureAnswered      = "answered"
 )
 
-// StallBound is the gap between two tokens beyond which time is a stall.
-const StallBound = 200 * time.Millisecond
-
 // Observer is safe for concurrent use.
 type Observer struct {
 	started time.Time
@@ -103,7 +100,7 @@
 		r.record(now, MeasureFirstToken, now.Sub(r.arrival))
 	} else {
 		gap := now.Sub(r.lastToken)
-		r.stall += max(0, gap-StallBound)
+		r.stall += max(0, gap-currantwood.StallBound)
 		r.record(now, MeasureBetweenTokens, gap)
 	}
 	r.lastToken = now
--- a/player/report.go
+++ b/player/report.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/currantwood/currantwood"
 )
 
 const (
-	// StallBound is the gap between two tokens beyond which time is a stall.
-	StallBound = 200 * time.Millisecond
 	// maxRecorded is the largest time that a histogram keeps.
 	maxRecorded = time.Hour
 	// significantDigits of the histograms.
@@ -142,7 +142,7 @@
 	var stall time.Duration
 	for _, gap := range s.gaps {
 		_ = r.betweenTokens.RecordValue(gap.Microseconds())
-		stall += max(0, gap-StallBound)
+		stall += max(0, gap-currantwood.StallBound)
 	}
 	_ = r.stalls.RecordValue(stall.Microseconds())
 	r.Stall += stall
--- a/units.go
+++ b/units.go
@@ -1,5 +1,7 @@
 package currantwood
 
+import "time"
+
 // TokenIndex is the position of a token in its generation, from 0.
 type TokenIndex uint64
 
@@ -25,3 +27,6 @@
 
 // Share is a part of a whole, from 0 to 1.
 type Share float64
+
+// StallBound is the gap between two tokens beyond which time is a stall.
+const StallBound = 200 * time.Millisecond
