One wait that a context can cut short, in place of six

Cause: caller, forwarder, dialer, tailer, injector and player each had the same timer and select. Change: sleeper.Sleep serves all six. The tailer's early return for a wait of 0 is gone: a timer of 0 fires at once. Seen: vet, linter, and under -race the tests of caller, player, demonstrator and proof/rules pass.

--- a/caller/trip.go
+++ b/caller/trip.go
@@ -12,6 +12,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/linker"
 	"github.com/currantwood/currantwood/retrier"
+	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/wire"
 )
 
@@ -164,14 +165,7 @@
 	if reason != retrier.None {
 		return false
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, delay)
 }
 
 // pick returns the upstream with the lowest cost.
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/currantwood/currantwood/linker"
+	"github.com/currantwood/currantwood/sleeper"
 )
 
 const (
@@ -108,7 +109,7 @@
 		link, err := d.dial(ctx, address)
 		if err != nil {
 			d.options.Failed(address, err)
-			sleep(ctx, delay.NextBackOff())
+			sleeper.Sleep(ctx, delay.NextBackOff())
 			continue
 		}
 		delay.Reset()
@@ -135,12 +136,3 @@
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", address)
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/currantwood/currantwood/prefixtracker"
 	"github.com/currantwood/currantwood/relayer"
 	"github.com/currantwood/currantwood/retrier"
+	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/tracker"
 	"github.com/currantwood/currantwood/wire"
 )
@@ -235,14 +236,7 @@
 	if reason != retrier.None {
 		return false
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, delay)
 }
 
 // quarantined refuses a request that is known to crash upstreams, be it known
--- a/injector/injector.go
+++ b/injector/injector.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood/demonstrator"
+	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/standin/engine"
 	"github.com/currantwood/currantwood/standin/logservice"
 	"github.com/currantwood/currantwood/standin/service"
@@ -76,7 +77,7 @@
 
 // Run brings faults until ctx is done and returns when all have ended.
 func (i *Injector) Run(ctx context.Context) {
-	for sleep(ctx, time.Duration(i.random.ExpFloat64()*float64(meanPause))) {
+	for sleeper.Sleep(ctx, time.Duration(i.random.ExpFloat64()*float64(meanPause))) {
 		f := fault(i.random.IntN(int(faultCount)))
 		target := i.random.IntN(1 << 20)
 		length := time.Duration(i.random.Int64N(int64(longestFault)))
@@ -146,7 +147,7 @@
 	case listLags:
 		i.system.VMs.SetFaults(vmlist.Faults{LagMS: listLag.Milliseconds()})
 	}
-	sleep(ctx, length)
+	sleeper.Sleep(ctx, length)
 	switch f {
 	case listDown, listLags:
 		i.system.VMs.SetFaults(vmlist.Faults{})
@@ -184,7 +185,7 @@
 	frozen := healthy
 	frozen.Freeze = true
 	e.SetFaults(frozen)
-	sleep(ctx, length)
+	sleeper.Sleep(ctx, length)
 	e.SetFaults(healthy)
 }
 
@@ -208,15 +209,3 @@
 	}
 	return nil
 }
-
-// sleep waits and reports whether ctx is still live.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/player/player.go
+++ b/player/player.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/sleeper"
 )
 
 const (
@@ -158,12 +159,5 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, time.Until(at))
 }
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/headkeeper"
+	"github.com/currantwood/currantwood/sleeper"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -82,7 +83,7 @@
 	for ctx.Err() == nil {
 		position := t.options.Position()
 		if !position.Chosen {
-			sleep(ctx, idleInterval)
+			sleeper.Sleep(ctx, idleInterval)
 			continue
 		}
 		wait, err := t.step(ctx, position.Rank)
@@ -91,12 +92,12 @@
 				t.options.Logger.Warn("rules stream not read or written, trying again", zap.Error(err))
 			}
 			failing = true
-			sleep(ctx, retry.NextBackOff())
+			sleeper.Sleep(ctx, retry.NextBackOff())
 			continue
 		}
 		failing = false
 		retry.Reset()
-		sleep(ctx, wait)
+		sleeper.Sleep(ctx, wait)
 	}
 }
 
@@ -132,15 +133,3 @@
 	t.options.Logger.Info("rules checkpoint written", zap.Uint64("offset", uint64(offset)))
 	return nil
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
