Gateway: the whole path on the platform, thin

Cause: the product served callers only through its own entries and sides; on the platform there are entries alone, configuration and upstreams stand in a store, and engines leave every few seconds with two seconds' notice. A running generation is copied from a leaving engine and resumed there before the old one is stopped. Ruled out: stopping the source before the copy is used (a failed copy then loses the run).

--- a/cmd/currantwood/main.go
+++ b/cmd/currantwood/main.go
@@ -77,6 +77,7 @@
 		ShortUsage: "currantwood <command> [flags]",
 		LongHelp:   "Exit codes: 0 done, 1 failed, 2 usage, 3 outcome unknown.",
 		Subcommands: []*ffcli.Command{
+			gatewayCommand(),
 			entryCommand(),
 			sideCommand(),
 			standinCommand(),
--- /dev/null
+++ b/gateway/move.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+)
+
+const (
+	// copyTimeout bounds the copying of one run's memory. Few upstreams stay
+	// longer than that after their notice.
+	copyTimeout = 2500 * time.Millisecond
+	// dropTimeout bounds the freeing of a copy.
+	dropTimeout = time.Second
+	// maxMoves bounds the targets that are tried for one run.
+	maxMoves = 3
+	// shortestMove is the number of events still to come below which a run is
+	// left to end where it is.
+	shortestMove = 10
+)
+
+// evacuate moves running streams away from upstreams that leave, those with
+// the most still to come first.
+func (g *Gateway) evacuate(_ time.Time, leaving []*stream) {
+	slices.SortFunc(leaving, func(a, b *stream) int { return int(b.eventsLeft() - a.eventsLeft()) })
+	for _, s := range leaving {
+		s.startMove()
+	}
+}
+
+// eventsLeft estimates the events still to come.
+func (s *stream) eventsLeft() int64 {
+	perEvent := int64(1)
+	if e := s.snapshot.Groups[s.group].Engine; e != nil && e.TokensPerEvent > 0 {
+		perEvent = int64(e.TokensPerEvent)
+	}
+	return int64(s.client.Size.Output)/perEvent - max(0, s.last.Load())
+}
+
+// watchLeaving moves the stream on if its upstream is known to leave by now.
+func (s *stream) watchLeaving(l *leg) {
+	s.g.mu.Lock()
+	view, ok := s.g.upstreams.Get(l.view.ID)
+	s.g.mu.Unlock()
+	if !ok || !view.NoticeAt.IsZero() || view.Born != l.view.Born {
+		s.startMove()
+	}
+}
+
+// startMove begins to move the stream unless a move is under way.
+func (s *stream) startMove() {
+	engine := s.snapshot.Groups[s.group].Engine
+	if engine == nil || !engine.Moves {
+		return
+	}
+	s.mu.Lock()
+	from := s.current
+	if s.over || s.moving != nil || s.next != nil || from == nil {
+		s.mu.Unlock()
+		return
+	}
+	done := make(chan struct{})
+	s.moving = done
+	s.mu.Unlock()
+	go func() {
+		s.move(from)
+		s.mu.Lock()
+		s.moving = nil
+		s.mu.Unlock()
+		close(done)
+	}()
+}
+
+// move copies the run's memory to another engine and goes on there.
+func (s *stream) move(from *leg) {
+	exclude := []currantwood.UpstreamID{from.view.ID}
+	for range maxMoves {
+		if !s.begun.Load() || s.eventsLeft() < shortestMove || s.ctx.Err() != nil {
+			return
+		}
+		choice, ok := s.target(exclude)
+		if !ok {
+			s.log("no engine to move to", zap.String("from", string(from.view.ID)))
+			return
+		}
+		exclude = append(exclude, choice.View.ID)
+		if s.moveTo(from, choice) {
+			return
+		}
+	}
+}
+
+// target chooses the engine that a run is moved to.
+func (s *stream) target(exclude []currantwood.UpstreamID) (balancer.Choice, bool) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: s.current.view.Zone, Exclude: exclude, Room: true}
+	now := s.g.Now()
+	choice, ok := s.g.balancer.Pick(now, query)
+	if ok {
+		s.g.balancer.Started(now, choice.View, query.Load, streamPatience)
+	}
+	return choice, ok
+}
+
+// moveLoad is what the stream brings to an engine that it is moved to: there is
+// no prompt to read.
+func (s *stream) moveLoad() balancer.Load {
+	return balancer.Load{Requests: 1, Tokens: s.client.Size.Tokens()}
+}
+
+// moveTo tries one target and reports whether the move is over.
+func (s *stream) moveTo(from *leg, choice balancer.Choice) bool {
+	began := s.g.Now()
+	fields := []zap.Field{zap.String("from", string(from.view.ID)), zap.String("to", string(choice.View.ID))}
+	copied, err := s.g.Mover.Copy(s.client.ID, from.view.Address, choice.View.Address, copyTimeout)
+	if err != nil {
+		s.ended(choice.View, s.moveLoad(), balancer.Neutral)
+		s.log("copy failed", append(fields, zap.Error(err), zap.Duration("took", s.g.Now().Sub(began)))...)
+		return false
+	}
+	copyTime := s.g.Now().Sub(began)
+	opened, err := s.send(choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.last.Load(), From: &copied})
+	if err != nil {
+		s.log("resume failed", append(fields, zap.Error(err), zap.Duration("copy", copyTime))...)
+		if dropErr := s.g.Mover.Drop(copied, dropTimeout); dropErr != nil {
+			s.log("copy not freed", append(fields, zap.Error(dropErr))...)
+		}
+		return false
+	}
+	s.mu.Lock()
+	if s.over {
+		s.mu.Unlock()
+		opened.x.Abort()
+		s.ended(opened.view, opened.load, balancer.Neutral)
+		return true
+	}
+	s.next = opened
+	s.mu.Unlock()
+	from.x.Abort()
+	s.g.figures.moved.Inc(1)
+	s.log("generation moved", append(fields, zap.Duration("copy", copyTime), zap.Duration("took", s.g.Now().Sub(began)), zap.Int64("last-event", s.last.Load()), zap.Int64("events-left", s.eventsLeft()))...)
+	return true
+}
+
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,370 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/eventsplitter"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+const (
+	// streamPatience is the longest time that a healthy engine leaves a stream
+	// without an event.
+	streamPatience = 2 * time.Second
+	// writeSlack is how long after the deadline a write to a client that
+	// doesn't read may still take.
+	writeSlack = 200 * time.Millisecond
+	// moveWait bounds the wait for a move that is under way when the stream's
+	// upstream has ended.
+	moveWait = 1500 * time.Millisecond
+)
+
+// leg is the part of a stream that one upstream delivers.
+type leg struct {
+	view   upstreamkeeper.View
+	x      *connkeeper.Exchange
+	events *eventsplitter.Splitter
+	// load is what the balancer was told of it. Unread becomes 0 with the
+	// first event.
+	load balancer.Load
+}
+
+// stream is one running stream.
+type stream struct {
+	*request
+	ctx context.Context
+	// last is the id of the last event that the client was given; -1 before.
+	last atomic.Int64
+	// begun is whether the client was given an event.
+	begun atomic.Bool
+	mu    sync.Mutex
+	// current delivers; next takes over when current ends; both held by mu.
+	current *leg
+	next    *leg
+	// moving is closed when the move under way ends; nil if there is none;
+	// held by mu.
+	moving chan struct{}
+	// over is set when nothing more will be delivered; held by mu.
+	over bool
+}
+
+// serveStream serves a request whose answer is passed on event by event.
+func (q *request) serveStream(ctx context.Context) {
+	s := &stream{request: q, ctx: ctx}
+	s.last.Store(q.client.LastEvent)
+	defer s.finish()
+	for {
+		if !s.open() {
+			return
+		}
+		err := s.relay()
+		if err == nil {
+			return
+		}
+		if !s.recover(err) {
+			s.breakOff(err)
+			return
+		}
+	}
+}
+
+// open starts the stream at an upstream. If it can't, it gives the final
+// answer and reports false.
+func (s *stream) open() bool {
+	last := &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: upstreamBack}
+	for len(s.tried) < maxSends && s.ctx.Err() == nil {
+		now := s.g.Now()
+		if !s.mayRun(now) {
+			last = &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old for the key", retryAfter: storeBack, elsewhere: true}
+			break
+		}
+		choice, ok := s.pick(now, streamPatience)
+		if !ok {
+			break
+		}
+		s.tried = append(s.tried, choice.View.ID)
+		opened, err := s.send(choice, s.load(), currantwood.UpstreamRequest{LastEvent: s.last.Load()})
+		if err == nil && opened.x.Status != http.StatusOK {
+			s.passWhole(opened, choice)
+			return false
+		}
+		if err == nil {
+			s.ran++
+			s.log("stream opened", zap.String("upstream", string(choice.View.ID)), zap.Float64("score", choice.Score), zap.Int("in-flight", choice.Load.Requests), zap.Int64("tokens-in-flight", int64(choice.Load.Tokens)), zap.Int64("after-event", s.last.Load()))
+			s.install(opened)
+			return true
+		}
+		if s.clientGone() {
+			s.gone(choice)
+			return false
+		}
+		s.log("upstream did not serve", zap.String("upstream", string(choice.View.ID)), zap.Error(err), zap.Float64("score", choice.Score))
+		if s.ran > 0 {
+			last = &refusal{status: http.StatusBadGateway, reason: "upstream failed"}
+			if !s.again(s.ctx) {
+				break
+			}
+		}
+	}
+	if s.begun.Load() {
+		s.breakOff(errors.New("no upstream to resume at"))
+		return false
+	}
+	if s.ran > 0 && s.ctx.Err() != nil {
+		last = &refusal{status: http.StatusGatewayTimeout, reason: "deadline"}
+	}
+	s.refuse(last)
+	return false
+}
+
+// again reports whether a stream that may have run may be started once more.
+func (s *stream) again(ctx context.Context) bool {
+	if !s.route.Resumable || s.ran >= s.route.MaxUpstreams || ctx.Err() != nil {
+		return false
+	}
+	s.g.figures.retries.Inc(1)
+	return true
+}
+
+// send starts the stream at an upstream, for which the load was noted.
+func (s *stream) send(choice balancer.Choice, load balancer.Load, to currantwood.UpstreamRequest) (*leg, error) {
+	call := s.call(s.g.Now(), choice.View, to)
+	x, err := s.g.Connections.Start(s.ctx, call, s.g.Coder)
+	if err != nil {
+		s.afterFailedStart(choice, load, err)
+		return nil, err
+	}
+	if x.Answer.NotRun {
+		x.Finish()
+		s.ended(choice.View, load, balancer.Neutral)
+		return nil, errors.Wrapf(errRejected, "status %d", x.Status)
+	}
+	return &leg{view: choice.View, x: x, events: eventsplitter.New(x.Body), load: load}, nil
+}
+
+// errRejected says that the upstream states that it has not run the request.
+var errRejected = errors.New("rejected by the upstream")
+
+// passWhole passes on an answer that is no stream.
+func (s *stream) passWhole(l *leg, choice balancer.Choice) {
+	body, err := io.ReadAll(io.LimitReader(l.x.Body, maxCallAnswer))
+	if err != nil {
+		l.x.Abort()
+		s.ended(l.view, l.load, balancer.Failed)
+		s.refuse(&refusal{status: http.StatusBadGateway, reason: "upstream failed"})
+		return
+	}
+	l.x.Finish()
+	s.ended(l.view, l.load, balancer.Failed)
+	s.pass(&answer{status: l.x.Status, header: l.x.Header, body: body}, choice)
+}
+
+// install makes a leg the current one.
+func (s *stream) install(l *leg) {
+	s.mu.Lock()
+	s.current = l
+	s.mu.Unlock()
+	s.g.addStream(l.view.ID, s)
+}
+
+// relay passes events on until the stream ends. It returns nil at the end of
+// the whole answer and when the client has left.
+func (s *stream) relay() error {
+	for {
+		l := s.current
+		event, err := l.events.Next()
+		if err == nil {
+			if err = s.deliver(l, event); err == nil {
+				continue
+			}
+		}
+		if s.clientGone() {
+			s.leave(l, balancer.Neutral)
+			s.g.figures.gone.Inc(1)
+			s.log("client left", zap.String("upstream", string(l.view.ID)), zap.Int64("last-event", s.last.Load()))
+			return nil
+		}
+		if next := s.takeNext(); next != nil {
+			s.leave(l, balancer.Served)
+			s.install(next)
+			s.watchLeaving(next)
+			continue
+		}
+		if errors.Is(err, io.EOF) && s.complete() {
+			s.leave(l, balancer.Served)
+			s.g.figures.served.Inc(1)
+			s.g.figures.answerTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
+			s.log("stream served", zap.String("upstream", string(l.view.ID)), zap.Int64("last-event", s.last.Load()), zap.Int("upstreams", s.ran))
+			return nil
+		}
+		if next := s.awaitMove(); next != nil {
+			s.leave(l, balancer.Served)
+			s.install(next)
+			s.watchLeaving(next)
+			continue
+		}
+		ending := balancer.Failed
+		if s.ctx.Err() != nil {
+			ending = balancer.Neutral
+		}
+		s.leave(l, ending)
+		return err
+	}
+}
+
+// complete reports whether what came to a clean end is a whole answer.
+func (s *stream) complete() bool { return s.begun.Load() }
+
+// deliver passes one event on, unless the client has it already.
+func (s *stream) deliver(l *leg, event eventsplitter.Event) error {
+	if event.ID >= 0 {
+		last := s.last.Load()
+		if event.ID <= last {
+			return nil
+		}
+		if last >= 0 && event.ID != last+1 {
+			return errors.Errorf("event %d follows %d", event.ID, last)
+		}
+	}
+	if !s.begun.Load() {
+		s.begin(l)
+	}
+	if l.load.Unread > 0 {
+		s.g.readPrompt(l)
+	}
+	s.g.progressed(l.view)
+	if _, err := s.w.Write(event.Text); err != nil {
+		return errors.Wrap(err, "write to client")
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return errors.Wrap(err, "write to client")
+	}
+	if event.ID >= 0 {
+		s.last.Store(event.ID)
+	}
+	return nil
+}
+
+// begin writes the head of the answer.
+func (s *stream) begin(l *leg) {
+	copyHeader(s.w.Header(), l.x.Header)
+	// A client that doesn't read must not hold the stream for good.
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(s.deadline.Sub(s.g.Now()) + writeSlack))
+	s.w.WriteHeader(l.x.Status)
+	s.begun.Store(true)
+	s.g.figures.firstEventTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
+}
+
+// leave ends the use of a leg.
+func (s *stream) leave(l *leg, ending balancer.Ending) {
+	if ending == balancer.Served && s.next == nil {
+		l.x.Finish()
+	} else {
+		l.x.Abort()
+	}
+	s.g.removeStream(l.view.ID, s)
+	s.ended(l.view, l.load, ending)
+}
+
+// recover reports whether a broken stream may go on by another run.
+func (s *stream) recover(err error) bool {
+	s.log("stream broken", zap.Error(err), zap.Int64("last-event", s.last.Load()))
+	return s.again(s.ctx)
+}
+
+// breakOff ends an answer so that it doesn't look complete.
+func (s *stream) breakOff(err error) {
+	if !s.begun.Load() {
+		status := http.StatusBadGateway
+		if s.ctx.Err() != nil {
+			status = http.StatusGatewayTimeout
+		}
+		s.refuse(&refusal{status: status, reason: "upstream failed"})
+		return
+	}
+	s.g.figures.lost.Inc(1)
+	s.log("stream broken off", zap.Error(err), zap.Int64("last-event", s.last.Load()), zap.Int("upstreams", s.ran))
+	panic(http.ErrAbortHandler)
+}
+
+// finish ends what may still be under way for the stream.
+func (s *stream) finish() {
+	s.mu.Lock()
+	s.over = true
+	next := s.next
+	s.next = nil
+	s.mu.Unlock()
+	if next != nil {
+		next.x.Abort()
+		s.ended(next.view, next.load, balancer.Neutral)
+	}
+}
+
+func (s *stream) takeNext() *leg {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.next
+	s.next = nil
+	return next
+}
+
+// awaitMove waits for a move that is under way and returns where it led.
+func (s *stream) awaitMove() *leg {
+	s.mu.Lock()
+	moving := s.moving
+	s.mu.Unlock()
+	if moving == nil {
+		return nil
+	}
+	timer := time.NewTimer(moveWait)
+	defer timer.Stop()
+	select {
+	case <-moving:
+	case <-timer.C:
+	case <-s.ctx.Done():
+	}
+	return s.takeNext()
+}
+
+func (g *Gateway) addStream(id currantwood.UpstreamID, s *stream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.streams[id] == nil {
+		g.streams[id] = make(map[*stream]struct{})
+	}
+	g.streams[id][s] = struct{}{}
+}
+
+func (g *Gateway) removeStream(id currantwood.UpstreamID, s *stream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.streams[id], s)
+	if len(g.streams[id]) == 0 {
+		delete(g.streams, id)
+	}
+}
+
+// readPrompt notes that the engine has read the prompt.
+func (g *Gateway) readPrompt(l *leg) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Read(l.view, l.load.Unread)
+	l.load.Unread = 0
+}
+
+func (g *Gateway) progressed(view upstreamkeeper.View) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Progressed(g.Now(), view)
+}
--- /dev/null
+++ b/gatewaystarter/starter.go
@@ -0,0 +1,219 @@
+// Package gatewaystarter starts a gateway process from its settings and shuts
+// it down.
+package gatewaystarter
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/boottimer"
+	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/gateway"
+	"github.com/currantwood/currantwood/sleeper"
+	"github.com/currantwood/currantwood/storewatcher"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+const (
+	// garbageTarget is the garbage collector's percentage: the heap is small,
+	// and memory costs more than collecting it.
+	garbageTarget = 50
+	// memoryShare is the part of the VM's memory that the runtime keeps to.
+	memoryShare = 0.6
+	// tickTime is how often what is due by time alone is looked for.
+	tickTime = 250 * time.Millisecond
+	// balancerLag is how long after a process has said that it isn't ready
+	// clients are still sent to it.
+	balancerLag = 3500 * time.Millisecond
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above what clients keep a connection idle for.
+	idleTimeout = 90 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	// exitMargin is how long before the end of the grace a process ends by
+	// itself.
+	exitMargin = 300 * time.Millisecond
+)
+
+// Decoder decodes the records of the store.
+type Decoder interface {
+	Configuration(value []byte) (currantwood.Configuration, error)
+	Upstream(key string, value []byte) (currantwood.UpstreamRecord, error)
+}
+
+// Options says what a gateway process needs.
+type Options struct {
+	Settings currantwood.GatewaySettings
+	Logger   *zap.Logger
+	Store    currantwood.KeyedStore
+	Coder    currantwood.HeaderCoder
+	Mover    currantwood.RunMover
+	Decoder  Decoder
+	// ConfigurationTopic, ConfigurationKey and UpstreamTopic are where the
+	// store keeps the configuration and the directory.
+	ConfigurationTopic string
+	ConfigurationKey   string
+	UpstreamTopic      string
+}
+
+// Starter is one running gateway process.
+type Starter struct {
+	options Options
+	now     func() time.Time
+	config  *configkeeper.Keeper
+	gateway *gateway.Gateway
+	metrics metrics.Registry
+	clients *http.Server
+	ready   *http.Server
+	cancel  context.CancelFunc
+}
+
+// New starts a gateway. It serves until Shutdown.
+func New(options Options) (*Starter, error) {
+	debug.SetGCPercent(garbageTarget)
+	debug.SetMemoryLimit(int64(memoryShare * float64(options.Settings.MemoryBytes)))
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Starter{options: options, now: boottimer.Timer{}.Now, config: configkeeper.New(), metrics: metrics.NewRegistry(), cancel: cancel}
+	s.gateway = gateway.New(gateway.Options{
+		Settings:      options.Settings,
+		Logger:        options.Logger,
+		Now:           s.now,
+		Random:        rand.New(rand.NewSource(time.Now().UnixNano())),
+		Configuration: s.config,
+		Coder:         options.Coder,
+		Mover:         options.Mover,
+		Connections:   connkeeper.New(s.now),
+		Decode:        upstreamkeeper.Decode(options.Decoder.Upstream),
+		Metrics:       s.metrics,
+	})
+	if err := s.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	storewatcher.New(ctx, options.Store, options.Logger, s.now, s.configurationFeed(), s.upstreamFeed())
+	go func() {
+		for sleeper.Sleep(ctx, tickTime) {
+			s.gateway.Tick(s.now())
+		}
+	}()
+	options.Logger.Info("started", zap.String("vm", string(options.Settings.VM)), zap.String("zone", string(options.Settings.Zone)), zap.String("clients", options.Settings.ListenClients))
+	return s, nil
+}
+
+func (s *Starter) configurationFeed() storewatcher.Feed {
+	take := func(_ time.Time, records []currantwood.KeyedRecord) {
+		for _, record := range records {
+			s.takeConfiguration(record)
+		}
+	}
+	return storewatcher.Configuration(storewatcher.Feed{
+		Name:     "configuration",
+		Topic:    s.options.ConfigurationTopic,
+		Replace:  take,
+		Apply:    take,
+		Proven:   s.config.Proven,
+		Regained: func(time.Time) {},
+	})
+}
+
+func (s *Starter) upstreamFeed() storewatcher.Feed {
+	return storewatcher.Upstreams(storewatcher.Feed{
+		Name:     "upstreams",
+		Topic:    s.options.UpstreamTopic,
+		Replace:  s.gateway.AllUpstreamRecords,
+		Apply:    s.gateway.UpstreamRecords,
+		Proven:   func(time.Time) {},
+		Regained: s.gateway.DirectoryRegained,
+	})
+}
+
+func (s *Starter) takeConfiguration(record currantwood.KeyedRecord) {
+	if record.Key != s.options.ConfigurationKey || len(record.Value) == 0 {
+		return
+	}
+	configuration, err := s.options.Decoder.Configuration(record.Value)
+	if err != nil {
+		s.options.Logger.Error("configuration not understood, keeping the one held", zap.Error(err))
+		return
+	}
+	if s.config.Offer(configuration) {
+		s.options.Logger.Info("configuration taken", zap.Uint64("version", uint64(configuration.Version)), zap.Int("routes", len(configuration.Routes)), zap.Int("keys", len(configuration.Keys)))
+	}
+}
+
+// listen opens the listeners and serves them.
+func (s *Starter) listen() error {
+	clients, err := net.Listen("tcp", s.options.Settings.ListenClients)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	ready, err := net.Listen("tcp", s.options.Settings.ListenReady)
+	if err != nil {
+		_ = clients.Close()
+		return errors.Wrap(err, "listen for readiness")
+	}
+	s.clients = &http.Server{
+		Handler:                      s.gateway,
+		ReadHeaderTimeout:            headerTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               maxHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     zap.NewStdLog(s.options.Logger.Named("http")),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/readyz", s.serveReady)
+	mux.HandleFunc("/metrics", s.serveMetrics)
+	s.ready = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go func() { _ = s.clients.Serve(clients) }()
+	go func() { _ = s.ready.Serve(ready) }()
+	return nil
+}
+
+func (s *Starter) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.gateway.Ready(s.now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serveMetrics writes one metric a line.
+func (s *Starter) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	s.metrics.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(w, "%s %d\n", name, m.Count())
+		case metrics.Histogram:
+			h := m.Snapshot()
+			p := h.Percentiles([]float64{0.5, 0.95, 0.99})
+			fmt.Fprintf(w, "%s-count %d\n%s-p50 %.0f\n%s-p95 %.0f\n%s-p99 %.0f\n", name, h.Count(), name, p[0], name, p[1], name, p[2])
+		}
+	})
+	fmt.Fprintf(w, "requests-in-flight %d\n", s.gateway.InFlight())
+	fmt.Fprintf(w, "configuration-age-us %d\n", s.config.Age(s.now()).Microseconds())
+}
+
+// Shutdown stops taking clients, serves what still comes and runs, and ends.
+func (s *Starter) Shutdown(ctx context.Context) error {
+	s.options.Logger.Info("stopping", zap.Int64("in-flight", s.gateway.InFlight()))
+	s.gateway.Stop()
+	grace := s.options.Settings.Bounds.Grace - exitMargin
+	ctx, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	sleeper.Sleep(ctx, min(balancerLag, grace/2))
+	err := s.clients.Shutdown(ctx)
+	s.options.Logger.Info("stopped", zap.Int64("cut-off", s.gateway.InFlight()))
+	_ = s.ready.Close()
+	s.cancel()
+	return errors.Wrap(err, "requests were cut off at the end of the grace")
+}
