Generations move within the availability zone

By time stamps of the copies one to another zone took 1.1 to over 2 s, not the double of one within, and held up all others on both links; the next ones got 503 while engines had memory (8,666 of 34,319 tokens used). Ruled out: memory and slots of the target (its report), a bound on copies at one source (six in a row went through). Change: the target is in the zone of the engine that leaves.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -60,6 +60,8 @@
 	Exclude []currantwood.UpstreamID
 	// Room is whether the upstream must have memory for the whole load.
 	Room bool
+	// Within is whether it must be in the availability zone Near.
+	Within bool
 }
 
 // Choice is the upstream chosen and what decided.
@@ -197,6 +199,9 @@
 		if excluded(q.Exclude, id) || !g.prober.Admits(now, id) {
 			continue
 		}
+		if q.Within && b.upstreams[id].view.Zone != q.Near {
+			continue
+		}
 		choice := b.weigh(now, g, b.upstreams[id], q)
 		if q.Room && !hasRoom(g, choice, q) {
 			continue
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -94,11 +94,13 @@
 	}
 }
 
-// target chooses the engine that a run is moved to.
+// target chooses the engine that a run is moved to, in the availability zone
+// of the one that it leaves: a copy to another zone takes several times as long
+// and holds up all others on both links meanwhile.
 func (s *stream) target(exclude []currantwood.UpstreamID) (balancer.Choice, bool) {
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: s.current.view.Zone, Exclude: exclude, Room: true}
+	query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: s.current.view.Zone, Exclude: exclude, Room: true, Within: true}
 	now := s.g.Now()
 	choice, ok := s.g.balancer.Pick(now, query)
 	if ok {
@@ -146,4 +148,3 @@
 	s.log("generation moved", append(fields, zap.Duration("copy", copyTime), zap.Duration("took", s.g.Now().Sub(began)), zap.Int64("last-event", s.last.Load()), zap.Int64("events-left", s.eventsLeft()))...)
 	return true
 }
-
