Gateways share what they read and have in flight; moves from the first event on

Ruled out: every gateway to every other (grows with their number squared). Change: one gateway reads the directory and sums up loads, the others tell it and hear from it in datagrams; freshness of the configuration counts from when the question was sent. A run is moved from its first event on.

--- a/configkeeper/keeper.go
+++ b/configkeeper/keeper.go
@@ -64,3 +64,11 @@
 	}
 	return now.Sub(time.Unix(0, proven))
 }
+
+// Version is the version of the configuration held; 0 for none.
+func (k *Keeper) Version() currantwood.Version {
+	if held := k.current.Load(); held != nil {
+		return held.Version
+	}
+	return 0
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -43,9 +44,13 @@
 	// streams finds the running streams of each upstream; held by mu.
 	streams map[currantwood.UpstreamID]map[*stream]struct{}
 	// synced is the version of the groups that the balancer has; held by mu.
-	synced   currantwood.Version
+	synced currantwood.Version
+	// crashes is held by mu.
+	crashes  *crashkeeper.Keeper
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// gateways is the number of gateways that share the retry budget.
+	gateways atomic.Int64
 	figures  figures
 }
 
@@ -63,6 +68,7 @@
 		upstreams: upstreamkeeper.New(options.Decode),
 		balancer:  balancer.New(options.Settings.Regions, options.Random),
 		streams:   make(map[currantwood.UpstreamID]map[*stream]struct{}),
+		crashes:   crashkeeper.New(),
 	}
 	r := options.Metrics
 	g.figures = figures{
@@ -98,11 +104,20 @@
 	return g.Configuration.Age(now) < g.readyAge()
 }
 
-// UpstreamRecords takes records of the directory.
-func (g *Gateway) UpstreamRecords(now time.Time, records []currantwood.KeyedRecord) {
+// UpstreamRecords takes records of the directory and returns those that
+// changed something.
+func (g *Gateway) UpstreamRecords(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
+	var changed []currantwood.KeyedRecord
+	var events []upstreamkeeper.Event
 	g.mu.Lock()
-	events := g.upstreams.Apply(now, records)
+	for i, record := range records {
+		if caused := g.upstreams.Apply(now, records[i:i+1]); len(caused) > 0 {
+			events = append(events, caused...)
+			changed = append(changed, record)
+		}
+	}
 	g.takeEvents(now, events)
+	return changed
 }
 
 // AllUpstreamRecords takes the newest record of each upstream.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -82,7 +82,7 @@
 		if !s.begun.Load() || s.eventsLeft() < shortestMove || s.ctx.Err() != nil {
 			return
 		}
-		choice, ok := s.target(exclude)
+		choice, ok := s.target(from, exclude)
 		if !ok {
 			s.log("no engine to move to", zap.String("from", string(from.view.ID)))
 			return
@@ -94,15 +94,24 @@
 	}
 }
 
-// target chooses the engine that a run is moved to, in the availability zone
-// of the one that it leaves: a copy to another zone takes several times as long
-// and holds up all others on both links meanwhile.
-func (s *stream) target(exclude []currantwood.UpstreamID) (balancer.Choice, bool) {
+// target chooses the engine that a run is moved to: in the availability zone of
+// the one that it leaves, with room by the estimates or, as these may be wrong,
+// without. A copy to another zone takes several times as long and holds up all
+// others on both links meanwhile, so that is left for a zone without engines.
+func (s *stream) target(from *leg, exclude []currantwood.UpstreamID) (balancer.Choice, bool) {
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: s.current.view.Zone, Exclude: exclude, Room: true, Within: true}
 	now := s.g.Now()
+	query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: from.view.Zone, Exclude: exclude, Room: true, Within: true}
 	choice, ok := s.g.balancer.Pick(now, query)
+	if !ok {
+		query.Room = false
+		choice, ok = s.g.balancer.Pick(now, query)
+	}
+	if !ok && len(exclude) == 1 {
+		query.Room, query.Within = true, false
+		choice, ok = s.g.balancer.Pick(now, query)
+	}
 	if ok {
 		s.g.balancer.Started(now, choice.View, query.Load, streamPatience)
 	}
@@ -112,7 +121,7 @@
 // moveLoad is what the stream brings to an engine that it is moved to: there is
 // no prompt to read.
 func (s *stream) moveLoad() balancer.Load {
-	return balancer.Load{Requests: 1, Tokens: s.client.Size.Tokens()}
+	return balancer.Load{Requests: 1, Tokens: s.client.Size.Expected(s.client.LengthHint)}
 }
 
 // moveTo tries one target and reports whether the move is over.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -218,7 +218,7 @@
 	if !q.isGeneration() {
 		return balancer.Load{Requests: 1}
 	}
-	return balancer.Load{Requests: 1, Tokens: q.client.Size.Tokens(), Unread: q.client.Size.Prompt}
+	return balancer.Load{Requests: 1, Tokens: q.client.Size.Expected(q.client.LengthHint), Unread: q.client.Size.Prompt}
 }
 
 func (q *request) isGeneration() bool {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -240,9 +240,6 @@
 	if !s.begun.Load() {
 		s.begin(l)
 	}
-	if l.load.Unread > 0 {
-		s.g.readPrompt(l)
-	}
 	s.g.progressed(l.view)
 	if _, err := s.w.Write(event.Text); err != nil {
 		return errors.Wrap(err, "write to client")
@@ -253,6 +250,11 @@
 	if event.ID >= 0 {
 		s.last.Store(event.ID)
 	}
+	if l.load.Unread > 0 {
+		s.g.readPrompt(l)
+		// A run can be moved only from its first event on.
+		s.watchLeaving(l)
+	}
 	return nil
 }
 
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -20,6 +20,7 @@
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/gateway"
+	"github.com/currantwood/currantwood/peermessenger"
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/storewatcher"
 	"github.com/currantwood/currantwood/upstreamkeeper"
@@ -42,6 +43,16 @@
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
+	// configurationWait is how long a read waits for a new configuration. The
+	// freshness of keys is proven once in this time.
+	configurationWait = 500 * time.Millisecond
+	// coveredAge is the age of the configuration up to which the gateway that
+	// collects is relied on for its freshness.
+	coveredAge = 1700 * time.Millisecond
+	// upstreamPause is the time between two reads of the directory. Upstreams
+	// write all the time, so that a read that waits for the next record would
+	// return at once.
+	upstreamPause = 200 * time.Millisecond
 	// exitMargin is how long before the end of the grace a process ends by
 	// itself.
 	exitMargin = 300 * time.Millisecond
@@ -74,6 +85,7 @@
 	now     func() time.Time
 	config  *configkeeper.Keeper
 	gateway *gateway.Gateway
+	peers   *peermessenger.Messenger
 	metrics metrics.Registry
 	clients *http.Server
 	ready   *http.Server
@@ -102,7 +114,10 @@
 		cancel()
 		return nil, err
 	}
-	storewatcher.New(ctx, options.Store, options.Logger, s.now, s.configurationFeed(), s.upstreamFeed())
+	if err := s.follow(ctx); err != nil {
+		cancel()
+		return nil, err
+	}
 	go func() {
 		for sleeper.Sleep(ctx, tickTime) {
 			s.gateway.Tick(s.now())
@@ -112,31 +127,61 @@
 	return s, nil
 }
 
+// follow begins to read the store and to speak with the other gateways.
+func (s *Starter) follow(ctx context.Context) error {
+	peers, err := peermessenger.New(peermessenger.Options{
+		Settings:      s.options.Settings,
+		Logger:        s.options.Logger,
+		Now:           s.now,
+		Gateway:       s.gateway,
+		Configuration: s.config,
+	})
+	if err != nil {
+		return err
+	}
+	s.peers = peers
+	configuration := storewatcher.New(ctx, s.options.Store, s.options.Logger, s.now, s.configurationFeed())
+	directory := storewatcher.New(ctx, s.options.Store, s.options.Logger, s.now, s.upstreamFeed())
+	peers.Start(ctx, configuration, directory)
+	return nil
+}
+
 func (s *Starter) configurationFeed() storewatcher.Feed {
 	take := func(_ time.Time, records []currantwood.KeyedRecord) {
 		for _, record := range records {
 			s.takeConfiguration(record)
 		}
 	}
-	return storewatcher.Configuration(storewatcher.Feed{
-		Name:     "configuration",
-		Topic:    s.options.ConfigurationTopic,
-		Replace:  take,
-		Apply:    take,
+	return storewatcher.Feed{
+		Name:    "configuration",
+		Topic:   s.options.ConfigurationTopic,
+		Wait:    configurationWait,
+		Replace: take,
+		Apply: func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
+			take(now, records)
+			return nil
+		},
+		Taken:    func(time.Time, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {},
 		Proven:   s.config.Proven,
 		Regained: func(time.Time) {},
-	})
+		Covered: func(now time.Time) bool {
+			return s.peers.Collected(now) && s.config.Age(now) < coveredAge
+		},
+	}
 }
 
 func (s *Starter) upstreamFeed() storewatcher.Feed {
-	return storewatcher.Upstreams(storewatcher.Feed{
+	return storewatcher.Feed{
 		Name:     "upstreams",
 		Topic:    s.options.UpstreamTopic,
+		Pause:    upstreamPause,
 		Replace:  s.gateway.AllUpstreamRecords,
 		Apply:    s.gateway.UpstreamRecords,
+		Taken:    s.peers.DirectoryRead,
 		Proven:   func(time.Time) {},
 		Regained: s.gateway.DirectoryRegained,
-	})
+		Covered:  s.peers.DirectoryCovered,
+	}
 }
 
 func (s *Starter) takeConfiguration(record currantwood.KeyedRecord) {
--- a/keyed.go
+++ b/keyed.go
@@ -12,7 +12,9 @@
 
 // KeyedRecord is a record of a topic that keeps the newest value of each key.
 type KeyedRecord struct {
-	Key string
+	// Offset is set in windows that Read returns.
+	Offset Offset
+	Key    string
 	// Value is empty when the key was dropped.
 	Value []byte
 }
--- /dev/null
+++ b/peermessenger/messenger.go
@@ -0,0 +1,377 @@
+// Package peermessenger exchanges datagrams with the other gateways: what each
+// has in flight, what the one that collects has read of the directory, and how
+// fresh the configuration is.
+package peermessenger
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/peerkeeper"
+	"github.com/currantwood/currantwood/peerwire"
+	"github.com/currantwood/currantwood/sleeper"
+)
+
+const (
+	// interval is the time between two messages to the same gateway.
+	interval = 200 * time.Millisecond
+	// maxDatagram is the longest datagram that is read, in bytes.
+	maxDatagram = 64 << 10
+	// coverTime is how long the directory counts as read by the gateway that
+	// collects after it has told what it read.
+	coverTime = 700 * time.Millisecond
+)
+
+// Gateway is what the messenger needs of its own process. Its methods are safe
+// for concurrent use.
+type Gateway interface {
+	OwnLoads() map[currantwood.UpstreamID]balancer.Load
+	TakePeerLoads(now time.Time, loads map[currantwood.UpstreamID]balancer.Load)
+	TakeGateways(count int)
+	Crashes(now time.Time) []crashkeeper.Crash
+	TakeCrashes(now time.Time, crashes []crashkeeper.Crash)
+}
+
+// Configuration is what is known of the configuration.
+type Configuration interface {
+	Version() currantwood.Version
+	Age(now time.Time) time.Duration
+	Proven(at time.Time)
+}
+
+// Topic is a topic of the store that is followed.
+type Topic interface {
+	Position() currantwood.Offset
+	Offer(now time.Time, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool
+	Kick()
+	Reachable() bool
+}
+
+// Options says what a messenger needs.
+type Options struct {
+	Settings      currantwood.GatewaySettings
+	Logger        *zap.Logger
+	Now           func() time.Time
+	Gateway       Gateway
+	Configuration Configuration
+}
+
+// Messenger exchanges the datagrams.
+type Messenger struct {
+	Options
+	conn net.PacketConn
+	// seeds are where other gateways may listen.
+	seeds []string
+	// configuration and directory are set by Start.
+	configuration, directory Topic
+	mu                       sync.Mutex
+	// keeper, coveredAt and collecting are held by mu.
+	keeper     *peerkeeper.Keeper
+	coveredAt  time.Time
+	collecting bool
+}
+
+// New opens the socket. Nothing is sent before Start.
+func New(options Options) (*Messenger, error) {
+	m := &Messenger{Options: options, keeper: peerkeeper.New(options.Settings.VM)}
+	port := strconv.Itoa(options.Settings.PeerPort)
+	conn, err := net.ListenPacket("udp4", net.JoinHostPort(options.Settings.IP, port))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	m.conn = conn
+	for _, seed := range options.Settings.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			options.Logger.Warn("seed address not understood", zap.String("seed", seed), zap.Error(err))
+			continue
+		}
+		if host != options.Settings.IP {
+			m.seeds = append(m.seeds, net.JoinHostPort(host, port))
+		}
+	}
+	return m, nil
+}
+
+// Start begins to send and receive until ctx is done.
+func (m *Messenger) Start(ctx context.Context, configuration, directory Topic) {
+	m.configuration, m.directory = configuration, directory
+	go func() {
+		for sleeper.Sleep(ctx, interval) {
+			m.tick()
+		}
+		_ = m.conn.Close()
+	}()
+	go func() {
+		buffer := make([]byte, maxDatagram)
+		for {
+			n, from, err := m.conn.ReadFrom(buffer)
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				m.Logger.Warn("datagram not read", zap.Error(err))
+				sleeper.Sleep(ctx, interval)
+				continue
+			}
+			m.receive(buffer[:n], from.String())
+		}
+	}()
+}
+
+// DirectoryCovered reports whether the collecting gateway reads the directory
+// for this one.
+func (m *Messenger) DirectoryCovered(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, known := m.keeper.Collector(now)
+	return known && !m.coveredAt.IsZero() && now.Sub(m.coveredAt) < coverTime
+}
+
+// Collected reports whether another gateway collects.
+func (m *Messenger) Collected(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, known := m.keeper.Collector(now)
+	return known
+}
+
+// DirectoryRead notes a read of the directory by this gateway and tells those
+// that it collects for.
+func (m *Messenger) DirectoryRead(now time.Time, from, next currantwood.Offset, changed []currantwood.KeyedRecord) {
+	m.mu.Lock()
+	m.keeper.KeepRecords(now, from, next, changed)
+	m.mu.Unlock()
+	if len(changed) > 0 {
+		m.tell(now)
+	}
+}
+
+// tick sends what is due.
+func (m *Messenger) tick() {
+	now := m.Now()
+	store := m.store()
+	m.mu.Lock()
+	ask := m.keeper.Ask(now)
+	_, collected := m.keeper.Collector(now)
+	m.note(now, store)
+	m.mu.Unlock()
+	state := &peerwire.Datagram{Vm: string(m.Settings.VM), Body: &peerwire.Datagram_State{State: m.state(now, store)}}
+	for _, peer := range ask {
+		m.send(peer.Address, state)
+	}
+	if !collected {
+		for _, seed := range m.seeds {
+			m.send(seed, state)
+		}
+	}
+	m.tell(now)
+}
+
+// note logs a change of who collects; called with mu held.
+func (m *Messenger) note(now time.Time, store bool) {
+	collects := m.keeper.Collects(now, store)
+	if collects != m.collecting {
+		m.collecting = collects
+		m.Logger.Info("collecting for other gateways", zap.Bool("collects", collects), zap.Bool("store", store), zap.Int("gateways", m.keeper.Gateways(now)))
+	}
+}
+
+// store reports whether this process follows the store by itself.
+func (m *Messenger) store() bool {
+	return m.directory.Reachable() && m.configuration.Reachable()
+}
+
+func (m *Messenger) state(now time.Time, store bool) *peerwire.State {
+	return &peerwire.State{
+		SentAt:  now.UnixNano(),
+		Store:   store,
+		Next:    uint64(m.directory.Position()),
+		Loads:   encodeLoads(m.Gateway.OwnLoads()),
+		Crashes: encodeCrashes(m.Gateway.Crashes(now)),
+	}
+}
+
+// tell sends digests if this gateway collects.
+func (m *Messenger) tell(now time.Time) {
+	store := m.store()
+	m.mu.Lock()
+	if !m.keeper.Collects(now, store) {
+		m.mu.Unlock()
+		return
+	}
+	told := m.keeper.Told(now)
+	m.mu.Unlock()
+	own := m.Gateway.OwnLoads()
+	crashes := encodeCrashes(m.Gateway.Crashes(now))
+	for _, peer := range told {
+		digest := m.digest(now, peer, own)
+		digest.Crashes = crashes
+		m.send(peer.Address, &peerwire.Datagram{Vm: string(m.Settings.VM), Body: &peerwire.Datagram_Digest{Digest: digest}})
+	}
+	m.mu.Lock()
+	loads, gateways := m.keeper.Loads(now, "", nil), m.keeper.Gateways(now)
+	m.mu.Unlock()
+	m.Gateway.TakePeerLoads(now, loads)
+	m.Gateway.TakeGateways(gateways)
+}
+
+func (m *Messenger) digest(now time.Time, peer peerkeeper.Peer, own map[currantwood.UpstreamID]balancer.Load) *peerwire.Digest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	digest := &peerwire.Digest{
+		Echo:               m.keeper.Echo(peer.VM),
+		Configuration:      uint64(m.Configuration.Version()),
+		ConfigurationAgeUs: m.Configuration.Age(now).Microseconds(),
+		Loads:              encodeLoads(m.keeper.Loads(now, peer.VM, own)),
+		Gateways:           uint32(m.keeper.Gateways(now)),
+	}
+	known := m.keeper.Known(peer.VM)
+	if records, next, ok := m.keeper.Records(known); ok {
+		digest.From, digest.Next = uint64(known), uint64(next)
+		for _, r := range records {
+			digest.Records = append(digest.Records, &peerwire.Record{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value})
+		}
+	}
+	return digest
+}
+
+func (m *Messenger) send(address string, datagram *peerwire.Datagram) {
+	data, err := proto.Marshal(datagram)
+	if err != nil {
+		m.Logger.Error("datagram not encoded", zap.Error(err))
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		m.Logger.Warn("address of a peer not understood", zap.String("address", address), zap.Error(err))
+		return
+	}
+	// A datagram that can't be sent is like one that is lost: the next one
+	// says the same.
+	_, _ = m.conn.WriteTo(data, to)
+}
+
+// receive takes one datagram.
+func (m *Messenger) receive(data []byte, address string) {
+	var datagram peerwire.Datagram
+	if err := proto.Unmarshal(data, &datagram); err != nil {
+		m.Logger.Warn("datagram not understood", zap.String("from", address), zap.Error(err))
+		return
+	}
+	now := m.Now()
+	from := peerkeeper.Peer{VM: currantwood.VMID(datagram.GetVm()), Address: address}
+	switch body := datagram.GetBody().(type) {
+	case *peerwire.Datagram_State:
+		m.receiveState(now, from, body.State)
+	case *peerwire.Datagram_Digest:
+		m.receiveDigest(now, from, body.Digest)
+	case *peerwire.Datagram_Referral:
+		m.mu.Lock()
+		m.keeper.Heard(now, peerkeeper.Peer{VM: currantwood.VMID(body.Referral.GetVm()), Address: body.Referral.GetAddress()})
+		m.mu.Unlock()
+	}
+}
+
+func (m *Messenger) receiveState(now time.Time, from peerkeeper.Peer, s *peerwire.State) {
+	m.Gateway.TakeCrashes(now, decodeCrashes(s.GetCrashes()))
+	m.mu.Lock()
+	m.keeper.TakeState(now, from, peerkeeper.State{
+		SentAt: s.GetSentAt(),
+		Store:  s.GetStore(),
+		Next:   currantwood.Offset(s.GetNext()),
+		Loads:  decodeLoads(s.GetLoads()),
+	})
+	collector, known := m.keeper.Collector(now)
+	m.mu.Unlock()
+	if known && collector.VM != from.VM {
+		m.send(from.Address, &peerwire.Datagram{Vm: string(m.Settings.VM), Body: &peerwire.Datagram_Referral{
+			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address},
+		}})
+	}
+}
+
+func (m *Messenger) receiveDigest(now time.Time, from peerkeeper.Peer, d *peerwire.Digest) {
+	m.mu.Lock()
+	taken := m.keeper.TakeDigest(now, from, m.store())
+	m.mu.Unlock()
+	m.Gateway.TakeCrashes(now, decodeCrashes(d.GetCrashes()))
+	if !taken {
+		return
+	}
+	m.Gateway.TakePeerLoads(now, decodeLoads(d.GetLoads()))
+	m.Gateway.TakeGateways(int(d.GetGateways()))
+	m.takeFreshness(d)
+	if d.GetNext() == 0 {
+		return
+	}
+	records := make([]currantwood.KeyedRecord, 0, len(d.GetRecords()))
+	for _, r := range d.GetRecords() {
+		records = append(records, currantwood.KeyedRecord{Offset: currantwood.Offset(r.GetOffset()), Key: r.GetKey(), Value: r.GetValue()})
+	}
+	if m.directory.Offer(now, currantwood.Offset(d.GetFrom()), currantwood.Offset(d.GetNext()), records) {
+		m.mu.Lock()
+		m.coveredAt = now
+		m.mu.Unlock()
+	}
+}
+
+// takeFreshness takes the word of the collecting gateway on the configuration.
+// How long the digest was under way isn't known, so the age counts from when
+// the state that it answers was sent.
+func (m *Messenger) takeFreshness(d *peerwire.Digest) {
+	version := currantwood.Version(d.GetConfiguration())
+	switch {
+	case version > m.Configuration.Version():
+		m.configuration.Kick()
+	case version == m.Configuration.Version() && d.GetEcho() > 0:
+		age := time.Duration(d.GetConfigurationAgeUs()) * time.Microsecond
+		m.Configuration.Proven(time.Unix(0, d.GetEcho()).Add(-age))
+	}
+}
+
+func encodeLoads(loads map[currantwood.UpstreamID]balancer.Load) []*peerwire.Load {
+	out := make([]*peerwire.Load, 0, len(loads))
+	for id, l := range loads {
+		out = append(out, &peerwire.Load{Upstream: string(id), Requests: uint32(l.Requests), Tokens: uint64(l.Tokens), Unread: uint64(l.Unread)})
+	}
+	return out
+}
+
+func decodeLoads(loads []*peerwire.Load) map[currantwood.UpstreamID]balancer.Load {
+	out := make(map[currantwood.UpstreamID]balancer.Load, len(loads))
+	for _, l := range loads {
+		out[currantwood.UpstreamID(l.GetUpstream())] = balancer.Load{
+			Requests: int(l.GetRequests()),
+			Tokens:   currantwood.TokenCount(l.GetTokens()),
+			Unread:   currantwood.TokenCount(l.GetUnread()),
+		}
+	}
+	return out
+}
+
+func encodeCrashes(crashes []crashkeeper.Crash) []*peerwire.Crash {
+	out := make([]*peerwire.Crash, 0, len(crashes))
+	for _, c := range crashes {
+		out = append(out, &peerwire.Crash{Request: uint64(c.Request), Upstream: string(c.Upstream)})
+	}
+	return out
+}
+
+func decodeCrashes(crashes []*peerwire.Crash) []crashkeeper.Crash {
+	out := make([]crashkeeper.Crash, 0, len(crashes))
+	for _, c := range crashes {
+		out = append(out, crashkeeper.Crash{Request: currantwood.Fingerprint(c.GetRequest()), Upstream: currantwood.UpstreamID(c.GetUpstream())})
+	}
+	return out
+}
--- a/routing.go
+++ b/routing.go
@@ -120,8 +120,15 @@
 	Output TokenCount
 }
 
-// Tokens is the memory that the whole generation needs in the end.
-func (s GenerationSize) Tokens() TokenCount { return s.Prompt + s.Output }
+// Expected is the memory that the generation is likely to need in the end, by
+// the client's estimate of its output if there is one.
+func (s GenerationSize) Expected(hint TokenCount) TokenCount {
+	output := s.Output / 2
+	if hint > 0 {
+		output = min(hint, s.Output)
+	}
+	return s.Prompt + output
+}
 
 // ClientRequest is what a client's headers say of its request.
 type ClientRequest struct {
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -1,9 +1,10 @@
-// Package storewatcher follows the configuration and the directory of
-// upstreams in the platform's store.
+// Package storewatcher follows a topic of the platform's store, by its own
+// reads or by what a peer has read.
 package storewatcher
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,13 +15,6 @@
 )
 
 const (
-	// configurationWait is how long a read waits for a new configuration. The
-	// freshness of keys is proven once in this time.
-	configurationWait = time.Second
-	// upstreamPause is the time between two reads of the directory. Upstreams
-	// write all the time, so that a read that waits for the next record would
-	// return at once.
-	upstreamPause = 250 * time.Millisecond
 	// answerTimeout bounds a read beyond the time it was told to wait. A
 	// connection that went silent is noticed only by it.
 	answerTimeout = 500 * time.Millisecond
@@ -31,9 +25,12 @@
 	longestBackoff = 400 * time.Millisecond
 	// absence is how long reads fail before the store counts as lost.
 	absence = 700 * time.Millisecond
+	// coveredPause is how often a watcher looks whether a peer still reads for
+	// it.
+	coveredPause = 100 * time.Millisecond
 )
 
-// Feed is one topic and what becomes of its records.
+// Feed is a topic and what becomes of its records.
 type Feed struct {
 	Name  string
 	Topic string
@@ -41,132 +38,224 @@
 	Wait time.Duration
 	// Pause is the time between the answer of a read and the next one.
 	Pause time.Duration
-	// Replace takes the newest record of each key, Apply those that follow.
+	// Replace takes the newest record of each key.
 	Replace func(now time.Time, records []currantwood.KeyedRecord)
-	Apply   func(now time.Time, records []currantwood.KeyedRecord)
+	// Apply takes the records that follow and returns those that changed
+	// something.
+	Apply func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord
+	// Taken is told of each read from the store, with the records that changed
+	// something. From equals next where older records are not to be had.
+	Taken func(now time.Time, from, next currantwood.Offset, changed []currantwood.KeyedRecord)
 	// Proven is told when a read that showed everything newer was sent.
 	Proven func(at time.Time)
 	// Regained is told when the store answers again after an absence.
 	Regained func(now time.Time)
+	// Covered reports whether a peer reads for this process.
+	Covered func(now time.Time) bool
 }
 
-// Configuration returns the times for the configuration's topic.
-func Configuration(feed Feed) Feed {
-	feed.Wait = configurationWait
-	return feed
-}
-
-// Upstreams returns the times for the directory's topic.
-func Upstreams(feed Feed) Feed {
-	feed.Pause = upstreamPause
-	return feed
-}
-
-// Watcher follows feeds.
+// Watcher follows one feed.
 type Watcher struct {
 	store  currantwood.KeyedStore
 	logger *zap.Logger
 	now    func() time.Time
-}
-
-// New starts to follow the feeds, each by a goroutine that ends with ctx.
-func New(ctx context.Context, store currantwood.KeyedStore, logger *zap.Logger, now func() time.Time, feeds ...Feed) *Watcher {
-	w := &Watcher{store: store, logger: logger, now: now}
-	for _, feed := range feeds {
-		f := &follower{Watcher: w, feed: feed, lastAnswer: now()}
-		go func() { f.follow(ctx) }()
-	}
-	return w
-}
-
-// follower is the state of one feed.
-type follower struct {
-	*Watcher
-	feed Feed
+	feed   Feed
+	// kick has room for one request to read at once.
+	kick chan struct{}
+	mu   sync.Mutex
 	// next is the offset to read on from; it has a meaning while known is true.
+	// Both are held by mu, also while records up to next are applied.
 	next  currantwood.Offset
 	known bool
-	// lastAnswer is when the store last answered.
+	// lastAnswer is when the store last answered; held by mu.
 	lastAnswer time.Time
 	lost       bool
 	failures   int
 }
 
-func (f *follower) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
-			f.failed(err)
-			sleeper.Sleep(ctx, min(longestBackoff, firstBackoff<<min(f.failures, 8)))
-			continue
+// New starts to follow a feed by a goroutine that ends with ctx.
+func New(ctx context.Context, store currantwood.KeyedStore, logger *zap.Logger, now func() time.Time, feed Feed) *Watcher {
+	w := &Watcher{store: store, logger: logger, now: now, feed: feed, kick: make(chan struct{}, 1), lastAnswer: now()}
+	go func() {
+		for ctx.Err() == nil {
+			w.round(ctx)
 		}
-		f.failures = 0
-		if f.feed.Pause > 0 {
-			sleeper.Sleep(ctx, f.feed.Pause)
+	}()
+	return w
+}
+
+// Position is the offset up to which the topic is known; 0 for not at all.
+func (w *Watcher) Position() currantwood.Offset {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.known {
+		return 0
+	}
+	return w.next
+}
+
+// Offer takes what a peer has read: all records from an offset on up to next
+// that changed something. It reports whether they follow what is known here.
+func (w *Watcher) Offer(now time.Time, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.known || from > w.next {
+		return false
+	}
+	if next <= w.next {
+		return true
+	}
+	fresh := records[:0:0]
+	for _, r := range records {
+		if r.Offset >= w.next {
+			fresh = append(fresh, r)
 		}
 	}
+	w.next = next
+	w.feed.Apply(now, fresh)
+	return true
+}
+
+// Kick asks for a read at once, whether a peer covers or not.
+func (w *Watcher) Kick() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Reachable reports whether the store answers this process.
+func (w *Watcher) Reachable() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.known && !w.lost && w.failures == 0
+}
+
+// round makes one read, or waits while a peer reads.
+func (w *Watcher) round(ctx context.Context) {
+	kicked := false
+	select {
+	case <-w.kick:
+		kicked = true
+	default:
+	}
+	if !kicked && w.Position() > 0 && w.feed.Covered(w.now()) {
+		w.pause(ctx, coveredPause)
+		return
+	}
+	if err := w.step(ctx); err != nil {
+		w.failed(err)
+		sleeper.Sleep(ctx, min(longestBackoff, firstBackoff<<min(w.failures, 8)))
+		return
+	}
+	if w.feed.Pause > 0 {
+		w.pause(ctx, w.feed.Pause)
+	}
+}
+
+// pause waits until it is time or a read is asked for.
+func (w *Watcher) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-w.kick:
+		w.Kick()
+	}
 }
 
 // step makes one read.
-func (f *follower) step(ctx context.Context) error {
-	sent := f.now()
-	wait := f.feed.Wait
-	if f.lost {
+func (w *Watcher) step(ctx context.Context) error {
+	sent := w.now()
+	w.mu.Lock()
+	wait, known, from := w.feed.Wait, w.known, w.next
+	if w.lost {
 		// The first answer after an absence is wanted at once.
 		wait = 0
 	}
 	timeout := wait + answerTimeout
-	if f.failures > 0 {
+	if w.failures > 0 {
 		timeout = wait + slowestAnswer
 	}
+	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if !f.known {
-		return f.restart(ctx, sent)
+	if !known {
+		return w.restart(ctx, sent)
 	}
-	window, err := f.store.Read(ctx, f.feed.Topic, f.next, wait)
+	window, err := w.store.Read(ctx, w.feed.Topic, from, wait)
 	if errors.Is(err, currantwood.ErrExpired) {
-		f.known = false
-		f.logger.Info("records expired, reading the newest", zap.String("feed", f.feed.Name), zap.Uint64("from", uint64(f.next)))
-		return f.restart(ctx, sent)
+		w.logger.Info("records expired, reading the newest", zap.String("feed", w.feed.Name), zap.Uint64("from", uint64(from)))
+		return w.restart(ctx, sent)
 	}
 	if err != nil {
 		return err
 	}
-	f.answered()
-	f.next = window.Next
-	f.feed.Apply(f.now(), window.Records)
-	f.feed.Proven(sent)
+	w.answered()
+	w.take(from, window)
+	w.feed.Proven(sent)
 	return nil
 }
 
-func (f *follower) restart(ctx context.Context, sent time.Time) error {
-	window, err := f.store.Newest(ctx, f.feed.Topic)
+// take applies a window that was read from an offset on. Records that a peer
+// has handed over meanwhile are left out.
+func (w *Watcher) take(from currantwood.Offset, window currantwood.KeyedWindow) {
+	now := w.now()
+	w.mu.Lock()
+	var fresh []currantwood.KeyedRecord
+	for _, r := range window.Records {
+		if r.Offset >= w.next {
+			fresh = append(fresh, r)
+		}
+	}
+	start := max(from, w.next)
+	w.next = max(w.next, window.Next)
+	changed := w.feed.Apply(now, fresh)
+	next := w.next
+	w.mu.Unlock()
+	w.feed.Taken(now, start, next, changed)
+}
+
+func (w *Watcher) restart(ctx context.Context, sent time.Time) error {
+	window, err := w.store.Newest(ctx, w.feed.Topic)
 	if err != nil {
 		return err
 	}
-	f.answered()
-	f.next, f.known = window.Next, true
-	f.feed.Replace(f.now(), window.Records)
-	f.feed.Proven(sent)
+	w.answered()
+	now := w.now()
+	w.mu.Lock()
+	w.next, w.known = window.Next, true
+	w.feed.Replace(now, window.Records)
+	w.mu.Unlock()
+	w.feed.Taken(now, window.Next, window.Next, nil)
+	w.feed.Proven(sent)
 	return nil
 }
 
-func (f *follower) answered() {
-	now := f.now()
-	if f.lost {
-		f.lost = false
-		f.logger.Info("store regained", zap.String("feed", f.feed.Name), zap.Duration("away", now.Sub(f.lastAnswer)))
-		f.feed.Regained(now)
+func (w *Watcher) answered() {
+	now := w.now()
+	w.mu.Lock()
+	lost, away := w.lost, now.Sub(w.lastAnswer)
+	w.lost, w.failures, w.lastAnswer = false, 0, now
+	w.mu.Unlock()
+	if lost {
+		w.logger.Info("store regained", zap.String("feed", w.feed.Name), zap.Duration("away", away))
+		w.feed.Regained(now)
 	}
-	f.lastAnswer = now
 }
 
-func (f *follower) failed(err error) {
-	f.failures++
-	away := f.now().Sub(f.lastAnswer)
-	if f.lost || away < absence {
-		return
+func (w *Watcher) failed(err error) {
+	now := w.now()
+	w.mu.Lock()
+	w.failures++
+	away := now.Sub(w.lastAnswer)
+	newly := !w.lost && (away >= absence || w.failures > 1)
+	if newly {
+		w.lost = true
+	}
+	w.mu.Unlock()
+	if newly {
+		w.logger.Warn("store lost", zap.String("feed", w.feed.Name), zap.Duration("since-last-answer", away), zap.Error(err))
 	}
-	f.lost = true
-	f.logger.Warn("store lost", zap.String("feed", f.feed.Name), zap.Duration("since-last-answer", away), zap.Error(err))
 }
