Gateway: retry budget over all gateways, crash counts, refusal of what shutdown would cut

Repeats had no bound over all gateways, and a request that crashes its upstreams none. Change: while stopping, a stream that can't end in time is refused as not run, to come back at once by a new connection. Engines without room are asked again while the run is still there.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -12,7 +12,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
-	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/budgeter"
 )
 
 const (
@@ -46,23 +46,21 @@
 		}
 		q.tried = append(q.tried, choice.View.ID)
 		result, err := q.try(ctx, choice)
-		if err == nil && result.status < http.StatusInternalServerError {
-			q.pass(result, choice)
+		if q.clientGone() {
+			q.gone(choice)
 			return
 		}
-		if err == nil && !q.again(ctx) {
+		failed := err != nil || result.status >= http.StatusInternalServerError
+		again := failed && q.again(ctx)
+		if err == nil && !again {
 			q.pass(result, choice)
 			return
 		}
-		if q.clientGone() {
-			q.gone(choice)
-			return
-		}
-		q.log("upstream did not serve", zap.String("upstream", string(choice.View.ID)), zap.Error(err), zap.Float64("score", choice.Score))
+		q.log("upstream did not serve", zap.String("upstream", string(choice.View.ID)), zap.NamedError("cause", err), zap.Float64("score", choice.Score), zap.Bool("again", again))
 		if q.ran > 0 {
 			last = &refusal{status: http.StatusBadGateway, reason: "upstream failed"}
 		}
-		if ctx.Err() != nil || q.ran > 0 && !q.again(ctx) {
+		if !again {
 			break
 		}
 	}
@@ -77,11 +75,20 @@
 	return max(4*q.route.Target, 500*time.Millisecond)
 }
 
-// again reports whether a request that may have run may be sent once more.
+// again reports whether the request may be sent once more. One that has surely
+// not run may; one that may have run only if it is repeatable.
 func (q *request) again(ctx context.Context) bool {
-	if !q.route.Repeatable || q.ran >= q.route.MaxUpstreams || ctx.Err() != nil {
+	if q.ran > 0 && !(q.route.Repeatable || q.route.Resumable) {
+		return false
+	}
+	if q.ran >= q.route.MaxUpstreams || ctx.Err() != nil || len(q.tried) >= maxSends {
 		return false
 	}
+	if q.sent && !q.g.mayRepeat(q.g.Now(), q.group, budgeter.Ordinary) {
+		q.log("retry budget used up")
+		return false
+	}
+	q.sent = false
 	q.g.figures.retries.Inc(1)
 	return true
 }
@@ -101,6 +108,7 @@
 		q.afterFailedStart(choice, load, err)
 		return nil, err
 	}
+	q.sent = true
 	if x.Answer.NotRun {
 		x.Finish()
 		q.ended(choice.View, load, balancer.Neutral)
@@ -111,6 +119,7 @@
 	if err != nil {
 		x.Abort()
 		q.ended(choice.View, load, balancer.Failed)
+		q.crashed(choice.View)
 		return nil, errors.Wrap(err, "answer broken off")
 	}
 	x.Finish()
@@ -125,7 +134,9 @@
 // afterFailedStart notes what a failed start tells about the upstream.
 func (q *request) afterFailedStart(choice balancer.Choice, load balancer.Load, err error) {
 	if !unsent(err) {
+		q.sent = true
 		q.ran++
+		q.crashed(choice.View)
 	}
 	if q.clientGone() {
 		q.ended(choice.View, load, balancer.Neutral)
@@ -167,5 +178,3 @@
 		to[name] = values
 	}
 }
-
-var _ = connkeeper.ErrUnsent
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
@@ -45,12 +46,17 @@
 	streams map[currantwood.UpstreamID]map[*stream]struct{}
 	// synced is the version of the groups that the balancer has; held by mu.
 	synced currantwood.Version
-	// crashes is held by mu.
-	crashes  *crashkeeper.Keeper
-	stopping atomic.Bool
+	// crashes and budget are held by mu.
+	crashes *crashkeeper.Keeper
+	budget  *budgeter.Budgeter
+	// eventTime is how long an engine takes for an event, as seen lately; held
+	// by mu.
+	eventTime time.Duration
+	stopping  atomic.Bool
+	// end is when the process ends, in nanoseconds of its clock; it has a
+	// meaning while stopping is true.
+	end      atomic.Int64
 	inFlight atomic.Int64
-	// gateways is the number of gateways that share the retry budget.
-	gateways atomic.Int64
 	figures  figures
 }
 
@@ -69,6 +75,12 @@
 		balancer:  balancer.New(options.Settings.Regions, options.Random),
 		streams:   make(map[currantwood.UpstreamID]map[*stream]struct{}),
 		crashes:   crashkeeper.New(),
+		eventTime: firstEventTime,
+		budget: budgeter.New(budgeter.Options{
+			Window:  options.Settings.Bounds.RetryWindow,
+			Share:   options.Settings.Bounds.RetryShare,
+			Reserve: options.Settings.Bounds.RetryReserve,
+		}),
 	}
 	r := options.Metrics
 	g.figures = figures{
@@ -90,8 +102,12 @@
 // sampleSize is the number of values that a histogram keeps.
 const sampleSize = 256
 
-// Stop makes every further answer close its connection.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop makes every further answer close its connection. What can't end before
+// a time is refused from now on.
+func (g *Gateway) Stop(end time.Time) {
+	g.end.Store(end.UnixNano())
+	g.stopping.Store(true)
+}
 
 // InFlight is the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -4,10 +4,13 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/sleeper"
 )
 
 const (
@@ -17,7 +20,9 @@
 	// dropTimeout bounds the freeing of a copy.
 	dropTimeout = time.Second
 	// maxMoves bounds the targets that are tried for one run.
-	maxMoves = 3
+	maxMoves = 6
+	// moveAgain is the pause before engines that had no room are asked again.
+	moveAgain = 200 * time.Millisecond
 	// shortestMove is the number of events still to come below which a run is
 	// left to end where it is.
 	shortestMove = 10
@@ -75,23 +80,41 @@
 	}()
 }
 
-// move copies the run's memory to another engine and goes on there.
+// move copies the run's memory to another engine and goes on there. Engines
+// that had no room are asked again a little later: others leave meanwhile.
 func (s *stream) move(from *leg) {
 	exclude := []currantwood.UpstreamID{from.view.ID}
-	for range maxMoves {
-		if !s.begun.Load() || s.eventsLeft() < shortestMove || s.ctx.Err() != nil {
+	for tries := 0; tries < maxMoves; {
+		if !s.mayMove() {
 			return
 		}
 		choice, ok := s.target(from, exclude)
-		if !ok {
+		if !ok && len(exclude) == 1 {
 			s.log("no engine to move to", zap.String("from", string(from.view.ID)))
 			return
 		}
+		if !ok {
+			exclude = exclude[:1]
+			if !sleeper.Sleep(s.ctx, moveAgain) {
+				return
+			}
+			continue
+		}
+		tries++
 		exclude = append(exclude, choice.View.ID)
 		if s.moveTo(from, choice) {
 			return
 		}
 	}
+	s.log("not moved, no engine took it", zap.String("from", string(from.view.ID)))
+}
+
+// mayMove reports whether the run is worth moving: it has begun, won't end
+// soon, and its client waits.
+func (s *stream) mayMove() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.over && s.begun.Load() && s.eventsLeft() >= shortestMove && s.ctx.Err() == nil
 }
 
 // target chooses the engine that a run is moved to: in the availability zone of
@@ -132,15 +155,19 @@
 	if err != nil {
 		s.ended(choice.View, s.moveLoad(), balancer.Neutral)
 		s.log("copy failed", append(fields, zap.Error(err), zap.Duration("took", s.g.Now().Sub(began)))...)
-		return false
+		return !errors.Is(err, currantwood.ErrNoRoom)
 	}
 	copyTime := s.g.Now().Sub(began)
+	if !s.mayMove() || !s.g.mayRepeat(s.g.Now(), s.group, budgeter.Rescue) {
+		s.ended(choice.View, s.moveLoad(), balancer.Neutral)
+		s.log("copied run not resumed: it has ended, or the retry budget is used up", fields...)
+		s.drop(copied)
+		return true
+	}
 	opened, err := s.send(choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.last.Load(), From: &copied})
 	if err != nil {
 		s.log("resume failed", append(fields, zap.Error(err), zap.Duration("copy", copyTime))...)
-		if dropErr := s.g.Mover.Drop(copied, dropTimeout); dropErr != nil {
-			s.log("copy not freed", append(fields, zap.Error(dropErr))...)
-		}
+		s.drop(copied)
 		return false
 	}
 	s.mu.Lock()
@@ -157,3 +184,10 @@
 	s.log("generation moved", append(fields, zap.Duration("copy", copyTime), zap.Duration("took", s.g.Now().Sub(began)), zap.Int64("last-event", s.last.Load()), zap.Int64("events-left", s.eventsLeft()))...)
 	return true
 }
+
+// drop frees a copy that is not used.
+func (s *stream) drop(copied currantwood.RunCopy) {
+	if err := s.g.Mover.Drop(copied, dropTimeout); err != nil {
+		s.log("copy not freed", zap.Error(err))
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -5,6 +5,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/crashkeeper"
 )
 
@@ -25,8 +26,31 @@
 	g.balancer.SyncPeer(now, allPeers, loads)
 }
 
-// TakeGateways takes the number of gateways, this one included.
-func (g *Gateway) TakeGateways(count int) { g.gateways.Store(int64(count)) }
+// Uses is what this gateway has used of the retry budgets.
+func (g *Gateway) Uses(now time.Time) map[currantwood.GroupID]budgeter.Use {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Used(now)
+}
+
+// TakePeerUses takes what the other gateways have used, and how many gateways
+// there are.
+func (g *Gateway) TakePeerUses(now time.Time, uses map[currantwood.GroupID]budgeter.Use, gateways int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.TakeOthers(now, uses, gateways)
+}
+
+// mayRepeat reports whether the budget allows a repeat, and counts it then.
+func (g *Gateway) mayRepeat(now time.Time, id currantwood.GroupID, urgency budgeter.Urgency) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.budget.Allows(now, id, urgency) {
+		return false
+	}
+	g.budget.Repeated(now, id)
+	return true
+}
 
 // Crashes returns the crashes that other gateways should be told.
 func (g *Gateway) Crashes(now time.Time) []crashkeeper.Crash {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -16,6 +17,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -36,6 +38,11 @@
 	maxSends = 4
 	// storeBack is when to come back after the store was lost.
 	storeBack = 700 * time.Millisecond
+	// elsewhereBack is when to come back to another process.
+	elsewhereBack = 50 * time.Millisecond
+	// firstEventTime is how long an engine takes for an event as long as none
+	// was seen.
+	firstEventTime = 40 * time.Millisecond
 	// upstreamBack is when to come back when no upstream takes work.
 	upstreamBack = 400 * time.Millisecond
 )
@@ -56,8 +63,13 @@
 	// deadline is when the final answer is due.
 	deadline time.Time
 	body     []byte
+	// fingerprint names the input; 0 where it has none.
+	fingerprint currantwood.Fingerprint
 	// tried are the upstreams that it was sent to.
 	tried []currantwood.UpstreamID
+	// sent is whether the last send reached an upstream, which makes the next
+	// one a repeat.
+	sent bool
 	// ran counts the upstreams that may have run it.
 	ran int
 }
@@ -110,6 +122,9 @@
 	if err := q.readBody(); err != nil {
 		return err
 	}
+	if refusal := q.admitLate(); refusal != nil {
+		return refusal
+	}
 	wait := q.client.Wait
 	if wait <= 0 {
 		wait = defaultWait
@@ -118,6 +133,69 @@
 	return nil
 }
 
+// admitLate refuses what is known to be unservable: a request that has crashed
+// its upstreams, and one that would be cut off by the end of this process.
+func (q *request) admitLate() *refusal {
+	q.fingerprint = q.fingerprinted()
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	if q.fingerprint != 0 && q.g.crashes.Blocked(q.arrived, q.fingerprint) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "request crashed its upstreams"}
+	}
+	if q.g.stopping.Load() && q.route.Stream && !q.route.Resumable {
+		left := time.Unix(0, q.g.end.Load()).Sub(q.arrived)
+		if left < q.expectedTime() {
+			return &refusal{status: http.StatusServiceUnavailable, reason: "stopping before the stream can end", retryAfter: elsewhereBack, elsewhere: true}
+		}
+	}
+	q.g.budget.Requested(q.arrived, q.group)
+	return nil
+}
+
+// expectedTime is how long the stream is likely to take; called with the
+// gateway's lock held.
+func (q *request) expectedTime() time.Duration {
+	output := q.client.Size.Output
+	if q.client.LengthHint > 0 {
+		output = min(output, 2*q.client.LengthHint)
+	}
+	perEvent := currantwood.TokenCount(1)
+	if e := q.snapshot.Groups[q.group].Engine; e != nil && e.TokensPerEvent > 0 {
+		perEvent = e.TokensPerEvent
+	}
+	return q.route.Target + time.Duration(output/perEvent)*q.g.eventTime
+}
+
+// fingerprinted names the input of the request, 0 where it has no body: calls
+// that carry none are too alike to be told apart.
+func (q *request) fingerprinted() currantwood.Fingerprint {
+	if len(q.body) == 0 {
+		return 0
+	}
+	h := xxhash.New()
+	for _, part := range []string{q.r.Host, q.target(), string(q.customer)} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(q.body)
+	return currantwood.Fingerprint(h.Sum64())
+}
+
+// crashed notes that an upstream that isn't leaving broke off while it ran the
+// request.
+func (q *request) crashed(view upstreamkeeper.View) {
+	if q.fingerprint == 0 || q.r.Context().Err() != nil {
+		return
+	}
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	known, ok := q.g.upstreams.Get(view.ID)
+	if !ok || !known.NoticeAt.IsZero() || known.Born != view.Born {
+		return
+	}
+	q.g.crashes.Note(q.g.Now(), crashkeeper.Crash{Request: q.fingerprint, Upstream: view.ID})
+}
+
 // unlessStale answers that the configuration is too old to say no for good.
 func unlessStale(stale bool, r *refusal) *refusal {
 	if !stale {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,9 @@
 	// writeSlack is how long after the deadline a write to a client that
 	// doesn't read may still take.
 	writeSlack = 200 * time.Millisecond
+	// eventMemory is the number of events that the time of an event is averaged
+	// over.
+	eventMemory = 64
 	// moveWait bounds the wait for a move that is under way when the stream's
 	// upstream has ended.
 	moveWait = 1500 * time.Millisecond
@@ -38,6 +41,8 @@
 	// load is what the balancer was told of it. Unread becomes 0 with the
 	// first event.
 	load balancer.Load
+	// eventAt is when the last event came; zero before the first.
+	eventAt time.Time
 }
 
 // stream is one running stream.
@@ -112,9 +117,9 @@
 		s.log("upstream did not serve", zap.String("upstream", string(choice.View.ID)), zap.Error(err), zap.Float64("score", choice.Score))
 		if s.ran > 0 {
 			last = &refusal{status: http.StatusBadGateway, reason: "upstream failed"}
-			if !s.again(s.ctx) {
-				break
-			}
+		}
+		if !s.again(s.ctx) {
+			break
 		}
 	}
 	if s.begun.Load() {
@@ -128,15 +133,6 @@
 	return false
 }
 
-// again reports whether a stream that may have run may be started once more.
-func (s *stream) again(ctx context.Context) bool {
-	if !s.route.Resumable || s.ran >= s.route.MaxUpstreams || ctx.Err() != nil {
-		return false
-	}
-	s.g.figures.retries.Inc(1)
-	return true
-}
-
 // send starts the stream at an upstream, for which the load was noted.
 func (s *stream) send(choice balancer.Choice, load balancer.Load, to currantwood.UpstreamRequest) (*leg, error) {
 	call := s.call(s.g.Now(), choice.View, to)
@@ -145,6 +141,7 @@
 		s.afterFailedStart(choice, load, err)
 		return nil, err
 	}
+	s.sent = true
 	if x.Answer.NotRun {
 		x.Finish()
 		s.ended(choice.View, load, balancer.Neutral)
@@ -214,6 +211,7 @@
 			s.watchLeaving(next)
 			continue
 		}
+		s.crashed(l.view)
 		ending := balancer.Failed
 		if s.ctx.Err() != nil {
 			ending = balancer.Neutral
@@ -240,7 +238,7 @@
 	if !s.begun.Load() {
 		s.begin(l)
 	}
-	s.g.progressed(l.view)
+	s.g.progressed(l)
 	if _, err := s.w.Write(event.Text); err != nil {
 		return errors.Wrap(err, "write to client")
 	}
@@ -365,8 +363,14 @@
 	l.load.Unread = 0
 }
 
-func (g *Gateway) progressed(view upstreamkeeper.View) {
+// progressed notes an event of a leg.
+func (g *Gateway) progressed(l *leg) {
+	now := g.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.balancer.Progressed(g.Now(), view)
+	g.balancer.Progressed(now, l.view)
+	if !l.eventAt.IsZero() {
+		g.eventTime += (now.Sub(l.eventAt) - g.eventTime) / eventMemory
+	}
+	l.eventAt = now
 }
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -251,8 +251,8 @@
 // Shutdown stops taking clients, serves what still comes and runs, and ends.
 func (s *Starter) Shutdown(ctx context.Context) error {
 	s.options.Logger.Info("stopping", zap.Int64("in-flight", s.gateway.InFlight()))
-	s.gateway.Stop()
 	grace := s.options.Settings.Bounds.Grace - exitMargin
+	s.gateway.Stop(s.now().Add(grace))
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	sleeper.Sleep(ctx, min(balancerLag, grace/2))
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -13,6 +13,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
 )
 
 const (
@@ -39,6 +40,7 @@
 	// Next is the offset up to which the sender knows the directory.
 	Next  currantwood.Offset
 	Loads map[currantwood.UpstreamID]balancer.Load
+	Uses  map[currantwood.GroupID]budgeter.Use
 }
 
 // Peer is a gateway and where to reach it.
@@ -197,6 +199,29 @@
 	return sum
 }
 
+// Uses sums up what gateways other than one have sent, beside own. A gateway
+// that is no longer heard counts on until what it told has left the window.
+func (k *Keeper) Uses(now time.Time, window time.Duration, except currantwood.VMID, own map[currantwood.GroupID]budgeter.Use) map[currantwood.GroupID]budgeter.Use {
+	sum := make(map[currantwood.GroupID]budgeter.Use, len(own))
+	add := func(uses map[currantwood.GroupID]budgeter.Use, requests bool) {
+		for id, use := range uses {
+			total := sum[id]
+			total.Repeats += use.Repeats
+			if requests {
+				total.Requests += use.Requests
+			}
+			sum[id] = total
+		}
+	}
+	add(own, true)
+	for id, m := range k.members {
+		if id != except && now.Sub(m.seen) <= window {
+			add(m.state.Uses, now.Sub(m.seen) <= memberBelief)
+		}
+	}
+	return sum
+}
+
 // KeepRecords keeps the records of a read of the directory for others. Only
 // those that changed something are given; from and next bound the read.
 func (k *Keeper) KeepRecords(now time.Time, from, next currantwood.Offset, changed []currantwood.KeyedRecord) {
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -16,6 +16,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
@@ -37,7 +38,8 @@
 type Gateway interface {
 	OwnLoads() map[currantwood.UpstreamID]balancer.Load
 	TakePeerLoads(now time.Time, loads map[currantwood.UpstreamID]balancer.Load)
-	TakeGateways(count int)
+	Uses(now time.Time) map[currantwood.GroupID]budgeter.Use
+	TakePeerUses(now time.Time, uses map[currantwood.GroupID]budgeter.Use, gateways int)
 	Crashes(now time.Time) []crashkeeper.Crash
 	TakeCrashes(now time.Time, crashes []crashkeeper.Crash)
 }
@@ -199,6 +201,7 @@
 		Next:    uint64(m.directory.Position()),
 		Loads:   encodeLoads(m.Gateway.OwnLoads()),
 		Crashes: encodeCrashes(m.Gateway.Crashes(now)),
+		Uses:    encodeUses(m.Gateway.Uses(now)),
 	}
 }
 
@@ -212,21 +215,25 @@
 	}
 	told := m.keeper.Told(now)
 	m.mu.Unlock()
-	own := m.Gateway.OwnLoads()
+	own, uses := m.Gateway.OwnLoads(), m.Gateway.Uses(now)
 	crashes := encodeCrashes(m.Gateway.Crashes(now))
 	for _, peer := range told {
-		digest := m.digest(now, peer, own)
+		digest := m.digest(now, peer, own, uses)
 		digest.Crashes = crashes
 		m.send(peer.Address, &peerwire.Datagram{Vm: string(m.Settings.VM), Body: &peerwire.Datagram_Digest{Digest: digest}})
 	}
 	m.mu.Lock()
 	loads, gateways := m.keeper.Loads(now, "", nil), m.keeper.Gateways(now)
+	others := m.keeper.Uses(now, m.window(), "", nil)
 	m.mu.Unlock()
 	m.Gateway.TakePeerLoads(now, loads)
-	m.Gateway.TakeGateways(gateways)
+	m.Gateway.TakePeerUses(now, others, gateways)
 }
 
-func (m *Messenger) digest(now time.Time, peer peerkeeper.Peer, own map[currantwood.UpstreamID]balancer.Load) *peerwire.Digest {
+// window is the time that the retry budget is counted over.
+func (m *Messenger) window() time.Duration { return m.Settings.Bounds.RetryWindow }
+
+func (m *Messenger) digest(now time.Time, peer peerkeeper.Peer, own map[currantwood.UpstreamID]balancer.Load, uses map[currantwood.GroupID]budgeter.Use) *peerwire.Digest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	digest := &peerwire.Digest{
@@ -235,6 +242,7 @@
 		ConfigurationAgeUs: m.Configuration.Age(now).Microseconds(),
 		Loads:              encodeLoads(m.keeper.Loads(now, peer.VM, own)),
 		Gateways:           uint32(m.keeper.Gateways(now)),
+		Uses:               encodeUses(m.keeper.Uses(now, m.window(), peer.VM, uses)),
 	}
 	known := m.keeper.Known(peer.VM)
 	if records, next, ok := m.keeper.Records(known); ok {
@@ -291,6 +299,7 @@
 		Store:  s.GetStore(),
 		Next:   currantwood.Offset(s.GetNext()),
 		Loads:  decodeLoads(s.GetLoads()),
+		Uses:   decodeUses(s.GetUses()),
 	})
 	collector, known := m.keeper.Collector(now)
 	m.mu.Unlock()
@@ -310,7 +319,7 @@
 		return
 	}
 	m.Gateway.TakePeerLoads(now, decodeLoads(d.GetLoads()))
-	m.Gateway.TakeGateways(int(d.GetGateways()))
+	m.Gateway.TakePeerUses(now, decodeUses(d.GetUses()), int(d.GetGateways()))
 	m.takeFreshness(d)
 	if d.GetNext() == 0 {
 		return
@@ -375,3 +384,19 @@
 	}
 	return out
 }
+
+func encodeUses(uses map[currantwood.GroupID]budgeter.Use) []*peerwire.Use {
+	out := make([]*peerwire.Use, 0, len(uses))
+	for id, u := range uses {
+		out = append(out, &peerwire.Use{Group: string(id), Requests: uint32(u.Requests), Repeats: uint32(u.Repeats)})
+	}
+	return out
+}
+
+func decodeUses(uses []*peerwire.Use) map[currantwood.GroupID]budgeter.Use {
+	out := make(map[currantwood.GroupID]budgeter.Use, len(uses))
+	for _, u := range uses {
+		out[currantwood.GroupID(u.GetGroup())] = budgeter.Use{Requests: int(u.GetRequests()), Repeats: int(u.GetRepeats())}
+	}
+	return out
+}
--- a/routing.go
+++ b/routing.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Version orders configurations; a higher one replaces a lower one.
@@ -196,10 +198,14 @@
 	Handle string
 }
 
+// ErrNoRoom says that an engine refused a copy, or could not place it, for now.
+var ErrNoRoom = errors.New("no room for the copy")
+
 // RunMover copies the memory of running generations between engines.
 type RunMover interface {
 	// Copy copies the run of a request from one engine to another while it
-	// goes on. It returns when the copy is whole.
+	// goes on. It returns when the copy is whole. It fails with ErrNoRoom where
+	// another target, or a later try, may do.
 	Copy(request RequestID, from, to string, timeout time.Duration) (RunCopy, error)
 	// Drop frees a copy that is not used.
 	Drop(copied RunCopy, timeout time.Duration) error
