A run is moved to an engine with nothing left to read

All pauses over 180 ms lay at a move, between the head of the new answer and its first event, 175 to 480 ms: what the copy lacks is read behind the prompts that the target is reading. Ruled out: stopping the source later (both make events at one pace, so the pause is the same), the copy's time (the source goes on meanwhile). Change: unread prompts weigh five times as much for a move, and a move counts as 2,000 unread tokens there, which keeps new prompts away while it lasts.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -27,6 +27,8 @@
 	// readAhead is the number of prompt tokens waiting to be read that counts
 	// like a full upstream: at 14 a millisecond, a second.
 	readAhead = 14_000
+	// quietWeight is how much more unread prompts weigh for a run that is moved.
+	quietWeight = 4
 	// peerBelief is how long a peer's word on what it has in flight is used.
 	peerBelief = 2 * time.Second
 	// firstOut and longestOut are how long an upstream that fails is left out.
@@ -60,6 +62,9 @@
 	Exclude []currantwood.UpstreamID
 	// Room is whether the upstream must have memory for the whole load.
 	Room bool
+	// Quiet is whether prompts that are still to be read there weigh more: a run
+	// that is moved pauses until they are read.
+	Quiet bool
 	// Within is whether it must be in the availability zone Near.
 	Within bool
 }
@@ -238,6 +243,9 @@
 	if e := g.traits.Engine; e != nil && e.MemoryTokens > 0 {
 		memory := float64(load.Tokens+q.Load.Tokens) / float64(e.MemoryTokens)
 		score = (score+memory)/2 + float64(load.Unread)/readAhead
+		if q.Quiet {
+			score += quietWeight * float64(load.Unread) / readAhead
+		}
 	}
 	score += b.distance(q.Near, u.view.Zone)
 	if now.Before(u.view.WarmAt) {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -21,6 +21,9 @@
 	dropTimeout = time.Second
 	// maxMoves bounds the targets that are tried for one run.
 	maxMoves = 6
+	// quietUnread is the number of prompt tokens that an engine counts for while
+	// a run is moved to it.
+	quietUnread = 2000
 	// moveAgain is the pause before engines that had no room are asked again.
 	moveAgain = 200 * time.Millisecond
 	// shortestMove is the number of events still to come below which a run is
@@ -125,7 +128,7 @@
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	now := s.g.Now()
-	query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: from.view.Zone, Exclude: exclude, Room: true, Within: true}
+	query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: from.view.Zone, Exclude: exclude, Room: true, Within: true, Quiet: true}
 	choice, ok := s.g.balancer.Pick(now, query)
 	if !ok {
 		query.Room = false
@@ -141,10 +144,11 @@
 	return choice, ok
 }
 
-// moveLoad is what the stream brings to an engine that it is moved to: there is
-// no prompt to read.
+// moveLoad is what the stream brings to an engine that it is moved to. There is
+// hardly a prompt to read; but the run goes on only when what others have there
+// has been read, so new prompts are kept away by a stand-in for one.
 func (s *stream) moveLoad() balancer.Load {
-	return balancer.Load{Requests: 1, Tokens: s.client.Size.Expected(s.client.LengthHint)}
+	return balancer.Load{Requests: 1, Tokens: s.client.Size.Expected(s.client.LengthHint), Unread: quietUnread}
 }
 
 // moveTo tries one target and reports whether the move is over.
