--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -46,9 +46,10 @@
 	// configurationWait is how long a read waits for a new configuration. The
 	// freshness of keys is proven once in this time.
 	configurationWait = 500 * time.Millisecond
-	// coveredAge is the age of the configuration up to which the gateway that
-	// collects is relied on for its freshness.
-	coveredAge = 1700 * time.Millisecond
+	// coveredShare is the part of the time of revocation up to which the gateway
+	// that collects is relied on for the freshness of the configuration. Half a
+	// second for a read of its own has to be left before keys are refused.
+	coveredShare = 1.0 / 3
 	// upstreamPause is the time between two reads of the directory. Upstreams
 	// write all the time, so that a read that waits for the next record would
 	// return at once.
@@ -165,7 +166,7 @@
 		Proven:   s.config.Proven,
 		Regained: func(time.Time) {},
 		Covered: func(now time.Time) bool {
-			return s.peers.Collected(now) && s.config.Age(now) < coveredAge
+			return s.peers.Collected(now) && s.config.Age(now) < time.Duration(coveredShare*float64(s.options.Settings.Bounds.Revocation))
 		},
 	}
 }
@@ -262,3 +263,10 @@
 	s.cancel()
 	return errors.Wrap(err, "requests were cut off at the end of the grace")
 }
+
+// Close ends the gateway at once and cuts off what it serves.
+func (s *Starter) Close() {
+	s.cancel()
+	_ = s.clients.Close()
+	_ = s.ready.Close()
+}
