Upstreams whose entries lapsed with the store come back, at every gateway

A removed upstream that wrote again under the same life was ignored for good; a gateway that hears of the directory by a peer never counted as having been without it; and the return of an entry was not among the changes that the collecting gateway hands on. An entry spoiled by another writer stayed unusable until some other change, found by the table of cases. Change: records count by their sequence; what is removed without notice and writes on is back; an absence is measured by word of any kind; the return of a lapsed entry is a change. Ruled out: keys (refusals by age were 543 of 1,867, during the outages).

--- a/proof/gateway/calls_test.go
+++ b/proof/gateway/calls_test.go
@@ -218,6 +218,24 @@
 		}
 	})
 
+	It("keep upstreams whose entries lapsed while the store was away, and take them back", func() {
+		w := newWorld()
+		w.addEngine(engine.Options{ID: "d1", Group: desk})
+		gateways := []int{w.addGateway(), w.addGateway()}
+		time.Sleep(time.Second)
+		w.store.SetFault(store.Silent)
+		time.Sleep(1900 * time.Millisecond)
+		w.store.Put(storeclient.UpstreamTopic, "d1", nil)
+		w.store.SetFault(store.None)
+		for _, g := range gateways {
+			Consistently(func() int { return w.ask(g, http.MethodGet, "/open/1", nil, "").status }, "600ms", "50ms").Should(Equal(http.StatusOK))
+		}
+		w.record("d1", false)
+		for _, g := range gateways {
+			Consistently(func() int { return w.ask(g, http.MethodGet, "/open/1", nil, "").status }, "2s", "50ms").Should(Equal(http.StatusOK))
+		}
+	})
+
 	It("go on when the one that reads is gone", func() {
 		w := newWorld()
 		w.addEngine(engine.Options{ID: "d1", Group: desk})
--- a/routing.go
+++ b/routing.go
@@ -112,6 +112,8 @@
 	WarmUp time.Duration
 	// Born tells apart two lives under one id.
 	Born int64
+	// Sequence counts the records of one life.
+	Sequence int64
 }
 
 // GenerationSize is the number of tokens of a generation.
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -25,6 +25,9 @@
 	longestBackoff = 400 * time.Millisecond
 	// absence is how long reads fail before the store counts as lost.
 	absence = 700 * time.Millisecond
+	// uncovered is how long a topic may go without word before what it lacks
+	// then may have lapsed by the store's absence alone.
+	uncovered = 1200 * time.Millisecond
 	// coveredPause is how often a watcher looks whether a peer still reads for
 	// it.
 	coveredPause = 100 * time.Millisecond
@@ -48,7 +51,8 @@
 	Taken func(now time.Time, from, next currantwood.Offset, changed []currantwood.KeyedRecord)
 	// Proven is told when a read that showed everything newer was sent.
 	Proven func(at time.Time)
-	// Regained is told when the store answers again after an absence.
+	// Regained is told, before the records, when they come again after an
+	// absence.
 	Regained func(now time.Time)
 	// Covered reports whether a peer reads for this process.
 	Covered func(now time.Time) bool
@@ -69,8 +73,10 @@
 	known bool
 	// lastAnswer is when the store last answered; held by mu.
 	lastAnswer time.Time
-	lost       bool
-	failures   int
+	// coveredAt is when the topic was last known to its end; held by mu.
+	coveredAt time.Time
+	lost      bool
+	failures  int
 }
 
 // New starts to follow a feed by a goroutine that ends with ctx.
@@ -103,6 +109,7 @@
 		return false
 	}
 	if next <= w.next {
+		w.cover(now)
 		return true
 	}
 	fresh := records[:0:0]
@@ -111,11 +118,24 @@
 			fresh = append(fresh, r)
 		}
 	}
+	w.cover(now)
 	w.next = next
 	w.feed.Apply(now, fresh)
 	return true
 }
 
+// cover notes that the topic is known up to now, by a read or by a peer. After
+// an absence of both it tells so before the records that have come meanwhile.
+// Called with mu held.
+func (w *Watcher) cover(now time.Time) {
+	away := now.Sub(w.coveredAt)
+	if !w.coveredAt.IsZero() && away > uncovered {
+		w.logger.Info("store's records again", zap.String("feed", w.feed.Name), zap.Duration("without", away))
+		w.feed.Regained(now)
+	}
+	w.coveredAt = now
+}
+
 // Kick asks for a read at once, whether a peer covers or not.
 func (w *Watcher) Kick() {
 	select {
@@ -209,6 +229,7 @@
 			fresh = append(fresh, r)
 		}
 	}
+	w.cover(now)
 	start := max(from, w.next)
 	w.next = max(w.next, window.Next)
 	changed := w.feed.Apply(now, fresh)
@@ -225,6 +246,7 @@
 	w.answered()
 	now := w.now()
 	w.mu.Lock()
+	w.cover(now)
 	w.next, w.known = window.Next, true
 	w.feed.Replace(now, window.Records)
 	w.mu.Unlock()
@@ -241,7 +263,6 @@
 	w.mu.Unlock()
 	if lost {
 		w.logger.Info("store regained", zap.String("feed", w.feed.Name), zap.Duration("away", away))
-		w.feed.Regained(now)
 	}
 }
 
--- a/upstreamkeeper/change_string.go
+++ b/upstreamkeeper/change_string.go
@@ -14,11 +14,12 @@
 	_ = x[Reborn-4]
 	_ = x[Unusable-5]
 	_ = x[Lapsed-6]
+	_ = x[Returned-7]
 }
 
-const _Change_name = "appearedleavingremovedrebornunusablelapsed"
+const _Change_name = "appearedleavingremovedrebornunusablelapsedreturned"
 
-var _Change_index = [...]uint8{0, 8, 15, 22, 28, 36, 42}
+var _Change_index = [...]uint8{0, 8, 15, 22, 28, 36, 42, 50}
 
 func (i Change) String() string {
 	idx := int(i) - 1
--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -16,7 +16,8 @@
 const lapseGrace = 2 * time.Second
 
 // goneKept is how long a removed upstream is still known as leaving. It goes on
-// serving for a while, and late records of it must not bring it back.
+// serving for a while, and records from before its removal must not bring it
+// back.
 const goneKept = 30 * time.Second
 
 //go:generate go tool stringer -linecomment -type=Change
@@ -32,6 +33,7 @@
 	Reborn                     // reborn
 	Unusable                   // unusable
 	Lapsed                     // lapsed
+	Returned                   // returned
 )
 
 // Event is one change of one upstream.
@@ -57,6 +59,8 @@
 	view View
 	// removed is when its record was removed; zero if it wasn't.
 	removed time.Time
+	// announced is whether its leaving was announced before its removal.
+	announced bool
 	// lapsed is when its record was found missing after the directory had been
 	// away; zero if it wasn't.
 	lapsed time.Time
@@ -118,21 +122,42 @@
 	if e == nil || record.Born != e.view.Born {
 		return k.begin(now, e, record)
 	}
+	if record.Sequence <= e.view.Sequence {
+		return nil
+	}
+	e.view.Sequence, e.view.Slots = record.Sequence, record.Slots
+	lapsed := !e.lapsed.IsZero()
 	e.lapsed = time.Time{}
 	if !e.removed.IsZero() {
-		// A record from before the removal; the upstream's life has ended.
-		return nil
+		return k.comeBack(e, record)
 	}
-	e.view.Broken = false
-	e.view.Slots = record.Slots
 	if record.Leaving && e.view.NoticeAt.IsZero() {
 		e.view.NoticeAt = now
 		e.view.Leaving = true
 		return []Event{{Change: Leaving, Record: e.view.UpstreamRecord}}
 	}
+	if e.view.Broken {
+		e.view.Broken = false
+		return []Event{{Change: Appeared, Record: e.view.UpstreamRecord}}
+	}
+	if lapsed {
+		// Others may have given it up meanwhile.
+		return []Event{{Change: Returned, Record: e.view.UpstreamRecord}}
+	}
 	return nil
 }
 
+// comeBack takes back an upstream whose record was removed though it goes on
+// writing: its entry had lapsed. One that had announced its leaving stays gone.
+func (k *Keeper) comeBack(e *entry, record currantwood.UpstreamRecord) []Event {
+	if e.announced || record.Leaving {
+		return nil
+	}
+	e.removed = time.Time{}
+	e.view.Leaving, e.view.NoticeAt, e.view.Broken = false, time.Time{}, false
+	return []Event{{Change: Appeared, Record: e.view.UpstreamRecord}}
+}
+
 // begin notes a new life of an upstream.
 func (k *Keeper) begin(now time.Time, old *entry, record currantwood.UpstreamRecord) []Event {
 	if old != nil && record.Born < old.view.Born {
@@ -174,6 +199,7 @@
 
 func (k *Keeper) end(now time.Time, e *entry) []Event {
 	e.removed = now
+	e.announced = e.view.Leaving
 	e.view.Leaving = true
 	if e.view.NoticeAt.IsZero() {
 		e.view.NoticeAt = now
