--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,129 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func view(id, zone string) upstreamkeeper.View {
+	return upstreamkeeper.View{UpstreamRecord: currantwood.UpstreamRecord{
+		ID: currantwood.UpstreamID(id), Group: "g", Zone: currantwood.ZoneID(zone), Slots: 24, Born: 1,
+	}}
+}
+
+// newBalancer knows engines by "id@zone".
+func newBalancer(engines ...string) *Balancer {
+	regions := map[currantwood.ZoneID]currantwood.RegionID{"n1": "north", "n2": "north", "s1": "south"}
+	b := New(regions, rand.New(rand.NewSource(1)))
+	b.SyncGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineTraits{Slots: 24, MemoryTokens: 10_000}}})
+	var views []upstreamkeeper.View
+	for _, e := range engines {
+		var id, zone string
+		_, err := fmt.Sscanf(e, "%2s@%2s", &id, &zone)
+		Expect(err).NotTo(HaveOccurred())
+		views = append(views, view(id, zone))
+	}
+	b.SyncUpstreams(views)
+	return b
+}
+
+func pick(b *Balancer, q Query) string {
+	q.Group = "g"
+	choice, ok := b.Pick(start, q)
+	if !ok {
+		return "none"
+	}
+	return string(choice.View.ID)
+}
+
+var _ = Describe("Balancer", func() {
+	DescribeTable("chooses an engine",
+		func(engines []string, loads map[string]Load, q Query, want string) {
+			b := newBalancer(engines...)
+			for id, load := range loads {
+				b.SyncPeer(start, currantwood.VMID("peer-"+id), map[currantwood.UpstreamID]Load{currantwood.UpstreamID(id): load})
+			}
+			Expect(pick(b, q)).To(Equal(want))
+		},
+		Entry("the emptier one", []string{"e1@n1", "e2@n1"}, map[string]Load{"e1": {Requests: 6}}, Query{Near: "n1"}, "e2"),
+		Entry("the one with more memory left", []string{"e1@n1", "e2@n1"}, map[string]Load{"e1": {Requests: 1, Tokens: 6000}, "e2": {Requests: 2, Tokens: 500}}, Query{Near: "n1"}, "e2"),
+		Entry("the one that isn't reading a long prompt", []string{"e1@n1", "e2@n1"}, map[string]Load{"e1": {Requests: 1, Unread: 6000}, "e2": {Requests: 3}}, Query{Near: "n1"}, "e2"),
+		Entry("the near one, loads alike", []string{"e1@n1", "e2@s1"}, nil, Query{Near: "s1"}, "e2"),
+		Entry("a far one where the near one is much fuller", []string{"e1@n1", "e2@s1"}, map[string]Load{"e2": {Requests: 12}}, Query{Near: "s1"}, "e1"),
+		Entry("none that is excluded", []string{"e1@n1"}, nil, Query{Near: "n1", Exclude: []currantwood.UpstreamID{"e1"}}, "none"),
+		Entry("with room for the whole load", []string{"e1@n1", "e2@s1"}, map[string]Load{"e1": {Requests: 1, Tokens: 7000}}, Query{Near: "n1", Room: true, Load: Load{Tokens: 4000}}, "e2"),
+		Entry("none where there is no room", []string{"e1@n1"}, map[string]Load{"e1": {Requests: 1, Tokens: 7000}}, Query{Near: "n1", Room: true, Load: Load{Tokens: 4000}}, "none"),
+		Entry("in the zone asked for, however full", []string{"e1@n1", "e2@n2"}, map[string]Load{"e1": {Requests: 20}}, Query{Near: "n1", Within: true}, "e1"),
+		Entry("none in a zone without engines", []string{"e2@n2"}, nil, Query{Near: "n1", Within: true}, "none"),
+	)
+
+	// Load pattern: every 3 s a few of a zone's engines leave and each of their
+	// runs is moved to one that stays, while prompts go on arriving.
+	It("moves a run to an engine with nothing left to read, though it has more runs", func() {
+		b := newBalancer("e1@n1", "e2@n1")
+		b.SyncPeer(start, "p", map[currantwood.UpstreamID]Load{"e1": {Requests: 2, Tokens: 2000, Unread: 2500}, "e2": {Requests: 7, Tokens: 5000}})
+		Expect(pick(b, Query{Near: "n1"})).To(Equal("e1"))
+		Expect(pick(b, Query{Near: "n1", Quiet: true})).To(Equal("e2"))
+	})
+
+	// Load pattern: runs of an engine that leaves all look for a target at once.
+	It("spreads eight runs that move at the same moment", func() {
+		b := newBalancer("e1@n1", "e2@n1", "e3@n1", "e4@n1")
+		count := map[string]int{}
+		for range 8 {
+			choice, ok := b.Pick(start, Query{Group: "g", Near: "n1", Within: true, Quiet: true, Load: Load{Requests: 1, Tokens: 900, Unread: 2000}})
+			Expect(ok).To(BeTrue())
+			b.Started(start, choice.View, Load{Requests: 1, Tokens: 900, Unread: 2000}, time.Second)
+			count[string(choice.View.ID)]++
+		}
+		for id, n := range count {
+			Expect(n).To(BeNumerically("<=", 3), id)
+		}
+		Expect(count).To(HaveLen(4))
+	})
+
+	It("forgets a peer that hasn't been heard for a while", func() {
+		b := newBalancer("e1@n1", "e2@n1")
+		b.SyncPeer(start.Add(-3*time.Second), "p", map[currantwood.UpstreamID]Load{"e1": {Requests: 20}})
+		Expect(b.Total(start, "e1").Requests).To(BeZero())
+	})
+
+	It("gives an upstream that starts again under its id none of its old load", func() {
+		b := newBalancer("e1@n1")
+		b.Started(start, view("e1", "n1"), Load{Requests: 1, Tokens: 500}, time.Second)
+		again := view("e1", "n1")
+		again.Born = 2
+		b.SyncUpstreams([]upstreamkeeper.View{again})
+		Expect(b.Total(start, "e1")).To(Equal(Load{}))
+		b.Ended(start, view("e1", "n1"), Load{Requests: 1, Tokens: 500}, Served)
+		Expect(b.Total(start, "e1")).To(Equal(Load{}))
+	})
+
+	It("leaves out an upstream that failed three times, for a while", func() {
+		b := newBalancer("e1@n1", "e2@s1")
+		for range 3 {
+			b.Started(start, view("e1", "n1"), Load{Requests: 1}, time.Second)
+			b.Ended(start, view("e1", "n1"), Load{Requests: 1}, Failed)
+		}
+		Expect(pick(b, Query{Near: "n1"})).To(Equal("e2"))
+		Expect(b.Out(start, "g")).To(Equal(1))
+		choice, _ := b.Pick(start.Add(3*time.Second), Query{Group: "g", Near: "n1"})
+		Expect(choice.View.ID).To(Equal(currantwood.UpstreamID("e1")))
+	})
+
+	It("takes out an engine that holds requests without progress", func() {
+		b := newBalancer("e1@n1", "e2@n1")
+		b.Started(start, view("e1", "n1"), Load{Requests: 1}, time.Second)
+		Expect(b.Frozen(start.Add(900 * time.Millisecond))).To(BeEmpty())
+		Expect(b.Frozen(start.Add(1100 * time.Millisecond))).To(ConsistOf(currantwood.UpstreamID("e1")))
+	})
+})
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -16,10 +16,13 @@
 const (
 	// buckets is the number of parts that a window is counted in.
 	buckets = 20
-	// margin is the part of the budget that may be used by what all have told.
-	// The rest is for repeats that aren't told yet.
-	margin = 0.8
-	// ordinary is the part of that for repeats of failed requests. The rest is
+	// guaranteed is the part of its own share that a gateway may use whatever
+	// the others do. Others count on it even where they hear nothing.
+	guaranteed = 0.2
+	// shared is the part of the budget that all gateways may use together by
+	// what they have told. What is left is for repeats that aren't told yet.
+	shared = 0.75
+	// ordinary is the part of both for repeats of failed requests. The rest is
 	// kept for runs that have to leave their engine.
 	ordinary = 0.6
 	// belief is how long the word of the others is used.
@@ -66,7 +69,13 @@
 	groups   map[currantwood.GroupID]*ring
 	others   map[currantwood.GroupID]Use
 	othersAt time.Time
+	// heard is the number of gateways that others sums up, this one included.
+	heard int
+	// gateways is the highest number of gateways heard at once. Those that
+	// aren't heard any more may go on.
 	gateways int
+	// since counts the repeats of each group since the others were last heard.
+	since map[currantwood.GroupID]int
 }
 
 // New returns a budgeter that has counted nothing.
@@ -74,7 +83,7 @@
 	if options.Window <= 0 {
 		options.Window = 10 * time.Second
 	}
-	return &Budgeter{options: options, groups: make(map[currantwood.GroupID]*ring), gateways: fewest}
+	return &Budgeter{options: options, groups: make(map[currantwood.GroupID]*ring), gateways: fewest, heard: 1, since: make(map[currantwood.GroupID]int)}
 }
 
 // Requested notes a request for a group.
@@ -85,6 +94,7 @@
 // Repeated notes a send beyond the first.
 func (b *Budgeter) Repeated(now time.Time, id currantwood.GroupID) {
 	b.bucket(now, id).Repeats++
+	b.since[id]++
 }
 
 // bucket returns the newest bucket of a group.
@@ -135,35 +145,44 @@
 	return sum
 }
 
-// TakeOthers takes what the other gateways have used, and the number of all.
-// The number is never lowered: gateways that can't be heard may go on.
-func (b *Budgeter) TakeOthers(now time.Time, others map[currantwood.GroupID]Use, gateways int) {
-	b.others, b.othersAt = others, now
-	b.gateways = max(b.gateways, gateways)
+// TakeOthers takes what the other gateways have used, and the number of those
+// that are heard, this one included.
+func (b *Budgeter) TakeOthers(now time.Time, others map[currantwood.GroupID]Use, heard int) {
+	b.others, b.othersAt, b.heard = others, now, max(1, heard)
+	b.gateways = max(b.gateways, heard)
+	clear(b.since)
 }
 
 // Allows reports whether a repeat may be sent.
 func (b *Budgeter) Allows(now time.Time, id currantwood.GroupID, urgency Urgency) bool {
-	part := margin
+	part := 1.0
 	if urgency == Ordinary {
-		part *= ordinary
+		part = ordinary
 	}
 	own := b.used(now, id)
-	if b.within(part/float64(b.gateways), own, own) {
+	share := 1 / float64(b.gateways)
+	if float64(own.Repeats+1) <= part*guaranteed*b.budget(own.Requests, share) {
 		return true
 	}
 	if b.othersAt.IsZero() || now.Sub(b.othersAt) > belief {
 		return false
 	}
+	return b.allowsTogether(own, id, part)
+}
+
+// allowsTogether reports whether a repeat fits into what all gateways together
+// have left. Each may use its part of that until it hears of the others again.
+// The reserve of gateways that aren't heard is left to them.
+func (b *Budgeter) allowsTogether(own Use, id currantwood.GroupID, part float64) bool {
 	all := b.others[id]
 	all.Requests += own.Requests
 	all.Repeats += own.Repeats
-	return b.within(part, all, all)
+	since := b.since[id]
+	left := part*shared*b.budget(all.Requests, float64(b.heard)/float64(b.gateways)) - float64(all.Repeats-since)
+	return float64(since+1) <= left/float64(b.heard)
 }
 
-// within reports whether one more repeat stays in the budget that requests and
-// a part of the reserve give.
-func (b *Budgeter) within(reservePart float64, requests, repeats Use) bool {
-	budget := margin*float64(b.options.Share)*float64(requests.Requests) + reservePart*b.options.Reserve
-	return float64(repeats.Repeats+1) <= budget
+// budget is what requests and a share of the reserve allow.
+func (b *Budgeter) budget(requests int, share float64) float64 {
+	return float64(b.options.Share)*float64(requests) + share*b.options.Reserve
 }
--- /dev/null
+++ b/configkeeper/keeper_test.go
@@ -0,0 +1,35 @@
+package configkeeper
+
+import (
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var _ = Describe("Keeper", func() {
+	It("takes newer configurations only", func() {
+		k := New()
+		Expect(k.Version()).To(BeZero())
+		for _, c := range []struct {
+			version currantwood.Version
+			taken   bool
+		}{{4, true}, {4, false}, {3, false}, {9, true}, {8, false}} {
+			Expect(k.Offer(currantwood.Configuration{Version: c.version})).To(Equal(c.taken))
+		}
+		Expect(k.Current().Version).To(Equal(currantwood.Version(9)))
+	})
+
+	It("grows old from the newest proof", func() {
+		k := New()
+		Expect(k.Age(start)).To(Equal(time.Duration(math.MaxInt64)))
+		k.Proven(start)
+		k.Proven(start.Add(-time.Second))
+		Expect(k.Age(start.Add(3 * time.Second))).To(Equal(3 * time.Second))
+	})
+})
--- /dev/null
+++ b/crashkeeper/keeper_test.go
@@ -0,0 +1,41 @@
+package crashkeeper
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var _ = Describe("Keeper", func() {
+	DescribeTable("blocks a request that crashed three upstreams",
+		func(upstreams []string, after time.Duration, blocked bool) {
+			k := New()
+			for _, u := range upstreams {
+				k.Note(start, Crash{Request: 7, Upstream: currantwood.UpstreamID(u)})
+			}
+			Expect(k.Blocked(start.Add(after), 7)).To(Equal(blocked))
+			Expect(k.Blocked(start.Add(after), 8)).To(BeFalse())
+		},
+		Entry("three", []string{"a", "b", "c"}, time.Second, true),
+		Entry("two", []string{"a", "b"}, time.Second, false),
+		Entry("one told three times", []string{"a", "a", "a"}, time.Second, false),
+		Entry("long ago", []string{"a", "b", "c"}, time.Hour, false),
+	)
+
+	It("tells others of crashes for a while, and is bounded", func() {
+		k := New()
+		for i := range currantwood.Fingerprint(2 * maxRequests) {
+			k.Note(start, Crash{Request: i, Upstream: "a"})
+		}
+		Expect(len(k.crashes)).To(Equal(maxRequests))
+		Expect(k.Recent(start.Add(time.Second))).To(HaveLen(maxShared))
+		Expect(k.Recent(start.Add(time.Minute))).To(BeEmpty())
+		k.Note(start.Add(time.Hour), Crash{Request: 1 << 40, Upstream: "a"})
+		Expect(len(k.crashes)).To(Equal(1))
+	})
+})
--- /dev/null
+++ b/peerkeeper/keeper_test.go
@@ -0,0 +1,192 @@
+package peerkeeper
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func peer(vm string) Peer { return Peer{VM: currantwood.VMID(vm), Address: vm + ":7200"} }
+
+var _ = Describe("Keeper", func() {
+	It("collects while it reaches the store and hears of nobody before it", func() {
+		k := New("b")
+		Expect(k.Collects(start, true)).To(BeTrue())
+		Expect(k.Collects(start, false)).To(BeFalse())
+		Expect(k.TakeDigest(start, peer("c"), true)).To(BeFalse())
+		Expect(k.Collects(start, true)).To(BeTrue())
+		Expect(k.TakeDigest(start, peer("a"), true)).To(BeTrue())
+		Expect(k.Collects(at(600), true)).To(BeFalse())
+		Expect(k.Collects(at(800), true)).To(BeTrue())
+	})
+
+	It("takes the word of any gateway while it doesn't reach the store itself", func() {
+		k := New("a")
+		Expect(k.TakeDigest(start, peer("c"), false)).To(BeTrue())
+		collector, ok := k.Collector(start)
+		Expect(ok).To(BeTrue())
+		Expect(collector).To(Equal(peer("c")))
+	})
+
+	It("tells those after it, and those before it that don't reach the store", func() {
+		k := New("b")
+		k.TakeState(start, peer("a"), State{Store: false})
+		k.TakeState(start, peer("c"), State{Store: true})
+		k.TakeState(start, peer("0"), State{Store: true})
+		Expect(k.Told(at(100))).To(Equal([]Peer{peer("a"), peer("c")}))
+		Expect(k.Told(at(2000))).To(BeEmpty())
+	})
+
+	It("sums up what others have in flight and used, and counts on with uses of the silent", func() {
+		k := New("a")
+		for _, vm := range []string{"b", "c"} {
+			k.TakeState(start, peer(vm), State{
+				Loads: map[currantwood.UpstreamID]balancer.Load{"e": {Requests: 2, Tokens: 100}},
+				Uses:  map[currantwood.GroupID]budgeter.Use{"g": {Requests: 10, Repeats: 3}},
+			})
+		}
+		own := map[currantwood.UpstreamID]balancer.Load{"e": {Requests: 1}}
+		Expect(k.Loads(at(100), "c", own)["e"].Requests).To(Equal(3))
+		Expect(k.Loads(at(2000), "", nil)).To(BeEmpty())
+		Expect(k.Uses(at(100), 10*time.Second, "", nil)["g"]).To(Equal(budgeter.Use{Requests: 20, Repeats: 6}))
+		Expect(k.Uses(at(5000), 10*time.Second, "", nil)["g"]).To(Equal(budgeter.Use{Repeats: 6}))
+	})
+
+	It("asks a bounded number who collects", func() {
+		k := New("a")
+		for i := range 40 {
+			k.Heard(start, peer(fmt.Sprintf("vm-%02d", i)))
+		}
+		Expect(k.Ask(start)).To(HaveLen(maxAsked))
+		Expect(k.Ask(at(60_000))).To(BeEmpty())
+	})
+
+	DescribeTable("hands on the records that a gateway lacks",
+		func(known int, want []int, next int, ok bool) {
+			k := New("a")
+			k.KeepRecords(at(0), 10, 20, records(12, 15))
+			k.KeepRecords(at(200), 20, 30, records(28))
+			got, end, found := k.Records(currantwood.Offset(known))
+			Expect(found).To(Equal(ok))
+			if !ok {
+				return
+			}
+			Expect(got).To(Equal(records(want...)))
+			Expect(end).To(Equal(currantwood.Offset(next)))
+		},
+		Entry("all", 10, []int{12, 15, 28}, 30, true),
+		Entry("some", 13, []int{15, 28}, 30, true),
+		Entry("none", 30, nil, 30, true),
+		Entry("too far back", 9, nil, 0, false),
+		Entry("ahead of the reader", 31, nil, 0, false),
+		Entry("knows nothing", 0, nil, 0, false),
+	)
+
+	It("begins anew after a gap in its own reading and forgets old records", func() {
+		k := New("a")
+		k.KeepRecords(at(0), 10, 20, records(12))
+		k.KeepRecords(at(4000), 20, 30, records(25))
+		_, _, ok := k.Records(12)
+		Expect(ok).To(BeFalse())
+		_, _, ok = k.Records(13)
+		Expect(ok).To(BeTrue())
+		k.KeepRecords(at(4200), 50, 60, records(55))
+		_, _, ok = k.Records(30)
+		Expect(ok).To(BeFalse())
+	})
+
+	// Load pattern: gateways are killed, cut off and lose the store; one reader
+	// must remain, soon.
+	It("ends with one gateway that collects, whatever happened before", func() {
+		for seed := range int64(30) {
+			settle(seed)
+		}
+	})
+})
+
+func records(offsets ...int) []currantwood.KeyedRecord {
+	var list []currantwood.KeyedRecord
+	for _, o := range offsets {
+		list = append(list, currantwood.KeyedRecord{Offset: currantwood.Offset(o), Key: "k"})
+	}
+	return list
+}
+
+// settle plays 10 s of trouble between gateways and 4 s of calm.
+func settle(seed int64) {
+	const count, tick = 7, 200
+	random := rand.New(rand.NewSource(seed))
+	keepers := make([]*Keeper, count)
+	cut, store := make([]bool, count), make([]bool, count)
+	name := func(i int) string { return fmt.Sprintf("vm-%d", i) }
+	for i := range keepers {
+		keepers[i] = New(currantwood.VMID(name(i)))
+		store[i] = true
+		keepers[i].Heard(start, peer(name(0)))
+	}
+	for ms := 0; ms < 14_000; ms += tick {
+		for i := range keepers {
+			calm := ms > 10_000
+			if !calm && random.Intn(20) == 0 {
+				cut[i] = !cut[i]
+			}
+			if !calm && random.Intn(20) == 0 {
+				store[i] = !store[i]
+			}
+			if calm {
+				cut[i], store[i] = false, i != 0
+			}
+		}
+		exchange(keepers, cut, store, at(ms), random)
+	}
+	collecting := 0
+	for i, k := range keepers {
+		if k.Collects(at(14_000), store[i]) {
+			collecting++
+		}
+	}
+	ExpectWithOffset(1, collecting).To(Equal(1), "seed %d", seed)
+}
+
+// exchange lets every gateway send what is due once, a tenth of it lost.
+func exchange(keepers []*Keeper, cut, store []bool, now time.Time, random *rand.Rand) {
+	index := make(map[currantwood.VMID]int, len(keepers))
+	for i, k := range keepers {
+		index[k.self] = i
+	}
+	arrives := func(from int, to currantwood.VMID) bool {
+		return !cut[from] && !cut[index[to]] && random.Intn(10) > 0
+	}
+	for i, k := range keepers {
+		self := peer(string(k.self))
+		for _, p := range k.Ask(now) {
+			if p.VM == k.self || !arrives(i, p.VM) {
+				continue
+			}
+			other := keepers[index[p.VM]]
+			other.TakeState(now, self, State{Store: store[i]})
+			if collector, ok := other.Collector(now); ok && collector.VM != k.self && arrives(index[p.VM], k.self) {
+				k.Heard(now, collector)
+			}
+		}
+		if !k.Collects(now, store[i]) {
+			continue
+		}
+		for _, p := range k.Told(now) {
+			if arrives(i, p.VM) {
+				keepers[index[p.VM]].TakeDigest(now, self, store[index[p.VM]])
+			}
+		}
+	}
+}
