Choices look at eight upstreams and go by loads 50 ms old

Cause: on the grown sites the first event came after 1.0 s at the median and 6 s at p99 with memory a third used; by the logs a new engine got up to twelve generations within a second, each chosen at in-flight 0: 23 gateways see the same emptiest engine until they hear of each other. 264 times an engine was left out as frozen, since a gateway with one stream there saw no progress. Ruled out: memory (9,500 of 27,000 tokens at the median), narrow links. Change: a choice looks at a random part of the engines, fewer the more gateways there are, at least eight; loads are told every 50 ms in place of 200; patience is three target times. The gateway that collects is the one whose VM bears most. Runs that find no room in their zone look in their region.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// sampleSize bounds the upstreams that one choice looks at.
-	sampleSize = 48
+	// minSample and maxSample bound the upstreams that one choice looks at.
+	minSample = 8
+	maxSample = 48
 	// regionPenalty is the load that an upstream of this region may have above
 	// one of another region and still be preferred.
 	regionPenalty = 0.12
@@ -65,10 +66,22 @@
 	// Quiet is whether prompts that are still to be read there weigh more: a run
 	// that is moved pauses until they are read.
 	Quiet bool
-	// Within is whether it must be in the availability zone Near.
-	Within bool
+	// Reach is how far from Near it may be.
+	Reach Reach
 }
 
+//go:generate go tool stringer -linecomment -type=Reach,Ending
+
+// Reach says how far away a choice may be.
+type Reach uint8
+
+// The reaches.
+const (
+	Anywhere Reach = iota // anywhere
+	InRegion              // region
+	InZone                // zone
+)
+
 // Choice is the upstream chosen and what decided.
 type Choice struct {
 	View upstreamkeeper.View
@@ -101,6 +114,8 @@
 	upstreams map[currantwood.UpstreamID]*upstream
 	groups    map[currantwood.GroupID]*group
 	peers     map[currantwood.VMID]peerLoad
+	// gateways is the number of gateways that choose; at least 1.
+	gateways int
 }
 
 // New returns a balancer that knows no upstream.
@@ -111,6 +126,7 @@
 		upstreams: make(map[currantwood.UpstreamID]*upstream),
 		groups:    make(map[currantwood.GroupID]*group),
 		peers:     make(map[currantwood.VMID]peerLoad),
+		gateways:  1,
 	}
 }
 
@@ -158,6 +174,10 @@
 	return g
 }
 
+// SyncGateways takes the number of gateways that choose among the same
+// upstreams.
+func (b *Balancer) SyncGateways(count int) { b.gateways = max(1, count) }
+
 // SyncPeer takes what a peer has in flight.
 func (b *Balancer) SyncPeer(now time.Time, peer currantwood.VMID, loads map[currantwood.UpstreamID]Load) {
 	b.peers[peer] = peerLoad{at: now, loads: loads}
@@ -195,29 +215,37 @@
 		return Choice{}, false
 	}
 	best, found := Choice{}, false
-	start, count := 0, len(g.members)
-	if count > sampleSize {
-		start, count = b.random.Intn(count), sampleSize
-	}
-	for i := range count {
-		id := g.members[(start+i)%len(g.members)]
-		if excluded(q.Exclude, id) || !g.prober.Admits(now, id) {
-			continue
-		}
-		if q.Within && b.upstreams[id].view.Zone != q.Near {
+	looked, sample := 0, b.sample(g, q)
+	for _, i := range b.random.Perm(len(g.members)) {
+		id := g.members[i]
+		u := b.upstreams[id]
+		if excluded(q.Exclude, id) || !g.prober.Admits(now, id) || !b.reaches(q, u.view.Zone) {
 			continue
 		}
-		choice := b.weigh(now, g, b.upstreams[id], q)
+		choice := b.weigh(now, g, u, q)
 		if q.Room && !hasRoom(g, choice, q) {
 			continue
 		}
 		if !found || choice.Score < best.Score {
 			best, found = choice, true
 		}
+		if looked++; looked == sample {
+			break
+		}
 	}
 	return best, found
 }
 
+// sample is the number of upstreams that a choice looks at. What others have in
+// flight is known with a delay, and meanwhile all of them see the same upstream
+// as the emptiest; the more gateways there are, the fewer each looks at.
+func (b *Balancer) sample(g *group, q Query) int {
+	if q.Reach != Anywhere || q.Room {
+		return maxSample
+	}
+	return min(maxSample, max(minSample, len(g.members)/b.gateways+1))
+}
+
 func excluded(list []currantwood.UpstreamID, id currantwood.UpstreamID) bool {
 	for _, other := range list {
 		if other == id {
@@ -256,6 +284,18 @@
 	return Choice{View: u.view, Score: score, Load: load}
 }
 
+// reaches reports whether an availability zone is near enough for a query.
+func (b *Balancer) reaches(q Query, zone currantwood.ZoneID) bool {
+	switch q.Reach {
+	case InZone:
+		return zone == q.Near
+	case InRegion:
+		return b.regions[zone] == b.regions[q.Near]
+	default:
+		return true
+	}
+}
+
 func (b *Balancer) distance(from, to currantwood.ZoneID) float64 {
 	if from == to {
 		return 0
@@ -289,8 +329,6 @@
 	b.group(u.Group).prober.Progressed(now, u.ID)
 }
 
-//go:generate go tool stringer -linecomment -type=Ending
-
 // Ending says what the end of a request tells about its upstream.
 type Ending uint8
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -62,8 +62,9 @@
 		Entry("none that is excluded", []string{"e1@n1"}, nil, Query{Near: "n1", Exclude: []currantwood.UpstreamID{"e1"}}, "none"),
 		Entry("with room for the whole load", []string{"e1@n1", "e2@s1"}, map[string]Load{"e1": {Requests: 1, Tokens: 7000}}, Query{Near: "n1", Room: true, Load: Load{Tokens: 4000}}, "e2"),
 		Entry("none where there is no room", []string{"e1@n1"}, map[string]Load{"e1": {Requests: 1, Tokens: 7000}}, Query{Near: "n1", Room: true, Load: Load{Tokens: 4000}}, "none"),
-		Entry("in the zone asked for, however full", []string{"e1@n1", "e2@n2"}, map[string]Load{"e1": {Requests: 20}}, Query{Near: "n1", Within: true}, "e1"),
-		Entry("none in a zone without engines", []string{"e2@n2"}, nil, Query{Near: "n1", Within: true}, "none"),
+		Entry("in the zone asked for, however full", []string{"e1@n1", "e2@n2"}, map[string]Load{"e1": {Requests: 20}}, Query{Near: "n1", Reach: InZone}, "e1"),
+		Entry("in the region asked for", []string{"e1@n2", "e2@s1"}, map[string]Load{"e1": {Requests: 20}}, Query{Near: "n1", Reach: InRegion}, "e1"),
+		Entry("none in a zone without engines", []string{"e2@n2"}, nil, Query{Near: "n1", Reach: InZone}, "none"),
 	)
 
 	// Load pattern: every 3 s a few of a zone's engines leave and each of their
@@ -80,7 +81,7 @@
 		b := newBalancer("e1@n1", "e2@n1", "e3@n1", "e4@n1")
 		count := map[string]int{}
 		for range 8 {
-			choice, ok := b.Pick(start, Query{Group: "g", Near: "n1", Within: true, Quiet: true, Load: Load{Requests: 1, Tokens: 900, Unread: 2000}})
+			choice, ok := b.Pick(start, Query{Group: "g", Near: "n1", Reach: InZone, Quiet: true, Load: Load{Requests: 1, Tokens: 900, Unread: 2000}})
 			Expect(ok).To(BeTrue())
 			b.Started(start, choice.View, Load{Requests: 1, Tokens: 900, Unread: 2000}, time.Second)
 			count[string(choice.View.ID)]++
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -20,7 +20,7 @@
 	// dropTimeout bounds the freeing of a copy.
 	dropTimeout = time.Second
 	// maxMoves bounds the targets that are tried for one run.
-	maxMoves = 6
+	maxMoves = 10
 	// quietUnread is the number of prompt tokens that an engine counts for while
 	// a run is moved to it.
 	quietUnread = 2000
@@ -122,26 +122,28 @@
 
 // target chooses the engine that a run is moved to: in the availability zone of
 // the one that it leaves, with room by the estimates or, as these may be wrong,
-// without. A copy to another zone takes several times as long and holds up all
-// others on both links meanwhile, so that is left for a zone without engines.
+// without; then in its region. A copy to another zone takes longer, and one to
+// another region several times as long, and holds up all others on both links
+// meanwhile, so that is left for a region without engines.
 func (s *stream) target(from *leg, exclude []currantwood.UpstreamID) (balancer.Choice, bool) {
+	ways := []struct {
+		reach balancer.Reach
+		room  bool
+	}{{balancer.InZone, true}, {balancer.InZone, false}, {balancer.InRegion, true}, {balancer.InRegion, false}, {balancer.Anywhere, true}}
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	now := s.g.Now()
-	query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: from.view.Zone, Exclude: exclude, Room: true, Within: true, Quiet: true}
-	choice, ok := s.g.balancer.Pick(now, query)
-	if !ok {
-		query.Room = false
-		choice, ok = s.g.balancer.Pick(now, query)
-	}
-	if !ok && len(exclude) == 1 {
-		query.Room, query.Within = true, false
-		choice, ok = s.g.balancer.Pick(now, query)
-	}
-	if ok {
-		s.g.balancer.Started(now, choice.View, query.Load, streamPatience)
+	for _, way := range ways {
+		if way.reach == balancer.Anywhere && len(exclude) > 1 {
+			break
+		}
+		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Near: from.view.Zone, Exclude: exclude, Room: way.room, Reach: way.reach, Quiet: true}
+		if choice, ok := s.g.balancer.Pick(now, query); ok {
+			s.g.balancer.Started(now, choice.View, query.Load, s.streamPatience())
+			return choice, true
+		}
 	}
-	return choice, ok
+	return balancer.Choice{}, false
 }
 
 // moveLoad is what the stream brings to an engine that it is moved to. There is
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -39,6 +39,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.budget.TakeOthers(now, uses, gateways)
+	g.balancer.SyncGateways(gateways)
 }
 
 // mayRepeat reports whether the budget allows a repeat, and counts it then.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// streamPatience is the longest time that a healthy engine leaves a stream
-	// without an event.
-	streamPatience = 2 * time.Second
+	// targetsPatience is the number of target times that a healthy engine may
+	// leave a stream without an event. A gateway that has one stream there sees
+	// nothing of those that are served before it.
+	targetsPatience = 3
 	// writeSlack is how long after the deadline a write to a client that
 	// doesn't read may still take.
 	writeSlack = 200 * time.Millisecond
@@ -94,7 +95,7 @@
 			last = &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old for the key", retryAfter: storeBack, elsewhere: true}
 			break
 		}
-		choice, ok := s.pick(now, streamPatience)
+		choice, ok := s.pick(now, s.streamPatience())
 		if !ok {
 			break
 		}
@@ -133,6 +134,10 @@
 	return false
 }
 
+func (s *stream) streamPatience() time.Duration {
+	return targetsPatience * max(s.route.Target, time.Second)
+}
+
 // send starts the stream at an upstream, for which the load was noted.
 func (s *stream) send(choice balancer.Choice, load balancer.Load, to currantwood.UpstreamRequest) (*leg, error) {
 	call := s.call(s.g.Now(), choice.View, to)
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -24,7 +24,20 @@
 	// switches that off.
 	PeerPort    int
 	MemoryBytes int64
-	Bounds      Bounds
+	// Cores is the VM's part of a processor, LinkBits what its link carries a
+	// second.
+	Cores    float64
+	LinkBits float64
+	Bounds   Bounds
+}
+
+// bitsPerCore is the speed of the link that goes with a whole core.
+const bitsPerCore = 100e6
+
+// Strength is what the VM can bear, in thousandths of a core: its processor or,
+// if that is less, its link.
+func (s GatewaySettings) Strength() uint32 {
+	return uint32(1000 * min(s.Cores, s.LinkBits/bitsPerCore))
 }
 
 // Bounds are the times and shares that the operator holds the system to.
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -2,8 +2,9 @@
 // holds what each has told.
 //
 // One gateway reads the directory for all and sums up their loads. It is the
-// one with the lowest id among those that reach the store, as far as they hear
-// of each other: nothing is agreed on, and two that collect at once do no harm.
+// strongest one, and of these the one with the lowest id, among those that reach
+// the store, as far as they hear of each other: nothing is agreed on, and two
+// that collect at once do no harm.
 package peerkeeper
 
 import (
@@ -47,6 +48,13 @@
 type Peer struct {
 	VM      currantwood.VMID
 	Address string
+	// Strength is what its VM can bear. The strongest collects.
+	Strength uint32
+}
+
+// before reports whether p goes before o as the one that collects.
+func (p Peer) before(o Peer) bool {
+	return inOrder(p, o) < 0
 }
 
 type member struct {
@@ -63,7 +71,7 @@
 // Keeper holds what is known of the other gateways. It is not safe for
 // concurrent use.
 type Keeper struct {
-	self    currantwood.VMID
+	self    Peer
 	members map[currantwood.VMID]*member
 	// collector is who sent the last digest, at digestAt.
 	collector Peer
@@ -75,13 +83,13 @@
 }
 
 // New returns the keeper of a gateway.
-func New(self currantwood.VMID) *Keeper {
+func New(self Peer) *Keeper {
 	return &Keeper{self: self, members: make(map[currantwood.VMID]*member)}
 }
 
 // Heard notes a message of another gateway.
 func (k *Keeper) Heard(now time.Time, from Peer) {
-	if from.VM == k.self {
+	if from.VM == k.self.VM {
 		return
 	}
 	m := k.members[from.VM]
@@ -105,11 +113,11 @@
 // that collects: not if this gateway should, being before it.
 func (k *Keeper) TakeDigest(now time.Time, from Peer, store bool) bool {
 	k.Heard(now, from)
-	if store && k.self < from.VM {
+	if store && k.self.before(from) {
 		return false
 	}
 	current, ok := k.Collector(now)
-	if ok && current.VM != from.VM && current.VM < from.VM {
+	if ok && current.VM != from.VM && current.before(from) {
 		return false
 	}
 	k.collector, k.digestAt = from, now
@@ -145,7 +153,7 @@
 		}
 		known = append(known, m.Peer)
 	}
-	slices.SortFunc(known, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+	slices.SortFunc(known, inOrder)
 	return known[:min(len(known), maxAsked)]
 }
 
@@ -153,14 +161,22 @@
 func (k *Keeper) Told(now time.Time) []Peer {
 	var told []Peer
 	for _, m := range k.members {
-		if now.Sub(m.seen) <= memberBelief && (m.VM > k.self || !m.state.Store) {
+		if now.Sub(m.seen) <= memberBelief && (k.self.before(m.Peer) || !m.state.Store) {
 			told = append(told, m.Peer)
 		}
 	}
-	slices.SortFunc(told, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+	slices.SortFunc(told, inOrder)
 	return told
 }
 
+// inOrder sorts those that rather collect first.
+func inOrder(a, b Peer) int {
+	if a.Strength != b.Strength {
+		return cmp.Compare(b.Strength, a.Strength)
+	}
+	return cmp.Compare(a.VM, b.VM)
+}
+
 // Gateways counts the gateways that were heard lately, this one included.
 func (k *Keeper) Gateways(now time.Time) int {
 	count := 1
--- a/peerkeeper/keeper_test.go
+++ b/peerkeeper/keeper_test.go
@@ -21,7 +21,7 @@
 
 var _ = Describe("Keeper", func() {
 	It("collects while it reaches the store and hears of nobody before it", func() {
-		k := New("b")
+		k := New(peer("b"))
 		Expect(k.Collects(start, true)).To(BeTrue())
 		Expect(k.Collects(start, false)).To(BeFalse())
 		Expect(k.TakeDigest(start, peer("c"), true)).To(BeFalse())
@@ -32,15 +32,25 @@
 	})
 
 	It("takes the word of any gateway while it doesn't reach the store itself", func() {
-		k := New("a")
+		k := New(peer("a"))
 		Expect(k.TakeDigest(start, peer("c"), false)).To(BeTrue())
 		collector, ok := k.Collector(start)
 		Expect(ok).To(BeTrue())
 		Expect(collector).To(Equal(peer("c")))
 	})
 
+	It("leaves collecting to a stronger one, whatever its id", func() {
+		strong := Peer{VM: "z", Address: "z:7200", Strength: 800}
+		k := New(Peer{VM: "a", Strength: 100})
+		Expect(k.TakeDigest(start, strong, true)).To(BeTrue())
+		Expect(k.TakeDigest(start, Peer{VM: "0", Strength: 100}, true)).To(BeFalse())
+		k.TakeState(start, strong, State{Store: true})
+		k.TakeState(start, Peer{VM: "0", Strength: 100}, State{Store: true})
+		Expect(k.Told(start)).To(BeEmpty())
+	})
+
 	It("tells those after it, and those before it that don't reach the store", func() {
-		k := New("b")
+		k := New(peer("b"))
 		k.TakeState(start, peer("a"), State{Store: false})
 		k.TakeState(start, peer("c"), State{Store: true})
 		k.TakeState(start, peer("0"), State{Store: true})
@@ -49,7 +59,7 @@
 	})
 
 	It("sums up what others have in flight and used, and counts on with uses of the silent", func() {
-		k := New("a")
+		k := New(peer("a"))
 		for _, vm := range []string{"b", "c"} {
 			k.TakeState(start, peer(vm), State{
 				Loads: map[currantwood.UpstreamID]balancer.Load{"e": {Requests: 2, Tokens: 100}},
@@ -64,7 +74,7 @@
 	})
 
 	It("asks a bounded number who collects", func() {
-		k := New("a")
+		k := New(peer("a"))
 		for i := range 40 {
 			k.Heard(start, peer(fmt.Sprintf("vm-%02d", i)))
 		}
@@ -74,7 +84,7 @@
 
 	DescribeTable("hands on the records that a gateway lacks",
 		func(known int, want []int, next int, ok bool) {
-			k := New("a")
+			k := New(peer("a"))
 			k.KeepRecords(at(0), 10, 20, records(12, 15))
 			k.KeepRecords(at(200), 20, 30, records(28))
 			got, end, found := k.Records(currantwood.Offset(known))
@@ -94,7 +104,7 @@
 	)
 
 	It("begins anew after a gap in its own reading and forgets old records", func() {
-		k := New("a")
+		k := New(peer("a"))
 		k.KeepRecords(at(0), 10, 20, records(12))
 		k.KeepRecords(at(4000), 20, 30, records(25))
 		_, _, ok := k.Records(12)
@@ -131,7 +141,7 @@
 	cut, store := make([]bool, count), make([]bool, count)
 	name := func(i int) string { return fmt.Sprintf("vm-%d", i) }
 	for i := range keepers {
-		keepers[i] = New(currantwood.VMID(name(i)))
+		keepers[i] = New(peer(name(i)))
 		store[i] = true
 		keepers[i].Heard(start, peer(name(0)))
 	}
@@ -163,20 +173,20 @@
 func exchange(keepers []*Keeper, cut, store []bool, now time.Time, random *rand.Rand) {
 	index := make(map[currantwood.VMID]int, len(keepers))
 	for i, k := range keepers {
-		index[k.self] = i
+		index[k.self.VM] = i
 	}
 	arrives := func(from int, to currantwood.VMID) bool {
 		return !cut[from] && !cut[index[to]] && random.Intn(10) > 0
 	}
 	for i, k := range keepers {
-		self := peer(string(k.self))
+		self := k.self
 		for _, p := range k.Ask(now) {
-			if p.VM == k.self || !arrives(i, p.VM) {
+			if p.VM == k.self.VM || !arrives(i, p.VM) {
 				continue
 			}
 			other := keepers[index[p.VM]]
 			other.TakeState(now, self, State{Store: store[i]})
-			if collector, ok := other.Collector(now); ok && collector.VM != k.self && arrives(index[p.VM], k.self) {
+			if collector, ok := other.Collector(now); ok && collector.VM != k.self.VM && arrives(index[p.VM], k.self.VM) {
 				k.Heard(now, collector)
 			}
 		}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -25,7 +25,7 @@
 
 const (
 	// interval is the time between two messages to the same gateway.
-	interval = 200 * time.Millisecond
+	interval = 50 * time.Millisecond
 	// maxDatagram is the longest datagram that is read, in bytes.
 	maxDatagram = 64 << 10
 	// coverTime is how long the directory counts as read by the gateway that
@@ -85,7 +85,7 @@
 
 // New opens the socket. Nothing is sent before Start.
 func New(options Options) (*Messenger, error) {
-	m := &Messenger{Options: options, keeper: peerkeeper.New(options.Settings.VM)}
+	m := &Messenger{Options: options, keeper: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Strength: options.Settings.Strength()})}
 	port := strconv.Itoa(options.Settings.PeerPort)
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(options.Settings.IP, port))
 	if err != nil {
@@ -168,7 +168,7 @@
 	_, collected := m.keeper.Collector(now)
 	m.note(now, store)
 	m.mu.Unlock()
-	state := &peerwire.Datagram{Vm: string(m.Settings.VM), Body: &peerwire.Datagram_State{State: m.state(now, store)}}
+	state := &peerwire.Datagram{Body: &peerwire.Datagram_State{State: m.state(now, store)}}
 	for _, peer := range ask {
 		m.send(peer.Address, state)
 	}
@@ -220,7 +220,7 @@
 	for _, peer := range told {
 		digest := m.digest(now, peer, own, uses)
 		digest.Crashes = crashes
-		m.send(peer.Address, &peerwire.Datagram{Vm: string(m.Settings.VM), Body: &peerwire.Datagram_Digest{Digest: digest}})
+		m.send(peer.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Digest{Digest: digest}})
 	}
 	m.mu.Lock()
 	loads, gateways := m.keeper.Loads(now, "", nil), m.keeper.Gateways(now)
@@ -255,6 +255,7 @@
 }
 
 func (m *Messenger) send(address string, datagram *peerwire.Datagram) {
+	datagram.Vm, datagram.Strength = string(m.Settings.VM), m.Settings.Strength()
 	data, err := proto.Marshal(datagram)
 	if err != nil {
 		m.Logger.Error("datagram not encoded", zap.Error(err))
@@ -278,7 +279,7 @@
 		return
 	}
 	now := m.Now()
-	from := peerkeeper.Peer{VM: currantwood.VMID(datagram.GetVm()), Address: address}
+	from := peerkeeper.Peer{VM: currantwood.VMID(datagram.GetVm()), Address: address, Strength: datagram.GetStrength()}
 	switch body := datagram.GetBody().(type) {
 	case *peerwire.Datagram_State:
 		m.receiveState(now, from, body.State)
@@ -286,7 +287,7 @@
 		m.receiveDigest(now, from, body.Digest)
 	case *peerwire.Datagram_Referral:
 		m.mu.Lock()
-		m.keeper.Heard(now, peerkeeper.Peer{VM: currantwood.VMID(body.Referral.GetVm()), Address: body.Referral.GetAddress()})
+		m.keeper.Heard(now, peerkeeper.Peer{VM: currantwood.VMID(body.Referral.GetVm()), Address: body.Referral.GetAddress(), Strength: body.Referral.GetStrength()})
 		m.mu.Unlock()
 	}
 }
@@ -304,8 +305,8 @@
 	collector, known := m.keeper.Collector(now)
 	m.mu.Unlock()
 	if known && collector.VM != from.VM {
-		m.send(from.Address, &peerwire.Datagram{Vm: string(m.Settings.VM), Body: &peerwire.Datagram_Referral{
-			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address},
+		m.send(from.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Referral{
+			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Strength},
 		}})
 	}
 }
