--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -46,6 +46,9 @@
 	Unread currantwood.TokenCount
 }
 
+// Loads are the loads of upstreams.
+type Loads map[currantwood.UpstreamID]Load
+
 // Add adds what one request brings.
 func (l *Load) Add(o Load) {
 	l.Requests += o.Requests
@@ -98,7 +101,7 @@
 
 type peerLoad struct {
 	at    time.Time
-	loads map[currantwood.UpstreamID]Load
+	loads Loads
 }
 
 type group struct {
@@ -179,13 +182,13 @@
 func (b *Balancer) SyncGateways(count int) { b.gateways = max(1, count) }
 
 // SyncPeer takes what a peer has in flight.
-func (b *Balancer) SyncPeer(now time.Time, peer currantwood.VMID, loads map[currantwood.UpstreamID]Load) {
+func (b *Balancer) SyncPeer(now time.Time, peer currantwood.VMID, loads Loads) {
 	b.peers[peer] = peerLoad{at: now, loads: loads}
 }
 
 // Own returns what this process has in flight, for its peers.
-func (b *Balancer) Own() map[currantwood.UpstreamID]Load {
-	loads := make(map[currantwood.UpstreamID]Load, len(b.upstreams))
+func (b *Balancer) Own() Loads {
+	loads := make(Loads, len(b.upstreams))
 	for id, u := range b.upstreams {
 		if u.own.Requests > 0 {
 			loads[id] = u.own
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -50,7 +50,7 @@
 		func(engines []string, loads map[string]Load, q Query, want string) {
 			b := newBalancer(engines...)
 			for id, load := range loads {
-				b.SyncPeer(start, currantwood.VMID("peer-"+id), map[currantwood.UpstreamID]Load{currantwood.UpstreamID(id): load})
+				b.SyncPeer(start, currantwood.VMID("peer-"+id), Loads{currantwood.UpstreamID(id): load})
 			}
 			Expect(pick(b, q)).To(Equal(want))
 		},
@@ -71,7 +71,7 @@
 	// runs is moved to one that stays, while prompts go on arriving.
 	It("moves a run to an engine with nothing left to read, though it has more runs", func() {
 		b := newBalancer("e1@n1", "e2@n1")
-		b.SyncPeer(start, "p", map[currantwood.UpstreamID]Load{"e1": {Requests: 2, Tokens: 2000, Unread: 2500}, "e2": {Requests: 7, Tokens: 5000}})
+		b.SyncPeer(start, "p", Loads{"e1": {Requests: 2, Tokens: 2000, Unread: 2500}, "e2": {Requests: 7, Tokens: 5000}})
 		Expect(pick(b, Query{Near: "n1"})).To(Equal("e1"))
 		Expect(pick(b, Query{Near: "n1", Quiet: true})).To(Equal("e2"))
 	})
@@ -94,7 +94,7 @@
 
 	It("forgets a peer that hasn't been heard for a while", func() {
 		b := newBalancer("e1@n1", "e2@n1")
-		b.SyncPeer(start.Add(-3*time.Second), "p", map[currantwood.UpstreamID]Load{"e1": {Requests: 20}})
+		b.SyncPeer(start.Add(-3*time.Second), "p", Loads{"e1": {Requests: 20}})
 		Expect(b.Total(start, "e1").Requests).To(BeZero())
 	})
 
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -49,6 +49,9 @@
 	Requests, Repeats int
 }
 
+// Uses are the uses of groups.
+type Uses map[currantwood.GroupID]Use
+
 // Options are the bounds that all gateways share.
 type Options struct {
 	Window  time.Duration
@@ -67,7 +70,7 @@
 type Budgeter struct {
 	options  Options
 	groups   map[currantwood.GroupID]*ring
-	others   map[currantwood.GroupID]Use
+	others   Uses
 	othersAt time.Time
 	// heard is the number of gateways that others sums up, this one included.
 	heard int
@@ -123,8 +126,8 @@
 }
 
 // Used returns what this gateway has used of each group.
-func (b *Budgeter) Used(now time.Time) map[currantwood.GroupID]Use {
-	used := make(map[currantwood.GroupID]Use, len(b.groups))
+func (b *Budgeter) Used(now time.Time) Uses {
+	used := make(Uses, len(b.groups))
 	for id := range b.groups {
 		used[id] = b.used(now, id)
 	}
@@ -147,7 +150,7 @@
 
 // TakeOthers takes what the other gateways have used, and the number of those
 // that are heard, this one included.
-func (b *Budgeter) TakeOthers(now time.Time, others map[currantwood.GroupID]Use, heard int) {
+func (b *Budgeter) TakeOthers(now time.Time, others Uses, heard int) {
 	b.others, b.othersAt, b.heard = others, now, max(1, heard)
 	b.gateways = max(b.gateways, heard)
 	clear(b.since)
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -25,18 +25,18 @@
 
 	It("allows more to a gateway that hears how little the others use, a part at a time", func() {
 		b := New(options)
-		heard := map[currantwood.GroupID]Use{group: {Requests: 100}}
+		heard := Uses{group: {Requests: 100}}
 		b.TakeOthers(start, heard, 4)
 		Expect(use(b, start, Rescue, 100)).To(Equal(13))
 		b.TakeOthers(start, heard, 4)
 		Expect(use(b, start, Rescue, 100)).To(Equal(10))
-		b.TakeOthers(start, map[currantwood.GroupID]Use{group: {Requests: 100, Repeats: 60}}, 4)
+		b.TakeOthers(start, Uses{group: {Requests: 100, Repeats: 60}}, 4)
 		Expect(b.Allows(start, group, Rescue)).To(BeFalse())
 	})
 
 	It("keeps a part for runs that have to leave their engine", func() {
 		b := New(options)
-		heard := map[currantwood.GroupID]Use{group: {Requests: 100, Repeats: 35}}
+		heard := Uses{group: {Requests: 100, Repeats: 35}}
 		b.TakeOthers(start, heard, 4)
 		Expect(b.Allows(start, group, Ordinary)).To(BeTrue())
 		use(b, start, Rescue, 3)
@@ -46,7 +46,7 @@
 
 	It("goes back to its own share when the others fall silent", func() {
 		b := New(options)
-		b.TakeOthers(start, map[currantwood.GroupID]Use{group: {Requests: 400}}, 4)
+		b.TakeOthers(start, Uses{group: {Requests: 400}}, 4)
 		later := start.Add(2 * time.Second)
 		Expect(use(b, later, Rescue, 100)).To(Equal(2))
 	})
@@ -125,7 +125,7 @@
 	return count
 }
 
-func others(all []*Budgeter, cut []bool, self int, now time.Time) map[currantwood.GroupID]Use {
+func others(all []*Budgeter, cut []bool, self int, now time.Time) Uses {
 	var total Use
 	for i, b := range all {
 		if i != self && !cut[i] {
@@ -134,7 +134,7 @@
 			total.Repeats += used.Repeats
 		}
 	}
-	return map[currantwood.GroupID]Use{group: total}
+	return Uses{group: total}
 }
 
 func sum(list []int) int {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,21 +13,21 @@
 const allPeers currantwood.VMID = "others"
 
 // OwnLoads is what this gateway has in flight.
-func (g *Gateway) OwnLoads() map[currantwood.UpstreamID]balancer.Load {
+func (g *Gateway) OwnLoads() balancer.Loads {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.balancer.Own()
 }
 
 // TakePeerLoads takes what the other gateways have in flight.
-func (g *Gateway) TakePeerLoads(now time.Time, loads map[currantwood.UpstreamID]balancer.Load) {
+func (g *Gateway) TakePeerLoads(now time.Time, loads balancer.Loads) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.balancer.SyncPeer(now, allPeers, loads)
 }
 
 // Uses is what this gateway has used of the retry budgets.
-func (g *Gateway) Uses(now time.Time) map[currantwood.GroupID]budgeter.Use {
+func (g *Gateway) Uses(now time.Time) budgeter.Uses {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.budget.Used(now)
@@ -35,7 +35,7 @@
 
 // TakePeerUses takes what the other gateways have used, and how many gateways
 // there are.
-func (g *Gateway) TakePeerUses(now time.Time, uses map[currantwood.GroupID]budgeter.Use, gateways int) {
+func (g *Gateway) TakePeerUses(now time.Time, uses budgeter.Uses, gateways int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.budget.TakeOthers(now, uses, gateways)
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -40,8 +40,8 @@
 	Store  bool
 	// Next is the offset up to which the sender knows the directory.
 	Next  currantwood.Offset
-	Loads map[currantwood.UpstreamID]balancer.Load
-	Uses  map[currantwood.GroupID]budgeter.Use
+	Loads balancer.Loads
+	Uses  budgeter.Uses
 }
 
 // Peer is a gateway and where to reach it.
@@ -197,9 +197,9 @@
 }
 
 // Loads sums up what gateways other than one have in flight, beside own.
-func (k *Keeper) Loads(now time.Time, except currantwood.VMID, own map[currantwood.UpstreamID]balancer.Load) map[currantwood.UpstreamID]balancer.Load {
-	sum := make(map[currantwood.UpstreamID]balancer.Load, len(own))
-	add := func(loads map[currantwood.UpstreamID]balancer.Load) {
+func (k *Keeper) Loads(now time.Time, except currantwood.VMID, own balancer.Loads) balancer.Loads {
+	sum := make(balancer.Loads, len(own))
+	add := func(loads balancer.Loads) {
 		for id, load := range loads {
 			total := sum[id]
 			total.Add(load)
@@ -217,9 +217,9 @@
 
 // Uses sums up what gateways other than one have sent, beside own. A gateway
 // that is no longer heard counts on until what it told has left the window.
-func (k *Keeper) Uses(now time.Time, window time.Duration, except currantwood.VMID, own map[currantwood.GroupID]budgeter.Use) map[currantwood.GroupID]budgeter.Use {
-	sum := make(map[currantwood.GroupID]budgeter.Use, len(own))
-	add := func(uses map[currantwood.GroupID]budgeter.Use, requests bool) {
+func (k *Keeper) Uses(now time.Time, window time.Duration, except currantwood.VMID, own budgeter.Uses) budgeter.Uses {
+	sum := make(budgeter.Uses, len(own))
+	add := func(uses budgeter.Uses, requests bool) {
 		for id, use := range uses {
 			total := sum[id]
 			total.Repeats += use.Repeats
--- a/peerkeeper/keeper_test.go
+++ b/peerkeeper/keeper_test.go
@@ -62,11 +62,11 @@
 		k := New(peer("a"))
 		for _, vm := range []string{"b", "c"} {
 			k.TakeState(start, peer(vm), State{
-				Loads: map[currantwood.UpstreamID]balancer.Load{"e": {Requests: 2, Tokens: 100}},
-				Uses:  map[currantwood.GroupID]budgeter.Use{"g": {Requests: 10, Repeats: 3}},
+				Loads: balancer.Loads{"e": {Requests: 2, Tokens: 100}},
+				Uses:  budgeter.Uses{"g": {Requests: 10, Repeats: 3}},
 			})
 		}
-		own := map[currantwood.UpstreamID]balancer.Load{"e": {Requests: 1}}
+		own := balancer.Loads{"e": {Requests: 1}}
 		Expect(k.Loads(at(100), "c", own)["e"].Requests).To(Equal(3))
 		Expect(k.Loads(at(2000), "", nil)).To(BeEmpty())
 		Expect(k.Uses(at(100), 10*time.Second, "", nil)["g"]).To(Equal(budgeter.Use{Requests: 20, Repeats: 6}))
--- /dev/null
+++ b/peermessenger/codec.go
@@ -0,0 +1,61 @@
+package peermessenger
+
+import (
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/peerwire"
+)
+
+func encodeLoads(loads balancer.Loads) []*peerwire.Load {
+	out := make([]*peerwire.Load, 0, len(loads))
+	for id, l := range loads {
+		out = append(out, &peerwire.Load{Upstream: string(id), Requests: uint32(l.Requests), Tokens: uint64(l.Tokens), Unread: uint64(l.Unread)})
+	}
+	return out
+}
+
+func decodeLoads(loads []*peerwire.Load) balancer.Loads {
+	out := make(balancer.Loads, len(loads))
+	for _, l := range loads {
+		out[currantwood.UpstreamID(l.GetUpstream())] = balancer.Load{
+			Requests: int(l.GetRequests()),
+			Tokens:   currantwood.TokenCount(l.GetTokens()),
+			Unread:   currantwood.TokenCount(l.GetUnread()),
+		}
+	}
+	return out
+}
+
+func encodeCrashes(crashes []crashkeeper.Crash) []*peerwire.Crash {
+	out := make([]*peerwire.Crash, 0, len(crashes))
+	for _, c := range crashes {
+		out = append(out, &peerwire.Crash{Request: uint64(c.Request), Upstream: string(c.Upstream)})
+	}
+	return out
+}
+
+func decodeCrashes(crashes []*peerwire.Crash) []crashkeeper.Crash {
+	out := make([]crashkeeper.Crash, 0, len(crashes))
+	for _, c := range crashes {
+		out = append(out, crashkeeper.Crash{Request: currantwood.Fingerprint(c.GetRequest()), Upstream: currantwood.UpstreamID(c.GetUpstream())})
+	}
+	return out
+}
+
+func encodeUses(uses budgeter.Uses) []*peerwire.Use {
+	out := make([]*peerwire.Use, 0, len(uses))
+	for id, u := range uses {
+		out = append(out, &peerwire.Use{Group: string(id), Requests: uint32(u.Requests), Repeats: uint32(u.Repeats)})
+	}
+	return out
+}
+
+func decodeUses(uses []*peerwire.Use) budgeter.Uses {
+	out := make(budgeter.Uses, len(uses))
+	for _, u := range uses {
+		out[currantwood.GroupID(u.GetGroup())] = budgeter.Use{Requests: int(u.GetRequests()), Repeats: int(u.GetRepeats())}
+	}
+	return out
+}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -36,10 +36,10 @@
 // Gateway is what the messenger needs of its own process. Its methods are safe
 // for concurrent use.
 type Gateway interface {
-	OwnLoads() map[currantwood.UpstreamID]balancer.Load
-	TakePeerLoads(now time.Time, loads map[currantwood.UpstreamID]balancer.Load)
-	Uses(now time.Time) map[currantwood.GroupID]budgeter.Use
-	TakePeerUses(now time.Time, uses map[currantwood.GroupID]budgeter.Use, gateways int)
+	OwnLoads() balancer.Loads
+	TakePeerLoads(now time.Time, loads balancer.Loads)
+	Uses(now time.Time) budgeter.Uses
+	TakePeerUses(now time.Time, uses budgeter.Uses, gateways int)
 	Crashes(now time.Time) []crashkeeper.Crash
 	TakeCrashes(now time.Time, crashes []crashkeeper.Crash)
 }
@@ -233,7 +233,7 @@
 // window is the time that the retry budget is counted over.
 func (m *Messenger) window() time.Duration { return m.Settings.Bounds.RetryWindow }
 
-func (m *Messenger) digest(now time.Time, peer peerkeeper.Peer, own map[currantwood.UpstreamID]balancer.Load, uses map[currantwood.GroupID]budgeter.Use) *peerwire.Digest {
+func (m *Messenger) digest(now time.Time, peer peerkeeper.Peer, own balancer.Loads, uses budgeter.Uses) *peerwire.Digest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	digest := &peerwire.Digest{
@@ -349,55 +349,3 @@
 		m.Configuration.Proven(time.Unix(0, d.GetEcho()).Add(-age))
 	}
 }
-
-func encodeLoads(loads map[currantwood.UpstreamID]balancer.Load) []*peerwire.Load {
-	out := make([]*peerwire.Load, 0, len(loads))
-	for id, l := range loads {
-		out = append(out, &peerwire.Load{Upstream: string(id), Requests: uint32(l.Requests), Tokens: uint64(l.Tokens), Unread: uint64(l.Unread)})
-	}
-	return out
-}
-
-func decodeLoads(loads []*peerwire.Load) map[currantwood.UpstreamID]balancer.Load {
-	out := make(map[currantwood.UpstreamID]balancer.Load, len(loads))
-	for _, l := range loads {
-		out[currantwood.UpstreamID(l.GetUpstream())] = balancer.Load{
-			Requests: int(l.GetRequests()),
-			Tokens:   currantwood.TokenCount(l.GetTokens()),
-			Unread:   currantwood.TokenCount(l.GetUnread()),
-		}
-	}
-	return out
-}
-
-func encodeCrashes(crashes []crashkeeper.Crash) []*peerwire.Crash {
-	out := make([]*peerwire.Crash, 0, len(crashes))
-	for _, c := range crashes {
-		out = append(out, &peerwire.Crash{Request: uint64(c.Request), Upstream: string(c.Upstream)})
-	}
-	return out
-}
-
-func decodeCrashes(crashes []*peerwire.Crash) []crashkeeper.Crash {
-	out := make([]crashkeeper.Crash, 0, len(crashes))
-	for _, c := range crashes {
-		out = append(out, crashkeeper.Crash{Request: currantwood.Fingerprint(c.GetRequest()), Upstream: currantwood.UpstreamID(c.GetUpstream())})
-	}
-	return out
-}
-
-func encodeUses(uses map[currantwood.GroupID]budgeter.Use) []*peerwire.Use {
-	out := make([]*peerwire.Use, 0, len(uses))
-	for id, u := range uses {
-		out = append(out, &peerwire.Use{Group: string(id), Requests: uint32(u.Requests), Repeats: uint32(u.Repeats)})
-	}
-	return out
-}
-
-func decodeUses(uses []*peerwire.Use) map[currantwood.GroupID]budgeter.Use {
-	out := make(map[currantwood.GroupID]budgeter.Use, len(uses))
-	for _, u := range uses {
-		out[currantwood.GroupID(u.GetGroup())] = budgeter.Use{Requests: int(u.GetRequests()), Repeats: int(u.GetRepeats())}
-	}
-	return out
-}
