Streams called back from an engine that stands still; metrics, plain errors in logs

Cause: a resumable stream sent to an engine that stands still before its first event waited for its deadline: the upstream was left out for new work alone. The spec for it failed at first also after the running leg was ended, since the request was still waiting for the head of its answer. Change: such streams are ended at that engine, the send included, and go on elsewhere within the retry budget; those that may not be repeated wait. Metrics at port 9464, the settings file is looked at each 5 s, errors are logged without their stack.

--- a/cmd/currantwood/gateway.go
+++ b/cmd/currantwood/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/gatewaystarter"
 	"github.com/currantwood/currantwood/logwriter"
 	"github.com/currantwood/currantwood/platform/decoder"
@@ -27,6 +29,9 @@
 	// gatewayDialTimeout bounds the opening of a connection for orders and
 	// reads.
 	gatewayDialTimeout = 600 * time.Millisecond
+	// settingsPause is how often the settings file is looked at: it may change
+	// without a signal.
+	settingsPause = 5 * time.Second
 	// gatewayIdle is how long such a connection is kept.
 	gatewayIdle = 20 * time.Second
 )
@@ -66,16 +71,36 @@
 	if err != nil {
 		return err
 	}
+	ticker := time.NewTicker(settingsPause)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-reload:
-			logger.Info("settings reloaded")
+			settings = reread(logger, settings, true)
+		case <-ticker.C:
+			settings = reread(logger, settings, false)
 		case <-ctx.Done():
 			return process.Shutdown(context.Background())
 		}
 	}
 }
 
+// reread reads the settings again and logs whether they changed. What a running
+// process uses of them, its addresses and bounds, holds until its next start;
+// requests are served on meanwhile.
+func reread(logger *zap.Logger, held currantwood.GatewaySettings, asked bool) currantwood.GatewaySettings {
+	read, err := settingsreader.Reader{}.Read()
+	if err != nil {
+		logger.Error("settings not understood, keeping those held", zap.Error(err))
+		return held
+	}
+	changed := !reflect.DeepEqual(read, held)
+	if asked || changed {
+		logger.Info("settings read again", zap.Bool("asked", asked), zap.Bool("changed", changed), zap.String("in-force", "at the next start"))
+	}
+	return read
+}
+
 // gatewayTransport is for reads of the store and orders to engines; requests
 // of clients go over connections of their own.
 func gatewayTransport(idle int) *http.Transport {
@@ -100,5 +125,5 @@
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
 	config.EncodeDuration = zapcore.MillisDurationEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), writer, zap.InfoLevel)
-	return zap.New(core), func() { _ = writer.Sync() }
+	return zap.New(logwriter.PlainErrors(core)), func() { _ = writer.Sync() }
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,11 +154,18 @@
 func (g *Gateway) Tick(now time.Time) {
 	g.mu.Lock()
 	frozen := g.balancer.Frozen(now)
+	var held []*stream
+	for _, id := range frozen {
+		held = append(held, g.streamsAt(id)...)
+	}
 	events := g.upstreams.Tick(now)
 	g.takeEvents(now, events)
 	for _, id := range frozen {
 		g.Logger.Warn("upstream makes no progress, left out", zap.String("upstream", string(id)))
 	}
+	for _, s := range held {
+		s.leaveFrozen()
+	}
 	g.Connections.Sweep(now)
 }
 
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -170,7 +170,7 @@
 		s.drop(copied)
 		return true
 	}
-	opened, err := s.send(choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.last.Load(), From: &copied})
+	opened, err := s.send(s.ctx, choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.last.Load(), From: &copied})
 	if err != nil {
 		s.log("resume failed", append(fields, zap.Error(err), zap.Duration("copy", copyTime))...)
 		s.drop(copied)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -58,6 +58,9 @@
 	// current delivers; next takes over when current ends; both held by mu.
 	current *leg
 	next    *leg
+	// callBack ends the leg that was started by open; held by mu. It is nil
+	// before.
+	callBack context.CancelFunc
 	// moving is closed when the move under way ends; nil if there is none;
 	// held by mu.
 	moving chan struct{}
@@ -100,8 +103,9 @@
 			break
 		}
 		s.tried = append(s.tried, choice.View.ID)
-		opened, err := s.send(choice, s.load(), currantwood.UpstreamRequest{LastEvent: s.last.Load()})
+		opened, err := s.start(choice, currantwood.UpstreamRequest{LastEvent: s.last.Load()})
 		if err == nil && opened.x.Status != http.StatusOK {
+			s.g.removeStream(choice.View.ID, s)
 			s.passWhole(opened, choice)
 			return false
 		}
@@ -134,14 +138,30 @@
 	return false
 }
 
+// start sends the stream to an upstream so that it can be called back while
+// the upstream doesn't answer.
+func (s *stream) start(choice balancer.Choice, to currantwood.UpstreamRequest) (*leg, error) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.mu.Lock()
+	s.callBack = cancel
+	s.mu.Unlock()
+	s.g.addStream(choice.View.ID, s)
+	opened, err := s.send(ctx, choice, s.load(), to)
+	if err != nil {
+		s.g.removeStream(choice.View.ID, s)
+		cancel()
+	}
+	return opened, err
+}
+
 func (s *stream) streamPatience() time.Duration {
 	return targetsPatience * max(s.route.Target, time.Second)
 }
 
 // send starts the stream at an upstream, for which the load was noted.
-func (s *stream) send(choice balancer.Choice, load balancer.Load, to currantwood.UpstreamRequest) (*leg, error) {
+func (s *stream) send(ctx context.Context, choice balancer.Choice, load balancer.Load, to currantwood.UpstreamRequest) (*leg, error) {
 	call := s.call(s.g.Now(), choice.View, to)
-	x, err := s.g.Connections.Start(s.ctx, call, s.g.Coder)
+	x, err := s.g.Connections.Start(ctx, call, s.g.Coder)
 	if err != nil {
 		s.afterFailedStart(choice, load, err)
 		return nil, err
@@ -226,6 +246,19 @@
 	}
 }
 
+// leaveFrozen ends the stream's leg at an upstream that makes no progress, if
+// another run may go on. One that may not be repeated waits: the upstream may
+// wake.
+func (s *stream) leaveFrozen() {
+	if !s.route.Resumable || s.route.MaxUpstreams < 2 {
+		return
+	}
+	s.mu.Lock()
+	callBack := s.callBack
+	s.mu.Unlock()
+	callBack()
+}
+
 // complete reports whether what came to a clean end is a whole answer.
 func (s *stream) complete() bool { return s.begun.Load() }
 
@@ -307,9 +340,12 @@
 func (s *stream) finish() {
 	s.mu.Lock()
 	s.over = true
-	next := s.next
+	next, callBack := s.next, s.callBack
 	s.next = nil
 	s.mu.Unlock()
+	if callBack != nil {
+		callBack()
+	}
 	if next != nil {
 		next.x.Abort()
 		s.ended(next.view, next.load, balancer.Neutral)
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,10 @@
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
+// MetricsPort is where a gateway serves its metrics, on its own address. The
+// deploy file names it.
+const MetricsPort = 9464
+
 const (
 	// garbageTarget is the garbage collector's percentage: the heap is small,
 	// and memory costs more than collecting it.
@@ -90,7 +95,9 @@
 	metrics metrics.Registry
 	clients *http.Server
 	ready   *http.Server
-	cancel  context.CancelFunc
+	// operator serves the metrics.
+	operator *http.Server
+	cancel   context.CancelFunc
 }
 
 // New starts a gateway. It serves until Shutdown.
@@ -218,15 +225,31 @@
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     zap.NewStdLog(s.options.Logger.Named("http")),
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("/readyz", s.serveReady)
-	mux.HandleFunc("/metrics", s.serveMetrics)
-	s.ready = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.ready = operatorServer("/readyz", s.serveReady)
+	s.operator = operatorServer("/metrics", s.serveMetrics)
 	go func() { _ = s.clients.Serve(clients) }()
 	go func() { _ = s.ready.Serve(ready) }()
+	s.listenForOperators()
 	return nil
 }
 
+// listenForOperators serves the metrics. A gateway serves clients without them.
+func (s *Starter) listenForOperators() {
+	address := net.JoinHostPort(s.options.Settings.IP, strconv.Itoa(MetricsPort))
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		s.options.Logger.Warn("metrics are not served", zap.String("address", address), zap.Error(err))
+		return
+	}
+	go func() { _ = s.operator.Serve(listener) }()
+}
+
+func operatorServer(path string, serve http.HandlerFunc) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, serve)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 func (s *Starter) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !s.gateway.Ready(s.now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -260,6 +283,7 @@
 	err := s.clients.Shutdown(ctx)
 	s.options.Logger.Info("stopped", zap.Int64("cut-off", s.gateway.InFlight()))
 	_ = s.ready.Close()
+	_ = s.operator.Close()
 	s.cancel()
 	return errors.Wrap(err, "requests were cut off at the end of the grace")
 }
@@ -269,4 +293,5 @@
 	s.cancel()
 	_ = s.clients.Close()
 	_ = s.ready.Close()
+	_ = s.operator.Close()
 }
--- a/logwriter/writer_test.go
+++ b/logwriter/writer_test.go
@@ -8,6 +8,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // gate is an output that blocks until it is opened.
@@ -30,6 +33,17 @@
 	return g.got.String()
 }
 
+var _ = Describe("PlainErrors", func() {
+	It("writes an error's message without its stack", func() {
+		var out bytes.Buffer
+		core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "msg"}), zapcore.AddSync(&out), zapcore.InfoLevel)
+		logger := zap.New(PlainErrors(core)).With(zap.NamedError("first", errors.New("one")))
+		logger.Debug("not written")
+		logger.Info("failed", zap.Error(errors.New("two")), zap.Int("n", 3))
+		Expect(out.String()).To(Equal(`{"msg":"failed","first":"one","error":"two","n":3}` + "\n"))
+	})
+})
+
 var _ = Describe("Writer", func() {
 	It("writes lines in order", func() {
 		out := &gate{open: make(chan struct{})}
