A configuration that is too old is read without waiting for a newer one

The refusal of a known key that can't be proven was logged as an unknown key. Change: no wait while the age is above what readiness allows; true reason.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -37,7 +37,7 @@
 	for len(q.tried) < maxSends {
 		now := q.g.Now()
 		if !q.mayRun(now) {
-			last = &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old for the key", retryAfter: storeBack, elsewhere: true}
+			last = &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old to prove the key", retryAfter: storeBack, elsewhere: true}
 			break
 		}
 		choice, ok := q.pick(now, q.patience())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,9 +117,12 @@
 	if g.stopping.Load() || g.Configuration.Current() == nil {
 		return false
 	}
-	return g.Configuration.Age(now) < g.readyAge()
+	return g.Fresh(now)
 }
 
+// Fresh reports whether the configuration is young enough to take clients.
+func (g *Gateway) Fresh(now time.Time) bool { return g.Configuration.Age(now) < g.readyAge() }
+
 // UpstreamRecords takes records of the directory and returns those that
 // changed something.
 func (g *Gateway) UpstreamRecords(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -216,7 +216,10 @@
 	if q.route.Anonymous || len(q.snapshot.Keys) == 0 {
 		return nil
 	}
-	if stale || !known {
+	if known && stale {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old to prove the key", retryAfter: storeBack, elsewhere: true}
+	}
+	if !known {
 		return unlessStale(stale, &refusal{status: http.StatusUnauthorized, reason: "unknown key"})
 	}
 	return nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -95,7 +95,7 @@
 	for len(s.tried) < maxSends && s.ctx.Err() == nil {
 		now := s.g.Now()
 		if !s.mayRun(now) {
-			last = &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old for the key", retryAfter: storeBack, elsewhere: true}
+			last = &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old to prove the key", retryAfter: storeBack, elsewhere: true}
 			break
 		}
 		choice, ok := s.pick(now, s.streamPatience())
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -172,6 +172,7 @@
 		Taken:    func(time.Time, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {},
 		Proven:   s.config.Proven,
 		Regained: func(time.Time) {},
+		Stale:    func(now time.Time) bool { return !s.gateway.Fresh(now) },
 		Covered: func(now time.Time) bool {
 			return s.peers.Collected(now) && s.config.Age(now) < time.Duration(coveredShare*float64(s.options.Settings.Bounds.Revocation))
 		},
@@ -188,6 +189,7 @@
 		Taken:    s.peers.DirectoryRead,
 		Proven:   func(time.Time) {},
 		Regained: s.gateway.DirectoryRegained,
+		Stale:    func(time.Time) bool { return false },
 		Covered:  s.peers.DirectoryCovered,
 	}
 }
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -54,6 +54,8 @@
 	// Regained is told, before the records, when they come again after an
 	// absence.
 	Regained func(now time.Time)
+	// Stale reports whether proof of freshness is wanted at once.
+	Stale func(now time.Time) bool
 	// Covered reports whether a peer reads for this process.
 	Covered func(now time.Time) bool
 }
@@ -190,8 +192,8 @@
 	sent := w.now()
 	w.mu.Lock()
 	wait, known, from := w.feed.Wait, w.known, w.next
-	if w.lost {
-		// The first answer after an absence is wanted at once.
+	if w.lost || w.feed.Stale(sent) {
+		// What is known is too old to wait for something new.
 		wait = 0
 	}
 	timeout := wait + answerTimeout
--- a/storewatcher/watcher_test.go
+++ b/storewatcher/watcher_test.go
@@ -18,7 +18,14 @@
 	mu      sync.Mutex
 	newest  []currantwood.KeyedWindow
 	answers []func() (currantwood.KeyedWindow, error)
-	reads   int
+	reads   []time.Duration
+}
+
+// waits are the times that reads were told to wait.
+func (s *script) waits() []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Duration(nil), s.reads...)
 }
 
 func (s *script) Newest(context.Context, string) (currantwood.KeyedWindow, error) {
@@ -31,9 +38,9 @@
 	return window, nil
 }
 
-func (s *script) Read(ctx context.Context, _ string, _ currantwood.Offset, _ time.Duration) (currantwood.KeyedWindow, error) {
+func (s *script) Read(ctx context.Context, _ string, _ currantwood.Offset, wait time.Duration) (currantwood.KeyedWindow, error) {
 	s.mu.Lock()
-	s.reads++
+	s.reads = append(s.reads, wait)
 	if len(s.answers) == 0 {
 		s.mu.Unlock()
 		<-ctx.Done()
@@ -79,6 +86,7 @@
 		Taken:    func(time.Time, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {},
 		Proven:   func(time.Time) {},
 		Regained: func(time.Time) { l.add("regained") },
+		Stale:    func(time.Time) bool { return false },
 		Covered:  func(time.Time) bool { return covered() },
 	}
 }
@@ -150,6 +158,18 @@
 		Expect(l.all()).To(Equal([]string{"replace a", "regained", "apply b"}))
 	})
 
+	It("doesn't wait for something new while what is known is too old", func() {
+		l := &log{}
+		s := &script{newest: []currantwood.KeyedWindow{window(10, "a")}}
+		f := feed(l, never)
+		f.Wait = time.Minute
+		f.Stale = func(time.Time) bool { return true }
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		New(ctx, s, zap.NewNop(), time.Now, f)
+		Eventually(s.waits, "1s").Should(ContainElement(time.Duration(0)))
+	})
+
 	It("is not reachable from its first failed read on, until an answer", func() {
 		l := &log{}
 		fails := func() (currantwood.KeyedWindow, error) { return currantwood.KeyedWindow{}, errors.New("away") }
