Weight store's path removed; every log event and metric of the gateway on its page

Cause: weightclient and its stand-in had no user; platforms hold no weights for orders that aren't built. The check of the page didn't see the gateway's events nor registered counters.

--- a/cmd/currantwood/metricspage_test.go
+++ b/cmd/currantwood/metricspage_test.go
@@ -12,7 +12,7 @@
 )
 
 // named finds the names of log events and metrics in source code.
-var named = regexp.MustCompile(`(?:[lL]ogger\.(?:Debug|Info|Warn|Error)|[gG]auge|Register|GetOrRegister(?:Counter|Gauge|Histogram))\("([^"]+)"`)
+var named = regexp.MustCompile(`(?:[lL]ogger\.(?:Debug|Info|Warn|Error)|[qs]\.log|[gG]auge|Register|NewRegistered(?:Counter|Histogram)|GetOrRegister(?:Counter|Gauge|Histogram))\("([^"]+)"`)
 
 var _ = Describe("the page of log events and metrics", func() {
 	It("names every one of them", func() {
--- a/cmd/currantwood/standin.go
+++ b/cmd/currantwood/standin.go
@@ -16,7 +16,6 @@
 	"github.com/currantwood/currantwood/standin/logservice"
 	"github.com/currantwood/currantwood/standin/service"
 	"github.com/currantwood/currantwood/standin/vmlist"
-	"github.com/currantwood/currantwood/standin/weightstore"
 )
 
 func standinCommand() *ffcli.Command {
@@ -25,7 +24,7 @@
 	model := flags.String("model", "standin", "model that an engine has loaded")
 	return &ffcli.Command{
 		Name:       "standin",
-		ShortUsage: "currantwood standin [flags] log-service|vm-list|weight-store|engine|service",
+		ShortUsage: "currantwood standin [flags] log-service|vm-list|engine|service",
 		ShortHelp:  "run one stand-in of an outside system, for tests",
 		LongHelp:   "Prints its address as the first line of standard output. POST /faults switches its faults.",
 		FlagSet:    flags,
@@ -48,8 +47,6 @@
 		return logservice.New(), nil
 	case "vm-list":
 		return vmlist.New(), nil
-	case "weight-store":
-		return weightstore.New(), nil
 	case "service":
 		return service.New(), nil
 	case "engine":
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -24,7 +24,6 @@
 	"github.com/currantwood/currantwood/standin/logservice"
 	"github.com/currantwood/currantwood/standin/service"
 	"github.com/currantwood/currantwood/standin/vmlist"
-	"github.com/currantwood/currantwood/standin/weightstore"
 )
 
 // loopback makes a listener choose a free port.
@@ -84,10 +83,9 @@
 // Demonstrator is one running system.
 type Demonstrator struct {
 	options Options
-	// Log, VMs and Weights are the platform's stand-ins.
-	Log     *logservice.Service
-	VMs     *vmlist.List
-	Weights *weightstore.Store
+	// Log and VMs are the platform's stand-ins.
+	Log *logservice.Service
+	VMs *vmlist.List
 	// Upstreams and Entries are not changed after New.
 	Upstreams []*Upstream
 	Entries   []*Entry
@@ -110,12 +108,11 @@
 		options: options,
 		Log:     logservice.New(),
 		VMs:     vmlist.New(),
-		Weights: weightstore.New(),
 		regions: make(map[string]currantwood.RegionID),
 		parted:  make(map[currantwood.RegionID]bool),
 		logs:    make(map[currantwood.RegionID]string),
 	}
-	for _, handler := range []http.Handler{d.Log, d.VMs, d.Weights} {
+	for _, handler := range []http.Handler{d.Log, d.VMs} {
 		d.platform = append(d.platform, httptest.NewServer(handler))
 	}
 	for _, region := range options.Regions {
@@ -353,7 +350,6 @@
 	settings.Listen = settingsreader.Listen{Callers: loopback, Links: loopback, Operators: loopback}
 	settings.Platform.LogService = d.logs[region]
 	settings.Platform.VMList = d.platform[1].URL
-	settings.Platform.WeightStore = d.platform[2].URL
 	if d.options.Settings != nil {
 		d.options.Settings(&settings)
 	}
--- a/platform.go
+++ b/platform.go
@@ -63,10 +63,3 @@
 type VMList interface {
 	VMs(ctx context.Context) ([]VM, error)
 }
-
-// WeightStore keeps model weights and hands them out at a limited rate.
-type WeightStore interface {
-	// Reserve asks to load the given weights. It returns false with the wait
-	// in seconds when the rate is used up.
-	Reserve(ctx context.Context, model ModelID, region RegionID) (granted bool, waitSeconds float64, err error)
-}
--- a/proof/operations/frozen_test.go
+++ b/proof/operations/frozen_test.go
@@ -32,7 +32,6 @@
 [platform]
 log-service = %q
 vm-list = %q
-weight-store = "http://127.0.0.1:1"
 [side]
 upstream = %q
 group = "desks"
--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -53,9 +53,8 @@
 
 // Platform holds the base addresses of the platform's services.
 type Platform struct {
-	LogService  string `toml:"log-service"`
-	VMList      string `toml:"vm-list"`
-	WeightStore string `toml:"weight-store"`
+	LogService string `toml:"log-service"`
+	VMList     string `toml:"vm-list"`
 	// VMListInterval is the time between two reads of the VM list.
 	VMListInterval Duration `toml:"vm-list-interval"`
 	// LogRetention is how long the log service keeps a record.
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -161,7 +161,10 @@
 		kicked = true
 	default:
 	}
-	if !kicked && w.Position() > 0 && w.feed.Covered(w.now()) {
+	if now := w.now(); !kicked && w.Position() > 0 && w.feed.Covered(now) {
+		w.mu.Lock()
+		w.cover(now)
+		w.mu.Unlock()
 		w.pause(ctx, coveredPause)
 		return
 	}
