--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,8 +30,8 @@
 	// over.
 	eventMemory = 64
 	// moveWait bounds the wait for a move that is under way when the stream's
-	// upstream has ended.
-	moveWait = 1500 * time.Millisecond
+	// upstream has ended. Clients give a stream up after a pause of some seconds.
+	moveWait = 5 * time.Second
 )
 
 // leg is the part of a stream that one upstream delivers.
