An absence of the store is measured from when it was read, also through a peer

A gateway that was covered took each digest, and each look at whether it is covered, for news of the directory, though the one that collects had not read for a second; so it dropped the entry at once. Change: digests carry how old the reader's knowledge is, and that counts. Ruled out: the machine's load (it failed alone as well).

--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -173,8 +173,9 @@
 		Proven:   s.config.Proven,
 		Regained: func(time.Time) {},
 		Stale:    func(now time.Time) bool { return !s.gateway.Fresh(now) },
-		Covered: func(now time.Time) bool {
-			return s.peers.Collected(now) && s.config.Age(now) < time.Duration(coveredShare*float64(s.options.Settings.Bounds.Revocation))
+		Covered: func(now time.Time) (time.Time, bool) {
+			age := s.config.Age(now)
+			return now.Add(-age), s.peers.Collected(now) && age < time.Duration(coveredShare*float64(s.options.Settings.Bounds.Revocation))
 		},
 	}
 }
@@ -190,7 +191,9 @@
 		Proven:   func(time.Time) {},
 		Regained: s.gateway.DirectoryRegained,
 		Stale:    func(time.Time) bool { return false },
-		Covered:  s.peers.DirectoryCovered,
+		Covered: func(now time.Time) (time.Time, bool) {
+			return time.Time{}, s.peers.DirectoryCovered(now)
+		},
 	}
 }
 
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -54,7 +54,8 @@
 // Topic is a topic of the store that is followed.
 type Topic interface {
 	Position() currantwood.Offset
-	Offer(now time.Time, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool
+	Age(now time.Time) time.Duration
+	Offer(now, read time.Time, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool
 	Kick()
 	Reachable() bool
 }
@@ -240,6 +241,7 @@
 		Echo:               m.keeper.Echo(peer.VM),
 		Configuration:      uint64(m.Configuration.Version()),
 		ConfigurationAgeUs: m.Configuration.Age(now).Microseconds(),
+		DirectoryAgeUs:     m.directory.Age(now).Microseconds(),
 		Loads:              encodeLoads(m.keeper.Loads(now, peer.VM, own)),
 		Gateways:           uint32(m.keeper.Gateways(now)),
 		Uses:               encodeUses(m.keeper.Uses(now, m.window(), peer.VM, uses)),
@@ -329,7 +331,8 @@
 	for _, r := range d.GetRecords() {
 		records = append(records, currantwood.KeyedRecord{Offset: currantwood.Offset(r.GetOffset()), Key: r.GetKey(), Value: r.GetValue()})
 	}
-	if m.directory.Offer(now, currantwood.Offset(d.GetFrom()), currantwood.Offset(d.GetNext()), records) {
+	read := now.Add(-time.Duration(d.GetDirectoryAgeUs()) * time.Microsecond)
+	if m.directory.Offer(now, read, currantwood.Offset(d.GetFrom()), currantwood.Offset(d.GetNext()), records) {
 		m.mu.Lock()
 		m.coveredAt = now
 		m.mu.Unlock()
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -56,8 +56,9 @@
 	Regained func(now time.Time)
 	// Stale reports whether proof of freshness is wanted at once.
 	Stale func(now time.Time) bool
-	// Covered reports whether a peer reads for this process.
-	Covered func(now time.Time) bool
+	// Covered reports whether a peer reads for this process, and when it last
+	// did; zero where Offer says so.
+	Covered func(now time.Time) (read time.Time, covered bool)
 }
 
 // Watcher follows one feed.
@@ -102,16 +103,24 @@
 	return w.next
 }
 
-// Offer takes what a peer has read: all records from an offset on up to next
-// that changed something. It reports whether they follow what is known here.
-func (w *Watcher) Offer(now time.Time, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool {
+// Age is how long ago the topic was known to its end.
+func (w *Watcher) Age(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now.Sub(w.coveredAt)
+}
+
+// Offer takes what a peer has read at a time: all records from an offset on up
+// to next that changed something. It reports whether they follow what is known
+// here.
+func (w *Watcher) Offer(now, read time.Time, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.known || from > w.next {
 		return false
 	}
 	if next <= w.next {
-		w.cover(now)
+		w.cover(read)
 		return true
 	}
 	fresh := records[:0:0]
@@ -120,16 +129,19 @@
 			fresh = append(fresh, r)
 		}
 	}
-	w.cover(now)
+	w.cover(read)
 	w.next = next
 	w.feed.Apply(now, fresh)
 	return true
 }
 
-// cover notes that the topic is known up to now, by a read or by a peer. After
-// an absence of both it tells so before the records that have come meanwhile.
-// Called with mu held.
+// cover notes that the topic was known to its end at a time, by a read or by a
+// peer. After an absence of both it tells so before the records that have come
+// meanwhile. Called with mu held.
 func (w *Watcher) cover(now time.Time) {
+	if now.Before(w.coveredAt) {
+		return
+	}
 	away := now.Sub(w.coveredAt)
 	if !w.coveredAt.IsZero() && away > uncovered {
 		w.logger.Info("store's records again", zap.String("feed", w.feed.Name), zap.Duration("without", away))
@@ -161,10 +173,7 @@
 		kicked = true
 	default:
 	}
-	if now := w.now(); !kicked && w.Position() > 0 && w.feed.Covered(now) {
-		w.mu.Lock()
-		w.cover(now)
-		w.mu.Unlock()
+	if !kicked && w.Position() > 0 && w.covered() {
 		w.pause(ctx, coveredPause)
 		return
 	}
@@ -178,6 +187,17 @@
 	}
 }
 
+// covered reports whether a peer reads for this process, and notes how far.
+func (w *Watcher) covered() bool {
+	read, covered := w.feed.Covered(w.now())
+	if covered {
+		w.mu.Lock()
+		w.cover(read)
+		w.mu.Unlock()
+	}
+	return covered
+}
+
 // pause waits until it is time or a read is asked for.
 func (w *Watcher) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/storewatcher/watcher_test.go
+++ b/storewatcher/watcher_test.go
@@ -87,7 +87,7 @@
 		Proven:   func(time.Time) {},
 		Regained: func(time.Time) { l.add("regained") },
 		Stale:    func(time.Time) bool { return false },
-		Covered:  func(time.Time) bool { return covered() },
+		Covered:  func(time.Time) (time.Time, bool) { return time.Time{}, covered() },
 	}
 }
 
@@ -142,9 +142,9 @@
 		w := start(s, l, func() bool { return true })
 		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
 		now := time.Now()
-		Expect(w.Offer(now, 11, 12, window(12, "gap").Records)).To(BeFalse())
-		Expect(w.Offer(now, 9, 12, window(12, "old", "b", "c").Records)).To(BeTrue())
-		Expect(w.Offer(now, 9, 12, window(12, "old", "b", "c").Records)).To(BeTrue())
+		Expect(w.Offer(now, now, 11, 12, window(12, "gap").Records)).To(BeFalse())
+		Expect(w.Offer(now, now, 9, 12, window(12, "old", "b", "c").Records)).To(BeTrue())
+		Expect(w.Offer(now, now, 9, 12, window(12, "old", "b", "c").Records)).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "apply b", "apply c"}))
 		Expect(w.Position()).To(Equal(currantwood.Offset(12)))
 	})
@@ -154,7 +154,34 @@
 		s := &script{newest: []currantwood.KeyedWindow{window(10, "a")}}
 		w := start(s, l, func() bool { return true })
 		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
-		Expect(w.Offer(time.Now().Add(5*time.Second), 10, 11, window(11, "b").Records)).To(BeTrue())
+		Expect(w.Offer(time.Now().Add(5*time.Second), time.Now().Add(5*time.Second), 10, 11, window(11, "b").Records)).To(BeTrue())
+		Expect(l.all()).To(Equal([]string{"replace a", "regained", "apply b"}))
+	})
+
+	It("counts what a peer tells from when the peer has read it", func() {
+		l := &log{}
+		s := &script{newest: []currantwood.KeyedWindow{window(10, "a")}}
+		w := start(s, l, func() bool { return false })
+		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
+		read := time.Now()
+		for ms := range 20 {
+			Expect(w.Offer(read.Add(time.Duration(ms)*100*time.Millisecond), read, 10, 10, nil)).To(BeTrue())
+		}
+		Expect(w.Age(read.Add(1900 * time.Millisecond))).To(Equal(1900 * time.Millisecond))
+		later := read.Add(1900 * time.Millisecond)
+		Expect(w.Offer(later, later, 10, 11, window(11, "b").Records)).To(BeTrue())
+		Expect(l.all()).To(Equal([]string{"replace a", "regained", "apply b"}))
+	})
+
+	It("tells of an absence though a peer still seemed to read meanwhile", func() {
+		l := &log{}
+		s := &script{newest: []currantwood.KeyedWindow{window(10, "a")}}
+		w := start(s, l, func() bool { return true })
+		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
+		// Longer than several looks at whether the peer reads.
+		time.Sleep(uncovered + 200*time.Millisecond)
+		now := time.Now()
+		Expect(w.Offer(now, now, 10, 11, window(11, "b").Records)).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "regained", "apply b"}))
 	})
 
