Gateways speak less often the more of them there are

Change: 50 ms up to 50 gateways, a millisecond more for each, at most 250; 200 ms while nobody is known to collect. Ruled out: not yet, the limits of the store at a start (300 x 7 reads a second).

--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -18,6 +18,15 @@
 )
 
 const (
+	// interval is the time between two messages to the same gateway, where few
+	// gateways are heard; longestInterval bounds it where many are.
+	interval        = 50 * time.Millisecond
+	longestInterval = 250 * time.Millisecond
+	// gatewayTime is what each gateway adds to the interval beyond the first
+	// fifty, so that what one that collects sends stays bounded.
+	gatewayTime = time.Millisecond
+	// askingInterval is the time between two questions who collects.
+	askingInterval = 200 * time.Millisecond
 	// digestBelief is how long after its last digest another gateway still
 	// counts as the one that collects.
 	digestBelief = 700 * time.Millisecond
@@ -76,6 +85,8 @@
 	// collector is who sent the last digest, at digestAt.
 	collector Peer
 	digestAt  time.Time
+	// gateways is the number of gateways by the last digest.
+	gateways int
 	// records are those of the directory from base on that changed something.
 	base    currantwood.Offset
 	next    currantwood.Offset
@@ -177,6 +188,18 @@
 	return cmp.Compare(a.VM, b.VM)
 }
 
+// Pause is the time until messages are due again.
+func (k *Keeper) Pause(now time.Time) time.Duration {
+	told := len(k.Told(now))
+	if _, known := k.Collector(now); !known && told == 0 {
+		return askingInterval
+	}
+	return min(longestInterval, max(interval, time.Duration(max(told, k.gateways))*gatewayTime))
+}
+
+// TakeGateways notes how many gateways the one that collects hears.
+func (k *Keeper) TakeGateways(count int) { k.gateways = count }
+
 // Gateways counts the gateways that were heard lately, this one included.
 func (k *Keeper) Gateways(now time.Time) int {
 	count := 1
--- a/peerkeeper/keeper_test.go
+++ b/peerkeeper/keeper_test.go
@@ -73,6 +73,22 @@
 		Expect(k.Uses(at(5000), 10*time.Second, "", nil)["g"]).To(Equal(budgeter.Use{Repeats: 6}))
 	})
 
+	// Load pattern: all of 300 gateways start at once.
+	It("speaks less often the more gateways there are", func() {
+		k := New(peer("a"))
+		Expect(k.Pause(start)).To(Equal(askingInterval))
+		k.TakeState(start, peer("b"), State{Store: true})
+		Expect(k.Pause(start)).To(Equal(interval))
+		for i := range 120 {
+			k.TakeState(start, peer(fmt.Sprintf("c%d", i)), State{Store: true})
+		}
+		Expect(k.Pause(start)).To(Equal(121 * gatewayTime))
+		other := New(peer("z"))
+		Expect(other.TakeDigest(start, peer("a"), true)).To(BeTrue())
+		other.TakeGateways(2200)
+		Expect(other.Pause(start)).To(Equal(longestInterval))
+	})
+
 	It("asks a bounded number who collects", func() {
 		k := New(peer("a"))
 		for i := range 40 {
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// interval is the time between two messages to the same gateway.
-	interval = 50 * time.Millisecond
+	// retryPause is the time before a failed read of the socket is tried again.
+	retryPause = 200 * time.Millisecond
 	// maxDatagram is the longest datagram that is read, in bytes.
 	maxDatagram = 64 << 10
 	// coverTime is how long the directory counts as read by the gateway that
@@ -110,7 +110,7 @@
 func (m *Messenger) Start(ctx context.Context, configuration, directory Topic) {
 	m.configuration, m.directory = configuration, directory
 	go func() {
-		for sleeper.Sleep(ctx, interval) {
+		for sleeper.Sleep(ctx, m.pause()) {
 			m.tick()
 		}
 		_ = m.conn.Close()
@@ -124,7 +124,7 @@
 			}
 			if err != nil {
 				m.Logger.Warn("datagram not read", zap.Error(err))
-				sleeper.Sleep(ctx, interval)
+				sleeper.Sleep(ctx, retryPause)
 				continue
 			}
 			m.receive(buffer[:n], from.String())
@@ -160,6 +160,14 @@
 	}
 }
 
+// pause is the time until something is due.
+func (m *Messenger) pause() time.Duration {
+	now := m.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.keeper.Pause(now)
+}
+
 // tick sends what is due.
 func (m *Messenger) tick() {
 	now := m.Now()
@@ -316,6 +324,9 @@
 func (m *Messenger) receiveDigest(now time.Time, from peerkeeper.Peer, d *peerwire.Digest) {
 	m.mu.Lock()
 	taken := m.keeper.TakeDigest(now, from, m.store())
+	if taken {
+		m.keeper.TakeGateways(int(d.GetGateways()))
+	}
 	m.mu.Unlock()
 	m.Gateway.TakeCrashes(now, decodeCrashes(d.GetCrashes()))
 	if !taken {
