--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -127,4 +127,72 @@
 		Expect(b.Frozen(start.Add(900 * time.Millisecond))).To(BeEmpty())
 		Expect(b.Frozen(start.Add(1100 * time.Millisecond))).To(ConsistOf(currantwood.UpstreamID("e1")))
 	})
+
+	// Load pattern: 23 gateways send 50 generations a second to 43 engines with
+	// five runs each, when an empty engine is added. Each gateway knows what the
+	// others have in flight with a delay.
+	DescribeTable("doesn't flood an engine that has just been added",
+		func(gateways int, delay time.Duration, most int) {
+			worst := 0
+			for seed := range int64(10) {
+				worst = max(worst, flood(seed, gateways, delay))
+			}
+			Expect(worst).To(BeNumerically("<=", most))
+		},
+		Entry("23 gateways that hear of each other each 50 ms", 23, 50*time.Millisecond, 9),
+		Entry("4 gateways", 4, 50*time.Millisecond, 9),
+	)
 })
+
+// flood returns how many of a second's generations the added engine gets.
+func flood(seed int64, gateways int, delay time.Duration) int {
+	const engines, runs, gap = 43, 5, 20 * time.Millisecond
+	random := rand.New(rand.NewSource(seed))
+	var views []upstreamkeeper.View
+	known := Loads{}
+	for i := range engines + 1 {
+		v := view(fmt.Sprintf("e%d", i), "n1")
+		views = append(views, v)
+		if i < engines {
+			known[v.ID] = Load{Requests: runs, Tokens: runs * 400}
+		}
+	}
+	all := make([]*Balancer, gateways)
+	for i := range all {
+		all[i] = New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, rand.New(rand.NewSource(seed*100+int64(i))))
+		all[i].SyncGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineTraits{Slots: 24, MemoryTokens: 10_000}}})
+		all[i].SyncUpstreams(views)
+		all[i].SyncGateways(gateways)
+		all[i].SyncPeer(start, "before", known)
+	}
+	sent := Load{Requests: 1, Tokens: 400, Unread: 300}
+	for at := time.Duration(0); at < time.Second; at += gap {
+		now := start.Add(at)
+		if at%delay < gap {
+			exchangeLoads(all, now)
+		}
+		b := all[random.Intn(gateways)]
+		choice, _ := b.Pick(now, Query{Group: "g", Near: "n1", Load: sent})
+		b.Started(now, choice.View, sent, time.Minute)
+	}
+	return total(all, currantwood.UpstreamID(fmt.Sprintf("e%d", engines)))
+}
+
+// exchangeLoads tells each gateway what the others have in flight.
+func exchangeLoads(all []*Balancer, now time.Time) {
+	for i, b := range all {
+		for j, other := range all {
+			if i != j {
+				b.SyncPeer(now, currantwood.VMID(fmt.Sprint(j)), other.Own())
+			}
+		}
+	}
+}
+
+func total(all []*Balancer, id currantwood.UpstreamID) int {
+	sum := 0
+	for _, b := range all {
+		sum += b.Own()[id].Requests
+	}
+	return sum
+}
