Retry-After is spread over half of its length

Cause: all clients refused within a moment were told the same time, and came back together. Change: up to half longer at random.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -34,6 +34,8 @@
 	maxSends = 4
 	// storeBack is when to come back after the store was lost.
 	storeBack = 700 * time.Millisecond
+	// spreadShare is the part by which a time to come back is lengthened at most.
+	spreadShare = 0.5
 	// elsewhereBack is when to come back to another process.
 	elsewhereBack = 50 * time.Millisecond
 	// firstEventTime is how long an engine takes for an event as long as none
@@ -169,7 +171,8 @@
 	}
 	h := q.w.Header()
 	if f.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
+		f.retryAfter = q.g.spread(f.retryAfter)
+		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	if f.elsewhere {
 		h.Set("Connection", "close")
@@ -184,6 +187,14 @@
 	q.log("request ended by the gateway", zap.Int("status", f.status), zap.String("reason", f.reason), zap.Duration("retry-after", f.retryAfter))
 }
 
+// spread lengthens a time at random, so that clients that were refused together
+// don't come back together.
+func (g *Gateway) spread(d time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return d + time.Duration(spreadShare*g.Random.Float64()*float64(d))
+}
+
 // log writes the line of a decision about the request.
 func (q *request) log(message string, fields ...zap.Field) {
 	now := q.g.Now()
