A key is held to the configuration in force at the moment of sending

Cause (read, not seen): a request took its configuration before the age was read; a version taken in between proved itself fresh for the older one, and a key that it had taken away could run. A digest read version and age in the same order. Change: the age is read first, then the configuration; at each send the key must be in the newest one.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -26,10 +26,12 @@
 
 // admit finds the route, checks the key and reads the body.
 func (q *request) admit() *refusal {
+	// The age is read before the configuration that it must hold for.
+	age := q.g.Configuration.Age(q.arrived)
+	q.snapshot = q.g.Configuration.Current()
 	if q.snapshot == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: storeBack, elsewhere: true}
 	}
-	age := q.g.Configuration.Age(q.arrived)
 	stale := age > q.g.keyAge()
 	path, _, _ := strings.Cut(q.target(), "?")
 	q.route = q.snapshot.Matcher.Match(q.r.Host, path)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -73,7 +73,7 @@
 }
 
 func newRequest(g *Gateway, w http.ResponseWriter, r *http.Request) *request {
-	return &request{g: g, w: w, r: r, arrived: g.Now(), client: g.Coder.Client(r.Header), snapshot: g.Configuration.Current()}
+	return &request{g: g, w: w, r: r, arrived: g.Now(), client: g.Coder.Client(r.Header)}
 }
 
 func (q *request) serve() {
@@ -105,12 +105,19 @@
 	return time.Duration(readyShare * float64(g.Settings.Bounds.Revocation))
 }
 
-// mayRun reports whether the key, if one is needed, still holds now.
+// mayRun reports whether the key, if one is needed, still holds now: a newer
+// configuration than the one that admitted the request may have taken it away.
 func (q *request) mayRun(now time.Time) bool {
 	if q.route.Anonymous || len(q.snapshot.Keys) == 0 {
 		return true
 	}
-	return q.g.Configuration.Age(now) <= q.g.keyAge()
+	// The age is read before the configuration that it must hold for.
+	if q.g.Configuration.Age(now) > q.g.keyAge() {
+		return false
+	}
+	current := q.g.Configuration.Current()
+	_, held := current.Keys[q.client.Key]
+	return held
 }
 
 // load is what the request brings to an upstream.
--- /dev/null
+++ b/gateway/request_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/configkeeper"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// configuration holds keys at a version.
+func configuration(version currantwood.Version, keys ...string) currantwood.Configuration {
+	c := currantwood.Configuration{Version: version, Keys: map[string]currantwood.KeyHolder{}}
+	for _, key := range keys {
+		c.Keys[key] = currantwood.KeyHolder{Customer: "ada"}
+	}
+	return c
+}
+
+var _ = DescribeTable("A request may be sent by its key",
+	func(anonymous bool, age time.Duration, then []string, want bool) {
+		keeper := configkeeper.New()
+		keeper.Offer(configuration(1, "k", "other"))
+		keeper.Proven(start.Add(-age))
+		g := &Gateway{Options: Options{Configuration: keeper, Settings: currantwood.GatewaySettings{
+			Bounds: currantwood.Bounds{FailClosed: true, Revocation: 5 * time.Second},
+		}}}
+		q := &request{g: g, snapshot: keeper.Current(), route: &currantwood.Route{Anonymous: anonymous}, client: currantwood.ClientRequest{Key: "k"}}
+		if then != nil {
+			keeper.Offer(configuration(2, then...))
+			keeper.Proven(start)
+		}
+		Expect(q.mayRun(start)).To(Equal(want))
+	},
+	Entry("fresh", false, time.Second, nil, true),
+	Entry("too old to prove it", false, 4500*time.Millisecond, nil, false),
+	Entry("without a key the age doesn't matter", true, time.Hour, nil, true),
+	Entry("a newer version holds the key too", false, 10*time.Second, []string{"k"}, true),
+	Entry("a newer version took the key away since it was admitted", false, 10*time.Second, []string{"other"}, false),
+	Entry("a newer version took it away, the old proof was fresh", false, time.Second, []string{"other"}, false),
+)
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -20,8 +20,8 @@
 	StoreAddress   string
 	// Seeds are the operator addresses of a few other VMs, host:port.
 	Seeds []string
-	// PeerPort is where gateways tell each other what they see, over UDP; 0
-	// switches that off.
+	// PeerPort is where gateways tell each other what they see, over UDP. It is
+	// the same on all VMs.
 	PeerPort    int
 	MemoryBytes int64
 	// Cores is the VM's part of a processor, LinkBits what its link carries a
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -245,10 +245,12 @@
 func (m *Messenger) digest(now time.Time, peer peerkeeper.Peer, own balancer.Loads, uses budgeter.Uses) *peerwire.Digest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// The age is read before the version that it must hold for.
+	age := m.Configuration.Age(now)
 	digest := &peerwire.Digest{
 		Echo:               m.keeper.Echo(peer.VM),
 		Configuration:      uint64(m.Configuration.Version()),
-		ConfigurationAgeUs: m.Configuration.Age(now).Microseconds(),
+		ConfigurationAgeUs: age.Microseconds(),
 		DirectoryAgeUs:     m.directory.Age(now).Microseconds(),
 		Loads:              encodeLoads(m.keeper.Loads(now, peer.VM, own)),
 		Gateways:           uint32(m.keeper.Gateways(now)),
