--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -239,11 +239,12 @@
 	return best, found
 }
 
-// sample is the number of upstreams that a choice looks at. What others have in
+// sample is the number of upstreams, with room if that is asked for, that a
+// choice looks at. What others have in
 // flight is known with a delay, and meanwhile all of them see the same upstream
 // as the emptiest; the more gateways there are, the fewer each looks at.
 func (b *Balancer) sample(g *group, q Query) int {
-	if q.Reach != Anywhere || q.Room {
+	if q.Reach != Anywhere {
 		return maxSample
 	}
 	return min(maxSample, max(minSample, len(g.members)/b.gateways+1))
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -128,6 +128,26 @@
 		Expect(b.Frozen(start.Add(1100 * time.Millisecond))).To(ConsistOf(currantwood.UpstreamID("e1")))
 	})
 
+	// Load pattern: a burst of four times the usual traffic for six seconds, as in
+	// deploy/days/burst-of-four.toml.
+	It("gives no engine more generations than its memory holds, and has no upstream for the rest", func() {
+		b := newBalancer("e1@n1", "e2@n1", "e3@s1")
+		sent := Load{Requests: 1, Tokens: 1100, Unread: 900}
+		refused := 0
+		for range 60 {
+			choice, ok := b.Pick(start, Query{Group: "g", Near: "n1", Load: sent, Room: true})
+			if !ok {
+				refused++
+				continue
+			}
+			b.Started(start, choice.View, sent, time.Minute)
+		}
+		Expect(refused).To(Equal(60 - 3*9))
+		for _, load := range b.Own() {
+			Expect(load.Tokens).To(BeNumerically("<=", 10_000))
+		}
+	})
+
 	// Load pattern: 23 gateways send 50 generations a second to 43 engines with
 	// five runs each, when an empty engine is added. Each gateway knows what the
 	// others have in flight with a delay.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -132,12 +132,14 @@
 	return q.snapshot.Groups[q.group].Engine != nil
 }
 
-// pick chooses an upstream that was not tried yet and notes the load there.
+// pick chooses an upstream that was not tried yet and notes the load there. A
+// generation for which no engine has memory is not queued at one: it would have
+// others preempted, whose prompts are then read again. Its client comes back.
 func (q *request) pick(now time.Time, patience time.Duration) (balancer.Choice, bool) {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	q.g.syncGroups(q.snapshot)
-	query := balancer.Query{Group: q.group, Load: q.load(), Near: q.g.Settings.Zone, Exclude: q.tried}
+	query := balancer.Query{Group: q.group, Load: q.load(), Near: q.g.Settings.Zone, Exclude: q.tried, Room: q.isGeneration()}
 	choice, ok := q.g.balancer.Pick(now, query)
 	if ok {
 		q.g.balancer.Started(now, choice.View, query.Load, patience)
