Ready only once the upstreams are known; why a key may not be used now

A gateway was ready 4 ms before it had read the directory, and refused the first request for want of an upstream. The stand-in of the store, told to reset, still handed a record to a read that was waiting; the request then found its key taken away and got 503 under a wrong reason. Ruled out: the load itself (both orders are possible on a quiet machine).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -36,8 +36,8 @@
 	last := &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: upstreamBack}
 	for len(q.tried) < maxSends {
 		now := q.g.Now()
-		if !q.mayRun(now) {
-			last = &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old to prove the key", retryAfter: storeBack, elsewhere: true}
+		if refused := q.refusedNow(now); refused != nil {
+			last = refused
 			break
 		}
 		choice, ok := q.pick(now, q.patience())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	// by mu.
 	eventTime time.Duration
 	stopping  atomic.Bool
+	// directory is whether the upstreams have been read once.
+	directory atomic.Bool
 	// end is when the process ends, in nanoseconds of its clock; it has a
 	// meaning while stopping is true.
 	end      atomic.Int64
@@ -114,7 +116,7 @@
 
 // Ready reports whether clients should be sent here.
 func (g *Gateway) Ready(now time.Time) bool {
-	if g.stopping.Load() || g.Configuration.Current() == nil {
+	if g.stopping.Load() || !g.directory.Load() || g.Configuration.Current() == nil {
 		return false
 	}
 	return g.Fresh(now)
@@ -144,6 +146,7 @@
 	g.mu.Lock()
 	events := g.upstreams.Replace(now, records)
 	g.takeEvents(now, events)
+	g.directory.Store(true)
 }
 
 // DirectoryRegained notes that the directory answers again.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -105,19 +105,23 @@
 	return time.Duration(readyShare * float64(g.Settings.Bounds.Revocation))
 }
 
-// mayRun reports whether the key, if one is needed, still holds now: a newer
-// configuration than the one that admitted the request may have taken it away.
-func (q *request) mayRun(now time.Time) bool {
+// refusedNow reports why the request may not be sent now, nil if it may: the key,
+// if one is needed, must be in the newest configuration, and that one fresh.
+func (q *request) refusedNow(now time.Time) *refusal {
 	if q.route.Anonymous || len(q.snapshot.Keys) == 0 {
-		return true
+		return nil
 	}
+	r := &refusal{status: http.StatusServiceUnavailable, retryAfter: storeBack, elsewhere: true}
 	// The age is read before the configuration that it must hold for.
 	if q.g.Configuration.Age(now) > q.g.keyAge() {
-		return false
+		r.reason = "configuration too old to prove the key"
+		return r
 	}
-	current := q.g.Configuration.Current()
-	_, held := current.Keys[q.client.Key]
-	return held
+	if _, held := q.g.Configuration.Current().Keys[q.client.Key]; !held {
+		r.reason = "key taken away meanwhile"
+		return r
+	}
+	return nil
 }
 
 // load is what the request brings to an upstream.
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"math/rand"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configkeeper"
@@ -21,6 +24,23 @@
 	return c
 }
 
+var _ = Describe("Ready", func() {
+	It("waits for the configuration and for the upstreams", func() {
+		keeper := configkeeper.New()
+		g := New(Options{
+			Configuration: keeper, Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
+			Settings: currantwood.GatewaySettings{Bounds: currantwood.Bounds{FailClosed: true, Revocation: 5 * time.Second}},
+		})
+		Expect(g.Ready(start)).To(BeFalse())
+		keeper.Offer(configuration(1, "k"))
+		keeper.Proven(start)
+		Expect(g.Ready(start)).To(BeFalse())
+		g.AllUpstreamRecords(start, nil)
+		Expect(g.Ready(start)).To(BeTrue())
+		Expect(g.Ready(start.Add(4 * time.Second))).To(BeFalse())
+	})
+})
+
 var _ = DescribeTable("A request may be sent by its key",
 	func(anonymous bool, age time.Duration, then []string, want bool) {
 		keeper := configkeeper.New()
@@ -34,7 +54,7 @@
 			keeper.Offer(configuration(2, then...))
 			keeper.Proven(start)
 		}
-		Expect(q.mayRun(start)).To(Equal(want))
+		Expect(q.refusedNow(start) == nil).To(Equal(want))
 	},
 	Entry("fresh", false, time.Second, nil, true),
 	Entry("too old to prove it", false, 4500*time.Millisecond, nil, false),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,8 +94,8 @@
 	last := &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: upstreamBack}
 	for len(s.tried) < maxSends && s.ctx.Err() == nil {
 		now := s.g.Now()
-		if !s.mayRun(now) {
-			last = &refusal{status: http.StatusServiceUnavailable, reason: "configuration too old to prove the key", retryAfter: storeBack, elsewhere: true}
+		if refused := s.refusedNow(now); refused != nil {
+			last = refused
 			break
 		}
 		choice, ok := s.pick(now, s.streamPatience())
