Code without a use goes

Change: they go; no behaviour changes. Ruled out for now: one list of the headers of a connection for gateway and platform/headercoder, since answers would then also lose what Connection names, a change of behaviour.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -387,11 +387,3 @@
 	}
 	return out
 }
-
-// Members is the number of upstreams of a group that may get work.
-func (b *Balancer) Members(id currantwood.GroupID) int {
-	if g := b.groups[id]; g != nil {
-		return len(g.members)
-	}
-	return 0
-}
--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -50,8 +49,6 @@
 	Answer currantwood.UpstreamAnswer
 	// Body ends with io.EOF only if the answer is whole.
 	Body io.Reader
-	// Length is the length of the body; -1 if unknown.
-	Length int64
 
 	keeper  *Keeper
 	conn    *conn
@@ -126,7 +123,7 @@
 		answer := coder.Answer(response.StatusCode, response.Header)
 		if answer.Request == call.ID || (answer.Request == "" && answer.NotRun) {
 			x.Status, x.Header, x.Answer = response.StatusCode, response.Header, answer
-			x.Body, x.Length = response.Body, response.ContentLength
+			x.Body = response.Body
 			x.close = response.Close || foreign > 0
 			return nil
 		}
@@ -142,9 +139,6 @@
 	return ErrForeign
 }
 
-// Closing reports whether the upstream announced the end of the connection.
-func (x *Exchange) Closing() bool { return x.close }
-
 // Finish keeps the connection for the next exchange if the answer was read to
 // its end and nothing speaks against it.
 func (x *Exchange) Finish() {
@@ -177,8 +171,3 @@
 		_ = x.conn.Close()
 	}
 }
-
-// SetReadTimeout bounds the wait for the next bytes of the answer.
-func (x *Exchange) SetReadTimeout(d time.Duration) {
-	_ = x.conn.SetReadDeadline(time.Now().Add(d))
-}
--- a/connkeeper/keeper.go
+++ b/connkeeper/keeper.go
@@ -10,6 +10,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -76,14 +77,7 @@
 	err := raw.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	})
-	return errors.WithStack(firstError(err, failed))
-}
-
-func firstError(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
+	return errors.WithStack(cmp.Or(err, failed))
 }
 
 // take returns an idle connection to an upstream or a new one.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,7 +137,7 @@
 			changed = append(changed, record)
 		}
 	}
-	g.takeEvents(now, events)
+	g.takeEvents(events)
 	return changed
 }
 
@@ -145,7 +145,7 @@
 func (g *Gateway) AllUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) {
 	g.mu.Lock()
 	events := g.upstreams.Replace(now, records)
-	g.takeEvents(now, events)
+	g.takeEvents(events)
 	g.directory.Store(true)
 }
 
@@ -165,7 +165,7 @@
 		held = append(held, g.streamsAt(id)...)
 	}
 	events := g.upstreams.Tick(now)
-	g.takeEvents(now, events)
+	g.takeEvents(events)
 	for _, id := range frozen {
 		g.Logger.Warn("upstream makes no progress, left out", zap.String("upstream", string(id)))
 	}
@@ -176,7 +176,7 @@
 }
 
 // takeEvents is called with mu held and releases it.
-func (g *Gateway) takeEvents(now time.Time, events []upstreamkeeper.Event) {
+func (g *Gateway) takeEvents(events []upstreamkeeper.Event) {
 	if len(events) > 0 {
 		g.balancer.SyncUpstreams(g.upstreams.Views())
 	}
@@ -193,7 +193,7 @@
 			g.Connections.Forget(e.Record.Address)
 		}
 	}
-	g.evacuate(now, leaving)
+	g.evacuate(leaving)
 }
 
 func (g *Gateway) streamsAt(id currantwood.UpstreamID) []*stream {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -33,7 +33,7 @@
 
 // evacuate moves running streams away from upstreams that leave, those with
 // the most still to come first.
-func (g *Gateway) evacuate(_ time.Time, leaving []*stream) {
+func (g *Gateway) evacuate(leaving []*stream) {
 	slices.SortFunc(leaving, func(a, b *stream) int { return int(b.eventsLeft() - a.eventsLeft()) })
 	for _, s := range leaving {
 		s.startMove()
