Log each crash of a request: recorded, learned, or why it wasn't counted

A failed attempt had neither the request's fingerprint nor a count, a crash that wasn't counted left no line, and nothing said what a peer had reported. Change: lines "crash recorded", "failure not counted as a crash" with its reason, "crash learned" with the reporting gateway; the fingerprint on the refusal; counters crashes-recorded, crashes-learned and requests-blocked. The code on crashes of package gateway moves to crash.go. What is counted and refused stays as it was.

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -30,6 +30,15 @@
 	Upstream    currantwood.UpstreamID
 }
 
+// RecordResult is what a call of Record did.
+type RecordResult struct {
+	// New is whether the crash was not known before.
+	New bool
+	// Count is the number of crashes of the request that count now; 0 if the crash
+	// was ignored since too many requests have crashes.
+	Count int
+}
+
 // Keeper holds recent crashes. It is not safe for concurrent use.
 type Keeper struct {
 	// crashes holds, for each request, the upstreams that crashed and when the
@@ -47,19 +56,32 @@
 // is stored; an expired one stays stored until deleteExpired runs, which happens
 // only when maxRequests is reached. While maxRequests requests have crashes that
 // count, crashes on further requests are ignored.
-func (k *Keeper) Record(now time.Time, c Crash) {
+func (k *Keeper) Record(now time.Time, c Crash) RecordResult {
 	if k.crashes[c.Fingerprint] == nil {
 		if len(k.crashes) >= maxRequests {
 			k.deleteExpired(now)
 		}
 		if len(k.crashes) >= maxRequests {
-			return
+			return RecordResult{}
 		}
 		k.crashes[c.Fingerprint] = make(map[currantwood.UpstreamID]time.Time)
 	}
-	if _, known := k.crashes[c.Fingerprint][c.Upstream]; !known {
+	_, known := k.crashes[c.Fingerprint][c.Upstream]
+	if !known {
 		k.crashes[c.Fingerprint][c.Upstream] = now
 	}
+	return RecordResult{New: !known, Count: k.count(now, c.Fingerprint)}
+}
+
+// count returns the number of crashes of a request that count.
+func (k *Keeper) count(now time.Time, request currantwood.Fingerprint) int {
+	count := 0
+	for _, at := range k.crashes[request] {
+		if now.Sub(at) <= crashLifetime {
+			count++
+		}
+	}
+	return count
 }
 
 // deleteExpired deletes the crashes that no longer count.
@@ -79,13 +101,7 @@
 // Blocked reports whether so many upstreams have crashed while they ran a request
 // that it must not be sent to another.
 func (k *Keeper) Blocked(now time.Time, request currantwood.Fingerprint) bool {
-	count := 0
-	for _, at := range k.crashes[request] {
-		if now.Sub(at) <= crashLifetime {
-			count++
-		}
-	}
-	return count >= maxCrashes
+	return k.count(now, request) >= maxCrashes
 }
 
 // Recent returns the crashes to send to peers now: up to maxSent of those first
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -6,11 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/currantwood/currantwood"
-	"github.com/currantwood/currantwood/crashkeeper"
-	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
 // gatewayResponse is a final response that the gateway generates itself, to
@@ -24,6 +20,8 @@
 	// closeConnection closes the client's connection, so that it reconnects,
 	// possibly to another gateway.
 	closeConnection bool
+	// fingerprint is set if it decided.
+	fingerprint currantwood.Fingerprint
 }
 
 // admit matches the route, checks the key, picks the group, reads the body and
@@ -68,7 +66,8 @@
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	if q.fingerprint != 0 && q.g.crashes.Blocked(q.arrived, q.fingerprint) {
-		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "request crashed its upstreams"}
+		q.g.instruments.requestsBlocked.Inc(1)
+		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "request crashed its upstreams", fingerprint: q.fingerprint}
 	}
 	if q.g.stopping.Load() && q.route.Stream && !q.route.Resumable {
 		left := time.Unix(0, q.g.stopDeadline.Load()).Sub(q.arrived)
@@ -92,39 +91,6 @@
 	return q.route.Target + time.Duration(q.client.Size.Output/perEvent)*q.g.eventInterval
 }
 
-// computeFingerprint hashes the host, path, query, customer and body. It returns
-// 0 for a request without a body, as such requests are too similar to tell
-// apart.
-func (q *request) computeFingerprint() currantwood.Fingerprint {
-	if len(q.body) == 0 {
-		return 0
-	}
-	h := xxhash.New()
-	for _, part := range []string{q.r.Host, q.requestTarget(), string(q.customer)} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(q.body)
-	return currantwood.Fingerprint(h.Sum64())
-}
-
-// recordCrash records the failure of an exchange as a crash of the upstream,
-// unless the client has disconnected or the upstream is leaving, gone or
-// restarted. An exchange that the attempt timeout or the deadline ended also
-// counts.
-func (q *request) recordCrash(view upstreamkeeper.View) {
-	if q.fingerprint == 0 || q.r.Context().Err() != nil {
-		return
-	}
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	known, ok := q.g.upstreams.Get(view.ID)
-	if !ok || !known.LeavingSince.IsZero() || known.Incarnation != view.Incarnation {
-		return
-	}
-	q.g.crashes.Record(q.g.Now(), crashkeeper.Crash{Fingerprint: q.fingerprint, Upstream: view.ID})
-}
-
 // temporaryIfTooOld replaces a permanent refusal by a temporary one if the
 // configuration is too old to base it on.
 func temporaryIfTooOld(tooOld bool, r *gatewayResponse) *gatewayResponse {
--- /dev/null
+++ b/gateway/crash.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// computeFingerprint hashes the host, path, query, customer and body. It returns
+// 0 for a request without a body, as such requests are too similar to tell
+// apart.
+func (q *request) computeFingerprint() currantwood.Fingerprint {
+	if len(q.body) == 0 {
+		return 0
+	}
+	h := xxhash.New()
+	for _, part := range []string{q.r.Host, q.requestTarget(), string(q.customer)} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(q.body)
+	return currantwood.Fingerprint(h.Sum64())
+}
+
+// recordCrash records the failure of an exchange as a crash of the upstream,
+// unless the client has disconnected or the upstream is leaving, gone or
+// restarted. An exchange that the attempt timeout or the deadline ended also
+// counts.
+func (q *request) recordCrash(view upstreamkeeper.View) {
+	q.g.mu.Lock()
+	now := q.g.Now()
+	doubt := q.crashDoubt(view)
+	record := crashkeeper.RecordResult{}
+	if doubt == "" {
+		record = q.g.crashes.Record(now, crashkeeper.Crash{Fingerprint: q.fingerprint, Upstream: view.ID})
+	}
+	q.g.mu.Unlock()
+	fields := []zap.Field{fingerprintField(q.fingerprint), zap.String("upstream", string(view.ID)), zap.Int64("incarnation", view.Incarnation)}
+	if doubt != "" {
+		q.log("failure not counted as a crash", append(fields, zap.String("reason", doubt))...)
+		return
+	}
+	if record.New {
+		q.g.instruments.crashesRecorded.Inc(1)
+	}
+	q.log("crash recorded", append(fields, zap.Int("crashes", record.Count), zap.Bool("new", record.New))...)
+}
+
+// crashDoubt returns why the failure of an exchange isn't counted as a crash of
+// the upstream; empty if it is. The caller holds the gateway's mu.
+func (q *request) crashDoubt(view upstreamkeeper.View) string {
+	if q.fingerprint == 0 {
+		return "request has no body"
+	}
+	if q.r.Context().Err() != nil {
+		return "client disconnected"
+	}
+	known, ok := q.g.upstreams.Get(view.ID)
+	switch {
+	case !ok:
+		return "upstream is gone"
+	case !known.LeavingSince.IsZero():
+		return "upstream is leaving"
+	case known.Incarnation != view.Incarnation:
+		return "upstream has restarted"
+	}
+	return ""
+}
+
+// fingerprintField formats a fingerprint for logs.
+func fingerprintField(f currantwood.Fingerprint) zap.Field {
+	return zap.String("fingerprint", strconv.FormatUint(uint64(f), 16))
+}
+
+// RecentCrashes returns the recent crashes to report to other gateways.
+func (g *Gateway) RecentCrashes(now time.Time) []crashkeeper.Crash {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crashes.Recent(now)
+}
+
+// RecordCrashes records crashes that another gateway has seen.
+func (g *Gateway) RecordCrashes(now time.Time, from currantwood.VMID, crashes []crashkeeper.Crash) {
+	for _, c := range crashes {
+		g.mu.Lock()
+		record := g.crashes.Record(now, c)
+		g.mu.Unlock()
+		if record.New {
+			g.instruments.crashesLearned.Inc(1)
+			g.Logger.Info("crash learned", zap.String("from", string(from)), fingerprintField(c.Fingerprint), zap.String("upstream", string(c.Upstream)), zap.Int("crashes", record.Count))
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 type instruments struct {
 	served, refused, failed, clientDisconnects metrics.Counter
 	retries, generationsMoved, generationsLost metrics.Counter
+	crashesRecorded, crashesLearned            metrics.Counter
+	requestsBlocked                            metrics.Counter
 	responseTime, firstEventTime               metrics.Histogram
 }
 
@@ -97,6 +99,9 @@
 		retries:           metrics.NewRegisteredCounter("retries", r),
 		generationsMoved:  metrics.NewRegisteredCounter("generations-moved", r),
 		generationsLost:   metrics.NewRegisteredCounter("generations-lost", r),
+		crashesRecorded:   metrics.NewRegisteredCounter("crashes-recorded", r),
+		crashesLearned:    metrics.NewRegisteredCounter("crashes-learned", r),
+		requestsBlocked:   metrics.NewRegisteredCounter("requests-blocked", r),
 		responseTime:      metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
 		firstEventTime:    metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,7 +6,6 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
-	"github.com/currantwood/currantwood/crashkeeper"
 )
 
 // allPeers is the id under which the balancer holds the summed load of all
@@ -55,19 +54,3 @@
 	g.budget.Retried(now, id)
 	return true
 }
-
-// RecentCrashes returns the recent crashes to report to other gateways.
-func (g *Gateway) RecentCrashes(now time.Time) []crashkeeper.Crash {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.crashes.Recent(now)
-}
-
-// RecordCrashes records crashes that another gateway has seen.
-func (g *Gateway) RecordCrashes(now time.Time, crashes []crashkeeper.Crash) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, c := range crashes {
-		g.crashes.Record(now, c)
-	}
-}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -261,7 +261,11 @@
 	} else {
 		q.g.instruments.refused.Inc(1)
 	}
-	q.log("request ended by the gateway", zap.Int("status", f.status), zap.String("reason", f.reason), zap.Duration("retry-after", f.retryAfter))
+	fields := []zap.Field{zap.Int("status", f.status), zap.String("reason", f.reason), zap.Duration("retry-after", f.retryAfter)}
+	if f.fingerprint != 0 {
+		fields = append(fields, fingerprintField(f.fingerprint))
+	}
+	q.log("request ended by the gateway", fields...)
 }
 
 // addJitter lengthens a duration at random, so that clients that were refused
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -53,7 +53,8 @@
 	SetPeerRetryUsage(now time.Time, usage budgeter.GroupUsage, gateways int)
 	// RecentCrashes returns the crashes that other gateways should learn of.
 	RecentCrashes(now time.Time) []crashkeeper.Crash
-	RecordCrashes(now time.Time, crashes []crashkeeper.Crash)
+	// RecordCrashes records the crashes that another gateway sent.
+	RecordCrashes(now time.Time, from currantwood.VMID, crashes []crashkeeper.Crash)
 }
 
 // Configuration is the configuration that this gateway holds.
@@ -374,7 +375,7 @@
 // receiveState stores a peer's state and answers with a referral if a third
 // gateway is the collector.
 func (m *Messenger) receiveState(now time.Time, from peerkeeper.Peer, s *peerwire.State) {
-	m.Gateway.RecordCrashes(now, decodeCrashes(s.GetCrashes()))
+	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(s.GetCrashes()))
 	m.mu.Lock()
 	m.peers.ApplyState(now, from, peerkeeper.State{
 		SentAt:         s.GetSentAt(),
@@ -401,7 +402,7 @@
 		m.peers.SetDigestGateways(int(d.GetGateways()))
 	}
 	m.mu.Unlock()
-	m.Gateway.RecordCrashes(now, decodeCrashes(d.GetCrashes()))
+	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(d.GetCrashes()))
 	if !accepted {
 		return
 	}
