A request is not retried or moved after its third crash

What callers saw: a repeatable request that crashed its third upstream was sent to a fourth by its own retry. Cause: the number of crashes was checked only when a request was admitted. Retries, resumes and moves within a request went on without looking again. Change: prepareRetry and mayMove check it too, so the check stands before each send.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -84,8 +84,8 @@
 
 // prepareRetry reports whether the request may be sent to another upstream, and
 // if so counts the retry. A request that may have run is sent again only if it
-// is repeatable or resumable. The limits on attempts, possible runs and time
-// apply to every request. If the last attempt reached an upstream, the retry is
+// is repeatable or resumable, and none that has crashed too many upstreams. The
+// limits on attempts, possible runs and time apply to every request. If the last attempt reached an upstream, the retry is
 // charged to the retry budget and must fit in it.
 func (q *request) prepareRetry(ctx context.Context) bool {
 	if q.possibleRuns > 0 && !(q.route.Repeatable || q.route.Resumable) {
@@ -94,6 +94,11 @@
 	if q.possibleRuns >= q.route.MaxUpstreams || ctx.Err() != nil || len(q.attempted) >= maxAttempts {
 		return false
 	}
+	if q.blocked() {
+		q.g.instruments.requestsBlocked.Inc(1)
+		q.log("not retried: request crashed its upstreams", fingerprintField(q.fingerprint))
+		return false
+	}
 	if q.reachedUpstream && !q.g.takeRetryBudget(q.g.Now(), q.group, budgeter.FailedRequest) {
 		q.log("retry budget exhausted")
 		return false
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -28,6 +28,14 @@
 	return currantwood.Fingerprint(h.Sum64())
 }
 
+// blocked reports whether so many upstreams have crashed while they ran the
+// request that it must not be sent to another.
+func (q *request) blocked() bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	return q.g.crashes.Blocked(q.g.Now(), q.fingerprint)
+}
+
 // recordCrash records the failure of an exchange as a crash of the upstream,
 // unless the client has disconnected or the upstream is leaving, gone or
 // restarted. An exchange that the attempt timeout or the deadline ended also
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -127,8 +127,12 @@
 }
 
 // mayMove reports whether the run can be moved and is worth it: the client has
-// received an event and still waits, and the run will not end soon.
+// received an event and still waits, the run will not end soon and its request
+// has not crashed too many upstreams.
 func (s *stream) mayMove() bool {
+	if s.blocked() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.finished && s.headerWritten.Load() && s.eventsLeft() >= minEventsLeft && s.ctx.Err() == nil
