Each crash of an upstream counts, also under a kept id

Cause: crashes were keyed by the upstream's id alone, so that all crashes of one upstream counted once. A failure at an upstream that had restarted, was gone or was leaving wasn't recorded at all, though a restart proves the crash. Change: a crash is keyed by id, incarnation and the number of restarts that the directory hasn't shown, which is counted from failures sent 500 ms or more after the last crash and broken off by the upstream. Datagrams carry both; a report without an incarnation, as of older gateways, is taken for any crash of that upstream. A failure counts unless the upstream is past half of the drain time after its leaving was announced, or served on after its record was removed. Recent crashes are sent newest first. New: the same while the store is away, tables in crashkeeper and gateway.

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -4,6 +4,8 @@
 package crashkeeper
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/currantwood/currantwood"
@@ -22,12 +24,42 @@
 	maxRequests = 4096
 	// maxSent bounds the number of crashes that Recent returns.
 	maxSent = 16
+	// minRestartTime is the shortest time in which an upstream is back after a
+	// crash.
+	minRestartTime = 500 * time.Millisecond
 )
 
-// Crash records that an upstream crashed while it ran a request.
+// Crash records that an upstream crashed while it ran a request. Two equal values
+// are the same crash, whichever gateways saw it.
 type Crash struct {
 	Fingerprint currantwood.Fingerprint
 	Upstream    currantwood.UpstreamID
+	// Incarnation is that of the upstream when the request was sent to it; 0 if
+	// unknown, as in reports of gateways that don't send it.
+	Incarnation int64
+	// UnseenRestarts counts the restarts of the upstream between the first crash of
+	// this incarnation and this one that the directory hasn't shown, as during an
+	// outage of the store.
+	UnseenRestarts uint32
+}
+
+// Failure is an exchange with an upstream that ended without a whole response.
+type Failure struct {
+	Fingerprint currantwood.Fingerprint
+	Upstream    currantwood.UpstreamID
+	Incarnation int64
+	// SentAt is when the request was sent.
+	SentAt time.Time
+	// Broken is whether the upstream closed the connection, rather than that this
+	// gateway stopped waiting.
+	Broken bool
+}
+
+// crashKey identifies a crash among those of one request.
+type crashKey struct {
+	upstream       currantwood.UpstreamID
+	incarnation    int64
+	unseenRestarts uint32
 }
 
 // RecordResult is what a call of Record did.
@@ -41,21 +73,48 @@
 
 // Keeper holds recent crashes. It is not safe for concurrent use.
 type Keeper struct {
-	// crashes holds, for each request, the upstreams that crashed and when the
-	// crash was first recorded. It has at most maxRequests entries.
-	crashes map[currantwood.Fingerprint]map[currantwood.UpstreamID]time.Time
+	// crashes holds, for each request, its crashes and when each was first recorded
+	// here. It has at most maxRequests entries.
+	crashes map[currantwood.Fingerprint]map[crashKey]time.Time
 }
 
 // New returns a keeper without crashes.
 func New() *Keeper {
-	return &Keeper{crashes: make(map[currantwood.Fingerprint]map[currantwood.UpstreamID]time.Time)}
+	return &Keeper{crashes: make(map[currantwood.Fingerprint]map[crashKey]time.Time)}
 }
 
-// Record adds a crash. Repeated crashes of the same upstream on the same request
-// count once, from the time of the first. A repeat is ignored as long as the first
-// is stored; an expired one stays stored until deleteExpired runs, which happens
-// only when maxRequests is reached. While maxRequests requests have crashes that
-// count, crashes on further requests are ignored.
+// RecordFailure records a failed exchange as a crash of the upstream. A failure at
+// an incarnation whose crash is already recorded is the same crash, unless the
+// upstream has accepted and broken off a request that was sent to it
+// minRestartTime or more after the last one: then it has restarted unseen.
+func (k *Keeper) RecordFailure(now time.Time, f Failure) (Crash, RecordResult) {
+	c := Crash{Fingerprint: f.Fingerprint, Upstream: f.Upstream, Incarnation: f.Incarnation}
+	last, recordedAt, known := k.lastCrash(f)
+	if known {
+		c.UnseenRestarts = last.unseenRestarts
+		if f.Broken && f.SentAt.Sub(recordedAt) >= minRestartTime {
+			c.UnseenRestarts++
+		}
+	}
+	return c, k.Record(now, c)
+}
+
+// lastCrash returns the last known crash of the failure's upstream incarnation on
+// its request, and when it was recorded.
+func (k *Keeper) lastCrash(f Failure) (last crashKey, recordedAt time.Time, known bool) {
+	for key, at := range k.crashes[f.Fingerprint] {
+		if key.upstream == f.Upstream && key.incarnation == f.Incarnation && (!known || key.unseenRestarts > last.unseenRestarts) {
+			last, recordedAt, known = key, at, true
+		}
+	}
+	return last, recordedAt, known
+}
+
+// Record adds a crash. A crash that is known counts once, from the time of the
+// first record. A repeat is ignored as long as the first is stored; an expired one
+// stays stored until deleteExpired runs, which happens only when maxRequests is
+// reached. While maxRequests requests have crashes that count, crashes on further
+// requests are ignored.
 func (k *Keeper) Record(now time.Time, c Crash) RecordResult {
 	if k.crashes[c.Fingerprint] == nil {
 		if len(k.crashes) >= maxRequests {
@@ -64,15 +123,31 @@
 		if len(k.crashes) >= maxRequests {
 			return RecordResult{}
 		}
-		k.crashes[c.Fingerprint] = make(map[currantwood.UpstreamID]time.Time)
+		k.crashes[c.Fingerprint] = make(map[crashKey]time.Time)
 	}
-	_, known := k.crashes[c.Fingerprint][c.Upstream]
+	known := k.knows(c)
 	if !known {
-		k.crashes[c.Fingerprint][c.Upstream] = now
+		k.crashes[c.Fingerprint][crashKey{c.Upstream, c.Incarnation, c.UnseenRestarts}] = now
 	}
 	return RecordResult{New: !known, Count: k.count(now, c.Fingerprint)}
 }
 
+// knows reports whether a crash is recorded. A crash of an unknown incarnation is
+// taken for any other of the same upstream. If c has an incarnation and the
+// recorded crash doesn't, that one is forgotten in favor of c.
+func (k *Keeper) knows(c Crash) bool {
+	crashes := k.crashes[c.Fingerprint]
+	if c.Incarnation != 0 {
+		delete(crashes, crashKey{upstream: c.Upstream})
+	}
+	for key := range crashes {
+		if key.upstream == c.Upstream && (c.Incarnation == 0 || key.incarnation == c.Incarnation && key.unseenRestarts == c.UnseenRestarts) {
+			return true
+		}
+	}
+	return false
+}
+
 // count returns the number of crashes of a request that count.
 func (k *Keeper) count(now time.Time, request currantwood.Fingerprint) int {
 	count := 0
@@ -86,13 +161,13 @@
 
 // deleteExpired deletes the crashes that no longer count.
 func (k *Keeper) deleteExpired(now time.Time) {
-	for request, upstreams := range k.crashes {
-		for id, at := range upstreams {
+	for request, crashes := range k.crashes {
+		for key, at := range crashes {
 			if now.Sub(at) > crashLifetime {
-				delete(upstreams, id)
+				delete(crashes, key)
 			}
 		}
-		if len(upstreams) == 0 {
+		if len(crashes) == 0 {
 			delete(k.crashes, request)
 		}
 	}
@@ -105,15 +180,31 @@
 }
 
 // Recent returns the crashes to send to peers now: up to maxSent of those first
-// recorded here within sendWindow, including those that peers reported.
+// recorded here within sendWindow, including those that peers reported, the newest
+// first.
 func (k *Keeper) Recent(now time.Time) []Crash {
-	var recent []Crash
-	for request, upstreams := range k.crashes {
-		for id, at := range upstreams {
-			if now.Sub(at) <= sendWindow && len(recent) < maxSent {
-				recent = append(recent, Crash{Fingerprint: request, Upstream: id})
+	type recorded struct {
+		crash Crash
+		at    time.Time
+	}
+	var recent []recorded
+	for request, crashes := range k.crashes {
+		for key, at := range crashes {
+			if now.Sub(at) <= sendWindow {
+				recent = append(recent, recorded{newCrash(request, key), at})
 			}
 		}
 	}
-	return recent
+	slices.SortFunc(recent, func(a, b recorded) int {
+		return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.crash.Fingerprint, b.crash.Fingerprint))
+	})
+	var crashes []Crash
+	for _, r := range recent[:min(len(recent), maxSent)] {
+		crashes = append(crashes, r.crash)
+	}
+	return crashes
+}
+
+func newCrash(request currantwood.Fingerprint, key crashKey) Crash {
+	return Crash{Fingerprint: request, Upstream: key.upstream, Incarnation: key.incarnation, UnseenRestarts: key.unseenRestarts}
 }
--- a/crashkeeper/keeper_test.go
+++ b/crashkeeper/keeper_test.go
@@ -27,6 +27,34 @@
 		Entry("three upstreams, long ago", []string{"a", "b", "c"}, time.Hour, false),
 	)
 
+	DescribeTable("tells crashes of one upstream apart",
+		func(crashes []Crash, count int) {
+			k := New()
+			var result RecordResult
+			for _, c := range crashes {
+				result = k.Record(start, c)
+			}
+			Expect(result.Count).To(Equal(count))
+		},
+		Entry("by its incarnation", []Crash{{7, "a", 1, 0}, {7, "a", 2, 0}, {7, "a", 3, 0}}, 3),
+		Entry("by restarts that the directory hasn't shown", []Crash{{7, "a", 1, 0}, {7, "a", 1, 1}}, 2),
+		Entry("an unknown incarnation, then a known one: one crash", []Crash{{7, "a", 0, 0}, {7, "a", 1, 0}}, 1),
+		Entry("a known incarnation, then an unknown one: one crash", []Crash{{7, "a", 1, 0}, {7, "a", 0, 0}}, 1),
+	)
+
+	DescribeTable("takes a failure at the same incarnation for a new crash only after an unseen restart",
+		func(sent time.Duration, broken bool, count int) {
+			k := New()
+			k.RecordFailure(start, Failure{Fingerprint: 7, Upstream: "a", Incarnation: 1, SentAt: start, Broken: true})
+			_, result := k.RecordFailure(start.Add(2*time.Second), Failure{Fingerprint: 7, Upstream: "a", Incarnation: 1, SentAt: start.Add(sent), Broken: broken})
+			Expect(result.Count).To(Equal(count))
+		},
+		Entry("sent before the first crash", -time.Second, true, 1),
+		Entry("sent sooner than the upstream can be back", 400*time.Millisecond, true, 1),
+		Entry("sent later and broken off by the upstream", time.Second, true, 2),
+		Entry("sent later, but given up here: it may only hang", time.Second, false, 1),
+	)
+
 	It("bounds the crashes that it keeps and sends to peers, and sends only recent ones", func() {
 		k := New()
 		for i := range currantwood.Fingerprint(2 * maxRequests) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -117,7 +117,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(attemptTimeoutFactor*float64(q.route.Target)))
 		defer cancel()
 	}
-	load := q.load()
+	load, sentAt := q.load(), q.g.Now()
 	x, err := q.startExchange(ctx, choice, load, currantwood.UpstreamRequest{LastEvent: -1})
 	if err != nil {
 		return nil, err
@@ -127,7 +127,7 @@
 	if err != nil {
 		x.Abort()
 		q.recordEnd(choice.View, load, balancer.Failed)
-		q.recordCrash(choice.View)
+		q.recordCrash(failure{view: choice.View, sentAt: sentAt, broken: ctx.Err() == nil})
 		return nil, errors.Wrap(err, "read response body")
 	}
 	x.Finish()
@@ -144,9 +144,10 @@
 // to the balancer. A response that says that the request was not run is
 // returned as an error.
 func (q *request) startExchange(ctx context.Context, choice balancer.Choice, load balancer.Load, parameters currantwood.UpstreamRequest) (*connkeeper.Exchange, error) {
-	x, err := q.g.Connections.Start(ctx, q.upstreamCall(q.g.Now(), choice.View, parameters), q.g.Coder)
+	sentAt := q.g.Now()
+	x, err := q.g.Connections.Start(ctx, q.upstreamCall(sentAt, choice.View, parameters), q.g.Coder)
 	if err != nil {
-		q.recordFailedStart(choice, load, err)
+		q.recordFailedStart(failure{view: choice.View, sentAt: sentAt, broken: ctx.Err() == nil}, load, err)
 		return nil, err
 	}
 	q.reachedUpstream = true
@@ -160,17 +161,17 @@
 
 // recordFailedStart reports a failed start to the balancer and, if the upstream
 // may have received the request, counts a possible run and records a crash.
-func (q *request) recordFailedStart(choice balancer.Choice, load balancer.Load, err error) {
+func (q *request) recordFailedStart(f failure, load balancer.Load, err error) {
 	if !unsent(err) {
 		q.reachedUpstream = true
 		q.possibleRuns++
-		q.recordCrash(choice.View)
+		q.recordCrash(f)
 	}
 	if q.clientDisconnected() {
-		q.recordEnd(choice.View, load, balancer.Neutral)
+		q.recordEnd(f.view, load, balancer.Neutral)
 		return
 	}
-	q.recordEnd(choice.View, load, balancer.Failed)
+	q.recordEnd(f.view, load, balancer.Failed)
 }
 
 // writeResponse sends a complete upstream response to the client.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -36,20 +36,30 @@
 	return q.g.crashes.Blocked(q.g.Now(), q.fingerprint)
 }
 
+// failure is an exchange with an upstream that ended without a whole response.
+type failure struct {
+	view   upstreamkeeper.View
+	sentAt time.Time
+	// lastEventAt is when the last event of a stream arrived; zero if none did.
+	lastEventAt time.Time
+	// broken is whether the upstream closed the connection, rather than that this
+	// gateway stopped waiting.
+	broken bool
+}
+
 // recordCrash records the failure of an exchange as a crash of the upstream,
-// unless the client has disconnected or the upstream is leaving, gone or
-// restarted. An exchange that the attempt timeout or the deadline ended also
-// counts.
-func (q *request) recordCrash(view upstreamkeeper.View) {
+// unless crashDoubt finds another reason.
+func (q *request) recordCrash(f failure) {
 	q.g.mu.Lock()
 	now := q.g.Now()
-	doubt := q.crashDoubt(view)
-	record := crashkeeper.RecordResult{}
+	doubt := q.crashDoubt(now, f)
+	var crash crashkeeper.Crash
+	var record crashkeeper.RecordResult
 	if doubt == "" {
-		record = q.g.crashes.Record(now, crashkeeper.Crash{Fingerprint: q.fingerprint, Upstream: view.ID})
+		crash, record = q.g.crashes.RecordFailure(now, crashkeeper.Failure{Fingerprint: q.fingerprint, Upstream: f.view.ID, Incarnation: f.view.Incarnation, SentAt: f.sentAt, Broken: f.broken})
 	}
 	q.g.mu.Unlock()
-	fields := []zap.Field{fingerprintField(q.fingerprint), zap.String("upstream", string(view.ID)), zap.Int64("incarnation", view.Incarnation)}
+	fields := []zap.Field{fingerprintField(q.fingerprint), zap.String("upstream", string(f.view.ID)), zap.Int64("incarnation", f.view.Incarnation)}
 	if doubt != "" {
 		q.log("failure not counted as a crash", append(fields, zap.String("reason", doubt))...)
 		return
@@ -57,26 +67,31 @@
 	if record.New {
 		q.g.instruments.crashesRecorded.Inc(1)
 	}
-	q.log("crash recorded", append(fields, zap.Int("crashes", record.Count), zap.Bool("new", record.New))...)
+	q.log("crash recorded", append(fields, zap.Uint32("unseen-restarts", crash.UnseenRestarts), zap.Int("crashes", record.Count), zap.Bool("new", record.New))...)
 }
 
 // crashDoubt returns why the failure of an exchange isn't counted as a crash of
-// the upstream; empty if it is. The caller holds the gateway's mu.
-func (q *request) crashDoubt(view upstreamkeeper.View) string {
+// the upstream; empty if it is. An upstream that is gone or has restarted did
+// crash. One that is leaving is cut off at its end, so its failures count only in
+// the first half of the drain time, and after that if it fell silent before its
+// record was removed without an announcement. The caller holds the gateway's mu.
+func (q *request) crashDoubt(now time.Time, f failure) string {
 	if q.fingerprint == 0 {
 		return "request has no body"
 	}
-	if q.r.Context().Err() != nil {
+	if q.clientDisconnected() {
 		return "client disconnected"
 	}
-	known, ok := q.g.upstreams.Get(view.ID)
-	switch {
-	case !ok:
-		return "upstream is gone"
-	case !known.LeavingSince.IsZero():
-		return "upstream is leaving"
-	case known.Incarnation != view.Incarnation:
-		return "upstream has restarted"
+	known, ok := q.g.upstreams.Get(f.view.ID)
+	if !ok || known.Incarnation != f.view.Incarnation || known.LeavingSince.IsZero() {
+		return ""
+	}
+	draining := now.Sub(known.LeavingSince)
+	if draining <= q.g.Settings.Bounds.DrainTime/2 {
+		return ""
+	}
+	if known.LeaveAnnounced || f.lastEventAt.After(known.LeavingSince) {
+		return "upstream was leaving"
 	}
 	return ""
 }
@@ -101,7 +116,7 @@
 		g.mu.Unlock()
 		if record.New {
 			g.instruments.crashesLearned.Inc(1)
-			g.Logger.Info("crash learned", zap.String("from", string(from)), fingerprintField(c.Fingerprint), zap.String("upstream", string(c.Upstream)), zap.Int("crashes", record.Count))
+			g.Logger.Info("crash learned", zap.String("from", string(from)), fingerprintField(c.Fingerprint), zap.String("upstream", string(c.Upstream)), zap.Int64("incarnation", c.Incarnation), zap.Int("crashes", record.Count))
 		}
 	}
 }
--- /dev/null
+++ b/gateway/crash_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math/rand"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// crashTestUpstream is the upstream of the table below, of incarnation 1.
+const crashTestUpstream currantwood.UpstreamID = "u"
+
+// newCrashTestGateway returns a gateway that knows crashTestUpstream.
+func newCrashTestGateway() *Gateway {
+	decode := func(key string, value []byte) (currantwood.UpstreamRecord, error) {
+		record := currantwood.UpstreamRecord{ID: currantwood.UpstreamID(key)}
+		err := json.Unmarshal(value, &record)
+		return record, err
+	}
+	g := New(Options{
+		Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Decode: decode,
+		Now:      func() time.Time { return start.Add(10 * time.Second) },
+		Settings: currantwood.GatewaySettings{Bounds: currantwood.Bounds{DrainTime: 2 * time.Second}},
+	})
+	g.ApplyUpstreamRecords(start, []currantwood.KeyedRecord{upstreamRecord(1, 1, false)})
+	return g
+}
+
+// removed is the removal of crashTestUpstream's record.
+var removed = currantwood.KeyedRecord{Key: string(crashTestUpstream)}
+
+// changed returns a later record of crashTestUpstream.
+func changed(incarnation, sequence int64, leaving bool) *currantwood.KeyedRecord {
+	record := upstreamRecord(incarnation, sequence, leaving)
+	return &record
+}
+
+func upstreamRecord(incarnation, sequence int64, leaving bool) currantwood.KeyedRecord {
+	value, err := json.Marshal(currantwood.UpstreamRecord{Incarnation: incarnation, Sequence: sequence, Leaving: leaving})
+	if err != nil {
+		panic(err)
+	}
+	return currantwood.KeyedRecord{Key: string(crashTestUpstream), Value: value}
+}
+
+// A request that crashes an upstream must count whatever became of the upstream
+// since; an upstream that ends as announced must not count against the requests
+// that it cuts off.
+var _ = DescribeTable("the failure of an exchange counts as a crash",
+	func(after time.Duration, record *currantwood.KeyedRecord, lastEvent time.Duration, counts bool) {
+		g := newCrashTestGateway()
+		if record != nil {
+			g.ApplyUpstreamRecords(g.Now().Add(-after), []currantwood.KeyedRecord{*record})
+		}
+		q := &request{g: g, r: httptest.NewRequest("POST", "/", nil), fingerprint: 7}
+		f := failure{view: upstreamkeeper.View{UpstreamRecord: currantwood.UpstreamRecord{ID: crashTestUpstream, Incarnation: 1}}, sentAt: start, broken: true}
+		if lastEvent > 0 {
+			f.lastEventAt = g.Now().Add(-lastEvent)
+		}
+		q.recordCrash(f)
+		_, learned := g.crashes.RecordFailure(g.Now(), crashkeeper.Failure{Fingerprint: 7, Upstream: crashTestUpstream, Incarnation: 1, SentAt: start})
+		Expect(learned.New).To(Equal(!counts))
+	},
+	Entry("at an upstream that is ready", time.Duration(0), nil, time.Duration(0), true),
+	Entry("at one that has restarted since", time.Second, changed(2, 1, false), time.Duration(0), true),
+	Entry("at one that announced its leaving just now", 500*time.Millisecond, changed(1, 2, true), time.Duration(0), true),
+	Entry("not at one that announced its leaving and is due to end", 2*time.Second, changed(1, 2, true), time.Duration(0), false),
+	Entry("at one whose record was removed, and that was silent since before", 2*time.Second, &removed, 3*time.Second, true),
+	Entry("not at one whose record was removed, and that served on", 2*time.Second, &removed, time.Second, false),
+)
--- a/peermessenger/codec.go
+++ b/peermessenger/codec.go
@@ -31,7 +31,7 @@
 func encodeCrashes(crashes []crashkeeper.Crash) []*peerwire.Crash {
 	out := make([]*peerwire.Crash, 0, len(crashes))
 	for _, c := range crashes {
-		out = append(out, &peerwire.Crash{Request: uint64(c.Fingerprint), Upstream: string(c.Upstream)})
+		out = append(out, &peerwire.Crash{Request: uint64(c.Fingerprint), Upstream: string(c.Upstream), Incarnation: c.Incarnation, UnseenRestarts: c.UnseenRestarts})
 	}
 	return out
 }
@@ -39,7 +39,12 @@
 func decodeCrashes(crashes []*peerwire.Crash) []crashkeeper.Crash {
 	out := make([]crashkeeper.Crash, 0, len(crashes))
 	for _, c := range crashes {
-		out = append(out, crashkeeper.Crash{Fingerprint: currantwood.Fingerprint(c.GetRequest()), Upstream: currantwood.UpstreamID(c.GetUpstream())})
+		out = append(out, crashkeeper.Crash{
+			Fingerprint:    currantwood.Fingerprint(c.GetRequest()),
+			Upstream:       currantwood.UpstreamID(c.GetUpstream()),
+			Incarnation:    c.GetIncarnation(),
+			UnseenRestarts: c.GetUnseenRestarts(),
+		})
 	}
 	return out
 }
--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -68,6 +68,9 @@
 	// LeavingSince is when the upstream was first known to leave, by its
 	// announcement or by the removal of its record; zero if it isn't leaving.
 	LeavingSince time.Time
+	// LeaveAnnounced is whether the upstream announced its leaving itself. It is
+	// false if only its record was removed, as after a crash.
+	LeaveAnnounced bool
 	// Undecodable reports whether its newest record can't be decoded. It gets
 	// no new work until a valid record arrives.
 	Undecodable bool
@@ -78,9 +81,6 @@
 	view View
 	// removedAt is when the upstream was removed; zero while it isn't.
 	removedAt time.Time
-	// leaveAnnounced reports whether a removed upstream had announced its
-	// leaving. view.Leaving doesn't show this, as every removal sets it.
-	leaveAnnounced bool
 	// lapsedAt is when the record was found missing after an outage of the
 	// directory; zero while the record is present, and once the upstream is
 	// removed.
@@ -176,7 +176,7 @@
 // had only expired. An upstream that announced its leaving isn't restored; it is
 // forgotten after removedRetention.
 func (k *Keeper) restore(e *entry, record currantwood.UpstreamRecord) []Event {
-	if e.leaveAnnounced || record.Leaving {
+	if e.view.LeaveAnnounced || record.Leaving {
 		return nil
 	}
 	e.removedAt = time.Time{}
@@ -198,7 +198,7 @@
 // markLeaving marks the upstream as leaving since now.
 func (e *entry) markLeaving(now time.Time) []Event {
 	e.view.LeavingSince = now
-	e.view.Leaving = true
+	e.view.Leaving, e.view.LeaveAnnounced = true, true
 	return []Event{{Change: Leaving, Record: e.view.UpstreamRecord}}
 }
 
@@ -210,7 +210,7 @@
 	}
 	view := View{UpstreamRecord: record, WarmAt: now.Add(record.WarmUp)}
 	if record.Leaving {
-		view.LeavingSince = now
+		view.LeavingSince, view.LeaveAnnounced = now, true
 	}
 	k.entries[record.ID] = &entry{view: view}
 	if old != nil {
@@ -249,7 +249,6 @@
 // removedRetention.
 func (k *Keeper) markRemoved(now time.Time, e *entry) []Event {
 	e.removedAt = now
-	e.leaveAnnounced = e.view.Leaving
 	e.view.Leaving = true
 	if e.view.LeavingSince.IsZero() {
 		e.view.LeavingSince = now
