--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -23,8 +23,9 @@
 // newCrashTestGateway returns a gateway that knows crashTestUpstream.
 func newCrashTestGateway() *Gateway {
 	decode := func(key string, value []byte) (currantwood.UpstreamRecord, error) {
-		record := currantwood.UpstreamRecord{ID: currantwood.UpstreamID(key)}
+		var record currantwood.UpstreamRecord
 		err := json.Unmarshal(value, &record)
+		record.ID = currantwood.UpstreamID(key)
 		return record, err
 	}
 	g := New(Options{
