--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -30,8 +31,9 @@
 	}
 	g := New(Options{
 		Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Decode: decode,
-		Now:      func() time.Time { return start.Add(10 * time.Second) },
-		Settings: currantwood.GatewaySettings{Bounds: currantwood.Bounds{DrainTime: 2 * time.Second}},
+		Connections: connkeeper.New(time.Now),
+		Now:         func() time.Time { return start.Add(10 * time.Second) },
+		Settings:    currantwood.GatewaySettings{Bounds: currantwood.Bounds{DrainTime: 2 * time.Second}},
 	})
 	g.ApplyUpstreamRecords(start, []currantwood.KeyedRecord{upstreamRecord(1, 1, false)})
 	return g
