Crashes of requests without a body count

What callers saw: a request without a body reached upstreams 6 of 6 times though it crashed each. Cause: such requests had no fingerprint, as they were held to be too similar to tell apart, so nothing about them was recorded. Host and query were part of the fingerprint, so a request that came again by another of both wasn't known again. Change: the fingerprint is that of path, customer and body; without a body, of path, query and customer. What makes that safe for a path that many requests share: a request that an upstream runs to the end doesn't crash upstreams, so crashes before that no longer count at the gateway that saw it.

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -71,16 +71,36 @@
 	Count int
 }
 
+// request is a request that has crashed upstreams.
+type request struct {
+	// crashes holds its crashes and when each was first recorded here.
+	crashes map[crashKey]time.Time
+	// completedAt is when an upstream last ran it to the end; zero if none did.
+	completedAt time.Time
+}
+
+// counts reports whether a crash recorded at a time counts.
+func (r *request) counts(now, at time.Time) bool {
+	return now.Sub(at) <= crashLifetime && at.After(r.completedAt)
+}
+
 // Keeper holds recent crashes. It is not safe for concurrent use.
 type Keeper struct {
-	// crashes holds, for each request, its crashes and when each was first recorded
-	// here. It has at most maxRequests entries.
-	crashes map[currantwood.Fingerprint]map[crashKey]time.Time
+	// requests holds the requests that have crashed upstreams, at most maxRequests.
+	requests map[currantwood.Fingerprint]*request
 }
 
 // New returns a keeper without crashes.
 func New() *Keeper {
-	return &Keeper{crashes: make(map[currantwood.Fingerprint]map[crashKey]time.Time)}
+	return &Keeper{requests: make(map[currantwood.Fingerprint]*request)}
+}
+
+// RecordCompletion notes that an upstream ran a request to the end. What crashed
+// while it ran the request before did so for another reason, and no longer counts.
+func (k *Keeper) RecordCompletion(now time.Time, f currantwood.Fingerprint) {
+	if r := k.requests[f]; r != nil {
+		r.completedAt = now
+	}
 }
 
 // RecordFailure records a failed exchange as a crash of the upstream. A failure at
@@ -102,7 +122,11 @@
 // lastCrash returns the last known crash of the failure's upstream incarnation on
 // its request, and when it was recorded.
 func (k *Keeper) lastCrash(f Failure) (last crashKey, recordedAt time.Time, known bool) {
-	for key, at := range k.crashes[f.Fingerprint] {
+	r := k.requests[f.Fingerprint]
+	if r == nil {
+		return crashKey{}, time.Time{}, false
+	}
+	for key, at := range r.crashes {
 		if key.upstream == f.Upstream && key.incarnation == f.Incarnation && (!known || key.unseenRestarts > last.unseenRestarts) {
 			last, recordedAt, known = key, at, true
 		}
@@ -116,18 +140,20 @@
 // reached. While maxRequests requests have crashes that count, crashes on further
 // requests are ignored.
 func (k *Keeper) Record(now time.Time, c Crash) RecordResult {
-	if k.crashes[c.Fingerprint] == nil {
-		if len(k.crashes) >= maxRequests {
+	r := k.requests[c.Fingerprint]
+	if r == nil {
+		if len(k.requests) >= maxRequests {
 			k.deleteExpired(now)
 		}
-		if len(k.crashes) >= maxRequests {
+		if len(k.requests) >= maxRequests {
 			return RecordResult{}
 		}
-		k.crashes[c.Fingerprint] = make(map[crashKey]time.Time)
+		r = &request{crashes: make(map[crashKey]time.Time)}
+		k.requests[c.Fingerprint] = r
 	}
-	known := k.knows(c)
+	known := r.knows(c)
 	if !known {
-		k.crashes[c.Fingerprint][crashKey{c.Upstream, c.Incarnation, c.UnseenRestarts}] = now
+		r.crashes[crashKey{c.Upstream, c.Incarnation, c.UnseenRestarts}] = now
 	}
 	return RecordResult{New: !known, Count: k.count(now, c.Fingerprint)}
 }
@@ -135,12 +161,11 @@
 // knows reports whether a crash is recorded. A crash of an unknown incarnation is
 // taken for any other of the same upstream. If c has an incarnation and the
 // recorded crash doesn't, that one is forgotten in favor of c.
-func (k *Keeper) knows(c Crash) bool {
-	crashes := k.crashes[c.Fingerprint]
+func (r *request) knows(c Crash) bool {
 	if c.Incarnation != 0 {
-		delete(crashes, crashKey{upstream: c.Upstream})
+		delete(r.crashes, crashKey{upstream: c.Upstream})
 	}
-	for key := range crashes {
+	for key := range r.crashes {
 		if key.upstream == c.Upstream && (c.Incarnation == 0 || key.incarnation == c.Incarnation && key.unseenRestarts == c.UnseenRestarts) {
 			return true
 		}
@@ -149,10 +174,14 @@
 }
 
 // count returns the number of crashes of a request that count.
-func (k *Keeper) count(now time.Time, request currantwood.Fingerprint) int {
+func (k *Keeper) count(now time.Time, f currantwood.Fingerprint) int {
+	r := k.requests[f]
+	if r == nil {
+		return 0
+	}
 	count := 0
-	for _, at := range k.crashes[request] {
-		if now.Sub(at) <= crashLifetime {
+	for _, at := range r.crashes {
+		if r.counts(now, at) {
 			count++
 		}
 	}
@@ -161,22 +190,22 @@
 
 // deleteExpired deletes the crashes that no longer count.
 func (k *Keeper) deleteExpired(now time.Time) {
-	for request, crashes := range k.crashes {
-		for key, at := range crashes {
+	for f, r := range k.requests {
+		for key, at := range r.crashes {
 			if now.Sub(at) > crashLifetime {
-				delete(crashes, key)
+				delete(r.crashes, key)
 			}
 		}
-		if len(crashes) == 0 {
-			delete(k.crashes, request)
+		if len(r.crashes) == 0 {
+			delete(k.requests, f)
 		}
 	}
 }
 
 // Blocked reports whether so many upstreams have crashed while they ran a request
 // that it must not be sent to another.
-func (k *Keeper) Blocked(now time.Time, request currantwood.Fingerprint) bool {
-	return k.count(now, request) >= maxCrashes
+func (k *Keeper) Blocked(now time.Time, f currantwood.Fingerprint) bool {
+	return k.count(now, f) >= maxCrashes
 }
 
 // Recent returns the crashes to send to peers now: up to maxSent of those first
@@ -188,10 +217,10 @@
 		at    time.Time
 	}
 	var recent []recorded
-	for request, crashes := range k.crashes {
-		for key, at := range crashes {
+	for f, r := range k.requests {
+		for key, at := range r.crashes {
 			if now.Sub(at) <= sendWindow {
-				recent = append(recent, recorded{newCrash(request, key), at})
+				recent = append(recent, recorded{newCrash(f, key), at})
 			}
 		}
 	}
@@ -205,6 +234,6 @@
 	return crashes
 }
 
-func newCrash(request currantwood.Fingerprint, key crashKey) Crash {
-	return Crash{Fingerprint: request, Upstream: key.upstream, Incarnation: key.incarnation, UnseenRestarts: key.unseenRestarts}
+func newCrash(f currantwood.Fingerprint, key crashKey) Crash {
+	return Crash{Fingerprint: f, Upstream: key.upstream, Incarnation: key.incarnation, UnseenRestarts: key.unseenRestarts}
 }
--- a/crashkeeper/keeper_test.go
+++ b/crashkeeper/keeper_test.go
@@ -55,15 +55,29 @@
 		Entry("sent later, but given up here: it may only hang", time.Second, false, 1),
 	)
 
+	It("doesn't count the crashes before an upstream ran the request to its end", func() {
+		k := New()
+		for i, id := range []currantwood.UpstreamID{"a", "b", "c"} {
+			k.Record(start.Add(time.Duration(i)*time.Second), Crash{Fingerprint: 7, Upstream: id})
+		}
+		Expect(k.Blocked(start.Add(3*time.Second), 7)).To(BeTrue())
+		k.RecordCompletion(start.Add(3*time.Second), 7)
+		Expect(k.Blocked(start.Add(3*time.Second), 7)).To(BeFalse())
+		By("also if a peer reports one of them again")
+		Expect(k.Record(start.Add(4*time.Second), Crash{Fingerprint: 7, Upstream: "a"}).Count).To(BeZero())
+		By("but those after it")
+		Expect(k.Record(start.Add(5*time.Second), Crash{Fingerprint: 7, Upstream: "d"}).Count).To(Equal(1))
+	})
+
 	It("bounds the crashes that it keeps and sends to peers, and sends only recent ones", func() {
 		k := New()
 		for i := range currantwood.Fingerprint(2 * maxRequests) {
 			k.Record(start, Crash{Fingerprint: i, Upstream: "a"})
 		}
-		Expect(len(k.crashes)).To(Equal(maxRequests))
+		Expect(len(k.requests)).To(Equal(maxRequests))
 		Expect(k.Recent(start.Add(time.Second))).To(HaveLen(maxSent))
 		Expect(k.Recent(start.Add(time.Minute))).To(BeEmpty())
 		k.Record(start.Add(time.Hour), Crash{Fingerprint: 1 << 40, Upstream: "a"})
-		Expect(len(k.crashes)).To(Equal(1))
+		Expect(len(k.requests)).To(Equal(1))
 	})
 })
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -47,6 +47,7 @@
 	if err := q.readBody(); err != nil {
 		return err
 	}
+	q.fingerprint = q.computeFingerprint()
 	if refusal := q.checkServable(); refusal != nil {
 		return refusal
 	}
@@ -62,10 +63,9 @@
 // that the end of this process would cut off. All others it counts as requests
 // of their group, from which the retry budget is computed.
 func (q *request) checkServable() *gatewayResponse {
-	q.fingerprint = q.computeFingerprint()
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if q.fingerprint != 0 && q.g.crashes.Blocked(q.arrived, q.fingerprint) {
+	if q.g.crashes.Blocked(q.arrived, q.fingerprint) {
 		q.g.instruments.requestsBlocked.Inc(1)
 		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "request crashed its upstreams", fingerprint: q.fingerprint}
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -189,6 +189,9 @@
 // recordServed counts a response of an upstream that was passed on, whatever its
 // status.
 func (q *request) recordServed(choice balancer.Choice, status int) {
+	if status < http.StatusMultipleChoices {
+		q.recordCompletion()
+	}
 	q.g.instruments.served.Inc(1)
 	q.g.instruments.responseTime.Update(q.g.Now().Sub(q.arrived).Microseconds())
 	q.log("request served", zap.Int("status", status), zap.String("upstream", string(choice.View.ID)), zap.Int("sends", len(q.attempted)), zap.Float64("score", choice.Score), zap.Int("in-flight", choice.Load.Requests))
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,19 +13,21 @@
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
-// computeFingerprint hashes the host, path, query, customer and body. It returns
-// 0 for a request without a body, as such requests are too similar to tell
-// apart.
+// computeFingerprint hashes the path, the customer and the body. Without a body,
+// the query tells requests apart in its place. The host isn't included: a route
+// may move to another.
 func (q *request) computeFingerprint() currantwood.Fingerprint {
-	if len(q.body) == 0 {
-		return 0
+	path, query, _ := strings.Cut(q.requestTarget(), "?")
+	content := q.body
+	if len(content) == 0 {
+		content = []byte("?" + query)
 	}
 	h := xxhash.New()
-	for _, part := range []string{q.r.Host, q.requestTarget(), string(q.customer)} {
+	for _, part := range []string{path, string(q.customer)} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(q.body)
+	_, _ = h.Write(content)
 	return currantwood.Fingerprint(h.Sum64())
 }
 
@@ -76,9 +79,6 @@
 // the first half of the drain time, and after that if it fell silent before its
 // record was removed without an announcement. The caller holds the gateway's mu.
 func (q *request) crashDoubt(now time.Time, f failure) string {
-	if q.fingerprint == 0 {
-		return "request has no body"
-	}
 	if q.clientDisconnected() {
 		return "client disconnected"
 	}
@@ -96,6 +96,13 @@
 	return ""
 }
 
+// recordCompletion notes that an upstream ran the request to the end.
+func (q *request) recordCompletion() {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.g.crashes.RecordCompletion(q.g.Now(), q.fingerprint)
+}
+
 // fingerprintField formats a fingerprint for logs.
 func fingerprintField(f currantwood.Fingerprint) zap.Field {
 	return zap.String("fingerprint", strconv.FormatUint(uint64(f), 16))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -83,7 +83,7 @@
 	// deadline is when the response must be complete, body or stream included.
 	deadline time.Time
 	body     []byte
-	// fingerprint is the result of computeFingerprint; 0 if there is no body.
+	// fingerprint is the result of computeFingerprint; 0 until the body is read.
 	fingerprint currantwood.Fingerprint
 	// attempted lists the upstreams that were picked for the request, whether or
 	// not it reached them. The targets of moves aren't listed.
