Crashes that follow the leaving of the client count

What callers saw: a request whose clients give up early reached its upstream 7 of 7 times, though it crashed it each time after the client had left. Cause: once the client is gone the gateway stops the run, so it sees no failure, and what it did see was not recorded. Change: a run that is stopped since its client left is kept for 6 s (abandonkeeper, 64 an upstream). If the upstream turns out to have restarted, or its record is removed without an announcement, the run counts as its crash. If that is known already when the client leaves, it counts at once. Limit: during an outage of the store neither shows, so such a crash isn't counted then.

--- /dev/null
+++ b/abandonkeeper/keeper_test.go
@@ -0,0 +1,46 @@
+package abandonkeeper
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var _ = Describe("Keeper", func() {
+	DescribeTable("returns the runs that an upstream's end may be due to",
+		func(incarnation, running int64, after time.Duration, taken int) {
+			k := New()
+			k.Add("u", Run{Fingerprint: 7, Incarnation: incarnation, AbandonedAt: start})
+			Expect(k.Take(start.Add(after), "u", running)).To(HaveLen(taken))
+		},
+		Entry("it has restarted", int64(1), int64(2), time.Second, 1),
+		Entry("its record was removed", int64(1), int64(0), time.Second, 1),
+		Entry("the run was at the incarnation that still runs", int64(2), int64(2), time.Second, 0),
+		Entry("the run was abandoned long before", int64(1), int64(2), 7*time.Second, 0),
+	)
+
+	It("returns a run once, and only those of the upstream", func() {
+		k := New()
+		k.Add("u", Run{Fingerprint: 7, Incarnation: 1, AbandonedAt: start})
+		k.Add("v", Run{Fingerprint: 8, Incarnation: 1, AbandonedAt: start})
+		Expect(k.Take(start, "u", 0)).To(HaveLen(1))
+		Expect(k.Take(start, "u", 0)).To(BeEmpty())
+		Expect(k.Take(start, "v", 0)).To(HaveLen(1))
+	})
+
+	It("keeps the newest runs of an upstream, and none longer than retention", func() {
+		k := New()
+		for i := range 2 * maxRuns {
+			k.Add("u", Run{Fingerprint: currantwood.Fingerprint(i), AbandonedAt: start.Add(time.Duration(i) * time.Millisecond)})
+		}
+		Expect(k.runs["u"]).To(HaveLen(maxRuns))
+		Expect(k.runs["u"][0].Fingerprint).To(Equal(currantwood.Fingerprint(maxRuns)))
+		k.DeleteExpired(start.Add(retention + time.Second))
+		Expect(k.runs).To(BeEmpty())
+	})
+})
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/abandonkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -51,51 +52,86 @@
 }
 
 // recordCrash records the failure of an exchange as a crash of the upstream,
-// unless crashDoubt finds another reason.
+// unless crashDoubt finds another reason. If the client has left, the failure is
+// kept until the upstream turns out to have crashed; see recordAbandoned.
 func (q *request) recordCrash(f failure) {
 	q.g.mu.Lock()
 	now := q.g.Now()
-	doubt := q.crashDoubt(now, f)
+	if q.clientDisconnected() && !q.g.hasCrashed(f) {
+		q.g.abandoned.Add(f.view.ID, abandonkeeper.Run{Fingerprint: q.fingerprint, Incarnation: f.view.Incarnation, SentAt: f.sentAt, AbandonedAt: now})
+		q.g.mu.Unlock()
+		return
+	}
+	doubt := q.g.crashDoubt(now, f)
 	var crash crashkeeper.Crash
 	var record crashkeeper.RecordResult
 	if doubt == "" {
 		crash, record = q.g.crashes.RecordFailure(now, crashkeeper.Failure{Fingerprint: q.fingerprint, Upstream: f.view.ID, Incarnation: f.view.Incarnation, SentAt: f.sentAt, Broken: f.broken})
 	}
 	q.g.mu.Unlock()
-	fields := []zap.Field{fingerprintField(q.fingerprint), zap.String("upstream", string(f.view.ID)), zap.Int64("incarnation", f.view.Incarnation)}
 	if doubt != "" {
-		q.log("failure not counted as a crash", append(fields, zap.String("reason", doubt))...)
+		q.log("failure not counted as a crash", fingerprintField(q.fingerprint), zap.String("upstream", string(f.view.ID)), zap.Int64("incarnation", f.view.Incarnation), zap.String("reason", doubt))
 		return
 	}
-	if record.New {
-		q.g.instruments.crashesRecorded.Inc(1)
+	q.log("crash recorded", q.g.crashFields(crash, record)...)
+}
+
+// hasCrashed reports whether the upstream of a failed exchange is known to have
+// ended without an announcement. The caller holds mu.
+func (g *Gateway) hasCrashed(f failure) bool {
+	known, ok := g.upstreams.Get(f.view.ID)
+	if !ok || known.Incarnation != f.view.Incarnation {
+		return true
 	}
-	q.log("crash recorded", append(fields, zap.Uint32("unseen-restarts", crash.UnseenRestarts), zap.Int("crashes", record.Count), zap.Bool("new", record.New))...)
+	return !known.LeavingSince.IsZero() && !known.LeaveAnnounced && !f.lastEventAt.After(known.LeavingSince)
 }
 
 // crashDoubt returns why the failure of an exchange isn't counted as a crash of
-// the upstream; empty if it is. An upstream that is gone or has restarted did
-// crash. One that is leaving is cut off at its end, so its failures count only in
-// the first half of the drain time, and after that if it fell silent before its
-// record was removed without an announcement. The caller holds the gateway's mu.
-func (q *request) crashDoubt(now time.Time, f failure) string {
-	if q.clientDisconnected() {
-		return "client disconnected"
-	}
-	known, ok := q.g.upstreams.Get(f.view.ID)
-	if !ok || known.Incarnation != f.view.Incarnation || known.LeavingSince.IsZero() {
-		return ""
-	}
-	draining := now.Sub(known.LeavingSince)
-	if draining <= q.g.Settings.Bounds.DrainTime/2 {
+// the upstream; empty if it is. One that is leaving is cut off at its end, so its
+// failures count only in the first half of the drain time, and after that if it
+// fell silent before its record was removed without an announcement. The caller
+// holds mu.
+func (g *Gateway) crashDoubt(now time.Time, f failure) string {
+	if g.hasCrashed(f) {
 		return ""
 	}
-	if known.LeaveAnnounced || f.lastEventAt.After(known.LeavingSince) {
+	known, _ := g.upstreams.Get(f.view.ID)
+	if !known.LeavingSince.IsZero() && now.Sub(known.LeavingSince) > g.Settings.Bounds.DrainTime/2 {
 		return "upstream was leaving"
 	}
 	return ""
 }
 
+// recordAbandoned records the end of an upstream that wasn't announced as a crash
+// for each request that it may have run when its client left. record is that of
+// the new incarnation, or the last one if the upstream was removed.
+func (g *Gateway) recordAbandoned(now time.Time, record currantwood.UpstreamRecord) {
+	g.mu.Lock()
+	running := record.Incarnation
+	if view, ok := g.upstreams.Get(record.ID); !ok || !view.LeavingSince.IsZero() {
+		running = 0
+	}
+	runs := g.abandoned.Take(now, record.ID, running)
+	g.mu.Unlock()
+	for _, run := range runs {
+		g.mu.Lock()
+		crash, result := g.crashes.RecordFailure(now, crashkeeper.Failure{Fingerprint: run.Fingerprint, Upstream: record.ID, Incarnation: run.Incarnation, SentAt: run.SentAt})
+		g.mu.Unlock()
+		g.Logger.Info("crash recorded after the client had left", append(g.crashFields(crash, result), zap.Duration("since-client-left", now.Sub(run.AbandonedAt)))...)
+	}
+}
+
+// crashFields counts a crash seen by this gateway and returns its log fields.
+func (g *Gateway) crashFields(crash crashkeeper.Crash, record crashkeeper.RecordResult) []zap.Field {
+	if record.New {
+		g.instruments.crashesRecorded.Inc(1)
+	}
+	return []zap.Field{
+		fingerprintField(crash.Fingerprint), zap.String("upstream", string(crash.Upstream)), zap.Int64("incarnation", crash.Incarnation),
+		zap.Uint32("unseen-restarts", crash.UnseenRestarts), zap.Int("crashes", record.Count), zap.Bool("new", record.New),
+	}
+}
+
 // recordCompletion notes that an upstream ran the request to the end.
 func (q *request) recordCompletion() {
 	q.g.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/abandonkeeper"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/configkeeper"
@@ -48,9 +49,10 @@
 	// groupsVersion is the version of the configuration whose groups the
 	// balancer has; guarded by mu.
 	groupsVersion currantwood.ConfigurationVersion
-	// crashes and budget are guarded by mu.
-	crashes *crashkeeper.Keeper
-	budget  *budgeter.Budgeter
+	// crashes, abandoned and budget are guarded by mu.
+	crashes   *crashkeeper.Keeper
+	abandoned *abandonkeeper.Keeper
+	budget    *budgeter.Budgeter
 	// eventInterval is the moving average of the time between two events of a
 	// stream; guarded by mu.
 	eventInterval time.Duration
@@ -83,6 +85,7 @@
 		balancer:      balancer.New(options.Settings.Regions, options.Random),
 		streams:       make(map[currantwood.UpstreamID]map[*stream]struct{}),
 		crashes:       crashkeeper.New(),
+		abandoned:     abandonkeeper.New(),
 		eventInterval: initialEventInterval,
 		budget: budgeter.New(budgeter.Options{
 			Window:     options.Settings.Bounds.RetryWindow,
@@ -153,7 +156,7 @@
 			changed = append(changed, record)
 		}
 	}
-	g.handleEventsAndUnlock(events)
+	g.handleEventsAndUnlock(now, events)
 	return changed
 }
 
@@ -162,7 +165,7 @@
 func (g *Gateway) ReplaceUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) {
 	g.mu.Lock()
 	events := g.upstreams.Replace(now, records)
-	g.handleEventsAndUnlock(events)
+	g.handleEventsAndUnlock(now, events)
 	g.directoryLoaded.Store(true)
 }
 
@@ -199,7 +202,7 @@
 // ApplyUpstreamState applies the state that an upstream reported about itself.
 func (g *Gateway) ApplyUpstreamState(now time.Time, id currantwood.UpstreamID, state currantwood.UpstreamState) {
 	g.mu.Lock()
-	g.handleEventsAndUnlock(g.upstreams.ApplyState(now, id, state))
+	g.handleEventsAndUnlock(now, g.upstreams.ApplyState(now, id, state))
 }
 
 // Tick does the work that is due by time alone: it ejects stalled upstreams,
@@ -213,7 +216,8 @@
 		affected = append(affected, g.streamsAt(id)...)
 	}
 	events := g.upstreams.Tick(now)
-	g.handleEventsAndUnlock(events)
+	g.abandoned.DeleteExpired(now)
+	g.handleEventsAndUnlock(now, events)
 	for _, id := range stalled {
 		g.Logger.Warn("upstream makes no progress, excluded from balancing", zap.String("upstream", string(id)))
 	}
@@ -226,12 +230,16 @@
 // handleEventsAndUnlock updates the balancer and the connections, and moves
 // streams away from upstreams that leave or are gone. The caller holds mu,
 // which it releases.
-func (g *Gateway) handleEventsAndUnlock(events []upstreamkeeper.Event) {
+func (g *Gateway) handleEventsAndUnlock(now time.Time, events []upstreamkeeper.Event) {
 	if len(events) > 0 {
 		g.balancer.SetUpstreams(g.upstreams.Available())
 	}
 	var leaving []*stream
+	var crashed []currantwood.UpstreamRecord
 	for _, e := range events {
+		if g.endedUnannounced(e) {
+			crashed = append(crashed, e.Record)
+		}
 		if e.Change == upstreamkeeper.Leaving || e.Change == upstreamkeeper.Removed {
 			leaving = append(leaving, g.streamsAt(e.Record.ID)...)
 		}
@@ -243,9 +251,20 @@
 			g.Connections.CloseIdle(e.Record.Address)
 		}
 	}
+	for _, record := range crashed {
+		g.recordAbandoned(now, record)
+	}
 	g.moveStreams(leaving)
 }
 
+// endedUnannounced reports whether an event shows that an incarnation has ended
+// without an announcement: it restarted, or its record was removed. The caller
+// holds mu.
+func (g *Gateway) endedUnannounced(e upstreamkeeper.Event) bool {
+	view, _ := g.upstreams.Get(e.Record.ID)
+	return e.Change == upstreamkeeper.Restarted || e.Change == upstreamkeeper.Removed && !view.LeaveAnnounced
+}
+
 func (g *Gateway) streamsAt(id currantwood.UpstreamID) []*stream {
 	var list []*stream
 	for s := range g.streams[id] {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -254,6 +254,7 @@
 			}
 		}
 		if s.clientDisconnected() {
+			s.recordCrash(up.failure(s.ctx))
 			s.closeUpstream(up, balancer.Neutral)
 			s.g.instruments.clientDisconnects.Inc(1)
 			s.log("client disconnected", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()))
