crashkeeper: many failing requests no longer keep crashes from being recorded

What callers would see: while 4,096 requests have one failure each, as within minutes of partly failing upstreams (a failure counts for 10 minutes), a request that crashes upstreams is never blocked. Cause: with a full table, crashes on further requests were dropped. A crash older than 10 minutes stayed stored without counting, and hid its own repeat. Change: a full table forgets the requests with the fewest and oldest crashes, an eighth at a time; an expired crash counts again when it comes again.

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -22,6 +22,9 @@
 	sendWindow = 4 * time.Second
 	// maxRequests bounds the number of requests whose crashes are kept.
 	maxRequests = 4096
+	// evictedRequests is the number of requests that are forgotten at once when
+	// maxRequests have crashes, so that the table isn't sorted for each crash.
+	evictedRequests = maxRequests / 8
 	// maxSent bounds the number of crashes that Recent returns.
 	maxSent = 16
 	// minRestartTime is the shortest time in which an upstream is back after a
@@ -66,8 +69,7 @@
 type RecordResult struct {
 	// New is whether the crash was not known before.
 	New bool
-	// Count is the number of crashes of the request that count now; 0 if the crash
-	// was ignored since too many requests have crashes.
+	// Count is the number of crashes of the request that count now.
 	Count int
 }
 
@@ -135,22 +137,18 @@
 }
 
 // Record adds a crash. A crash that is known counts once, from the time of the
-// first record. A repeat is ignored as long as the first is stored; an expired one
-// stays stored until deleteExpired runs, which happens only when maxRequests is
-// reached. While maxRequests requests have crashes that count, crashes on further
-// requests are ignored.
+// first record, and again once that no longer counts. If maxRequests requests have
+// crashes, those least likely to be blocked are forgotten.
 func (k *Keeper) Record(now time.Time, c Crash) RecordResult {
 	r := k.requests[c.Fingerprint]
 	if r == nil {
 		if len(k.requests) >= maxRequests {
-			k.deleteExpired(now)
-		}
-		if len(k.requests) >= maxRequests {
-			return RecordResult{}
+			k.makeRoom(now)
 		}
 		r = &request{crashes: make(map[crashKey]time.Time)}
 		k.requests[c.Fingerprint] = r
 	}
+	r.deleteExpired(now)
 	known := r.knows(c)
 	if !known {
 		r.crashes[crashKey{c.Upstream, c.Incarnation, c.UnseenRestarts}] = now
@@ -188,17 +186,51 @@
 	return count
 }
 
-// deleteExpired deletes the crashes that no longer count.
-func (k *Keeper) deleteExpired(now time.Time) {
-	for f, r := range k.requests {
-		for key, at := range r.crashes {
-			if now.Sub(at) > crashLifetime {
-				delete(r.crashes, key)
-			}
+// deleteExpired deletes the crashes that no longer count by their age.
+func (r *request) deleteExpired(now time.Time) {
+	for key, at := range r.crashes {
+		if now.Sub(at) > crashLifetime {
+			delete(r.crashes, key)
+		}
+	}
+}
+
+// newest returns when the last of the crashes was recorded.
+func (r *request) newest() time.Time {
+	var newest time.Time
+	for _, at := range r.crashes {
+		if at.After(newest) {
+			newest = at
 		}
+	}
+	return newest
+}
+
+// makeRoom forgets the requests whose crashes no longer count and, if there are
+// fewer than evictedRequests, as many more: those with the fewest crashes first, and
+// of these the ones that crashed an upstream longest ago.
+func (k *Keeper) makeRoom(now time.Time) {
+	type candidate struct {
+		fingerprint currantwood.Fingerprint
+		count       int
+		newest      time.Time
+	}
+	var candidates []candidate
+	evicted := 0
+	for f, r := range k.requests {
+		r.deleteExpired(now)
 		if len(r.crashes) == 0 {
 			delete(k.requests, f)
+			evicted++
+			continue
 		}
+		candidates = append(candidates, candidate{f, k.count(now, f), r.newest()})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.count, b.count), a.newest.Compare(b.newest))
+	})
+	for _, c := range candidates[:max(0, evictedRequests-evicted)] {
+		delete(k.requests, c.fingerprint)
 	}
 }
 
