A timed-out run without a body counts as a crash only if its upstream ended

Change: such a run is kept like one whose client left, and counts when its upstream turns out to have restarted or its record is removed without an announcement. A connection broken off by the upstream still counts at once.

--- a/abandonkeeper/keeper.go
+++ b/abandonkeeper/keeper.go
@@ -1,6 +1,6 @@
-// Package abandonkeeper keeps the runs that a gateway stopped because their client
-// left. If the upstream then turns out to have crashed, one of them may be the
-// cause, which nothing else shows.
+// Package abandonkeeper keeps the runs that a gateway stopped, since the client had
+// left or the upstream didn't answer in time. If the upstream then turns out to have
+// crashed, one of them may be the cause, which nothing else shows.
 package abandonkeeper
 
 import (
@@ -17,7 +17,7 @@
 	maxRuns = 64
 )
 
-// Run is a run that was stopped because its client left.
+// Run is a run that was stopped.
 type Run struct {
 	Fingerprint currantwood.Fingerprint
 	Incarnation int64
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -52,12 +52,15 @@
 }
 
 // recordCrash records the failure of an exchange as a crash of the upstream,
-// unless crashDoubt finds another reason. If the client has left, the failure is
-// kept until the upstream turns out to have crashed; see recordAbandoned.
+// unless crashDoubt finds another reason. If this gateway stopped the run since the
+// client left, the run is kept until the upstream turns out to have crashed; see
+// recordAbandoned. So is one without a body that timed out: many requests may share
+// its path, and would all be blocked if the upstreams only hang.
 func (q *request) recordCrash(f failure) {
 	q.g.mu.Lock()
 	now := q.g.Now()
-	if q.clientDisconnected() && !q.g.hasCrashed(f) {
+	stopped := q.clientDisconnected() || !f.broken && len(q.body) == 0
+	if stopped && !q.g.hasCrashed(f) {
 		q.g.abandoned.Add(f.view.ID, abandonkeeper.Run{Fingerprint: q.fingerprint, Incarnation: f.view.Incarnation, SentAt: f.sentAt, AbandonedAt: now})
 		q.g.mu.Unlock()
 		return
@@ -103,7 +106,7 @@
 }
 
 // recordAbandoned records the end of an upstream that wasn't announced as a crash
-// for each request that it may have run when its client left. record is that of
+// for each request whose run there this gateway had stopped. record is that of
 // the new incarnation, or the last one if the upstream was removed.
 func (g *Gateway) recordAbandoned(now time.Time, record currantwood.UpstreamRecord) {
 	g.mu.Lock()
@@ -117,7 +120,7 @@
 		g.mu.Lock()
 		crash, result := g.crashes.RecordFailure(now, crashkeeper.Failure{Fingerprint: run.Fingerprint, Upstream: record.ID, Incarnation: run.Incarnation, SentAt: run.SentAt})
 		g.mu.Unlock()
-		g.Logger.Info("crash recorded after the client had left", append(g.crashFields(crash, result), zap.Duration("since-client-left", now.Sub(run.AbandonedAt)))...)
+		g.Logger.Info("crash recorded after the run was stopped", append(g.crashFields(crash, result), zap.Duration("since-stopped", now.Sub(run.AbandonedAt)))...)
 	}
 }
 
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -106,3 +106,22 @@
 	Expect(first.computeFingerprint()).NotTo(Equal(second.computeFingerprint()))
 	Expect(first.computeFingerprint()).To(Equal(again.computeFingerprint()))
 })
+
+// Many requests may share a path without a body. If upstreams hang they time out at
+// several, and must not be blocked for that; if the upstreams have crashed, they must.
+var _ = DescribeTable("a run without a body that timed out counts once its upstream turns out to have ended",
+	func(record *currantwood.KeyedRecord, counted int) {
+		g := newCrashTestGateway()
+		q := &request{g: g, r: httptest.NewRequest("GET", "/", nil), fingerprint: 7}
+		q.recordCrash(failure{view: upstreamkeeper.View{UpstreamRecord: currantwood.UpstreamRecord{ID: crashTestUpstream, Incarnation: 1}}, sentAt: start})
+		Expect(g.instruments.crashesRecorded.Count()).To(BeZero())
+		if record != nil {
+			g.ApplyUpstreamRecords(g.Now(), []currantwood.KeyedRecord{*record})
+		}
+		Expect(g.instruments.crashesRecorded.Count()).To(BeEquivalentTo(counted))
+	},
+	Entry("it goes on", nil, 0),
+	Entry("it restarts", changed(2, 1, false), 1),
+	Entry("its record is removed", &removed, 1),
+	Entry("it announces its leaving", changed(1, 2, true), 0),
+)
