Gateways send each other the crashes that one of them lacks

What callers saw: a request that had crashed three upstreams was sent on by a gateway that had been cut off, frozen or not yet started while the others were told. Cause: a crash was sent to peers for 4 s after it was first recorded, and never again. Change: states and digests carry a checksum of the crashes of all requests that have two or more (suspects). A gateway whose own differs sends the peer those that it may lack, up to 32 in 250 ms, in turn. Crashes carry their age, so that they don't live longer by being passed on. With equal sums nothing more is sent than before. Weighed: longer windows (only later, not never); all crashes in turn all the time (the same cost whether anything is missing or not).

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -17,8 +17,11 @@
 	maxCrashes = 3
 	// crashLifetime is how long a crash counts.
 	crashLifetime = 10 * time.Minute
+	// suspectCrashes is the number of crashes from which on a request is a suspect:
+	// all gateways must know of them, also those that start later.
+	suspectCrashes = 2
 	// sendWindow is how long a crash is sent to peers after it was first recorded
-	// here.
+	// here. Those of suspects are sent later, too, to peers that lack them.
 	sendWindow = 4 * time.Second
 	// maxRequests bounds the number of requests whose crashes are kept.
 	maxRequests = 4096
@@ -73,10 +76,23 @@
 	Count int
 }
 
+// AgedCrash is a crash and how long ago it was recorded first, at any gateway.
+type AgedCrash struct {
+	Crash
+	Age time.Duration
+}
+
+// crashTimes tells when a crash was recorded.
+type crashTimes struct {
+	// at is when it was recorded first, at any gateway; its lifetime counts from then.
+	at time.Time
+	// learnedAt is when it was recorded first here.
+	learnedAt time.Time
+}
+
 // request is a request that has crashed upstreams.
 type request struct {
-	// crashes holds its crashes and when each was first recorded here.
-	crashes map[crashKey]time.Time
+	crashes map[crashKey]crashTimes
 	// completedAt is when an upstream last ran it to the end; zero if none did.
 	completedAt time.Time
 }
@@ -118,7 +134,7 @@
 			c.UnseenRestarts++
 		}
 	}
-	return c, k.Record(now, c)
+	return c, k.Record(now, AgedCrash{Crash: c})
 }
 
 // lastCrash returns the last known crash of the failure's upstream incarnation on
@@ -128,32 +144,36 @@
 	if r == nil {
 		return crashKey{}, time.Time{}, false
 	}
-	for key, at := range r.crashes {
+	for key, times := range r.crashes {
 		if key.upstream == f.Upstream && key.incarnation == f.Incarnation && (!known || key.unseenRestarts > last.unseenRestarts) {
-			last, recordedAt, known = key, at, true
+			last, recordedAt, known = key, times.learnedAt, true
 		}
 	}
 	return last, recordedAt, known
 }
 
-// Record adds a crash. A crash that is known counts once, from the time of the
-// first record, and again once that no longer counts. If maxRequests requests have
+// Record adds a crash, seen here or reported by a peer. A crash that is known
+// counts once, from the time of its first record, and again once that no longer
+// counts. A report that is too old to count is ignored. If maxRequests requests have
 // crashes, those least likely to be blocked are forgotten.
-func (k *Keeper) Record(now time.Time, c Crash) RecordResult {
-	r := k.requests[c.Fingerprint]
+func (k *Keeper) Record(now time.Time, report AgedCrash) RecordResult {
+	if report.Age > crashLifetime {
+		return RecordResult{Count: k.count(now, report.Fingerprint)}
+	}
+	r := k.requests[report.Fingerprint]
 	if r == nil {
 		if len(k.requests) >= maxRequests {
 			k.makeRoom(now)
 		}
-		r = &request{crashes: make(map[crashKey]time.Time)}
-		k.requests[c.Fingerprint] = r
+		r = &request{crashes: make(map[crashKey]crashTimes)}
+		k.requests[report.Fingerprint] = r
 	}
 	r.deleteExpired(now)
-	known := r.knows(c)
+	known := r.knows(report.Crash)
 	if !known {
-		r.crashes[crashKey{c.Upstream, c.Incarnation, c.UnseenRestarts}] = now
+		r.crashes[crashKey{report.Upstream, report.Incarnation, report.UnseenRestarts}] = crashTimes{at: now.Add(-max(0, report.Age)), learnedAt: now}
 	}
-	return RecordResult{New: !known, Count: k.count(now, c.Fingerprint)}
+	return RecordResult{New: !known, Count: k.count(now, report.Fingerprint)}
 }
 
 // knows reports whether a crash is recorded. A crash of an unknown incarnation is
@@ -178,8 +198,8 @@
 		return 0
 	}
 	count := 0
-	for _, at := range r.crashes {
-		if r.counts(now, at) {
+	for _, times := range r.crashes {
+		if r.counts(now, times.at) {
 			count++
 		}
 	}
@@ -188,8 +208,8 @@
 
 // deleteExpired deletes the crashes that no longer count by their age.
 func (r *request) deleteExpired(now time.Time) {
-	for key, at := range r.crashes {
-		if now.Sub(at) > crashLifetime {
+	for key, times := range r.crashes {
+		if now.Sub(times.at) > crashLifetime {
 			delete(r.crashes, key)
 		}
 	}
@@ -198,9 +218,9 @@
 // newest returns when the last of the crashes was recorded.
 func (r *request) newest() time.Time {
 	var newest time.Time
-	for _, at := range r.crashes {
-		if at.After(newest) {
-			newest = at
+	for _, times := range r.crashes {
+		if times.at.After(newest) {
+			newest = times.at
 		}
 	}
 	return newest
@@ -243,29 +263,24 @@
 // Recent returns the crashes to send to peers now: up to maxSent of those first
 // recorded here within sendWindow, including those that peers reported, the newest
 // first.
-func (k *Keeper) Recent(now time.Time) []Crash {
-	type recorded struct {
-		crash Crash
-		at    time.Time
-	}
-	var recent []recorded
+func (k *Keeper) Recent(now time.Time) []AgedCrash {
+	var recent []AgedCrash
 	for f, r := range k.requests {
-		for key, at := range r.crashes {
-			if now.Sub(at) <= sendWindow {
-				recent = append(recent, recorded{newCrash(f, key), at})
+		for key, times := range r.crashes {
+			if now.Sub(times.learnedAt) <= sendWindow {
+				recent = append(recent, newAgedCrash(now, f, key, times))
 			}
 		}
 	}
-	slices.SortFunc(recent, func(a, b recorded) int {
-		return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.crash.Fingerprint, b.crash.Fingerprint))
+	slices.SortFunc(recent, func(a, b AgedCrash) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
-	var crashes []Crash
-	for _, r := range recent[:min(len(recent), maxSent)] {
-		crashes = append(crashes, r.crash)
-	}
-	return crashes
+	return recent[:min(len(recent), maxSent)]
 }
 
-func newCrash(f currantwood.Fingerprint, key crashKey) Crash {
-	return Crash{Fingerprint: f, Upstream: key.upstream, Incarnation: key.incarnation, UnseenRestarts: key.unseenRestarts}
+func newAgedCrash(now time.Time, f currantwood.Fingerprint, key crashKey, times crashTimes) AgedCrash {
+	return AgedCrash{
+		Crash: Crash{Fingerprint: f, Upstream: key.upstream, Incarnation: key.incarnation, UnseenRestarts: key.unseenRestarts},
+		Age:   now.Sub(times.at),
+	}
 }
--- a/crashkeeper/keeper_test.go
+++ b/crashkeeper/keeper_test.go
@@ -16,7 +16,7 @@
 		func(upstreams []string, after time.Duration, blocked bool) {
 			k := New()
 			for _, u := range upstreams {
-				k.Record(start, Crash{Fingerprint: 7, Upstream: currantwood.UpstreamID(u)})
+				k.Record(start, AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: currantwood.UpstreamID(u)}})
 			}
 			Expect(k.Blocked(start.Add(after), 7)).To(Equal(blocked))
 			Expect(k.Blocked(start.Add(after), 8)).To(BeFalse())
@@ -32,7 +32,7 @@
 			k := New()
 			var result RecordResult
 			for _, c := range crashes {
-				result = k.Record(start, c)
+				result = k.Record(start, AgedCrash{Crash: c})
 			}
 			Expect(result.Count).To(Equal(count))
 		},
@@ -58,29 +58,29 @@
 	It("doesn't count the crashes before an upstream ran the request to its end", func() {
 		k := New()
 		for i, id := range []currantwood.UpstreamID{"a", "b", "c"} {
-			k.Record(start.Add(time.Duration(i)*time.Second), Crash{Fingerprint: 7, Upstream: id})
+			k.Record(start.Add(time.Duration(i)*time.Second), AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: id}})
 		}
 		Expect(k.Blocked(start.Add(3*time.Second), 7)).To(BeTrue())
 		k.RecordCompletion(start.Add(3*time.Second), 7)
 		Expect(k.Blocked(start.Add(3*time.Second), 7)).To(BeFalse())
 		By("also if a peer reports one of them again")
-		Expect(k.Record(start.Add(4*time.Second), Crash{Fingerprint: 7, Upstream: "a"}).Count).To(BeZero())
+		Expect(k.Record(start.Add(4*time.Second), AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: "a"}}).Count).To(BeZero())
 		By("but those after it")
-		Expect(k.Record(start.Add(5*time.Second), Crash{Fingerprint: 7, Upstream: "d"}).Count).To(Equal(1))
+		Expect(k.Record(start.Add(5*time.Second), AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: "d"}}).Count).To(Equal(1))
 	})
 
 	It("still counts the crashes of a request while many others have one crash each", func() {
 		k := New()
 		for i := range currantwood.Fingerprint(maxRequests) {
-			k.Record(start, Crash{Fingerprint: 1000 + i, Upstream: "a"})
+			k.Record(start, AgedCrash{Crash: Crash{Fingerprint: 1000 + i, Upstream: "a"}})
 		}
 		for i, id := range []currantwood.UpstreamID{"a", "b", "c"} {
-			k.Record(start.Add(time.Duration(i)*time.Second), Crash{Fingerprint: 7, Upstream: id})
+			k.Record(start.Add(time.Duration(i)*time.Second), AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: id}})
 		}
 		Expect(k.Blocked(start.Add(3*time.Second), 7)).To(BeTrue())
 		By("also after as many new ones")
 		for i := range currantwood.Fingerprint(maxRequests) {
-			k.Record(start.Add(4*time.Second), Crash{Fingerprint: 10_000 + i, Upstream: "a"})
+			k.Record(start.Add(4*time.Second), AgedCrash{Crash: Crash{Fingerprint: 10_000 + i, Upstream: "a"}})
 		}
 		Expect(k.Blocked(start.Add(5*time.Second), 7)).To(BeTrue())
 	})
@@ -88,22 +88,22 @@
 	It("counts a crash again that was recorded so long ago that it no longer counts", func() {
 		k := New()
 		for range 2 {
-			k.Record(start, Crash{Fingerprint: 7, Upstream: "a"})
+			k.Record(start, AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: "a"}})
 		}
 		later := start.Add(crashLifetime + time.Second)
-		Expect(k.Record(later, Crash{Fingerprint: 7, Upstream: "a"})).To(Equal(RecordResult{New: true, Count: 1}))
+		Expect(k.Record(later, AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: "a"}})).To(Equal(RecordResult{New: true, Count: 1}))
 	})
 
 	It("bounds the crashes that it keeps and sends to peers, and sends only recent ones", func() {
 		k := New()
 		for i := range currantwood.Fingerprint(2 * maxRequests) {
-			k.Record(start, Crash{Fingerprint: i, Upstream: "a"})
+			k.Record(start, AgedCrash{Crash: Crash{Fingerprint: i, Upstream: "a"}})
 		}
 		Expect(len(k.requests)).To(And(BeNumerically("<=", maxRequests), BeNumerically(">", maxRequests-evictedRequests)))
 		Expect(k.Recent(start.Add(time.Second))).To(HaveLen(maxSent))
 		Expect(k.Recent(start.Add(time.Minute))).To(BeEmpty())
 		for i := range currantwood.Fingerprint(evictedRequests) {
-			k.Record(start.Add(time.Hour), Crash{Fingerprint: 1<<40 + i, Upstream: "a"})
+			k.Record(start.Add(time.Hour), AgedCrash{Crash: Crash{Fingerprint: 1<<40 + i, Upstream: "a"}})
 		}
 		Expect(len(k.requests)).To(BeNumerically("<=", evictedRequests))
 	})
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -148,21 +148,36 @@
 }
 
 // RecentCrashes returns the recent crashes to report to other gateways.
-func (g *Gateway) RecentCrashes(now time.Time) []crashkeeper.Crash {
+func (g *Gateway) RecentCrashes(now time.Time) []crashkeeper.AgedCrash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.crashes.Recent(now)
 }
 
-// RecordCrashes records crashes that another gateway has seen.
-func (g *Gateway) RecordCrashes(now time.Time, from currantwood.VMID, crashes []crashkeeper.Crash) {
-	for _, c := range crashes {
+// CrashSum returns a checksum of the crashes that all gateways must know.
+func (g *Gateway) CrashSum(now time.Time) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crashes.Sum(now)
+}
+
+// SuspectCrashes returns up to limit of the crashes that all gateways must know,
+// those after a fingerprint, and the last fingerprint included.
+func (g *Gateway) SuspectCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crashes.SuspectReports(now, after, limit)
+}
+
+// RecordCrashes records crashes that another gateway has reported.
+func (g *Gateway) RecordCrashes(now time.Time, from currantwood.VMID, reports []crashkeeper.AgedCrash) {
+	for _, r := range reports {
 		g.mu.Lock()
-		record := g.crashes.Record(now, c)
+		record := g.crashes.Record(now, r)
 		g.mu.Unlock()
 		if record.New {
 			g.instruments.crashesLearned.Inc(1)
-			g.Logger.Info("crash learned", zap.String("from", string(from)), fingerprintField(c.Fingerprint), zap.String("upstream", string(c.Upstream)), zap.Int64("incarnation", c.Incarnation), zap.Int("crashes", record.Count))
+			g.Logger.Info("crash learned", zap.String("from", string(from)), fingerprintField(r.Fingerprint), zap.String("upstream", string(r.Upstream)), zap.Int64("incarnation", r.Incarnation), zap.Duration("age", r.Age), zap.Int("crashes", record.Count))
 		}
 	}
 }
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -71,6 +71,8 @@
 	Loads      balancer.Loads
 	// RetryUsage is what the sender sent to each group within the retry window.
 	RetryUsage budgeter.GroupUsage
+	// CrashSum is a checksum of the crashes that all gateways must know.
+	CrashSum uint64
 }
 
 // Peer is a gateway and its address.
@@ -92,11 +94,45 @@
 	Peer
 	// lastSeen is when its last message or the last referral to it arrived.
 	lastSeen time.Time
+	// crashesSentAt is when crashes that it may lack were sent to it last, and
+	// lastCrashSent the last fingerprint among them.
+	crashesSentAt time.Time
+	lastCrashSent currantwood.Fingerprint
 	// state is zero if none was received. It may be older than its predecessor
 	// if they arrived out of order.
 	state State
 }
 
+// crashSyncInterval is the shortest time between two sets of crashes that are sent
+// to a gateway that may lack them.
+const crashSyncInterval = 250 * time.Millisecond
+
+// SetCrashSum sets the checksum of the crashes that a gateway knows, from its
+// digest.
+func (k *Keeper) SetCrashSum(id currantwood.VMID, sum uint64) {
+	if entry := k.peers[id]; entry != nil {
+		entry.state.CrashSum = sum
+	}
+}
+
+// CrashesDue reports whether a gateway may lack crashes that this one knows and has
+// to be sent some now. sum is the checksum of those that this one knows. after is
+// the last fingerprint sent to it.
+func (k *Keeper) CrashesDue(now time.Time, id currantwood.VMID, sum uint64) (after currantwood.Fingerprint, due bool) {
+	entry := k.peers[id]
+	if entry == nil || sum == 0 || entry.state.CrashSum == sum || now.Sub(entry.crashesSentAt) < crashSyncInterval {
+		return 0, false
+	}
+	return entry.lastCrashSent, true
+}
+
+// MarkCrashesSent notes that crashes up to a fingerprint were sent to a gateway.
+func (k *Keeper) MarkCrashesSent(now time.Time, id currantwood.VMID, last currantwood.Fingerprint) {
+	if entry := k.peers[id]; entry != nil {
+		entry.crashesSentAt, entry.lastCrashSent = now, last
+	}
+}
+
 // retainedRecord is a record of the directory and when it was read.
 type retainedRecord struct {
 	addedAt time.Time
--- a/peermessenger/codec.go
+++ b/peermessenger/codec.go
@@ -1,6 +1,8 @@
 package peermessenger
 
 import (
+	"time"
+
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
@@ -28,22 +30,25 @@
 	return out
 }
 
-func encodeCrashes(crashes []crashkeeper.Crash) []*peerwire.Crash {
-	out := make([]*peerwire.Crash, 0, len(crashes))
-	for _, c := range crashes {
-		out = append(out, &peerwire.Crash{Request: uint64(c.Fingerprint), Upstream: string(c.Upstream), Incarnation: c.Incarnation, UnseenRestarts: c.UnseenRestarts})
+func encodeCrashes(reports []crashkeeper.AgedCrash) []*peerwire.Crash {
+	out := make([]*peerwire.Crash, 0, len(reports))
+	for _, r := range reports {
+		out = append(out, &peerwire.Crash{Request: uint64(r.Fingerprint), Upstream: string(r.Upstream), Incarnation: r.Incarnation, UnseenRestarts: r.UnseenRestarts, AgeMs: r.Age.Milliseconds()})
 	}
 	return out
 }
 
-func decodeCrashes(crashes []*peerwire.Crash) []crashkeeper.Crash {
-	out := make([]crashkeeper.Crash, 0, len(crashes))
+func decodeCrashes(crashes []*peerwire.Crash) []crashkeeper.AgedCrash {
+	out := make([]crashkeeper.AgedCrash, 0, len(crashes))
 	for _, c := range crashes {
-		out = append(out, crashkeeper.Crash{
-			Fingerprint:    currantwood.Fingerprint(c.GetRequest()),
-			Upstream:       currantwood.UpstreamID(c.GetUpstream()),
-			Incarnation:    c.GetIncarnation(),
-			UnseenRestarts: c.GetUnseenRestarts(),
+		out = append(out, crashkeeper.AgedCrash{
+			Crash: crashkeeper.Crash{
+				Fingerprint:    currantwood.Fingerprint(c.GetRequest()),
+				Upstream:       currantwood.UpstreamID(c.GetUpstream()),
+				Incarnation:    c.GetIncarnation(),
+				UnseenRestarts: c.GetUnseenRestarts(),
+			},
+			Age: time.Duration(c.GetAgeMs()) * time.Millisecond,
 		})
 	}
 	return out
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -2,7 +2,7 @@
 // gateway sends its state to the collector: its loads, its retry usage (what it
 // sent to each group within the retry window) and recent crashes. The collector's
 // digest returns the summed loads and retry usage of all others, the recent
-// crashes that the collector knows, the number of gateways, the directory records
+// crashes that the collector knows and those that the gateway lacks, the number of gateways, the directory records
 // that it read and the version and age of its configuration. A gateway that isn't
 // the collector answers a state with a referral to the collector that it knows.
 package peermessenger
@@ -36,6 +36,9 @@
 	// the collector to read the directory. The digest must cover an offset range
 	// that leaves no gap; the range may be empty.
 	coverageTimeout = 700 * time.Millisecond
+	// maxMissingCrashes bounds the crashes in one datagram that the receiver may
+	// lack. A crash takes about 45 bytes.
+	maxMissingCrashes = 32
 )
 
 // Gateway is the part of this process whose state is exchanged. Its methods
@@ -52,9 +55,14 @@
 	// is the number of gateways, including this one.
 	SetPeerRetryUsage(now time.Time, usage budgeter.GroupUsage, gateways int)
 	// RecentCrashes returns the crashes that other gateways should learn of.
-	RecentCrashes(now time.Time) []crashkeeper.Crash
+	RecentCrashes(now time.Time) []crashkeeper.AgedCrash
+	// CrashSum returns a checksum of the crashes that all gateways must know.
+	CrashSum(now time.Time) uint64
+	// SuspectCrashes returns up to limit of these crashes, those after a
+	// fingerprint, and the last fingerprint included.
+	SuspectCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint)
 	// RecordCrashes records the crashes that another gateway sent.
-	RecordCrashes(now time.Time, from currantwood.VMID, crashes []crashkeeper.Crash)
+	RecordCrashes(now time.Time, from currantwood.VMID, reports []crashkeeper.AgedCrash)
 }
 
 // Configuration is the configuration that this gateway holds.
@@ -255,16 +263,35 @@
 
 // buildState returns the state of this gateway.
 func (m *Messenger) buildState(now time.Time, storeReachable bool, loads balancer.Loads) *peerwire.State {
+	sum := m.Gateway.CrashSum(now)
+	m.mu.Lock()
+	collector, _ := m.peers.OtherCollector(now)
+	missing := m.missingCrashes(now, collector.VM, sum)
+	m.mu.Unlock()
 	return &peerwire.State{
-		SentAt:  now.UnixNano(),
-		Store:   storeReachable,
-		Next:    uint64(m.directoryTopic.Position()),
-		Loads:   encodeLoads(loads),
-		Crashes: encodeCrashes(m.Gateway.RecentCrashes(now)),
-		Uses:    encodeRetryUsage(m.Gateway.RetryUsage(now)),
+		SentAt:   now.UnixNano(),
+		Store:    storeReachable,
+		Next:     uint64(m.directoryTopic.Position()),
+		Loads:    encodeLoads(loads),
+		Crashes:  encodeCrashes(append(m.Gateway.RecentCrashes(now), missing...)),
+		Uses:     encodeRetryUsage(m.Gateway.RetryUsage(now)),
+		CrashSum: sum,
 	}
 }
 
+// missingCrashes returns crashes that a peer may lack, as its checksum differs from
+// sum, this gateway's own. It returns none if the peer is unknown or was sent some a
+// moment ago. Called with mu held.
+func (m *Messenger) missingCrashes(now time.Time, peer currantwood.VMID, sum uint64) []crashkeeper.AgedCrash {
+	after, due := m.peers.CrashesDue(now, peer, sum)
+	if !due {
+		return nil
+	}
+	reports, last := m.Gateway.SuspectCrashes(now, after, maxMissingCrashes)
+	m.peers.MarkCrashesSent(now, peer, last)
+	return reports
+}
+
 // sendDigests sends a digest to each recipient if this gateway is the
 // collector, and applies the sums of the others' loads and retry usage to its
 // own process.
@@ -278,9 +305,12 @@
 	recipients := m.peers.DigestRecipients(now)
 	m.mu.Unlock()
 	own, usage := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now)
-	crashes := encodeCrashes(m.Gateway.RecentCrashes(now))
+	crashes, sum := encodeCrashes(m.Gateway.RecentCrashes(now)), m.Gateway.CrashSum(now)
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
-		digest.Crashes = crashes
+		m.mu.Lock()
+		missing := m.missingCrashes(now, recipients[i].VM, sum)
+		m.mu.Unlock()
+		digest.Crashes, digest.CrashSum = append(encodeCrashes(missing), crashes...), sum
 		m.send(recipients[i].Address, &peerwire.Datagram{Body: &peerwire.Datagram_Digest{Digest: digest}})
 	}
 	m.mu.Lock()
@@ -383,6 +413,7 @@
 		NextOffset:     currantwood.Offset(s.GetNext()),
 		Loads:          decodeLoads(s.GetLoads()),
 		RetryUsage:     decodeRetryUsage(s.GetUses()),
+		CrashSum:       s.GetCrashSum(),
 	})
 	collector, known := m.peers.OtherCollector(now)
 	m.mu.Unlock()
@@ -400,6 +431,7 @@
 	accepted := m.peers.AcceptDigest(now, from, m.storeReachable())
 	if accepted {
 		m.peers.SetDigestGateways(int(d.GetGateways()))
+		m.peers.SetCrashSum(from.VM, d.GetCrashSum())
 	}
 	m.mu.Unlock()
 	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(d.GetCrashes()))
