Crashes of suspects are kept in the store and read before a gateway serves

What callers saw: after all gateways were replaced at once, or through one that had just started, a request that had crashed three upstreams reached one more per process and crash, three for each set of processes. Cause: who had crashed whom was held in the processes' memory alone, and a new process served before it had heard anything. Change: the collector saves the crashes of each request that has two or more in a keyed topic (crashsaver, crashencoder), with the time of day, and deletes them once all have expired. Each gateway reads the topic before it sends its first request, for at most 2 s after it has a configuration; the collector goes on reading, so that gateways that don't reach each other learn of them too. A topic that is known to be empty counts as known, so that only the collector reads on. An outage is longer than the wait of a read. Weighed: every crash saved (an append for each failure of an upstream that fails in part); saved by each gateway (as many appends as gateways). Limit: what was seen in the last 200 ms before all gateways end isn't saved; at most three sends more can follow, as many as the bound allows.

--- a/cmd/currantwood/gateway.go
+++ b/cmd/currantwood/gateway.go
@@ -36,10 +36,10 @@
 	// gatewayIdleTimeout is how long an idle connection to the store or to an
 	// upstream is kept open.
 	gatewayIdleTimeout = 20 * time.Second
-	// maxIdleToStore is the maximum number of idle connections to the store. Two
-	// watchers, of the configuration and of the directory, each have at most one
-	// read in progress.
-	maxIdleToStore = 2
+	// maxIdleToStore is the maximum number of idle connections to the store. Three
+	// watchers, of the configuration, the directory and the crashes of requests, each
+	// have at most one read in progress, and one append of crashes may be.
+	maxIdleToStore = 4
 	// maxIdleToUpstream is the maximum number of idle connections to an upstream.
 	// At most one request for its state is in progress.
 	maxIdleToUpstream = 1
@@ -69,10 +69,12 @@
 	logger, flush := gatewayLogger()
 	defer flush()
 	upstreams := upstreamclient.New(gatewayTransport(maxIdleToUpstream))
+	store := storeclient.New(settings.StoreAddress, gatewayTransport(maxIdleToStore))
 	gateway, err := gatewaystarter.New(gatewaystarter.Options{
 		Settings:           settings,
 		Logger:             logger,
-		Store:              storeclient.New(settings.StoreAddress, gatewayTransport(maxIdleToStore)),
+		Store:              store,
+		Writer:             store,
 		Coder:              headercoder.Coder{},
 		Mover:              upstreams,
 		States:             upstreams,
@@ -80,6 +82,7 @@
 		ConfigurationTopic: storeclient.ConfigurationTopic,
 		ConfigurationKey:   storeclient.ConfigurationKey,
 		UpstreamTopic:      storeclient.UpstreamTopic,
+		CrashTopic:         storeclient.CrashTopic,
 	})
 	if err != nil {
 		return err
--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -68,6 +68,8 @@
 	unseenRestarts uint32
 }
 
+func (c Crash) key() crashKey { return crashKey{c.Upstream, c.Incarnation, c.UnseenRestarts} }
+
 // RecordResult is what a call of Record did.
 type RecordResult struct {
 	// New is whether the crash was not known before.
@@ -93,6 +95,9 @@
 // request is a request that has crashed upstreams.
 type request struct {
 	crashes map[crashKey]crashTimes
+	// savedSum is the checksum of the crashes that are saved in the store; 0 if none
+	// are.
+	savedSum uint64
 	// completedAt is when an upstream last ran it to the end; zero if none did.
 	completedAt time.Time
 }
@@ -106,11 +111,14 @@
 type Keeper struct {
 	// requests holds the requests that have crashed upstreams, at most maxRequests.
 	requests map[currantwood.Fingerprint]*request
+	// suspects holds those of requests that were suspects when a crash was last
+	// recorded, and those with saved crashes.
+	suspects map[currantwood.Fingerprint]*request
 }
 
 // New returns a keeper without crashes.
 func New() *Keeper {
-	return &Keeper{requests: make(map[currantwood.Fingerprint]*request)}
+	return &Keeper{requests: make(map[currantwood.Fingerprint]*request), suspects: make(map[currantwood.Fingerprint]*request)}
 }
 
 // RecordCompletion notes that an upstream ran a request to the end. What crashed
@@ -154,26 +162,29 @@
 
 // Record adds a crash, seen here or reported by a peer. A crash that is known
 // counts once, from the time of its first record, and again once that no longer
-// counts. A report that is too old to count is ignored. If maxRequests requests have
+// counts. A crash that is too old to count is ignored. If maxRequests requests have
 // crashes, those least likely to be blocked are forgotten.
-func (k *Keeper) Record(now time.Time, report AgedCrash) RecordResult {
-	if report.Age > crashLifetime {
-		return RecordResult{Count: k.count(now, report.Fingerprint)}
+func (k *Keeper) Record(now time.Time, c AgedCrash) RecordResult {
+	if c.Age > crashLifetime {
+		return RecordResult{Count: k.count(now, c.Fingerprint)}
 	}
-	r := k.requests[report.Fingerprint]
+	r := k.requests[c.Fingerprint]
 	if r == nil {
 		if len(k.requests) >= maxRequests {
 			k.makeRoom(now)
 		}
 		r = &request{crashes: make(map[crashKey]crashTimes)}
-		k.requests[report.Fingerprint] = r
+		k.requests[c.Fingerprint] = r
 	}
 	r.deleteExpired(now)
-	known := r.knows(report.Crash)
+	known := r.knows(c.Crash)
 	if !known {
-		r.crashes[crashKey{report.Upstream, report.Incarnation, report.UnseenRestarts}] = crashTimes{at: now.Add(-max(0, report.Age)), learnedAt: now}
+		r.crashes[c.key()] = crashTimes{at: now.Add(-max(0, c.Age)), learnedAt: now}
+	}
+	if r.isSuspect() {
+		k.suspects[c.Fingerprint] = r
 	}
-	return RecordResult{New: !known, Count: k.count(now, report.Fingerprint)}
+	return RecordResult{New: !known, Count: k.count(now, c.Fingerprint)}
 }
 
 // knows reports whether a crash is recorded. A crash of an unknown incarnation is
@@ -240,7 +251,7 @@
 	for f, r := range k.requests {
 		r.deleteExpired(now)
 		if len(r.crashes) == 0 {
-			delete(k.requests, f)
+			k.forget(f)
 			evicted++
 			continue
 		}
@@ -250,8 +261,23 @@
 		return cmp.Or(cmp.Compare(a.count, b.count), a.newest.Compare(b.newest))
 	})
 	for _, c := range candidates[:max(0, evictedRequests-evicted)] {
-		delete(k.requests, c.fingerprint)
+		k.forget(c.fingerprint)
+	}
+}
+
+// forget forgets a request.
+func (k *Keeper) forget(f currantwood.Fingerprint) {
+	delete(k.requests, f)
+	delete(k.suspects, f)
+}
+
+// forgetSuspect notes that a request isn't a suspect, and forgets it if it has no
+// crashes.
+func (k *Keeper) forgetSuspect(f currantwood.Fingerprint) {
+	if len(k.requests[f].crashes) == 0 {
+		k.forget(f)
 	}
+	delete(k.suspects, f)
 }
 
 // Blocked reports whether so many upstreams have crashed while they ran a request
--- a/crashkeeper/sync.go
+++ b/crashkeeper/sync.go
@@ -14,76 +14,67 @@
 // same have the same sum. It is 0 if there are none.
 func (k *Keeper) Sum(now time.Time) uint64 {
 	sum := uint64(0)
-	for f, r := range k.requests {
-		if r.isSuspect(now) {
-			sum ^= r.sum(now, f)
+	for f, r := range k.suspects {
+		r.deleteExpired(now)
+		if r.isSuspect() {
+			sum ^= r.sum(f)
 		}
 	}
 	return sum
 }
 
-// SuspectReports returns up to limit crashes of suspects, whole requests at a time
+// SuspectCrashes returns up to limit crashes of suspects, whole requests at a time
 // and at least one request, in order of fingerprint. It starts after the fingerprint
 // after, continues from the lowest once it has reached the highest, and returns the
 // last fingerprint included.
-func (k *Keeper) SuspectReports(now time.Time, after currantwood.Fingerprint, limit int) ([]AgedCrash, currantwood.Fingerprint) {
-	suspects := k.suspects(now)
+func (k *Keeper) SuspectCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]AgedCrash, currantwood.Fingerprint) {
+	suspects := k.sortedSuspects(now)
 	first, _ := slices.BinarySearch(suspects, after+1)
-	var reports []AgedCrash
+	var crashes []AgedCrash
 	for i := range suspects {
 		f := suspects[(first+i)%len(suspects)]
-		more := k.requests[f].reports(now, f)
-		if len(reports) > 0 && len(reports)+len(more) > limit {
+		more := k.requests[f].aged(now, f)
+		if len(crashes) > 0 && len(crashes)+len(more) > limit {
 			break
 		}
-		reports = append(reports, more...)
+		crashes = append(crashes, more...)
 		after = f
 	}
-	return reports, after
+	return crashes, after
 }
 
-// suspects returns the fingerprints of all suspects in ascending order.
-func (k *Keeper) suspects(now time.Time) []currantwood.Fingerprint {
-	var suspects []currantwood.Fingerprint
-	for f, r := range k.requests {
-		if r.isSuspect(now) {
-			suspects = append(suspects, f)
+// sortedSuspects returns the fingerprints of all suspects in ascending order.
+func (k *Keeper) sortedSuspects(now time.Time) []currantwood.Fingerprint {
+	var sorted []currantwood.Fingerprint
+	for f, r := range k.suspects {
+		r.deleteExpired(now)
+		if r.isSuspect() {
+			sorted = append(sorted, f)
 		}
 	}
-	slices.Sort(suspects)
-	return suspects
+	slices.Sort(sorted)
+	return sorted
 }
 
-// isSuspect reports whether the request has suspectCrashes that haven't expired.
-// Those from before a completion are included: the completion is known only here.
-func (r *request) isSuspect(now time.Time) bool {
-	if len(r.crashes) < suspectCrashes {
-		return false
-	}
-	r.deleteExpired(now)
-	return len(r.crashes) >= suspectCrashes
-}
+// isSuspect reports whether the request has suspectCrashes. Those from before a
+// completion are included: the completion is known only here.
+func (r *request) isSuspect() bool { return len(r.crashes) >= suspectCrashes }
 
-// reports returns the crashes of the request with the fingerprint f.
-func (r *request) reports(now time.Time, f currantwood.Fingerprint) []AgedCrash {
-	reports := make([]AgedCrash, 0, len(r.crashes))
+// aged returns the crashes of the request with the fingerprint f.
+func (r *request) aged(now time.Time, f currantwood.Fingerprint) []AgedCrash {
+	crashes := make([]AgedCrash, 0, len(r.crashes))
 	for key, times := range r.crashes {
-		if now.Sub(times.at) <= crashLifetime {
-			reports = append(reports, newAgedCrash(now, f, key, times))
-		}
+		crashes = append(crashes, newAgedCrash(now, f, key, times))
 	}
-	return reports
+	return crashes
 }
 
 // sum returns a checksum of the crashes of the request with the fingerprint f,
-// whatever their order.
-func (r *request) sum(now time.Time, f currantwood.Fingerprint) uint64 {
+// whatever their order; 0 if there are none.
+func (r *request) sum(f currantwood.Fingerprint) uint64 {
 	sum := uint64(0)
 	var buffer []byte
-	for key, times := range r.crashes {
-		if now.Sub(times.at) > crashLifetime {
-			continue
-		}
+	for key := range r.crashes {
 		buffer = binary.BigEndian.AppendUint64(buffer[:0], uint64(f))
 		buffer = binary.BigEndian.AppendUint64(buffer, uint64(key.incarnation))
 		buffer = binary.BigEndian.AppendUint32(buffer, key.unseenRestarts)
--- a/crashkeeper/sync_test.go
+++ b/crashkeeper/sync_test.go
@@ -17,7 +17,7 @@
 	crashes := from.Recent(now)
 	if from.Sum(now) != 0 && from.Sum(now) != to.Sum(now) {
 		var missing []AgedCrash
-		missing, after = from.SuspectReports(now, after, 8)
+		missing, after = from.SuspectCrashes(now, after, 8)
 		crashes = append(crashes, missing...)
 	}
 	for _, c := range crashes {
@@ -39,7 +39,7 @@
 		after := currantwood.Fingerprint(0)
 		for range 3 {
 			var crashes []AgedCrash
-			crashes, after = k.SuspectReports(start, after, 7)
+			crashes, after = k.SuspectCrashes(start, after, 7)
 			Expect(crashes).To(HaveLen(6))
 			for _, c := range crashes {
 				seen[c.Fingerprint]++
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -34,6 +34,9 @@
 	if q.snapshot == nil {
 		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: storeRetryAfter, closeConnection: true}
 	}
+	if q.g.awaitsCrashes(q.arrived) {
+		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "crashes of requests not read yet", retryAfter: otherGatewayRetryAfter, closeConnection: true}
+	}
 	tooOld := age > q.g.maxAgeForKeys()
 	path, _, _ := strings.Cut(q.requestTarget(), "?")
 	q.route = q.snapshot.Matcher.Match(q.r.Host, path)
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -14,6 +14,10 @@
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
+// crashLoadTimeout is how long a gateway waits for the crashes in the store before
+// it serves without them.
+const crashLoadTimeout = 2 * time.Second
+
 // computeFingerprint hashes the path, the customer and the body. Without a body,
 // the query tells requests apart in its place. The host isn't included: a route
 // may move to another.
@@ -166,18 +170,67 @@
 func (g *Gateway) SuspectCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.SuspectReports(now, after, limit)
+	return g.crashes.SuspectCrashes(now, after, limit)
 }
 
 // RecordCrashes records crashes that another gateway has reported.
-func (g *Gateway) RecordCrashes(now time.Time, from currantwood.VMID, reports []crashkeeper.AgedCrash) {
-	for _, r := range reports {
+func (g *Gateway) RecordCrashes(now time.Time, from currantwood.VMID, crashes []crashkeeper.AgedCrash) {
+	for _, c := range crashes {
 		g.mu.Lock()
-		record := g.crashes.Record(now, r)
+		record := g.crashes.Record(now, c)
 		g.mu.Unlock()
 		if record.New {
-			g.instruments.crashesLearned.Inc(1)
-			g.Logger.Info("crash learned", zap.String("from", string(from)), fingerprintField(r.Fingerprint), zap.String("upstream", string(r.Upstream)), zap.Int64("incarnation", r.Incarnation), zap.Duration("age", r.Age), zap.Int("crashes", record.Count))
+			g.logLearned(string(from), c, record.Count)
 		}
 	}
 }
+
+// logLearned counts and logs a crash that this gateway didn't know. from is a VM or
+// "store"; count is the number of crashes of the request, 0 if not determined.
+func (g *Gateway) logLearned(from string, c crashkeeper.AgedCrash, count int) {
+	g.instruments.crashesLearned.Inc(1)
+	g.Logger.Info("crash learned", zap.String("from", from), fingerprintField(c.Fingerprint), zap.String("upstream", string(c.Upstream)), zap.Int64("incarnation", c.Incarnation), zap.Duration("age", c.Age), zap.Int("crashes", count))
+}
+
+// UnsavedCrashes returns up to limit requests whose crashes have to be saved in the
+// store.
+func (g *Gateway) UnsavedCrashes(now time.Time, limit int) []crashkeeper.Unsaved {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crashes.Unsaved(now, limit)
+}
+
+// MarkCrashesSaved notes that crashes returned by UnsavedCrashes were saved.
+func (g *Gateway) MarkCrashesSaved(saved []crashkeeper.Unsaved) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes.MarkSaved(saved)
+}
+
+// RecordSavedCrashes records the crashes of a request that the store holds.
+func (g *Gateway) RecordSavedCrashes(now time.Time, request currantwood.Fingerprint, crashes []crashkeeper.AgedCrash) {
+	g.mu.Lock()
+	learned := g.crashes.RecordSaved(now, request, crashes)
+	g.mu.Unlock()
+	for _, c := range learned {
+		g.logLearned("store", c, 0)
+	}
+}
+
+// SetCrashesLoaded notes that the store's crashes have been read.
+func (g *Gateway) SetCrashesLoaded() { g.crashesLoaded.Store(true) }
+
+// awaitsCrashes reports whether the gateway must not send requests yet since it
+// hasn't read the crashes in the store, which a former process may have saved. It
+// waits for them no longer than crashLoadTimeout from when it first had a
+// configuration, as without that it serves nothing anyway.
+func (g *Gateway) awaitsCrashes(now time.Time) bool {
+	if g.crashesLoaded.Load() {
+		return false
+	}
+	if g.Configuration.Current() != nil {
+		g.configuredAt.CompareAndSwap(0, now.UnixNano())
+	}
+	configuredAt := g.configuredAt.Load()
+	return configuredAt == 0 || now.Sub(time.Unix(0, configuredAt)) < crashLoadTimeout
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,11 @@
 	// directoryLoaded is set once the directory of upstreams has been read in
 	// full.
 	directoryLoaded atomic.Bool
+	// crashesLoaded is set once the crashes in the store have been read.
+	crashesLoaded atomic.Bool
+	// configuredAt is when awaitsCrashes first found a configuration, as the UnixNano
+	// of a time of Options.Now; 0 if it never did.
+	configuredAt atomic.Int64
 	// stopDeadline is when the process ends, as the UnixNano of a time of
 	// Options.Now. It is valid only while stopping is true.
 	stopDeadline atomic.Int64
@@ -128,10 +133,10 @@
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
 // Ready reports whether clients should be sent to this gateway: it is not
-// stopping, has read the directory of upstreams and has a configuration that was
-// confirmed recently.
+// stopping, has read the directory of upstreams and the crashes of requests, and has
+// a configuration that was confirmed recently.
 func (g *Gateway) Ready(now time.Time) bool {
-	if g.stopping.Load() || !g.directoryLoaded.Load() || g.Configuration.Current() == nil {
+	if g.awaitsCrashes(now) || g.stopping.Load() || !g.directoryLoaded.Load() || g.Configuration.Current() == nil {
 		return false
 	}
 	return g.ConfigurationFresh(now)
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -37,6 +37,8 @@
 		keeper.Confirm(start)
 		Expect(g.Ready(start)).To(BeFalse())
 		g.ReplaceUpstreamRecords(start, nil)
+		Expect(g.Ready(start)).To(BeFalse(), "the crashes in the store aren't read")
+		g.SetCrashesLoaded()
 		Expect(g.Ready(start)).To(BeTrue())
 		Expect(g.Ready(start.Add(4 * time.Second))).To(BeFalse())
 	})
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -20,6 +20,8 @@
 	"github.com/currantwood/currantwood/boottimer"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/crashencoder"
+	"github.com/currantwood/currantwood/crashsaver"
 	"github.com/currantwood/currantwood/gateway"
 	"github.com/currantwood/currantwood/peermessenger"
 	"github.com/currantwood/currantwood/sleeper"
@@ -67,6 +69,9 @@
 	// Upstreams write to it all the time, so a read that waits for the next
 	// record would return at once.
 	directoryReadPause = 200 * time.Millisecond
+	// crashReadWait is how long a read waits for new crashes in the store, which
+	// gateways that this one doesn't reach may have saved.
+	crashReadWait = 2 * time.Second
 	// exitMargin is how long before the end of the grace period Shutdown stops
 	// waiting for requests.
 	exitMargin = 300 * time.Millisecond
@@ -83,15 +88,19 @@
 	Settings currantwood.GatewaySettings
 	Logger   *zap.Logger
 	Store    currantwood.KeyedStore
-	Coder    currantwood.HeaderCoder
-	Mover    currantwood.RunMover
-	States   currantwood.StateReader
-	Decoder  Decoder
+	// Writer writes to the same store.
+	Writer  currantwood.KeyedWriter
+	Coder   currantwood.HeaderCoder
+	Mover   currantwood.RunMover
+	States  currantwood.StateReader
+	Decoder Decoder
 	// ConfigurationTopic and ConfigurationKey locate the configuration in the
-	// store, and UpstreamTopic the directory of upstreams.
+	// store, UpstreamTopic the directory of upstreams, and CrashTopic the crashes of
+	// requests.
 	ConfigurationTopic string
 	ConfigurationKey   string
 	UpstreamTopic      string
+	CrashTopic         string
 }
 
 // Process is a running gateway process.
@@ -160,7 +169,17 @@
 	p.peers = peers
 	configuration := storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.configurationFeed())
 	directory := storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.directoryFeed())
+	storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.crashFeed())
 	peers.Start(ctx, configuration, directory)
+	crashsaver.New(ctx, crashsaver.Options{
+		Store:       p.options.Writer,
+		Topic:       p.options.CrashTopic,
+		Crashes:     p.gateway,
+		Logger:      p.options.Logger,
+		Now:         p.now,
+		TimeOfDay:   time.Now,
+		Responsible: func(now time.Time) bool { return !peers.HasOtherCollector(now) },
+	})
 	statepoller.New(ctx, statepoller.Options{
 		Reader:       p.options.States,
 		Gateway:      p.gateway,
@@ -217,6 +236,43 @@
 	}
 }
 
+// crashFeed returns the feed of the crashes of requests. All gateways read it when
+// they start, and after that the collector alone: the others learn of crashes from
+// it.
+func (p *Process) crashFeed() storewatcher.Feed {
+	return storewatcher.Feed{
+		Name:  "crashes",
+		Topic: p.options.CrashTopic,
+		Wait:  crashReadWait,
+		Replace: func(now time.Time, records []currantwood.KeyedRecord) {
+			p.applyCrashes(now, records)
+			p.gateway.SetCrashesLoaded()
+		},
+		Apply: func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
+			p.applyCrashes(now, records)
+			return nil
+		},
+		OnRead:        func(time.Time, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {},
+		OnCurrentAsOf: func(time.Time) {},
+		OnOutageEnd:   func(time.Time) {},
+		Stale:         func(time.Time) bool { return false },
+		PeerCoverage:  func(now time.Time) (time.Time, bool) { return now, p.peers.HasOtherCollector(now) },
+	}
+}
+
+// applyCrashes decodes records of crashes. One that can't be decoded is logged and
+// ignored.
+func (p *Process) applyCrashes(now time.Time, records []currantwood.KeyedRecord) {
+	for _, record := range records {
+		request, crashes, err := crashencoder.Encoder{}.Decode(time.Now(), record)
+		if err != nil {
+			p.options.Logger.Warn("record of crashes ignored", zap.Error(err))
+			continue
+		}
+		p.gateway.RecordSavedCrashes(now, request, crashes)
+	}
+}
+
 // applyConfiguration decodes a record and makes it the current configuration if
 // it is newer. A record that can't be decoded is logged and ignored. Records of
 // other keys, and the deletion of the configuration, are ignored.
--- a/keyed.go
+++ b/keyed.go
@@ -40,3 +40,10 @@
 	// are no longer retained.
 	Read(ctx context.Context, topic string, from Offset, wait time.Duration) (KeyedRecordBatch, error)
 }
+
+// KeyedWriter writes to compacted topics.
+type KeyedWriter interface {
+	// Append adds records to a topic, all or none. After an error they may have been
+	// added, or may be added later.
+	Append(ctx context.Context, topic string, records []KeyedRecord) error
+}
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -31,8 +31,8 @@
 	// Before that, it takes two in a row.
 	unreachableThreshold = 700 * time.Millisecond
 	// outageThreshold is how long a topic may go without a read, here or by a
-	// peer. After a longer gap, a record that is missing may have expired only
-	// because its writer couldn't reach the store.
+	// peer, in addition to Feed.Wait. After a longer gap, a record that is missing may
+	// have expired only because its writer couldn't reach the store.
 	outageThreshold = 1200 * time.Millisecond
 	// coverageCheckInterval is the time between two checks whether a peer
 	// still reads the topic.
@@ -172,7 +172,7 @@
 		return
 	}
 	outage := at.Sub(w.currentAt)
-	if !w.currentAt.IsZero() && outage > outageThreshold {
+	if !w.currentAt.IsZero() && outage > outageThreshold+w.feed.Wait {
 		w.logger.Info("records available again after an outage", zap.String("feed", w.feed.Name), zap.Duration("without", outage))
 		w.feed.OnOutageEnd(at)
 	}
@@ -205,7 +205,7 @@
 		kicked = true
 	default:
 	}
-	if !kicked && w.Position() > 0 && w.covered() {
+	if !kicked && w.isPositionKnown() && w.covered() {
 		w.waitForKick(ctx, coverageCheckInterval)
 		return
 	}
@@ -219,6 +219,12 @@
 	}
 }
 
+func (w *Watcher) isPositionKnown() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.positionKnown
+}
+
 // covered reports whether a peer reads the topic, and notes when it last did.
 func (w *Watcher) covered() bool {
 	readAt, covered := w.feed.PeerCoverage(w.now())
