Retries of former processes count against the retry budget

What callers and upstreams saw: repeats piled up beyond the budget while gateways were replaced: 285 retries within one window for 194 allowed. Cause: what a gateway had spent was known by its own process and by its last report. A new process on the VM reported 0, which replaced that; a new collector knew nothing of gateways that had ended; and if all were replaced, each had its part of the reserve again. The collector keeps the usage of former processes (datagrams name the process) until the window has passed. A gateway that becomes the collector goes on counting what the last digest knew of gateways it doesn't hear from. A new process ranks after established ones, so that the collector that remembers stays. "retry budget exhausted" logs what decided. Weighed: usage in the store (an append for each retry, or a loss of what came last).

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -8,6 +8,10 @@
 // budget, and only that part if it has no recent reports of its peers. A
 // gateway's own budget is that of its own requests plus an equal part of the
 // reserve.
+//
+// A process that has just started doesn't know what former processes have spent
+// within the window. Until the window has passed it has no part of the reserve, nor
+// do the others count one for it.
 package budgeter
 
 import (
@@ -67,6 +71,19 @@
 	// Reserve is the number of retries allowed in the window in addition, however
 	// few the requests.
 	Reserve float64
+	// FirstStart is whether there were no former processes.
+	FirstStart bool
+}
+
+// Peers is what is known of the other gateways.
+type Peers struct {
+	// Usage is the sum of what they have used.
+	Usage GroupUsage
+	// Gateways is the number of gateways whose reports arrive, this one included.
+	Gateways int
+	// Established is how many of these know all that their VMs have spent within the
+	// window.
+	Established int
 }
 
 // windowCounter counts usage in a sliding window, as a ring of buckets.
@@ -81,14 +98,14 @@
 // safe for concurrent use.
 type Budgeter struct {
 	options Options
-	groups  map[currantwood.GroupID]*windowCounter
-	// peerUsage is the usage of the peers as of peerUsageAt.
-	peerUsage   GroupUsage
-	peerUsageAt time.Time
-	// reportingGateways is the number of gateways whose reports arrive, this one
-	// included; at least 1.
-	reportingGateways int
-	// maxReportingGateways is the highest value of reportingGateways so far, at
+	// startedAt is when this process started.
+	startedAt time.Time
+	groups    map[currantwood.GroupID]*windowCounter
+	// peers is what was known of the other gateways at peersAt; its Gateways is at
+	// least 1.
+	peers   Peers
+	peersAt time.Time
+	// maxReportingGateways is the highest value of peers.Gateways so far, at
 	// least minGateways. Gateways whose reports no longer arrive may still send
 	// retries.
 	maxReportingGateways int
@@ -97,12 +114,18 @@
 	retriesSinceReport map[currantwood.GroupID]int
 }
 
-// New returns a budgeter without any usage.
-func New(options Options) *Budgeter {
+// New returns a budgeter without any usage, for a process that starts now.
+func New(options Options, now time.Time) *Budgeter {
 	if options.Window <= 0 {
 		options.Window = 10 * time.Second
 	}
-	return &Budgeter{options: options, groups: make(map[currantwood.GroupID]*windowCounter), maxReportingGateways: minGateways, reportingGateways: 1, retriesSinceReport: make(map[currantwood.GroupID]int)}
+	return &Budgeter{options: options, startedAt: now, groups: make(map[currantwood.GroupID]*windowCounter), maxReportingGateways: minGateways, peers: Peers{Gateways: 1}, retriesSinceReport: make(map[currantwood.GroupID]int)}
+}
+
+// Established reports whether this process knows all that its VM has spent within
+// the window.
+func (b *Budgeter) Established(now time.Time) bool {
+	return b.options.FirstStart || now.Sub(b.startedAt) > b.options.Window
 }
 
 // Requested counts a request to a group.
@@ -167,14 +190,21 @@
 	return sum
 }
 
-// SetPeerUsage sets the usage of the peers, and the number of gateways whose
-// reports arrive, this one included.
-func (b *Budgeter) SetPeerUsage(now time.Time, peerUsage GroupUsage, reportingGateways int) {
-	b.peerUsage, b.peerUsageAt, b.reportingGateways = peerUsage, now, max(1, reportingGateways)
-	b.maxReportingGateways = max(b.maxReportingGateways, reportingGateways)
+// SetPeers sets what is known of the other gateways.
+func (b *Budgeter) SetPeers(now time.Time, peers Peers) {
+	peers.Gateways = max(1, peers.Gateways)
+	b.peers, b.peersAt = peers, now
+	b.maxReportingGateways = max(b.maxReportingGateways, peers.Gateways)
 	clear(b.retriesSinceReport)
 }
 
+// Peers returns what SetPeers set last.
+func (b *Budgeter) Peers() Peers { return b.peers }
+
+// PeersAge returns how long ago SetPeers was called last; the longest Duration if it
+// never was.
+func (b *Budgeter) PeersAge(now time.Time) time.Duration { return now.Sub(b.peersAt) }
+
 // Allows reports whether a request may be retried.
 func (b *Budgeter) Allows(now time.Time, id currantwood.GroupID, reason RetryReason) bool {
 	part := 1.0
@@ -182,11 +212,14 @@
 		part = failurePart
 	}
 	own := b.used(now, id)
-	reservePart := 1 / float64(b.maxReportingGateways)
+	reservePart := 0.0
+	if b.Established(now) {
+		reservePart = 1 / float64(b.maxReportingGateways)
+	}
 	if float64(own.Retries+1) <= part*guaranteedPart*b.budget(own.Requests, reservePart) {
 		return true
 	}
-	if b.peerUsageAt.IsZero() || now.Sub(b.peerUsageAt) > peerUsageMaxAge {
+	if b.peersAt.IsZero() || now.Sub(b.peersAt) > peerUsageMaxAge {
 		return false
 	}
 	return b.fitsJointBudget(own, id, part)
@@ -194,18 +227,19 @@
 
 // fitsJointBudget reports whether one more retry fits the budget of all
 // gateways together. What is left of it, before this gateway's retries since
-// the last call of SetPeerUsage are subtracted, is divided equally among the
+// the last call of SetPeers are subtracted, is divided equally among the
 // gateways whose reports arrive; each may use its part until the next call.
 // part is the part of the joint budget that is open to this kind of retry:
 // failurePart or 1. The part of the reserve that belongs to gateways whose
-// reports don't arrive is left to them.
+// reports don't arrive is left to them, and that of those that aren't established
+// to their former processes.
 func (b *Budgeter) fitsJointBudget(own Usage, id currantwood.GroupID, part float64) bool {
-	all := b.peerUsage[id]
+	all := b.peers.Usage[id]
 	all.Requests += own.Requests
 	all.Retries += own.Retries
 	newRetries := b.retriesSinceReport[id]
-	left := part*jointPart*b.budget(all.Requests, float64(b.reportingGateways)/float64(b.maxReportingGateways)) - float64(all.Retries-newRetries)
-	return float64(newRetries+1) <= left/float64(b.reportingGateways)
+	left := part*jointPart*b.budget(all.Requests, float64(b.peers.Established)/float64(b.maxReportingGateways)) - float64(all.Retries-newRetries)
+	return float64(newRetries+1) <= left/float64(b.peers.Gateways)
 }
 
 // budget returns the number of retries that requests and a part of the reserve
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -14,30 +14,30 @@
 
 const group currantwood.GroupID = "g"
 
-var options = Options{Window: 10 * time.Second, RetryShare: 0.2, Reserve: 54}
+var options = Options{Window: 10 * time.Second, RetryShare: 0.2, Reserve: 54, FirstStart: true}
 
 var _ = Describe("Budgeter", func() {
 	It("allows a part of its own budget without any report of its peers", func() {
-		b := New(options)
+		b := New(options, start)
 		Expect(retryWhileAllowed(b, start, FailedRequest, 100)).To(Equal(1))
 		Expect(retryWhileAllowed(b, start, MovedRun, 100)).To(Equal(1))
 	})
 
 	It("allows more when its peers report few retries, and after each report a part of what is left", func() {
-		b := New(options)
+		b := New(options, start)
 		reported := GroupUsage{group: {Requests: 100}}
-		b.SetPeerUsage(start, reported, 4)
+		b.SetPeers(start, Peers{Usage: reported, Gateways: 4, Established: 4})
 		Expect(retryWhileAllowed(b, start, MovedRun, 100)).To(Equal(13))
-		b.SetPeerUsage(start, reported, 4)
+		b.SetPeers(start, Peers{Usage: reported, Gateways: 4, Established: 4})
 		Expect(retryWhileAllowed(b, start, MovedRun, 100)).To(Equal(10))
-		b.SetPeerUsage(start, GroupUsage{group: {Requests: 100, Retries: 60}}, 4)
+		b.SetPeers(start, Peers{Usage: GroupUsage{group: {Requests: 100, Retries: 60}}, Gateways: 4, Established: 4})
 		Expect(b.Allows(start, group, MovedRun)).To(BeFalse())
 	})
 
 	It("keeps a part for runs that are moved", func() {
-		b := New(options)
+		b := New(options, start)
 		reported := GroupUsage{group: {Requests: 100, Retries: 35}}
-		b.SetPeerUsage(start, reported, 4)
+		b.SetPeers(start, Peers{Usage: reported, Gateways: 4, Established: 4})
 		Expect(b.Allows(start, group, FailedRequest)).To(BeTrue())
 		retryWhileAllowed(b, start, MovedRun, 3)
 		Expect(b.Allows(start, group, FailedRequest)).To(BeFalse())
@@ -45,14 +45,26 @@
 	})
 
 	It("returns to its guaranteed part when the reports of its peers stop", func() {
-		b := New(options)
-		b.SetPeerUsage(start, GroupUsage{group: {Requests: 400}}, 4)
+		b := New(options, start)
+		b.SetPeers(start, Peers{Usage: GroupUsage{group: {Requests: 400}}, Gateways: 4, Established: 4})
 		later := start.Add(2 * time.Second)
 		Expect(retryWhileAllowed(b, later, MovedRun, 100)).To(Equal(2))
 	})
 
+	It("has no part of the reserve until a window after a start that isn't the first", func() {
+		restarted := options
+		restarted.FirstStart = false
+		b := New(restarted, start)
+		Expect(b.Allows(start.Add(9*time.Second), group, MovedRun)).To(BeFalse())
+		b.SetPeers(start.Add(9*time.Second), Peers{Gateways: 4})
+		Expect(b.Allows(start.Add(9*time.Second), group, MovedRun)).To(BeFalse())
+		b.SetPeers(start.Add(9*time.Second), Peers{Gateways: 4, Established: 3})
+		Expect(b.Allows(start.Add(9*time.Second), group, MovedRun)).To(BeTrue())
+		Expect(b.Allows(start.Add(11*time.Second), group, MovedRun)).To(BeTrue())
+	})
+
 	It("doesn't count retries that have left the window", func() {
-		b := New(options)
+		b := New(options, start)
 		retryWhileAllowed(b, start, MovedRun, 100)
 		Expect(b.Allows(start.Add(9*time.Second), group, MovedRun)).To(BeFalse())
 		Expect(b.Allows(start.Add(11*time.Second), group, MovedRun)).To(BeTrue())
@@ -62,7 +74,14 @@
 	// upstreams fail, while some are partitioned from the others and come back.
 	It("keeps the retries of all gateways together within the budget while some are partitioned", func() {
 		for seed := range int64(40) {
-			checkBudgetHolds(seed)
+			checkBudgetHolds(seed, false)
+		}
+	})
+
+	// Guards against retries that are forgotten when all processes are replaced.
+	It("keeps the retries within the budget while all gateways are replaced at once, again and again", func() {
+		for seed := range int64(40) {
+			checkBudgetHolds(seed, true)
 		}
 	})
 })
@@ -80,25 +99,33 @@
 }
 
 // checkBudgetHolds lets gateways exchange their usage every 200 ms, with a tenth
-// of the exchanges lost and some gateways partitioned. It checks that the sum of
+// of the exchanges lost and some gateways partitioned. If replace is true, all are
+// replaced at random times. It checks that the sum of
 // their retries in every window of 10 s is within the budget.
-func checkBudgetHolds(seed int64) {
+func checkBudgetHolds(seed int64, replace bool) {
 	const gateways, tick, ticks = 8, 200 * time.Millisecond, 300
 	random := rand.New(rand.NewSource(seed))
 	all := make([]*Budgeter, gateways)
 	for i := range all {
-		all[i] = New(options)
+		all[i] = New(options, start)
 	}
 	var requests, retries [ticks]int
 	partitioned := make([]bool, gateways)
 	for t := range ticks {
 		now := start.Add(time.Duration(t) * tick)
+		if replace && random.Intn(30) == 0 {
+			restarted := options
+			restarted.FirstStart = false
+			for i := range all {
+				all[i] = New(restarted, now)
+			}
+		}
 		for i, b := range all {
 			if random.Intn(60) == 0 {
 				partitioned[i] = !partitioned[i]
 			}
 			if !partitioned[i] && random.Intn(10) > 0 {
-				b.SetPeerUsage(now, peerUsage(all, partitioned, i, now), connectedCount(partitioned))
+				b.SetPeers(now, Peers{Usage: peerUsage(all, partitioned, i, now), Gateways: connectedCount(partitioned), Established: establishedCount(all, partitioned, now)})
 			}
 			for range random.Intn(4) {
 				b.Requested(now, group)
@@ -127,6 +154,17 @@
 	return count
 }
 
+// establishedCount returns the number of connected gateways that are established.
+func establishedCount(all []*Budgeter, partitioned []bool, now time.Time) int {
+	count := 0
+	for i, b := range all {
+		if !partitioned[i] && b.Established(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // peerUsage returns the usage of all connected gateways but one.
 func peerUsage(all []*Budgeter, partitioned []bool, self int, now time.Time) GroupUsage {
 	var total Usage
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	if q.reachedUpstream && !q.g.takeRetryBudget(q.g.Now(), q.group, budgeter.FailedRequest) {
-		q.log("retry budget exhausted")
+		q.log("retry budget exhausted", q.g.budgetFields(q.g.Now(), q.group)...)
 		return false
 	}
 	q.reachedUpstream = false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,7 +96,8 @@
 			Window:     options.Settings.Bounds.RetryWindow,
 			RetryShare: options.Settings.Bounds.RetryShare,
 			Reserve:    options.Settings.Bounds.RetryReserve,
-		}),
+			FirstStart: options.Settings.FirstStart,
+		}, options.Now()),
 	}
 	r := options.Metrics
 	g.instruments = instruments{
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
@@ -34,13 +36,33 @@
 	return g.budget.OwnUsage(now)
 }
 
-// SetPeerRetryUsage sets the retry usage of the other gateways, and the number
-// of gateways whose usage is known, this one included.
-func (g *Gateway) SetPeerRetryUsage(now time.Time, usage budgeter.GroupUsage, gateways int) {
+// Established reports whether this process knows all that its VM has spent of the
+// retry budgets.
+func (g *Gateway) Established(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Established(now)
+}
+
+// SetBudgetPeers sets what is known of the other gateways' use of the retry budgets.
+func (g *Gateway) SetBudgetPeers(now time.Time, peers budgeter.Peers) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget.SetPeerUsage(now, usage, gateways)
-	g.balancer.SetGatewayCount(gateways)
+	g.budget.SetPeers(now, peers)
+	g.balancer.SetGatewayCount(peers.Gateways)
+}
+
+// budgetFields returns the log fields of what decides on a retry: the usage here and
+// at the other gateways, and the age and number of their reports.
+func (g *Gateway) budgetFields(now time.Time, id currantwood.GroupID) []zap.Field {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own, peers, age := g.budget.OwnUsage(now)[id], g.budget.Peers(), g.budget.PeersAge(now)
+	return []zap.Field{
+		zap.String("group", string(id)), zap.Int("own-requests", own.Requests), zap.Int("own-retries", own.Retries),
+		zap.Int("peers-requests", peers.Usage[id].Requests), zap.Int("peers-retries", peers.Usage[id].Retries), zap.Duration("peers-age", age),
+		zap.Int("gateways", peers.Gateways), zap.Int("established", peers.Established), zap.Bool("self-established", g.budget.Established(now)),
+	}
 }
 
 // takeRetryBudget reports whether the retry budget of the group allows a retry,
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -29,7 +29,7 @@
 	It("is false until the configuration and the upstreams are read, and once the configuration is too old for readiness", func() {
 		keeper := configkeeper.New()
 		g := New(Options{
-			Configuration: keeper, Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
+			Configuration: keeper, Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
 			Settings: currantwood.GatewaySettings{Bounds: currantwood.Bounds{FailClosed: true, RevocationTime: 5 * time.Second}},
 		})
 		Expect(g.Ready(start)).To(BeFalse())
@@ -74,7 +74,7 @@
 var _ = DescribeTable("a stopping gateway accepts a stream only if it is resumable or ends in time at its maximum length",
 	func(output, hint currantwood.TokenCount, resumable, want bool) {
 		g := New(Options{
-			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(),
+			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
 		})
 		g.Stop(start.Add(4200 * time.Millisecond))
 		snapshot := &configkeeper.Snapshot{Configuration: currantwood.Configuration{
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -32,6 +32,9 @@
 	// second.
 	LinkBitsPerSecond float64
 	Bounds            Bounds
+	// FirstStart is whether the whole system starts for the first time, so that no
+	// former process of it has done anything.
+	FirstStart bool
 }
 
 // linkBitsPerCore is the link bandwidth, in bits per second, that counts as much
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -3,7 +3,8 @@
 //
 // The collector reads the directory and adds up the loads for all gateways. Of
 // the gateways whose latest own reads of the store succeeded, it is the one with
-// the highest capacity, ties broken by the lowest ID. There is no agreement
+// the highest capacity, ties broken by the lowest ID. One whose process is so new
+// that it doesn't know what was spent of the retry budgets comes after all others. There is no agreement
 // protocol: each gateway decides by the messages that it has received, and two
 // collectors at once do no harm.
 package peerkeeper
@@ -49,6 +50,9 @@
 	// maxDiscoveryPeers bounds the gateways that one state is sent to while no
 	// other gateway is known as the collector.
 	maxDiscoveryPeers = 6
+	// maxFormerProcesses bounds the former processes of a VM whose retries count. The
+	// platform starts a process again no sooner than some seconds after it ended.
+	maxFormerProcesses = 8
 	// recordRetention is how long records of the directory are kept for peers.
 	recordRetention = 3 * time.Second
 	// maxDigestRecords bounds the records in one digest. A record takes about
@@ -73,6 +77,8 @@
 	RetryUsage budgeter.GroupUsage
 	// CrashSum is a checksum of the crashes that all gateways must know.
 	CrashSum uint64
+	// Process identifies the sender's process among those of its VM; 0 if unknown.
+	Process uint64
 }
 
 // Peer is a gateway and its address.
@@ -82,6 +88,9 @@
 	// Capacity is the capacity of its VM, in thousandths of a core. The higher
 	// it is, the higher the gateway ranks as the collector.
 	Capacity uint32
+	// Established is whether its process knows all that its VM has spent of the retry
+	// budgets within their window.
+	Established bool
 }
 
 // precedes reports whether p takes precedence over o as the collector.
@@ -89,6 +98,13 @@
 	return compareRank(p, o) < 0
 }
 
+// formerUsage is what a process reported last before it ended.
+type formerUsage struct {
+	usage budgeter.GroupUsage
+	// lastSeen is when the process was last heard from.
+	lastSeen time.Time
+}
+
 // peerEntry is a known gateway and the state received last from it.
 type peerEntry struct {
 	Peer
@@ -98,6 +114,8 @@
 	// lastCrashSent the last fingerprint among them.
 	crashesSentAt time.Time
 	lastCrashSent currantwood.Fingerprint
+	// former holds the retry usage of former processes of its VM.
+	former []formerUsage
 	// state is zero if none was received. It may be older than its predecessor
 	// if they arrived out of order.
 	state State
@@ -148,6 +166,15 @@
 	// digestAt.
 	collector Peer
 	digestAt  time.Time
+	// inherited is the retry usage of gateways that the last collector before this
+	// one knew and this one doesn't, as of inheritedAt.
+	inherited   budgeter.GroupUsage
+	inheritedAt time.Time
+	// inheritedSettled is whether what gateways report was subtracted from it.
+	inheritedSettled bool
+	// digestUsage is the retry usage of all other gateways in the last accepted
+	// digest.
+	digestUsage budgeter.GroupUsage
 	// digestGateways is the number of gateways that the last accepted digest
 	// reported.
 	digestGateways int
@@ -182,10 +209,20 @@
 
 // ApplyState stores the state of another gateway.
 func (k *Keeper) ApplyState(now time.Time, from Peer, s State) {
-	k.NotePeer(now, from)
+	lastSeen := time.Time{}
 	if entry := k.peers[from.VM]; entry != nil {
-		entry.state = s
+		lastSeen = entry.lastSeen
+	}
+	k.NotePeer(now, from)
+	entry := k.peers[from.VM]
+	if entry == nil {
+		return
 	}
+	if entry.state.Process != s.Process && len(entry.state.RetryUsage) > 0 {
+		entry.former = append(entry.former, formerUsage{entry.state.RetryUsage, lastSeen})
+		entry.former = entry.former[max(0, len(entry.former)-maxFormerProcesses):]
+	}
+	entry.state = s
 }
 
 // AcceptDigest makes the sender of a digest the collector and reports whether
@@ -275,6 +312,12 @@
 
 // compareRank orders gateways by their precedence as the collector.
 func compareRank(a, b Peer) int {
+	if a.Established != b.Established {
+		if a.Established {
+			return -1
+		}
+		return 1
+	}
 	if a.Capacity != b.Capacity {
 		return cmp.Compare(b.Capacity, a.Capacity)
 	}
@@ -351,10 +394,62 @@
 	return others
 }
 
+// CountEstablished returns how many of the gateways that CountGateways counts are
+// established.
+func (k *Keeper) CountEstablished(now time.Time) int {
+	count := 0
+	if k.self.Established {
+		count++
+	}
+	for _, entry := range k.peers {
+		if now.Sub(entry.lastSeen) <= peerTimeout && entry.Established {
+			count++
+		}
+	}
+	return count
+}
+
+// SetEstablished sets whether this gateway is established.
+func (k *Keeper) SetEstablished(established bool) { k.self.Established = established }
+
+// SetDigestUsage sets the retry usage of all other gateways that an accepted digest
+// reported.
+func (k *Keeper) SetDigestUsage(usage budgeter.GroupUsage) { k.digestUsage = usage }
+
+// BecomeCollector notes that this gateway is the collector from now on. What the
+// collector before knew of gateways that this one doesn't hear from, itself included,
+// is in its last digest alone.
+func (k *Keeper) BecomeCollector(now time.Time) {
+	k.inherited, k.inheritedAt, k.inheritedSettled = maps.Clone(k.digestUsage), now, false
+	k.digestUsage = nil
+}
+
+// inheritedUsage returns the retries of gateways that only the last collector knew.
+// Until all gateways have had the time to report, that is all it knew; then it is
+// what their reports don't account for. It is empty once the window has passed.
+func (k *Keeper) inheritedUsage(now time.Time, window time.Duration) budgeter.GroupUsage {
+	age := now.Sub(k.inheritedAt)
+	if age > window {
+		k.inherited = nil
+	}
+	if k.inherited == nil || k.inheritedSettled || age <= peerTimeout {
+		return k.inherited
+	}
+	k.inheritedSettled = true
+	for id, u := range k.inherited {
+		for _, entry := range k.peers {
+			u.Retries -= entry.state.RetryUsage[id].Retries
+		}
+		u.Retries = max(0, u.Retries)
+		k.inherited[id] = u
+	}
+	return k.inherited
+}
+
 // TotalUsage returns the sum of own and the retry usage of all other gateways
 // but except. The retries of a gateway that is no longer heard from count until
 // the retry window has passed, its requests only until peerTimeout: requests
-// raise the retry budget, and retries use it up.
+// raise the retry budget, and retries use it up. So do those of former processes.
 func (k *Keeper) TotalUsage(now time.Time, window time.Duration, except currantwood.VMID, own budgeter.GroupUsage) budgeter.GroupUsage {
 	sum := make(budgeter.GroupUsage, len(own))
 	add := func(usage budgeter.GroupUsage, requests bool) {
@@ -372,7 +467,13 @@
 		if id != except && now.Sub(entry.lastSeen) <= window {
 			add(entry.state.RetryUsage, now.Sub(entry.lastSeen) <= peerTimeout)
 		}
+		for _, former := range entry.former {
+			if now.Sub(former.lastSeen) <= window {
+				add(former.usage, false)
+			}
+		}
 	}
+	add(k.inheritedUsage(now, window), false)
 	return sum
 }
 
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -51,9 +52,12 @@
 	// RetryUsage returns what this gateway sent to each group within the retry
 	// window.
 	RetryUsage(now time.Time) budgeter.GroupUsage
-	// SetPeerRetryUsage replaces the retry usage of all other gateways. gateways
-	// is the number of gateways, including this one.
-	SetPeerRetryUsage(now time.Time, usage budgeter.GroupUsage, gateways int)
+	// Established reports whether this process knows all that its VM has spent of the
+	// retry budgets.
+	Established(now time.Time) bool
+	// SetBudgetPeers replaces what is known of the other gateways' use of the retry
+	// budgets.
+	SetBudgetPeers(now time.Time, peers budgeter.Peers)
 	// RecentCrashes returns the crashes that other gateways should learn of.
 	RecentCrashes(now time.Time) []crashkeeper.AgedCrash
 	// CrashSum returns a checksum of the crashes that all gateways must know.
@@ -119,13 +123,15 @@
 	directoryCoveredAt time.Time
 	// wasCollector is the role that was logged last.
 	wasCollector bool
+	// process identifies this process among those of its VM.
+	process uint64
 }
 
 // New opens the socket. Nothing is sent or received before Start. A seed
 // address that can't be parsed is logged and skipped; this VM's own address is
 // skipped without a log line.
 func New(options Options) (*Messenger, error) {
-	m := &Messenger{Options: options, peers: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Capacity: options.Settings.CapacityMillicores()})}
+	m := &Messenger{Options: options, process: rand.Uint64(), peers: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Capacity: options.Settings.CapacityMillicores()})}
 	port := strconv.Itoa(options.Settings.PeerPort)
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(options.Settings.IP, port))
 	if err != nil {
@@ -214,8 +220,9 @@
 func (m *Messenger) sendDue() {
 	now := m.Now()
 	storeReachable := m.storeReachable()
-	loads := m.Gateway.OwnLoads()
+	loads, established := m.Gateway.OwnLoads(), m.Gateway.Established(now)
 	m.mu.Lock()
+	m.peers.SetEstablished(established)
 	due := m.peers.MarkStateSentIfDue(now, loads)
 	m.logCollectorChange(now, storeReachable)
 	m.mu.Unlock()
@@ -251,6 +258,9 @@
 	isCollector := m.peers.IsCollector(now, storeReachable)
 	if isCollector != m.wasCollector {
 		m.wasCollector = isCollector
+		if isCollector {
+			m.peers.BecomeCollector(now)
+		}
 		m.Logger.Info("this gateway became the collector or stopped being it", zap.Bool("collects", isCollector), zap.Bool("store", storeReachable), zap.Int("gateways", m.peers.CountGateways(now)))
 	}
 }
@@ -314,11 +324,15 @@
 		m.send(recipients[i].Address, &peerwire.Datagram{Body: &peerwire.Datagram_Digest{Digest: digest}})
 	}
 	m.mu.Lock()
-	loads, gateways := m.peers.TotalLoads(now, nil), m.peers.CountGateways(now)
-	others := m.peers.TotalUsage(now, m.retryWindow(), "", nil)
+	loads := m.peers.TotalLoads(now, nil)
+	peers := budgeter.Peers{
+		Usage:       m.peers.TotalUsage(now, m.retryWindow(), "", nil),
+		Gateways:    m.peers.CountGateways(now),
+		Established: m.peers.CountEstablished(now),
+	}
 	m.mu.Unlock()
 	m.Gateway.SetPeerLoads(now, loads)
-	m.Gateway.SetPeerRetryUsage(now, others, gateways)
+	m.Gateway.SetBudgetPeers(now, peers)
 }
 
 // retryWindow is the window of the retry budget from the settings; 0 if they have
@@ -350,6 +364,7 @@
 		DirectoryAgeUs:     m.directoryTopic.Age(now).Microseconds(),
 		Loads:              encodeLoads(m.peers.LoadsExcept(loads, peer.VM)),
 		Gateways:           uint32(m.peers.CountGateways(now)),
+		Established:        uint32(m.peers.CountEstablished(now)),
 		Uses:               encodeRetryUsage(m.peers.TotalUsage(now, m.retryWindow(), peer.VM, usage)),
 	}
 	known := m.peers.KnownOffset(peer.VM)
@@ -365,6 +380,7 @@
 // send encodes a datagram and sends it to an address.
 func (m *Messenger) send(address string, datagram *peerwire.Datagram) {
 	datagram.Vm, datagram.Strength = string(m.Settings.VM), m.Settings.CapacityMillicores()
+	datagram.Established, datagram.Process = m.Gateway.Established(m.Now()), m.process
 	data, err := proto.Marshal(datagram)
 	if err != nil {
 		m.Logger.Error("failed to encode datagram", zap.Error(err))
@@ -389,22 +405,22 @@
 		return
 	}
 	now := m.Now()
-	from := peerkeeper.Peer{VM: currantwood.VMID(datagram.GetVm()), Address: address, Capacity: datagram.GetStrength()}
+	from := peerkeeper.Peer{VM: currantwood.VMID(datagram.GetVm()), Address: address, Capacity: datagram.GetStrength(), Established: datagram.GetEstablished()}
 	switch body := datagram.GetBody().(type) {
 	case *peerwire.Datagram_State:
-		m.receiveState(now, from, body.State)
+		m.receiveState(now, from, datagram.GetProcess(), body.State)
 	case *peerwire.Datagram_Digest:
 		m.receiveDigest(now, from, body.Digest)
 	case *peerwire.Datagram_Referral:
 		m.mu.Lock()
-		m.peers.NotePeer(now, peerkeeper.Peer{VM: currantwood.VMID(body.Referral.GetVm()), Address: body.Referral.GetAddress(), Capacity: body.Referral.GetStrength()})
+		m.peers.NotePeer(now, peerkeeper.Peer{VM: currantwood.VMID(body.Referral.GetVm()), Address: body.Referral.GetAddress(), Capacity: body.Referral.GetStrength(), Established: body.Referral.GetEstablished()})
 		m.mu.Unlock()
 	}
 }
 
 // receiveState stores a peer's state and answers with a referral if a third
 // gateway is the collector.
-func (m *Messenger) receiveState(now time.Time, from peerkeeper.Peer, s *peerwire.State) {
+func (m *Messenger) receiveState(now time.Time, from peerkeeper.Peer, process uint64, s *peerwire.State) {
 	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(s.GetCrashes()))
 	m.mu.Lock()
 	m.peers.ApplyState(now, from, peerkeeper.State{
@@ -414,12 +430,13 @@
 		Loads:          decodeLoads(s.GetLoads()),
 		RetryUsage:     decodeRetryUsage(s.GetUses()),
 		CrashSum:       s.GetCrashSum(),
+		Process:        process,
 	})
 	collector, known := m.peers.OtherCollector(now)
 	m.mu.Unlock()
 	if known && collector.VM != from.VM {
 		m.send(from.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Referral{
-			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Capacity},
+			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Capacity, Established: collector.Established},
 		}})
 	}
 }
@@ -428,8 +445,10 @@
 // Crashes are applied in any case.
 func (m *Messenger) receiveDigest(now time.Time, from peerkeeper.Peer, d *peerwire.Digest) {
 	m.mu.Lock()
+	usage := decodeRetryUsage(d.GetUses())
 	accepted := m.peers.AcceptDigest(now, from, m.storeReachable())
 	if accepted {
+		m.peers.SetDigestUsage(usage)
 		m.peers.SetDigestGateways(int(d.GetGateways()))
 		m.peers.SetCrashSum(from.VM, d.GetCrashSum())
 	}
@@ -439,7 +458,7 @@
 		return
 	}
 	m.Gateway.SetPeerLoads(now, decodeLoads(d.GetLoads()))
-	m.Gateway.SetPeerRetryUsage(now, decodeRetryUsage(d.GetUses()), int(d.GetGateways()))
+	m.Gateway.SetBudgetPeers(now, budgeter.Peers{Usage: usage, Gateways: int(d.GetGateways()), Established: int(d.GetEstablished())})
 	m.applyConfigurationAge(d)
 	if d.GetNext() == 0 {
 		return
