Bytes without end from an upstream are cut off early

What callers saw: a body without a length that never ended came as a success of 8 MB, cut; in a head, in statuses 103, in the answer to another request or in an event of short lines the gateway read until the deadline, 2.4 GB in 8 s from 30 at once. Cause: heads, informational responses and skipped bodies had no limit, an event only within long lines, and a whole body was cut at 8 MB without an error. Change: a head, with all informational ones before it, has at most 64 KB; a response to another request at most 1 MB; an event at most 1 MB however it is split; a body of more than 8 MB fails, and so does one that would take all that are being read beyond an eighth of the VM's memory. The connection is closed, and this isn't counted as a crash. Control calls and reads of the store accept headers of 64 KB.

--- a/cmd/currantwood/gateway.go
+++ b/cmd/currantwood/gateway.go
@@ -36,6 +36,9 @@
 	// gatewayIdleTimeout is how long an idle connection to the store or to an
 	// upstream is kept open.
 	gatewayIdleTimeout = 20 * time.Second
+	// maxResponseHeaderBytes bounds the header of a response. An upstream in trouble
+	// may send one without end.
+	maxResponseHeaderBytes = 64 << 10
 	// maxIdleToStore is the maximum number of idle connections to the store. Three
 	// watchers, of the configuration, the directory and the crashes of requests, each
 	// have at most one read in progress, and one append of crashes may be.
@@ -126,12 +129,13 @@
 func gatewayTransport(maxIdlePerHost int) *http.Transport {
 	dialer := &net.Dialer{Timeout: gatewayDialTimeout, KeepAliveConfig: connkeeper.KeepAlive}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     gatewayIdleTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      2048,
-		WriteBufferSize:     2048,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        gatewayIdleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
+		ReadBufferSize:         2048,
+		WriteBufferSize:        2048,
 	}
 }
 
--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// maxUnrelatedBytes bounds the body of a response that is skipped.
+	maxUnrelatedBytes = 1 << 20
 	// maxUnrelatedResponses bounds the responses to other requests that are
 	// skipped.
 	maxUnrelatedResponses = 2
@@ -125,18 +127,16 @@
 
 // readHead reads up to the head of the response that belongs to the request, as
 // Call.ID says. Other responses, which an upstream may send late, are read to
-// their end and skipped if their length is known and the connection stays open,
-// at most maxUnrelatedResponses of them. Informational (1xx) responses are
-// skipped without a bound.
+// their end and skipped if their length is known, at most maxUnrelatedBytes, and the
+// connection stays open, at most maxUnrelatedResponses of them. Informational (1xx)
+// responses are skipped. Together with the head that follows them they may have
+// maxHeadBytes.
 func (x *Exchange) readHead(call *Call, coder currantwood.HeaderCoder) error {
 	request := &http.Request{Method: call.Method}
 	for unrelated := 0; unrelated <= maxUnrelatedResponses; {
-		response, err := http.ReadResponse(x.conn.reader, request)
+		response, err := x.readFinalHead(request)
 		if err != nil {
-			return errors.WithStack(err)
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
+			return err
 		}
 		answer := coder.Answer(response.StatusCode, response.Header)
 		if answer.Request == call.ID || (answer.Request == "" && answer.DeclaredNotRun) {
@@ -147,7 +147,7 @@
 		}
 		unrelated++
 		x.closeAfter = true
-		if response.Close || response.ContentLength < 0 {
+		if response.Close || response.ContentLength < 0 || response.ContentLength > maxUnrelatedBytes {
 			return ErrUnrelatedResponse
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -157,6 +157,21 @@
 	return ErrUnrelatedResponse
 }
 
+// readFinalHead reads the head of the next response that isn't informational.
+func (x *Exchange) readFinalHead(request *http.Request) (*http.Response, error) {
+	x.conn.headLimit.remaining = maxHeadBytes
+	defer func() { x.conn.headLimit.remaining = unlimited }()
+	for {
+		response, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
 // Finish ends an exchange whose Body was read to its end. It returns the
 // connection to the pool if the request was written completely, no bytes follow
 // the response and the connection may stay open; otherwise it closes it.
--- a/connkeeper/pool.go
+++ b/connkeeper/pool.go
@@ -61,8 +61,10 @@
 // conn is a connection to an upstream. At most one exchange uses it at a time.
 type conn struct {
 	net.Conn
-	reader   *bufio.Reader
-	upstream currantwood.UpstreamID
+	reader *bufio.Reader
+	// headLimit is the source of reader.
+	headLimit *headLimiter
+	upstream  currantwood.UpstreamID
 	// usableUntil is when the connection may no longer be used for a new
 	// exchange.
 	usableUntil time.Time
@@ -106,7 +108,8 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), upstream: upstream}, nil
+	limiter := &headLimiter{source: raw, remaining: unlimited}
+	return &conn{Conn: raw, headLimit: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), upstream: upstream}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection; nil if
--- a/eventsplitter/splitter.go
+++ b/eventsplitter/splitter.go
@@ -11,11 +11,12 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes bounds the size of one event. It is checked only within lines
-// that are longer than the read buffer, so an event of shorter lines isn't
-// bounded.
+// maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
+// ErrEventTooLong means that an event exceeds maxEventBytes.
+var ErrEventTooLong = errors.Errorf("event exceeds %d bytes", maxEventBytes)
+
 // Event is one block of lines that ends with an empty line, ready to be passed
 // on. A block that has only comments, such as a keep-alive, also counts.
 type Event struct {
@@ -37,18 +38,18 @@
 }
 
 // Next returns the next complete event. It returns io.EOF if the body ends
-// between two events, io.ErrUnexpectedEOF if it ends within one, and another
-// error if a long line makes the event exceed maxEventBytes. The rest of a line
+// between two events, io.ErrUnexpectedEOF if it ends within one, and
+// ErrEventTooLong if the event exceeds maxEventBytes. The rest of a line
 // that is longer than the read buffer is examined as a line of its own.
 func (s *Splitter) Next() (Event, error) {
 	event := Event{ID: -1}
 	for {
 		line, err := s.in.ReadSlice('\n')
 		event.Text = append(event.Text, line...)
+		if len(event.Text) > maxEventBytes {
+			return Event{}, errors.WithStack(ErrEventTooLong)
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(event.Text) > maxEventBytes {
-				return Event{}, errors.Errorf("event exceeds %d bytes", maxEventBytes)
-			}
 			continue
 		}
 		if err != nil {
--- a/eventsplitter/splitter_test.go
+++ b/eventsplitter/splitter_test.go
@@ -36,8 +36,12 @@
 		Entry("a line longer than the read buffer", "id: 1\ndata: "+strings.Repeat("x", 9000)+"\n\n", []int64{1}, io.EOF),
 	)
 
-	It("fails on a line that exceeds the size limit of an event", func() {
-		_, err := New(strings.NewReader(strings.Repeat("x", 3<<20))).Next()
+	DescribeTable("fails on an event that exceeds the size limit", func(text string) {
+		_, err := New(strings.NewReader(text)).Next()
+		Expect(err).To(MatchError(ErrEventTooLong))
 		Expect(err).To(MatchError(ContainSubstring("event exceeds 1048576 bytes")))
-	})
+	},
+		Entry("in one line", strings.Repeat("x", 3<<20)),
+		Entry("in many lines", strings.Repeat("data: x\n", 400_000)),
+	)
 })
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"strconv"
@@ -23,9 +22,6 @@
 	// multiples of the route's target time. The call may then be sent to another
 	// upstream. The last attempt that MaxUpstreams allows has no such timeout.
 	attemptTimeoutFactor = 1.5
-	// maxResponseBytes is the length at which a buffered response body is cut
-	// off.
-	maxResponseBytes = 8 << 20
 )
 
 // response is a complete, buffered response of an upstream.
@@ -52,6 +48,9 @@
 		}
 		q.attempted = append(q.attempted, choice.View.ID)
 		result, err := q.attempt(ctx, choice)
+		if err == nil {
+			defer q.g.responses.release(result.body)
+		}
 		if q.clientDisconnected() {
 			q.recordDisconnect(choice)
 			return
@@ -123,11 +122,12 @@
 		return nil, err
 	}
 	q.possibleRuns++
-	body, err := io.ReadAll(io.LimitReader(x.Body, maxResponseBytes))
+	body, err := q.g.responses.readAll(x.Body)
 	if err != nil {
 		x.Abort()
+		q.g.responses.release(body)
 		q.recordEnd(choice.View, load, balancer.Failed)
-		q.recordCrash(failure{view: choice.View, sentAt: sentAt, broken: ctx.Err() == nil})
+		q.recordBrokenBody(err, failure{view: choice.View, sentAt: sentAt, broken: ctx.Err() == nil})
 		return nil, errors.Wrap(err, "read response body")
 	}
 	x.Finish()
@@ -165,7 +165,9 @@
 	if !unsent(err) {
 		q.reachedUpstream = true
 		q.possibleRuns++
-		q.recordCrash(f)
+		if !connkeeper.IsTooLong(err) {
+			q.recordCrash(f)
+		}
 	}
 	if q.clientDisconnected() {
 		q.recordEnd(f.view, load, balancer.Neutral)
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/abandonkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/eventsplitter"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -83,6 +85,15 @@
 	q.log("crash recorded", q.g.crashFields(crash, record)...)
 }
 
+// recordBrokenBody records a body that wasn't read to its end because of err as a
+// crash, unless this gateway stopped reading since it was too long.
+func (q *request) recordBrokenBody(err error, f failure) {
+	if errors.Is(err, errResponseTooLong) || errors.Is(err, eventsplitter.ErrEventTooLong) {
+		return
+	}
+	q.recordCrash(f)
+}
+
 // hasCrashed reports whether the upstream of a failed exchange is known to have
 // ended without an announcement. The caller holds mu.
 func (g *Gateway) hasCrashed(f failure) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,7 +69,9 @@
 	// Options.Now. It is valid only while stopping is true.
 	stopDeadline atomic.Int64
 	inFlight     atomic.Int64
-	instruments  instruments
+	// responses bounds the response bodies that are read whole.
+	responses   *responseBuffer
+	instruments instruments
 }
 
 // instruments holds the gateway's counters and histograms. Times are in
@@ -91,6 +93,7 @@
 		streams:       make(map[currantwood.UpstreamID]map[*stream]struct{}),
 		crashes:       crashkeeper.New(),
 		abandoned:     abandonkeeper.New(),
+		responses:     newResponseBuffer(options.Settings.MemoryBytes),
 		eventInterval: initialEventInterval,
 		budget: budgeter.New(budgeter.Options{
 			Window:     options.Settings.Bounds.RetryWindow,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -212,14 +212,14 @@
 	return &upstreamStream{view: choice.View, exchange: x, events: eventsplitter.New(x.Body), load: load, startedAt: startedAt}, nil
 }
 
-// writeWholeResponse passes on a response whose status isn't 200, up to
-// maxResponseBytes of its body. It doesn't check whether the header was already
+// writeWholeResponse passes on a response whose status isn't 200. It doesn't check whether the header was already
 // written for an earlier upstream.
 func (s *stream) writeWholeResponse(up *upstreamStream, choice balancer.Choice) {
-	body, err := io.ReadAll(io.LimitReader(up.exchange.Body, maxResponseBytes))
+	body, err := s.g.responses.readAll(up.exchange.Body)
+	defer s.g.responses.release(body)
 	if err != nil {
 		up.exchange.Abort()
-		s.recordCrash(up.failure(s.ctx))
+		s.recordBrokenBody(err, up.failure(s.ctx))
 		s.recordEnd(up.view, up.load, balancer.Failed)
 		s.endRequest(&gatewayResponse{status: http.StatusBadGateway, reason: "upstream failed"})
 		return
@@ -272,7 +272,7 @@
 			return nil
 		}
 		if broken {
-			s.recordCrash(up.failure(s.ctx))
+			s.recordBrokenBody(err, up.failure(s.ctx))
 		}
 		if s.switchTo(up, s.awaitMove()) {
 			continue
