--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -29,6 +30,19 @@
 // ErrUnsent means that no byte of the request was sent.
 var ErrUnsent = errors.New("no byte of the request was sent")
 
+// connectError is an ErrUnsent that keeps why no connection was made.
+type connectError struct {
+	upstream currantwood.UpstreamID
+	cause    error
+}
+
+func (e *connectError) Error() string {
+	return fmt.Sprintf("connect to %s: %v: %v", e.upstream, e.cause, ErrUnsent)
+}
+
+// Unwrap makes errors.Is find both ErrUnsent and the cause.
+func (e *connectError) Unwrap() []error { return []error{ErrUnsent, e.cause} }
+
 // ErrUnrelatedResponse means that the connection delivered responses that
 // don't belong to the request.
 var ErrUnrelatedResponse = errors.New("response does not belong to the request")
@@ -81,7 +95,7 @@
 func (p *Pool) Start(ctx context.Context, call *Call, coder currantwood.HeaderCoder) (*Exchange, error) {
 	c, err := p.acquire(ctx, call.Upstream, call.Address)
 	if err != nil {
-		return nil, errors.Wrapf(ErrUnsent, "connect to %s: %v", call.Upstream, err)
+		return nil, &connectError{upstream: call.Upstream, cause: err}
 	}
 	x := &Exchange{pool: p, conn: c, address: call.Address, bodyWritten: make(chan error, 1)}
 	x.stopCancelHook = context.AfterFunc(ctx, x.closeConn)
--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -56,8 +56,8 @@
 	Incarnation int64
 	// SentAt is when the request was sent.
 	SentAt time.Time
-	// Broken is whether the upstream closed the connection, rather than that this
-	// gateway stopped waiting.
+	// Broken is whether the upstream closed the connection or is known to have ended,
+	// rather than that this gateway only stopped waiting.
 	Broken bool
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -162,6 +162,7 @@
 // recordFailedStart reports a failed start to the balancer and, if the upstream
 // may have received the request, counts a possible run and records a crash.
 func (q *request) recordFailedStart(f failure, load balancer.Load, err error) {
+	q.g.noteRefusedConnection(q.g.Now(), f.view, err)
 	if !unsent(err) {
 		q.reachedUpstream = true
 		q.possibleRuns++
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -129,16 +130,39 @@
 	if view, ok := g.upstreams.Get(record.ID); !ok || !view.LeavingSince.IsZero() {
 		running = 0
 	}
-	runs := g.abandoned.Take(now, record.ID, running)
+	g.mu.Unlock()
+	g.recordEnded(now, record.ID, running)
+}
+
+// recordEnded records the end of an upstream as a crash for each request whose run
+// there this gateway had stopped. running is the incarnation that runs now; 0 if none
+// is known to.
+func (g *Gateway) recordEnded(now time.Time, upstream currantwood.UpstreamID, running int64) {
+	g.mu.Lock()
+	runs := g.abandoned.Take(now, upstream, running)
 	g.mu.Unlock()
 	for _, run := range runs {
 		g.mu.Lock()
-		crash, result := g.crashes.RecordFailure(now, crashkeeper.Failure{Fingerprint: run.Fingerprint, Upstream: record.ID, Incarnation: run.Incarnation, SentAt: run.SentAt})
+		crash, result := g.crashes.RecordFailure(now, crashkeeper.Failure{Fingerprint: run.Fingerprint, Upstream: upstream, Incarnation: run.Incarnation, SentAt: run.SentAt, Broken: true})
 		g.mu.Unlock()
 		g.Logger.Info("crash recorded after the run was stopped", append(g.crashFields(crash, result), zap.Duration("since-stopped", now.Sub(run.AbandonedAt)))...)
 	}
 }
 
+// noteRefusedConnection records the end of an upstream that refuses connections: no
+// process listens at its address. The store may not show this, or only later.
+func (g *Gateway) noteRefusedConnection(now time.Time, view upstreamkeeper.View, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	g.mu.Lock()
+	known, ok := g.upstreams.Get(view.ID)
+	g.mu.Unlock()
+	if ok && known.Incarnation == view.Incarnation && !known.LeaveAnnounced {
+		g.recordEnded(now, view.ID, 0)
+	}
+}
+
 // crashFields counts a crash seen by this gateway and returns its log fields.
 func (g *Gateway) crashFields(crash crashkeeper.Crash, record crashkeeper.RecordResult) []zap.Field {
 	if record.New {
