An echo from before a VM's boot no longer confirms the configuration

What could happen: a gateway on a VM that had rebooted took the time in a digest's echo, which its former process had sent by the clock of the former boot, for a time of its own. The configuration then looked confirmed until that time, hours ahead, and a revoked key would be accepted while the store is away. Cause: the collector keeps the last state by VM. Change: digests name the process whose state they echo; an echo counts only if it is of this process and within its life. One from a gateway that doesn't name it must be within its life. Result: four of six rows of "a digest confirms the configuration only if it echoes a state of this process" failed before, all pass.

--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -349,13 +349,12 @@
 	return count
 }
 
-// LastStateSentAt returns SentAt of the state received last from a gateway, a
-// time by that gateway's own clock; 0 if none was received.
-func (k *Keeper) LastStateSentAt(id currantwood.VMID) int64 {
+// LastState returns the state received last from a gateway; zero if none was.
+func (k *Keeper) LastState(id currantwood.VMID) State {
 	if entry := k.peers[id]; entry != nil {
-		return entry.state.SentAt
+		return entry.state
 	}
-	return 0
+	return State{}
 }
 
 // TotalLoads returns the sum of own and the loads of all gateways heard from
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -125,13 +125,15 @@
 	wasCollector bool
 	// process identifies this process among those of its VM.
 	process uint64
+	// startedAt is when this process created the Messenger.
+	startedAt time.Time
 }
 
 // New opens the socket. Nothing is sent or received before Start. A seed
 // address that can't be parsed is logged and skipped; this VM's own address is
 // skipped without a log line.
 func New(options Options) (*Messenger, error) {
-	m := &Messenger{Options: options, process: rand.Uint64(), peers: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Capacity: options.Settings.CapacityMillicores()})}
+	m := &Messenger{Options: options, process: rand.Uint64(), startedAt: options.Now(), peers: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Capacity: options.Settings.CapacityMillicores()})}
 	port := strconv.Itoa(options.Settings.PeerPort)
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(options.Settings.IP, port))
 	if err != nil {
@@ -358,7 +360,8 @@
 	// get the age of a configuration that arrives in between.
 	age := m.Configuration.Age(now)
 	digest := &peerwire.Digest{
-		Echo:               m.peers.LastStateSentAt(peer.VM),
+		Echo:               m.peers.LastState(peer.VM).SentAt,
+		EchoProcess:        m.peers.LastState(peer.VM).Process,
 		Configuration:      uint64(m.Configuration.Version()),
 		ConfigurationAgeUs: age.Microseconds(),
 		DirectoryAgeUs:     m.directoryTopic.Age(now).Microseconds(),
@@ -459,7 +462,7 @@
 	}
 	m.Gateway.SetPeerLoads(now, decodeLoads(d.GetLoads()))
 	m.Gateway.SetBudgetPeers(now, budgeter.Peers{Usage: usage, Gateways: int(d.GetGateways()), Established: int(d.GetEstablished())})
-	m.applyConfigurationAge(d)
+	m.applyConfigurationAge(now, d)
 	if d.GetNext() == 0 {
 		return
 	}
@@ -481,13 +484,25 @@
 // configuration to be the newest, and requests a read if the collector has a
 // newer one. The digest's transit time is unknown, so the age counts back from
 // when this gateway sent the state that the digest answers.
-func (m *Messenger) applyConfigurationAge(d *peerwire.Digest) {
+func (m *Messenger) applyConfigurationAge(now time.Time, d *peerwire.Digest) {
 	version := currantwood.ConfigurationVersion(d.GetConfiguration())
 	switch {
 	case version > m.Configuration.Version():
 		m.configurationTopic.Kick()
-	case version == m.Configuration.Version() && d.GetEcho() > 0:
+	case version == m.Configuration.Version() && m.isOwnEcho(now, d):
 		age := time.Duration(d.GetConfigurationAgeUs()) * time.Microsecond
 		m.Configuration.Confirm(time.Unix(0, d.GetEcho()).Add(-age))
 	}
 }
+
+// isOwnEcho reports whether a digest echoes a state that this process sent. The echo
+// of a state that a former process sent before the VM's last boot is a time of
+// another clock. A sender that doesn't name the process is believed if the echo is
+// from the life of this one.
+func (m *Messenger) isOwnEcho(now time.Time, d *peerwire.Digest) bool {
+	sentAt := time.Unix(0, d.GetEcho())
+	if d.GetEcho() <= 0 || sentAt.Before(m.startedAt) || sentAt.After(now) {
+		return false
+	}
+	return d.GetEchoProcess() == m.process || d.GetEchoProcess() == 0
+}
--- /dev/null
+++ b/peermessenger/messenger_test.go
@@ -0,0 +1,71 @@
+package peermessenger
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/peerkeeper"
+	"github.com/currantwood/currantwood/peerwire"
+)
+
+// idleGateway is a Gateway without state.
+type idleGateway struct{}
+
+func (idleGateway) OwnLoads() balancer.Loads                                           { return nil }
+func (idleGateway) SetPeerLoads(time.Time, balancer.Loads)                             {}
+func (idleGateway) RetryUsage(time.Time) budgeter.GroupUsage                           { return nil }
+func (idleGateway) Established(time.Time) bool                                         { return true }
+func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)                           {}
+func (idleGateway) RecentCrashes(time.Time) []crashkeeper.AgedCrash                    { return nil }
+func (idleGateway) CrashSum(time.Time) uint64                                          { return 0 }
+func (idleGateway) RecordCrashes(time.Time, currantwood.VMID, []crashkeeper.AgedCrash) {}
+func (idleGateway) SuspectCrashes(time.Time, currantwood.Fingerprint, int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint) {
+	return nil, 0
+}
+
+// idleTopic is a Topic of which nothing is known.
+type idleTopic struct{}
+
+func (idleTopic) Position() currantwood.Offset { return 0 }
+func (idleTopic) Age(time.Time) time.Duration  { return 0 }
+func (idleTopic) Kick()                        {}
+func (idleTopic) Reachable() bool              { return false }
+func (idleTopic) ApplyPeerRecords(_, _ time.Time, _, _ currantwood.Offset, _ []currantwood.KeyedRecord) bool {
+	return false
+}
+
+// bootSeconds returns the time so many seconds after the VM's boot.
+func bootSeconds(s float64) time.Time { return time.Unix(0, int64(s*float64(time.Second))) }
+
+// A VM's clock begins anew at a boot. An echo of what a process before the boot sent
+// must not make the configuration look confirmed at that time of the new clock, or a
+// key that was revoked meanwhile would be accepted.
+var _ = DescribeTable("a digest confirms the configuration only if it echoes a state of this process",
+	func(echo float64, process uint64, confirmed bool) {
+		keeper := configkeeper.New()
+		keeper.SetIfNewer(currantwood.Configuration{Version: 3})
+		m := &Messenger{
+			Options: Options{Logger: zap.NewNop(), Gateway: idleGateway{}, Configuration: keeper, Now: func() time.Time { return bootSeconds(9) }},
+			peers:   peerkeeper.New(peerkeeper.Peer{VM: "b"}), process: 7, startedAt: bootSeconds(5),
+			configurationTopic: idleTopic{}, directoryTopic: idleTopic{},
+		}
+		m.receiveDigest(bootSeconds(9), peerkeeper.Peer{VM: "a", Address: "a:1"}, &peerwire.Digest{
+			Configuration: 3, ConfigurationAgeUs: 100_000, Echo: bootSeconds(echo).UnixNano(), EchoProcess: process,
+		})
+		Expect(keeper.Age(bootSeconds(9)) < time.Minute).To(Equal(confirmed))
+	},
+	Entry("one of this process", 8.0, uint64(7), true),
+	Entry("one of a process before the boot, later by its clock than now", 5000.0, uint64(6), false),
+	Entry("one of a process before the boot, within the life of this one", 8.0, uint64(6), false),
+	Entry("one from a gateway that doesn't name the process, within the life of this one", 8.0, uint64(0), true),
+	Entry("one from such a gateway, from before this process", 4.0, uint64(0), false),
+	Entry("one from such a gateway, later than now", 5000.0, uint64(0), false),
+)
