peerkeeper: a state that arrives late doesn't replace a newer one

Cause: datagrams may overtake each other. An older state of a gateway replaced its newer one, so that its loads and its retries were counted too low for up to 50 ms, and a gateway's former usage could be taken back. Change: a state that was sent before the last one of the same process is dropped. A gateway that doesn't name its process is believed as before, since its clock may have begun anew. Result: the row "sent earlier" failed before and passes.

--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -116,8 +116,7 @@
 	lastCrashSent currantwood.Fingerprint
 	// former holds the retry usage of former processes of its VM.
 	former []formerUsage
-	// state is zero if none was received. It may be older than its predecessor
-	// if they arrived out of order.
+	// state is zero if none was received.
 	state State
 }
 
@@ -207,7 +206,8 @@
 	entry.lastSeen = now
 }
 
-// ApplyState stores the state of another gateway.
+// ApplyState stores the state of another gateway, unless a later one of the same
+// process has arrived before it.
 func (k *Keeper) ApplyState(now time.Time, from Peer, s State) {
 	lastSeen := time.Time{}
 	if entry := k.peers[from.VM]; entry != nil {
@@ -215,7 +215,7 @@
 	}
 	k.NotePeer(now, from)
 	entry := k.peers[from.VM]
-	if entry == nil {
+	if entry == nil || s.Process != 0 && s.Process == entry.state.Process && s.SentAt < entry.state.SentAt {
 		return
 	}
 	if entry.state.Process != s.Process && len(entry.state.RetryUsage) > 0 {
--- a/peerkeeper/usage_test.go
+++ b/peerkeeper/usage_test.go
@@ -63,3 +63,23 @@
 	Expect(k.CountEstablished(start)).To(Equal(2))
 	Expect(k.CountEstablished(atMS(2000))).To(Equal(1))
 })
+
+// Guards against a datagram that was long on its way and takes back what is known.
+var _ = DescribeTable("a state replaces the one before unless it was sent earlier by the same process",
+	func(process uint64, sentAt int64, replaces bool) {
+		k := New(peer("a"))
+		k.ApplyState(start, peer("b"), State{Process: 1, SentAt: 100, RetryUsage: used(10, 5)})
+		k.ApplyState(atMS(10), peer("b"), State{Process: process, SentAt: sentAt, RetryUsage: used(9, 4)})
+		Expect(k.LastState("b").RetryUsage["g"].Retries == 4).To(Equal(replaces))
+	},
+	Entry("sent later", uint64(1), int64(101), true),
+	Entry("sent earlier", uint64(1), int64(99), false),
+	Entry("sent by another process, whose clock is behind", uint64(2), int64(5), true),
+)
+
+var _ = It("states of gateways that don't name their process always replace the one before", func() {
+	k := New(peer("a"))
+	k.ApplyState(start, peer("b"), State{SentAt: 100, RetryUsage: used(10, 5)})
+	k.ApplyState(atMS(10), peer("b"), State{SentAt: 99, RetryUsage: used(9, 4)})
+	Expect(k.LastState("b").RetryUsage["g"].Retries).To(Equal(4))
+})
