proof/operations: wait for the intent, not for any append

Shown by an append to another stream 300 ms before the call: the spec fails each time. Change: the stand-in counts the records of a stream that contain a text; the spec waits for a batch with operation records. The frozen spec beside it waits the same way.

--- a/proof/operations/environment_test.go
+++ b/proof/operations/environment_test.go
@@ -221,3 +221,9 @@
 		Expect(mayHaveRun || runs == 0).To(BeTrue(), "key %s ran, but every response says not-run", key)
 	}
 }
+
+// operationAppends returns the number of batches of operation records in the log.
+// Sides also append marks, which have no records, and checkpoints of the rules.
+func (env *environment) operationAppends() int {
+	return env.Log.CountRecords("operations-", `"records":`)
+}
--- a/proof/operations/frozen_test.go
+++ b/proof/operations/frozen_test.go
@@ -99,13 +99,13 @@
 		env := newEnvironment()
 		side := env.startSideProcess(binary, env.desks()[0])
 		env.Log.SetFaults(logservice.Faults{ReadLagMS: 60_000})
-		appends := env.Log.Counts().Appends
+		appends := env.operationAppends()
 		responses := make(chan response, 1)
 		go func() {
 			defer GinkgoRecover()
 			responses <- env.pay(0, "k", paymentBody)
 		}()
-		Eventually(func() int { return env.Log.Counts().Appends }).WithTimeout(waitTimeout).Should(Equal(appends + 1))
+		Eventually(env.operationAppends).WithTimeout(waitTimeout).Should(Equal(appends + 1))
 		suspend(side)
 		env.Log.SetFaults(logservice.Faults{})
 		var got response
--- a/proof/operations/owner_test.go
+++ b/proof/operations/owner_test.go
@@ -63,13 +63,13 @@
 	It("is killed between intent and dispatch: nothing runs, unknown is told", func() {
 		env := newEnvironment()
 		env.Log.SetFaults(logservice.Faults{ReadLagMS: 60_000})
-		appends := env.Log.Counts().Appends
+		appends := env.operationAppends()
 		responses := make(chan response, 1)
 		go func() {
 			defer GinkgoRecover()
 			responses <- env.pay(0, "k", paymentBody)
 		}()
-		Eventually(func() int { return env.Log.Counts().Appends }).WithTimeout(waitTimeout).Should(BeNumerically(">", appends))
+		Eventually(env.operationAppends).WithTimeout(waitTimeout).Should(BeNumerically(">", appends))
 		for _, desk := range env.desks() {
 			env.replaceSide(desk, true)
 		}
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -3,10 +3,12 @@
 package logservice
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -114,6 +116,25 @@
 	return s.core.counts
 }
 
+// CountRecords returns the number of records not expired yet that contain text, in
+// the streams whose names begin with prefix.
+func (s *Service) CountRecords(prefix, text string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for name, stream := range s.core.streams {
+		if !strings.HasPrefix(string(name), prefix) {
+			continue
+		}
+		for _, entry := range stream.entries {
+			if bytes.Contains(entry.data, []byte(text)) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (s *Service) serveCounts(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, s.Counts())
 }
