An entry whose client has gone no longer takes a stream back

Cause: the first entry's links were cut too. It recovered the generation over its new link, not having noticed that its client had left, after the second entry had begun to read; the side took the newest resume for the newest reader. Change: a resume says whether its entry has read for the same client before. The side remembers from which processes a client took the generation to another entry, and answers their recovery with taken-over. A client that comes back there reads again. An entry that doesn't send the field is treated as before.

--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -64,6 +64,8 @@
 	ended     bool
 	refusal   *currantwood.Refusal
 	retryable bool
+	// receiving is whether a frame of the run has arrived since the run is read.
+	receiving bool
 	// unflushed is true while the sink holds tokens that were not flushed.
 	unflushed bool
 	// idleAt is when to call Sink.Idle next, unless tokens are delivered before.
@@ -109,7 +111,7 @@
 	now := time.Now()
 	r.current = current
 	r.ejectionCheckAt = now.Add(firstEjectionCheck)
-	r.ended, r.retryable, r.refusal = false, false, nil
+	r.ended, r.retryable, r.refusal, r.receiving = false, false, nil, false
 	restart := r.relayer.SetGeneration(now, current.generation, current.next)
 	if err := r.sink.Bind(current.generation, current.upstream, restart); err != nil {
 		r.handleClientGone()
@@ -246,6 +248,7 @@
 }
 
 func (r *activeRequest) handleFrame(now time.Time, e event) {
+	r.receiving = true
 	switch body := e.frame.Body.(type) {
 	case *wire.Frame_Tokens:
 		r.perform(r.relayer.HandleTokens(now, body.Tokens))
@@ -266,6 +269,7 @@
 		r.unflushed = true
 	}
 	if actions.Resume != nil {
+		actions.Resume.Recovery = r.receiving
 		actions.Resume.DeadlineMs = time.Until(r.request.Demand.Deadline).Milliseconds()
 		_ = r.send(&wire.Frame{Body: &wire.Frame_Resume{Resume: actions.Resume}})
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -45,6 +45,9 @@
 	holder *holder.Holder
 	// link is the link to the entry that reads the generation, or last read it.
 	link *linker.Link
+	// superseded holds the entry processes from which a client of another took the
+	// generation over.
+	superseded map[string]bool
 	// queuedOn is the link whose queue contains this run as a source of frames;
 	// nil if there is none.
 	queuedOn *linker.Link
@@ -78,6 +81,7 @@
 		wake:          make(chan struct{}, 1),
 		holder:        holder.New(now, params.request, params.generation, params.firstIndex, runner.options.Limits),
 		link:          link,
+		superseded:    make(map[string]bool),
 		openRequested: true,
 		openFrom:      params.firstIndex,
 		startedAt:     now,
@@ -341,12 +345,22 @@
 	return held * time.Since(r.startedAt).Seconds()
 }
 
-func (r *run) resume(link *linker.Link, next currantwood.TokenIndex) {
+// resume makes link the reader from the token next on. recovery is whether its entry
+// has read for the same client before. Such an entry doesn't take the generation back
+// once a client at another entry has taken it over: its own client has left, which it
+// may not have noticed yet.
+func (r *run) resume(link *linker.Link, next currantwood.TokenIndex, recovery bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	process := link.Peer().Process
+	if recovery && r.superseded[process] {
+		r.sendTakenOver(link)
+		return
+	}
 	if r.link != link {
-		r.takeOver(link)
+		r.takeOver(link, recovery)
 	}
+	delete(r.superseded, process)
 	r.apply(r.holder.Resume(next))
 	r.notify()
 }
@@ -354,15 +368,23 @@
 // takeOver makes link the reader. A previous reader in another process is told,
 // since otherwise each would resume and take the stream away from the other, again
 // and again. The caller holds mu.
-func (r *run) takeOver(link *linker.Link) {
+func (r *run) takeOver(link *linker.Link, recovery bool) {
 	previous := r.link
 	r.link = link
 	if previous.Peer().Process == link.Peer().Process {
 		return
 	}
+	if !recovery {
+		r.superseded[previous.Peer().Process] = true
+	}
+	r.sendTakenOver(previous)
+}
+
+// sendTakenOver tells an entry that another one reads the generation.
+func (r *run) sendTakenOver(link *linker.Link) {
 	refusal := currantwood.NewRefusal(currantwood.KindTakenOver, step, "another entry reads on", 0)
 	refusal.Ran = currantwood.RanUnknown
-	_ = previous.Send(&wire.Frame{Body: &wire.Frame_Final{Final: &wire.Final{
+	_ = link.Send(&wire.Frame{Body: &wire.Frame_Final{Final: &wire.Final{
 		RequestId:    string(r.params.request),
 		GenerationId: string(r.params.generation),
 		Refusal:      wire.FromRefusal(refusal),
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -114,7 +114,7 @@
 	defer r.mu.Unlock()
 	id := currantwood.GenerationID(start.GenerationId)
 	if known := r.runs[id]; known != nil {
-		known.resume(link, 0)
+		known.resume(link, 0, true)
 		return
 	}
 	if _, ignored := r.ignoredStarts[id]; ignored || r.closed {
@@ -138,7 +138,7 @@
 	id := currantwood.GenerationID(resume.GenerationId)
 	if known := r.runs[id]; known != nil {
 		if string(known.params.customer) == resume.Customer && string(known.params.request) == resume.RequestId {
-			known.resume(link, currantwood.TokenIndex(resume.NextIndex))
+			known.resume(link, currantwood.TokenIndex(resume.NextIndex), resume.Recovery)
 			return
 		}
 		sendLost(link, resume)
