proof/rules: a failed replacement no longer hangs the suite

Cause: replaceAll and replaceEntry checked the replacement between Lock and Unlock. A failed check ends the goroutine with the lock held, and the cleanup waits for a watcher that waits for the lock, for ever. Change: the lock is released before the check.

--- a/proof/rules/environment_test.go
+++ b/proof/rules/environment_test.go
@@ -211,19 +211,29 @@
 		env.replaceEntry(entry)
 	}
 	for _, upstream := range env.Upstreams {
-		env.mu.Lock()
-		Expect(env.ReplaceSide(env.ctx, upstream, true)).To(Succeed())
-		env.mu.Unlock()
-		env.expectInForce()
+		env.replaceSide(upstream)
 	}
 }
 
+// replaceSide kills and replaces the side of an upstream and waits until the new one
+// has the last accepted publication.
+func (env *environment) replaceSide(upstream *demonstrator.Upstream) {
+	Expect(env.whileLocked(func() error { return env.ReplaceSide(env.ctx, upstream, true) })).To(Succeed())
+	env.expectInForce()
+}
+
+// whileLocked calls replace with mu held. It releases mu before the result is
+// checked: a failed check ends the goroutine, and the cleanup needs mu.
+func (env *environment) whileLocked(replace func() error) error {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return replace()
+}
+
 // replaceEntry kills and replaces an entry and waits until the new one has the last
 // accepted publication.
 func (env *environment) replaceEntry(entry *demonstrator.Entry) {
-	env.mu.Lock()
-	Expect(env.ReplaceEntry(env.ctx, entry, true)).To(Succeed())
-	env.mu.Unlock()
+	Expect(env.whileLocked(func() error { return env.ReplaceEntry(env.ctx, entry, true) })).To(Succeed())
 	env.expectInForce()
 }
 
