Texts of answers as they were; comments name what exists

Cause: the wording pass changed three texts that clients of a failed generation see as the refusal's detail, and renames left comments with names that are gone.

--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -179,7 +179,7 @@
 
 // errConflict is returned for status 409: an order has an outdated fencing
 // number, or a stream to start exists already.
-var errConflict = errors.New("engine returned a conflict")
+var errConflict = errors.New("engine answered a conflict")
 
 // statusError returns the error for a response status, or nil for 200.
 // ErrStreamUnknown is meant for calls on an existing stream and ErrNotDispatched
@@ -195,7 +195,7 @@
 	case http.StatusServiceUnavailable:
 		return currantwood.ErrNotDispatched
 	default:
-		return errors.Errorf("engine returned status %d", status)
+		return errors.Errorf("engine answered status %d", status)
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,7 +40,7 @@
 )
 
 // DefaultLimits returns the limits used in production. LostAfter leaves time for a
-// replacement of the side process to start. UnseenLostAfter is shorter, since before
+// replacement of the side process to start. FirstTokenLostAfter is shorter, since before
 // the first token another upstream can serve the client sooner. AckEvery is well
 // below the side's window, which runner.DefaultLimits sets.
 func DefaultLimits() relayer.Options {
@@ -69,7 +69,7 @@
 	// Prefixes estimates which upstreams have a prompt's prefix cached.
 	Prefixes *prefixtracker.Tracker
 	// RequestLink requests a link to an upstream for a limited time, longer than
-	// linkRequestInterval, and doesn't wait for it. Forwarder.LinkUp must be called
+	// linkRequestInterval, and doesn't wait for it. Forwarder.HandleLinkUp must be called
 	// once the link is up.
 	RequestLink func(now time.Time, upstream currantwood.UpstreamID)
 	// Quarantine refuses requests that crash upstreams; nil refuses none.
--- a/forwarder/sink.go
+++ b/forwarder/sink.go
@@ -14,7 +14,7 @@
 	// Flush sends the delivered tokens to a client that reads a stream. A response that
 	// isn't streamed is sent after Forward has returned.
 	Flush() error
-	// Idle is called every Options.IdleEvery while there are no tokens to deliver, so that
+	// Idle is called every Options.IdleInterval while there are no tokens to deliver, so that
 	// the sink can send a heartbeat. A failed heartbeat shows that the client is gone.
 	Idle() error
 }
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -43,7 +43,7 @@
 }
 
 // smallEngine returns options with which two demands of the rule plans fit and a
-// third doesn't. With the default Confidence and CheckReserve, the third is
+// third doesn't. With the default Confidence and ReservedShare, the third is
 // started at once.
 func smallEngine() gatekeeper.Options {
 	options := gatekeeper.DefaultOptions()
--- a/ledger/action.go
+++ b/ledger/action.go
@@ -16,7 +16,7 @@
 	ActionAppend ActionKind = iota + 1 // append
 	// ActionDispatch asks the user of Ledger to invoke Dispatch and, if that
 	// returns true, to send the call. The result is reported with Done or
-	// NotDispatched.
+	// NotSent.
 	ActionDispatch // dispatch
 	// ActionRespond returns the outcome to the client.
 	ActionRespond // answer
@@ -31,9 +31,9 @@
 	Call currantwood.AttemptID
 	// Record is set on ActionAppend.
 	Record Record
-	// Outcome is set on ActionAnswer. Its Unknown and Omitted are false.
+	// Outcome is set on ActionRespond. Its Unknown and Omitted are false.
 	Outcome Outcome
-	// Replayed is set on ActionAnswer if the outcome is that of an earlier call.
+	// Replayed is set on ActionRespond if the outcome is that of an earlier call.
 	Replayed bool
 	// Refusal is set on ActionRefuse.
 	Refusal *currantwood.Refusal
--- a/recorder/call.go
+++ b/recorder/call.go
@@ -43,7 +43,7 @@
 	return &wire.Answer{Refusal: wire.FromRefusal(refusal)}
 }
 
-// answerFromAction converts an action of kind ActionAnswer or ActionRefuse. peer
+// answerFromAction converts an action of kind ActionRespond or ActionRefuse. peer
 // is the upstream that a refusal names.
 func answerFromAction(action ledger.Action, peer currantwood.UpstreamID) *wire.Answer {
 	if action.Kind == ledger.ActionRespond {
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -72,7 +72,7 @@
 	options Options
 	random  *rand.Rand
 	// budget is the number of retries that may be made now;
-	// 0 <= budget <= options.Reserve, its start value.
+	// 0 <= budget <= options.MaxBudget, its start value.
 	budget float64
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -174,7 +174,7 @@
 }
 
 // cancelAbandoned cancels and removes streams that have had no reader for
-// Options.LetGo. The caller holds mu.
+// Options.AbandonAfter. The caller holds mu.
 func (e *Engine) cancelAbandoned(now time.Time) {
 	for id, s := range e.streams {
 		if s.readers > 0 || now.Sub(s.unreadSince) < e.options.AbandonAfter {
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -70,7 +70,7 @@
 	// Canceled counts incomplete streams canceled on request.
 	Canceled int64 `json:"cancelled"`
 	// Abandoned counts incomplete streams canceled because they had no reader
-	// for Options.LetGo.
+	// for Options.AbandonAfter.
 	Abandoned      int64 `json:"let-go"`
 	Tokens         int64 `json:"tokens"`
 	Preemptions    int64 `json:"preemptions"`
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -64,7 +64,7 @@
 	// Refused counts the appends refused because of Down or AppendsPerSecond.
 	Refused int `json:"refused"`
 	// LostResponses counts the records stored whose response was lost to
-	// Faults.LoseAnswers.
+	// Faults.LoseResponses.
 	LostResponses int `json:"lost-answers"`
 	// Reads counts lookups; a waiting read counts once for each poll.
 	Reads int `json:"reads"`
@@ -78,7 +78,7 @@
 	mu   sync.Mutex
 	core *core
 	// responsesToLose is the number of further appends whose response is lost,
-	// as set by Faults.LoseAnswers.
+	// as set by Faults.LoseResponses.
 	responsesToLose int
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -211,7 +211,7 @@
 	case <-admitted:
 	case <-ctx.Done():
 		w.end(stream)
-		return errors.Wrapf(currantwood.ErrNotDispatched, "watcher: wait for other suspects to end: %v", ctx.Err())
+		return errors.Wrapf(currantwood.ErrNotDispatched, "watcher: wait apart from other suspects: %v", ctx.Err())
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
