--- /dev/null
+++ b/peerkeeper/records.go
@@ -0,0 +1,62 @@
+package peerkeeper
+
+import (
+	"time"
+
+	"github.com/currantwood/currantwood"
+)
+
+// retainedRecord is a record of the directory and when it was read.
+type retainedRecord struct {
+	addedAt time.Time
+	record  currantwood.KeyedRecord
+}
+
+// RetainRecords keeps records of the directory for peers. changed are the
+// records in the offset range [from, next) that caused an event. If from
+// isn't the end of the previous range, the records kept so far are discarded.
+func (k *Keeper) RetainRecords(now time.Time, from, next currantwood.Offset, changed []currantwood.KeyedRecord) {
+	if from != k.nextOffset || k.nextOffset == 0 {
+		k.firstOffset, k.records = from, nil
+	}
+	k.nextOffset = next
+	for _, r := range changed {
+		k.records = append(k.records, retainedRecord{addedAt: now, record: r})
+	}
+	drop := 0
+	for drop < len(k.records) && now.Sub(k.records[drop].addedAt) > recordRetention {
+		k.firstOffset = k.records[drop].record.Offset + 1
+		drop++
+	}
+	k.records = k.records[drop:]
+}
+
+// RecordsSince returns the records from offset known on, at most
+// maxDigestRecords, and the offset that follows them. It returns false if known
+// is 0, if the records from known on are no longer kept, or if known is ahead of
+// what this gateway has read: then the gateway that asks has to read the
+// directory itself.
+func (k *Keeper) RecordsSince(known currantwood.Offset) (records []currantwood.KeyedRecord, next currantwood.Offset, ok bool) {
+	if k.nextOffset == 0 || known == 0 || known < k.firstOffset || known > k.nextOffset {
+		return nil, 0, false
+	}
+	for _, kept := range k.records {
+		if kept.record.Offset < known {
+			continue
+		}
+		if len(records) == maxDigestRecords {
+			return records, kept.record.Offset, true
+		}
+		records = append(records, kept.record)
+	}
+	return records, k.nextOffset, true
+}
+
+// KnownOffset returns the offset up to which a gateway reported to know the
+// directory; 0 if it doesn't know it.
+func (k *Keeper) KnownOffset(id currantwood.VMID) currantwood.Offset {
+	if entry := k.peers[id]; entry != nil {
+		return entry.state.NextOffset
+	}
+	return 0
+}
--- /dev/null
+++ b/peermessenger/digest.go
@@ -0,0 +1,146 @@
+package peermessenger
+
+import (
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/peerkeeper"
+	"github.com/currantwood/currantwood/peerwire"
+)
+
+// sendDigests sends a digest to each recipient if this gateway is the
+// collector, and applies the sums of the others' loads and retry usage to its
+// own process.
+func (m *Messenger) sendDigests(now time.Time) {
+	storeReachable := m.storeReachable()
+	m.mu.Lock()
+	if !m.peers.IsCollector(now, storeReachable) {
+		m.mu.Unlock()
+		return
+	}
+	recipients := m.peers.DigestRecipients(now)
+	m.mu.Unlock()
+	own, usage := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now)
+	crashes, sum := encodeCrashes(m.Gateway.RecentCrashes(now)), m.Gateway.CrashSum(now)
+	for i, digest := range m.buildDigests(now, recipients, own, usage) {
+		m.mu.Lock()
+		missing := m.missingCrashes(now, recipients[i].VM, sum)
+		m.mu.Unlock()
+		digest.Crashes, digest.CrashSum = append(encodeCrashes(missing), crashes...), sum
+		m.send(recipients[i].Address, &peerwire.Datagram{Body: &peerwire.Datagram_Digest{Digest: digest}})
+	}
+	m.mu.Lock()
+	loads := m.peers.TotalLoads(now, nil)
+	peers := budgeter.Peers{
+		Usage:       m.peers.TotalUsage(now, m.retryWindow(), "", nil),
+		Gateways:    m.peers.CountGateways(now),
+		Established: m.peers.CountEstablished(now),
+	}
+	m.mu.Unlock()
+	m.Gateway.SetPeerLoads(now, loads)
+	m.Gateway.SetBudgetPeers(now, peers)
+}
+
+// buildDigests returns a digest for each of the recipients, in their order.
+func (m *Messenger) buildDigests(now time.Time, recipients []peerkeeper.Peer, own balancer.Loads, usage budgeter.GroupUsage) []*peerwire.Digest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	loads := m.peers.TotalLoads(now, own)
+	digests := make([]*peerwire.Digest, 0, len(recipients))
+	for _, peer := range recipients {
+		digests = append(digests, m.buildDigest(now, peer, loads, usage))
+	}
+	return digests
+}
+
+// buildDigest returns the digest for one peer. loads is the sum of all
+// gateways' loads, usage is this gateway's own retry usage. Called with mu held.
+func (m *Messenger) buildDigest(now time.Time, peer peerkeeper.Peer, loads balancer.Loads, usage budgeter.GroupUsage) *peerwire.Digest {
+	// The age is read before the version: otherwise the previous version would
+	// get the age of a configuration that arrives in between.
+	age := m.Configuration.Age(now)
+	digest := &peerwire.Digest{
+		Echo:               m.peers.LastState(peer.VM).SentAt,
+		EchoProcess:        m.peers.LastState(peer.VM).Process,
+		Configuration:      uint64(m.Configuration.Version()),
+		ConfigurationAgeUs: age.Microseconds(),
+		DirectoryAgeUs:     m.directoryTopic.Age(now).Microseconds(),
+		Loads:              encodeLoads(m.peers.LoadsExcept(loads, peer.VM)),
+		Gateways:           uint32(m.peers.CountGateways(now)),
+		Established:        uint32(m.peers.CountEstablished(now)),
+		Uses:               encodeRetryUsage(m.peers.TotalUsage(now, m.retryWindow(), peer.VM, usage)),
+	}
+	known := m.peers.KnownOffset(peer.VM)
+	if records, next, ok := m.peers.RecordsSince(known); ok {
+		digest.From, digest.Next = uint64(known), uint64(next)
+		for _, r := range records {
+			digest.Records = append(digest.Records, &peerwire.Record{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value})
+		}
+	}
+	return digest
+}
+
+// receiveDigest applies a digest if its sender is accepted as the collector.
+// Crashes are applied in any case.
+func (m *Messenger) receiveDigest(now time.Time, from peerkeeper.Peer, d *peerwire.Digest) {
+	m.mu.Lock()
+	usage := decodeRetryUsage(d.GetUses())
+	accepted := m.peers.AcceptDigest(now, from, m.storeReachable())
+	if accepted {
+		m.peers.SetDigestUsage(usage)
+		m.peers.SetDigestGateways(int(d.GetGateways()))
+		m.peers.SetCrashSum(from.VM, d.GetCrashSum())
+	}
+	m.mu.Unlock()
+	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(d.GetCrashes()))
+	if !accepted {
+		return
+	}
+	m.Gateway.SetPeerLoads(now, decodeLoads(d.GetLoads()))
+	m.Gateway.SetBudgetPeers(now, budgeter.Peers{Usage: usage, Gateways: int(d.GetGateways()), Established: int(d.GetEstablished())})
+	m.applyConfigurationAge(now, d)
+	if d.GetNext() == 0 {
+		return
+	}
+	records := make([]currantwood.KeyedRecord, 0, len(d.GetRecords()))
+	for _, r := range d.GetRecords() {
+		records = append(records, currantwood.KeyedRecord{Offset: currantwood.Offset(r.GetOffset()), Key: r.GetKey(), Value: r.GetValue()})
+	}
+	// The transit time is unknown and isn't subtracted, so readAt is too late by
+	// as much.
+	readAt := now.Add(-time.Duration(d.GetDirectoryAgeUs()) * time.Microsecond)
+	if m.directoryTopic.ApplyPeerRecords(now, readAt, currantwood.Offset(d.GetFrom()), currantwood.Offset(d.GetNext()), records) {
+		m.mu.Lock()
+		m.directoryCoveredAt = now
+		m.mu.Unlock()
+	}
+}
+
+// applyConfigurationAge notes how recently the collector knew the
+// configuration to be the newest, and requests a read if the collector has a
+// newer one. The digest's transit time is unknown, so the age counts back from
+// when this gateway sent the state that the digest answers.
+func (m *Messenger) applyConfigurationAge(now time.Time, d *peerwire.Digest) {
+	version := currantwood.ConfigurationVersion(d.GetConfiguration())
+	switch {
+	case version > m.Configuration.Version():
+		m.configurationTopic.Kick()
+	case version == m.Configuration.Version() && m.isOwnEcho(now, d):
+		age := time.Duration(d.GetConfigurationAgeUs()) * time.Microsecond
+		m.Configuration.Confirm(time.Unix(0, d.GetEcho()).Add(-age))
+	}
+}
+
+// isOwnEcho reports whether a digest echoes a state that this process sent. The echo
+// of a state that a former process sent before the VM's last boot is a time of
+// another clock. A sender that doesn't name the process is believed if the echo is
+// from the life of this one.
+func (m *Messenger) isOwnEcho(now time.Time, d *peerwire.Digest) bool {
+	sentAt := time.Unix(0, d.GetEcho())
+	if d.GetEcho() <= 0 || sentAt.Before(m.startedAt) || sentAt.After(now) {
+		return false
+	}
+	return d.GetEchoProcess() == m.process || d.GetEchoProcess() == 0
+}
--- /dev/null
+++ b/peermessenger/state.go
@@ -0,0 +1,85 @@
+package peermessenger
+
+import (
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/peerkeeper"
+	"github.com/currantwood/currantwood/peerwire"
+)
+
+// sendState sends this gateway's state to the other gateway that is the
+// collector. If none is known, also because this one is the collector, it goes
+// to gateways and seed addresses that may answer with a referral.
+func (m *Messenger) sendState(now time.Time, state *peerwire.State) {
+	m.mu.Lock()
+	recipients := m.peers.StateRecipients(now)
+	_, known := m.peers.OtherCollector(now)
+	m.mu.Unlock()
+	datagram := &peerwire.Datagram{Body: &peerwire.Datagram_State{State: state}}
+	for _, peer := range recipients {
+		m.send(peer.Address, datagram)
+	}
+	if known {
+		return
+	}
+	for _, seed := range m.seeds {
+		m.send(seed, datagram)
+	}
+}
+
+// buildState returns the state of this gateway.
+func (m *Messenger) buildState(now time.Time, storeReachable bool, loads balancer.Loads) *peerwire.State {
+	sum := m.Gateway.CrashSum(now)
+	m.mu.Lock()
+	collector, _ := m.peers.OtherCollector(now)
+	missing := m.missingCrashes(now, collector.VM, sum)
+	m.mu.Unlock()
+	return &peerwire.State{
+		SentAt:   now.UnixNano(),
+		Store:    storeReachable,
+		Next:     uint64(m.directoryTopic.Position()),
+		Loads:    encodeLoads(loads),
+		Crashes:  encodeCrashes(append(m.Gateway.RecentCrashes(now), missing...)),
+		Uses:     encodeRetryUsage(m.Gateway.RetryUsage(now)),
+		CrashSum: sum,
+	}
+}
+
+// missingCrashes returns crashes that a peer may lack, as its checksum differs from
+// sum, this gateway's own. It returns none if the peer is unknown or was sent some a
+// moment ago. Called with mu held.
+func (m *Messenger) missingCrashes(now time.Time, peer currantwood.VMID, sum uint64) []crashkeeper.AgedCrash {
+	after, due := m.peers.CrashesDue(now, peer, sum)
+	if !due {
+		return nil
+	}
+	reports, last := m.Gateway.SuspectCrashes(now, after, maxMissingCrashes)
+	m.peers.MarkCrashesSent(now, peer, last)
+	return reports
+}
+
+// receiveState stores a peer's state and answers with a referral if a third
+// gateway is the collector.
+func (m *Messenger) receiveState(now time.Time, from peerkeeper.Peer, process uint64, s *peerwire.State) {
+	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(s.GetCrashes()))
+	m.mu.Lock()
+	m.peers.ApplyState(now, from, peerkeeper.State{
+		SentAt:         s.GetSentAt(),
+		StoreReachable: s.GetStore(),
+		NextOffset:     currantwood.Offset(s.GetNext()),
+		Loads:          decodeLoads(s.GetLoads()),
+		RetryUsage:     decodeRetryUsage(s.GetUses()),
+		CrashSum:       s.GetCrashSum(),
+		Process:        process,
+	})
+	collector, known := m.peers.OtherCollector(now)
+	m.mu.Unlock()
+	if known && collector.VM != from.VM {
+		m.send(from.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Referral{
+			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Capacity, Established: collector.Established},
+		}})
+	}
+}
