gateway: what one upstream delivers of a stream has a file of its own

Change: upstreamstream.go holds upstreamStream and its opening and closing; declarations are moved, none is changed.

--- /dev/null
+++ b/gateway/upstreamstream.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/eventsplitter"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// upstreamStream is the part of a client's stream that one upstream delivers.
+type upstreamStream struct {
+	view     upstreamkeeper.View
+	exchange *connkeeper.Exchange
+	events   *eventsplitter.Splitter
+	// load is the load that was reported to the balancer. Its PrefillTokens
+	// become 0 with the first event.
+	load balancer.Load
+	// sentAt is when the request was sent to the upstream, and queuedTokens the
+	// number of prompt tokens that were to be prefilled there before its own.
+	// They are set only if the upstream prefills the prompt, so not after a
+	// move.
+	sentAt       time.Time
+	queuedTokens currantwood.TokenCount
+	// startedAt is when the exchange began.
+	startedAt time.Time
+	// lastEventAt is when the last event arrived; zero before the first.
+	lastEventAt time.Time
+	// stalled is whether the gateway ended the exchange since no event arrived.
+	stalled atomic.Bool
+}
+
+// failure describes the end of the exchange by an error. ctx is that of the
+// stream.
+func (up *upstreamStream) failure(ctx context.Context) failure {
+	return failure{view: up.view, sentAt: up.startedAt, lastEventAt: up.lastEventAt, broken: ctx.Err() == nil && !up.stalled.Load()}
+}
+
+// sendCancelable is sendToUpstream for the first run of a stream and for a
+// resume after a failure. It also indexes the stream at the upstream and sets
+// cancelUpstream, so that the exchange can be canceled even before the
+// upstream responds.
+func (s *stream) sendCancelable(choice balancer.Choice, parameters currantwood.UpstreamRequest) (*upstreamStream, error) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.mu.Lock()
+	s.cancelUpstream = cancel
+	s.mu.Unlock()
+	s.g.addStream(choice.View.ID, s)
+	opened, err := s.sendToUpstream(ctx, choice, s.load(), parameters)
+	if err != nil {
+		s.g.removeStream(choice.View.ID, s)
+		cancel()
+	}
+	return opened, err
+}
+
+// sendToUpstream starts an exchange with an upstream and splits its body into
+// events. The caller must have reported the load to the balancer.
+func (s *stream) sendToUpstream(ctx context.Context, choice balancer.Choice, load balancer.Load, parameters currantwood.UpstreamRequest) (*upstreamStream, error) {
+	startedAt := s.g.Now()
+	x, err := s.startExchange(ctx, choice, load, parameters)
+	if err != nil {
+		return nil, err
+	}
+	return &upstreamStream{view: choice.View, exchange: x, events: eventsplitter.New(x.Body), load: load, startedAt: startedAt}, nil
+}
+
+// writeWholeResponse passes on a response whose status isn't 200. It doesn't check whether the header was already
+// written for an earlier upstream.
+func (s *stream) writeWholeResponse(up *upstreamStream, choice balancer.Choice) {
+	body, err := s.g.responses.readAll(up.exchange.Body)
+	defer s.g.responses.release(body)
+	if err != nil {
+		up.exchange.Abort()
+		s.recordBrokenBody(err, up.failure(s.ctx))
+		s.recordEnd(up.view, up.load, balancer.Failed)
+		s.endRequest(&gatewayResponse{status: http.StatusBadGateway, reason: "upstream failed"})
+		return
+	}
+	up.exchange.Finish()
+	s.recordEnd(up.view, up.load, balancer.Failed)
+	s.writeResponse(&response{status: up.exchange.Status, header: up.exchange.Header, body: body}, choice)
+}
+
+// setCurrent sets s.current to up and indexes the stream at its upstream.
+func (s *stream) setCurrent(up *upstreamStream) {
+	s.mu.Lock()
+	s.current = up
+	s.mu.Unlock()
+	s.g.addStream(up.view.ID, s)
+}
+
+// closeUpstream ends the exchange with an upstream and reports its end to the
+// balancer.
+func (s *stream) closeUpstream(up *upstreamStream, outcome balancer.Outcome) {
+	if outcome == balancer.Served && s.next == nil {
+		up.exchange.Finish()
+	} else {
+		up.exchange.Abort()
+	}
+	s.g.removeStream(up.view.ID, s)
+	s.recordEnd(up.view, up.load, outcome)
+}
