--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/connkeeper"
