An error of the upstream that a stream goes on at is not part of the stream

The engine to which the run was moved had answered the resume with 500. Cause: a move took any response for the rest of the stream; the body of the error ended cleanly, and so did the stream. A stream that was resumed after a failure wrote the error's body into the response. Change: a move goes on to the next engine if its target doesn't answer with 200; a resume that is answered otherwise counts as a failed attempt.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -199,6 +200,13 @@
 		s.freeCopy(copied)
 		return false
 	}
+	if opened.exchange.Status != http.StatusOK {
+		opened.exchange.Abort()
+		s.recordEnd(opened.view, opened.load, balancer.Failed)
+		s.log("resume failed", append(fields, zap.Int("status", opened.exchange.Status), zap.Duration("copy", copyTime))...)
+		s.freeCopy(copied)
+		return false
+	}
 	s.mu.Lock()
 	if s.finished {
 		s.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,6 +112,9 @@
 		}
 		s.attempted = append(s.attempted, choice.View.ID)
 		opened, err := s.sendCancelable(choice, currantwood.UpstreamRequest{LastEvent: s.lastEvent.Load()})
+		if err == nil && opened.exchange.Status != http.StatusOK && s.headerWritten.Load() {
+			err = s.rejectResume(opened)
+		}
 		if err == nil && opened.exchange.Status != http.StatusOK {
 			s.g.removeStream(choice.View.ID, s)
 			s.writeWholeResponse(opened, choice)
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/connkeeper"
@@ -70,8 +72,19 @@
 	return &upstreamStream{view: choice.View, exchange: x, events: eventsplitter.New(x.Body), load: load, startedAt: startedAt}, nil
 }
 
-// writeWholeResponse passes on a response whose status isn't 200. It doesn't check whether the header was already
-// written for an earlier upstream.
+// rejectResume ends the exchange with an upstream that was to resume the stream and
+// responded with an error, which can't be passed on within the stream. It returns that
+// as an error.
+func (s *stream) rejectResume(up *upstreamStream) error {
+	up.exchange.Abort()
+	s.g.removeStream(up.view.ID, s)
+	s.recordEnd(up.view, up.load, balancer.Failed)
+	s.possibleRuns++
+	return errors.Errorf("resume rejected with status %d", up.exchange.Status)
+}
+
+// writeWholeResponse passes on a response whose status isn't 200. The header must not
+// have been written for an earlier upstream.
 func (s *stream) writeWholeResponse(up *upstreamStream, choice balancer.Choice) {
 	body, err := s.g.responses.readAll(up.exchange.Body)
 	defer s.g.responses.release(body)
