The store comes back from an older copy: positions have an era

What could happen: gateways read on from positions of the lost history and missed what was written below them (a leaving, a configuration with a revoked key); a gateway that started then took an older configuration for confirmed; an upstream that wrote its record again as it was stayed missing; crashes of requests were gone. Cause: an offset was taken to mean the same record for ever. Change: the store's era is decoded into a typed field of each answer; feeds, digests, peers' records and what the collector retains pair it with the offset. A later era makes a feed read the newest records, an earlier one fails the read. A configuration isn't confirmed while a newer version is known to exist. A lapsed record counts when it is written again with the same sequence. The collector saves crashes again. A process that can't start closes its listeners.

--- a/configkeeper/keeper.go
+++ b/configkeeper/keeper.go
@@ -25,6 +25,8 @@
 	// confirmed to be the newest, in nanoseconds from the zero of the clock that
 	// the callers read; 0 means never. The zero of boottimer.Clock is the boot.
 	confirmedAt atomic.Int64
+	// newest is the highest version known to exist, whether or not it was received.
+	newest atomic.Uint64
 }
 
 // New returns a keeper without a configuration.
@@ -45,10 +47,25 @@
 	}
 }
 
+// NoteNewest notes that a version exists. While the current one is older, it can't be
+// confirmed: the store may have come back from a copy without the newest.
+func (k *Keeper) NoteNewest(version currantwood.ConfigurationVersion) {
+	for {
+		known := k.newest.Load()
+		if uint64(version) <= known || k.newest.CompareAndSwap(known, uint64(version)) {
+			return
+		}
+	}
+}
+
 // Confirm records that the current configuration was the newest at a time. That
 // must be the time at which the read that confirmed it was sent, as the store's
-// response may have been delayed. A time before the last one is ignored.
+// response may have been delayed. A time before the last one is ignored, and any time
+// while a newer version is known to exist.
 func (k *Keeper) Confirm(at time.Time) {
+	if uint64(k.Version()) < k.newest.Load() {
+		return
+	}
 	for {
 		last := k.confirmedAt.Load()
 		if at.UnixNano() <= last || k.confirmedAt.CompareAndSwap(last, at.UnixNano()) {
--- a/configkeeper/keeper_test.go
+++ b/configkeeper/keeper_test.go
@@ -32,4 +32,16 @@
 		k.Confirm(start.Add(-time.Second))
 		Expect(k.Age(start.Add(3 * time.Second))).To(Equal(3 * time.Second))
 	})
+
+	It("isn't confirmed while a newer version is known to exist, as when the store came back from a copy without it", func() {
+		k := New()
+		k.SetIfNewer(currantwood.Configuration{Version: 7})
+		k.Confirm(start)
+		k.NoteNewest(8)
+		k.Confirm(start.Add(2 * time.Second))
+		Expect(k.Age(start.Add(3 * time.Second))).To(Equal(3 * time.Second))
+		k.SetIfNewer(currantwood.Configuration{Version: 8})
+		k.Confirm(start.Add(3 * time.Second))
+		Expect(k.Age(start.Add(3 * time.Second))).To(BeZero())
+	})
 })
--- a/crashkeeper/save.go
+++ b/crashkeeper/save.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// ForgetSaved notes that nothing is saved for certain: the store has come back from an
+// older copy. All suspects are saved again.
+func (k *Keeper) ForgetSaved() {
+	for _, r := range k.suspects {
+		r.savedSum = 0
+	}
+}
+
 // RecordSaved records the saved crashes of a request, which may have expired, and
 // returns those that were not known.
 func (k *Keeper) RecordSaved(now time.Time, f currantwood.Fingerprint, crashes []AgedCrash) []AgedCrash {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -252,6 +252,14 @@
 	}
 }
 
+// ForgetSavedCrashes notes that the store has come back from an older copy, so that
+// crashes have to be saved again.
+func (g *Gateway) ForgetSavedCrashes(now time.Time, _ currantwood.StoreEra) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes.ForgetSaved()
+}
+
 // SetCrashesLoaded notes that the store's crashes have been read.
 func (g *Gateway) SetCrashesLoaded() { g.crashesLoaded.Store(true) }
 
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -111,6 +111,7 @@
 	gateway       *gateway.Gateway
 	peers         *peermessenger.Messenger
 	metrics       metrics.Registry
+	eraRises      metrics.Counter
 	clientServer  *http.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
@@ -124,6 +125,7 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(options.Settings.MemoryBytes)))
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Process{options: options, now: boottimer.Clock{}.Now, config: configkeeper.New(), metrics: metrics.NewRegistry(), cancel: cancel}
+	p.eraRises = metrics.NewRegisteredCounter("store-era-rises", p.metrics)
 	p.gateway = gateway.New(gateway.Options{
 		Settings:      options.Settings,
 		Logger:        options.Logger,
@@ -141,7 +143,7 @@
 		return nil, err
 	}
 	if err := p.startWatchers(ctx); err != nil {
-		cancel()
+		p.Close()
 		return nil, err
 	}
 	go func() {
@@ -207,7 +209,9 @@
 			applyAll(now, records)
 			return nil
 		},
-		OnRead:        func(time.Time, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {},
+		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
+		},
+		OnEraRise:     p.countEraRise,
 		OnCurrentAsOf: p.config.Confirm,
 		OnOutageEnd:   func(time.Time) {},
 		Stale:         func(now time.Time) bool { return !p.gateway.ConfigurationFresh(now) },
@@ -227,6 +231,7 @@
 		Replace:       p.gateway.ReplaceUpstreamRecords,
 		Apply:         p.gateway.ApplyUpstreamRecords,
 		OnRead:        p.peers.NoteDirectoryRead,
+		OnEraRise:     p.countEraRise,
 		OnCurrentAsOf: func(time.Time) {},
 		OnOutageEnd:   p.gateway.DirectoryRecovered,
 		Stale:         func(time.Time) bool { return false },
@@ -252,7 +257,12 @@
 			p.applyCrashes(now, records)
 			return nil
 		},
-		OnRead:        func(time.Time, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {},
+		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
+		},
+		OnEraRise: func(now time.Time, era currantwood.StoreEra) {
+			p.countEraRise(now, era)
+			p.gateway.ForgetSavedCrashes(now, era)
+		},
 		OnCurrentAsOf: func(time.Time) {},
 		OnOutageEnd:   func(time.Time) {},
 		Stale:         func(time.Time) bool { return false },
@@ -260,6 +270,9 @@
 	}
 }
 
+// countEraRise counts, for each feed, that the store has come back from an older copy.
+func (p *Process) countEraRise(time.Time, currantwood.StoreEra) { p.eraRises.Inc(1) }
+
 // applyCrashes decodes records of crashes. One that can't be decoded is logged and
 // ignored.
 func (p *Process) applyCrashes(now time.Time, records []currantwood.KeyedRecord) {
--- a/keyed.go
+++ b/keyed.go
@@ -20,8 +20,17 @@
 	Value []byte
 }
 
+// StoreEra counts how often the store has come back from an older copy of itself.
+// Then records that it had acknowledged are gone and their offsets are given out
+// again, so offsets can be compared only within an era. 0 means that the store doesn't
+// say, as one that never does so.
+type StoreEra uint64
+
 // KeyedRecordBatch is a batch of records from a compacted topic.
 type KeyedRecordBatch struct {
+	// Era is that of the store when it answered. It is also set with
+	// ErrRecordsExpired.
+	Era StoreEra
 	// Next is the offset at which the next read starts. Unlike at RecordBatch.End,
 	// a record may already be visible there.
 	Next Offset
@@ -37,7 +46,7 @@
 	Newest(ctx context.Context, topic string) (KeyedRecordBatch, error)
 	// Read returns the records starting at offset from, and waits up to wait for
 	// the first of them. It fails with ErrRecordsExpired if the records at from
-	// are no longer retained.
+	// are no longer retained, or if from is beyond the end.
 	Read(ctx context.Context, topic string, from Offset, wait time.Duration) (KeyedRecordBatch, error)
 }
 
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -72,7 +72,9 @@
 	// NextOffset is the offset up to which the sender knows the directory; 0
 	// if it doesn't know it.
 	NextOffset currantwood.Offset
-	Loads      balancer.Loads
+	// Era is the era of the store to which NextOffset belongs.
+	Era   currantwood.StoreEra
+	Loads balancer.Loads
 	// RetryUsage is what the sender sent to each group within the retry window.
 	RetryUsage budgeter.GroupUsage
 	// CrashSum is a checksum of the crashes that all gateways must know.
@@ -141,7 +143,9 @@
 	// that caused an event.
 	firstOffset currantwood.Offset
 	nextOffset  currantwood.Offset
-	records     []retainedRecord
+	// recordsEra is the era of the store to which these offsets belong.
+	recordsEra currantwood.StoreEra
+	records    []retainedRecord
 }
 
 // New returns a Keeper for the gateway self, without peers.
--- a/peerkeeper/keeper_test.go
+++ b/peerkeeper/keeper_test.go
@@ -119,9 +119,9 @@
 	DescribeTable("returns the records that a gateway lacks",
 		func(known int, want []int, next int, ok bool) {
 			k := New(peer("a"))
-			k.RetainRecords(atMS(0), 10, 20, records(12, 15))
-			k.RetainRecords(atMS(200), 20, 30, records(28))
-			got, end, found := k.RecordsSince(currantwood.Offset(known))
+			k.RetainRecords(atMS(0), 0, 10, 20, records(12, 15))
+			k.RetainRecords(atMS(200), 0, 20, 30, records(28))
+			got, end, found := k.RecordsSince(0, currantwood.Offset(known))
 			Expect(found).To(Equal(ok))
 			if !ok {
 				return
@@ -139,14 +139,17 @@
 
 	It("drops earlier records after a gap in its own reads, and old records", func() {
 		k := New(peer("a"))
-		k.RetainRecords(atMS(0), 10, 20, records(12))
-		k.RetainRecords(atMS(4000), 20, 30, records(25))
-		_, _, ok := k.RecordsSince(12)
+		k.RetainRecords(atMS(0), 0, 10, 20, records(12))
+		k.RetainRecords(atMS(4000), 0, 20, 30, records(25))
+		_, _, ok := k.RecordsSince(0, 12)
 		Expect(ok).To(BeFalse())
-		_, _, ok = k.RecordsSince(13)
+		_, _, ok = k.RecordsSince(0, 13)
 		Expect(ok).To(BeTrue())
-		k.RetainRecords(atMS(4200), 50, 60, records(55))
-		_, _, ok = k.RecordsSince(30)
+		By("and none of another era of the store, though the offsets fit")
+		_, _, ok = k.RecordsSince(1, 13)
+		Expect(ok).To(BeFalse())
+		k.RetainRecords(atMS(4200), 0, 50, 60, records(55))
+		_, _, ok = k.RecordsSince(0, 30)
 		Expect(ok).To(BeFalse())
 	})
 
--- a/peerkeeper/records.go
+++ b/peerkeeper/records.go
@@ -14,10 +14,10 @@
 
 // RetainRecords keeps records of the directory for peers. changed are the
 // records in the offset range [from, next) that caused an event. If from
-// isn't the end of the previous range, the records kept so far are discarded.
-func (k *Keeper) RetainRecords(now time.Time, from, next currantwood.Offset, changed []currantwood.KeyedRecord) {
-	if from != k.nextOffset || k.nextOffset == 0 {
-		k.firstOffset, k.records = from, nil
+// isn't the end of the previous range in the same era of the store, the records kept so far are discarded.
+func (k *Keeper) RetainRecords(now time.Time, era currantwood.StoreEra, from, next currantwood.Offset, changed []currantwood.KeyedRecord) {
+	if from != k.nextOffset || k.nextOffset == 0 || era != k.recordsEra {
+		k.firstOffset, k.recordsEra, k.records = from, era, nil
 	}
 	k.nextOffset = next
 	for _, r := range changed {
@@ -31,13 +31,13 @@
 	k.records = k.records[drop:]
 }
 
-// RecordsSince returns the records from offset known on, at most
+// RecordsSince returns the records from offset known of an era on, at most
 // maxDigestRecords, and the offset that follows them. It returns false if known
-// is 0, if the records from known on are no longer kept, or if known is ahead of
+// is 0, if the era is another one, if the records from known on are no longer kept, or if known is ahead of
 // what this gateway has read: then the gateway that asks has to read the
 // directory itself.
-func (k *Keeper) RecordsSince(known currantwood.Offset) (records []currantwood.KeyedRecord, next currantwood.Offset, ok bool) {
-	if k.nextOffset == 0 || known == 0 || known < k.firstOffset || known > k.nextOffset {
+func (k *Keeper) RecordsSince(era currantwood.StoreEra, known currantwood.Offset) (records []currantwood.KeyedRecord, next currantwood.Offset, ok bool) {
+	if k.nextOffset == 0 || known == 0 || era != k.recordsEra || known < k.firstOffset || known > k.nextOffset {
 		return nil, 0, false
 	}
 	for _, kept := range k.records {
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -70,10 +70,11 @@
 		Loads:              encodeLoads(m.peers.LoadsExcept(loads, peer.VM)),
 		Gateways:           uint32(m.peers.CountGateways(now)),
 		Established:        uint32(m.peers.CountEstablished(now)),
+		StoreEra:           uint64(m.directoryTopic.Era()),
 		Uses:               encodeRetryUsage(m.peers.TotalUsage(now, m.retryWindow(), peer.VM, usage)),
 	}
 	known := m.peers.KnownOffset(peer.VM)
-	if records, next, ok := m.peers.RecordsSince(known); ok {
+	if records, next, ok := m.peers.RecordsSince(m.peers.LastState(peer.VM).Era, known); ok {
 		digest.From, digest.Next = uint64(known), uint64(next)
 		for _, r := range records {
 			digest.Records = append(digest.Records, &peerwire.Record{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value})
@@ -101,6 +102,10 @@
 	m.Gateway.SetPeerLoads(now, decodeLoads(d.GetLoads()))
 	m.Gateway.SetBudgetPeers(now, budgeter.Peers{Usage: usage, Gateways: int(d.GetGateways()), Established: int(d.GetEstablished())})
 	m.applyConfigurationAge(now, d)
+	if currantwood.StoreEra(d.GetStoreEra()) > m.directoryTopic.Era() {
+		m.directoryTopic.Kick()
+		m.configurationTopic.Kick()
+	}
 	if d.GetNext() == 0 {
 		return
 	}
@@ -111,7 +116,7 @@
 	// The transit time is unknown and isn't subtracted, so readAt is too late by
 	// as much.
 	readAt := now.Add(-time.Duration(d.GetDirectoryAgeUs()) * time.Microsecond)
-	if m.directoryTopic.ApplyPeerRecords(now, readAt, currantwood.Offset(d.GetFrom()), currantwood.Offset(d.GetNext()), records) {
+	if m.directoryTopic.ApplyPeerRecords(now, readAt, currantwood.StoreEra(d.GetStoreEra()), currantwood.Offset(d.GetFrom()), currantwood.Offset(d.GetNext()), records) {
 		m.mu.Lock()
 		m.directoryCoveredAt = now
 		m.mu.Unlock()
@@ -124,6 +129,7 @@
 // when this gateway sent the state that the digest answers.
 func (m *Messenger) applyConfigurationAge(now time.Time, d *peerwire.Digest) {
 	version := currantwood.ConfigurationVersion(d.GetConfiguration())
+	m.Configuration.NoteNewest(version)
 	switch {
 	case version > m.Configuration.Version():
 		m.configurationTopic.Kick()
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -72,6 +72,8 @@
 // Configuration is the configuration that this gateway holds.
 type Configuration interface {
 	Version() currantwood.ConfigurationVersion
+	// NoteNewest notes that a version exists.
+	NoteNewest(version currantwood.ConfigurationVersion)
 	// Age returns how long ago the configuration was last known to be the newest.
 	Age(now time.Time) time.Duration
 	// Confirm notes that the configuration was the newest at a time.
@@ -86,9 +88,11 @@
 	// Age returns how long ago this process last had all records of the topic;
 	// the longest Duration if it never had.
 	Age(now time.Time) time.Duration
+	// Era returns the era of the store to which the position belongs.
+	Era() currantwood.StoreEra
 	// ApplyPeerRecords applies records that a peer read at readAt. It returns
 	// false if they don't follow what is known.
-	ApplyPeerRecords(now, readAt time.Time, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool
+	ApplyPeerRecords(now, readAt time.Time, era currantwood.StoreEra, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool
 	// Kick requests a read, even while a peer reads the topic.
 	Kick()
 	// Reachable reports whether this process's latest own read of the store
@@ -199,10 +203,11 @@
 
 // NoteDirectoryRead notes a read of the directory by this gateway. changed are
 // the records in the offset range [from, next) that caused an event; if there
-// are any and this gateway is the collector, it sends digests at once.
-func (m *Messenger) NoteDirectoryRead(now time.Time, from, next currantwood.Offset, changed []currantwood.KeyedRecord) {
+// are any and this gateway is the collector, it sends digests at once. era is that of
+// the store.
+func (m *Messenger) NoteDirectoryRead(now time.Time, era currantwood.StoreEra, from, next currantwood.Offset, changed []currantwood.KeyedRecord) {
 	m.mu.Lock()
-	m.peers.RetainRecords(now, from, next, changed)
+	m.peers.RetainRecords(now, era, from, next, changed)
 	m.mu.Unlock()
 	if len(changed) > 0 {
 		m.sendDigests(now)
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -34,11 +34,12 @@
 // idleTopic is a Topic of which nothing is known.
 type idleTopic struct{}
 
+func (idleTopic) Era() currantwood.StoreEra    { return 0 }
 func (idleTopic) Position() currantwood.Offset { return 0 }
 func (idleTopic) Age(time.Time) time.Duration  { return 0 }
 func (idleTopic) Kick()                        {}
 func (idleTopic) Reachable() bool              { return false }
-func (idleTopic) ApplyPeerRecords(_, _ time.Time, _, _ currantwood.Offset, _ []currantwood.KeyedRecord) bool {
+func (idleTopic) ApplyPeerRecords(_, _ time.Time, _ currantwood.StoreEra, _, _ currantwood.Offset, _ []currantwood.KeyedRecord) bool {
 	return false
 }
 
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -45,6 +45,7 @@
 		Crashes:  encodeCrashes(append(m.Gateway.RecentCrashes(now), missing...)),
 		Uses:     encodeRetryUsage(m.Gateway.RetryUsage(now)),
 		CrashSum: sum,
+		StoreEra: uint64(m.directoryTopic.Era()),
 	}
 }
 
@@ -74,6 +75,7 @@
 		RetryUsage:     decodeRetryUsage(s.GetUses()),
 		CrashSum:       s.GetCrashSum(),
 		Process:        process,
+		Era:            currantwood.StoreEra(s.GetStoreEra()),
 	})
 	collector, known := m.peers.OtherCollector(now)
 	m.mu.Unlock()
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -56,7 +56,10 @@
 	// OnRead is called after each read from the store with the records in the
 	// offset range [from, next) that caused an event. After a read of the
 	// newest records, from equals next and changed is empty.
-	OnRead func(now time.Time, from, next currantwood.Offset, changed []currantwood.KeyedRecord)
+	OnRead func(now time.Time, era currantwood.StoreEra, from, next currantwood.Offset, changed []currantwood.KeyedRecord)
+	// OnEraRise is called, before the newest records are taken, when the store has come
+	// back from an older copy.
+	OnEraRise func(now time.Time, era currantwood.StoreEra)
 	// OnCurrentAsOf is called after each successful read with the time at which it
 	// was sent: the records held now include everything written before that
 	// time.
@@ -87,6 +90,8 @@
 	// next is the offset to read from; valid if positionKnown is true.
 	next          currantwood.Offset
 	positionKnown bool
+	// era is that of the store in which next is valid; it never decreases.
+	era currantwood.StoreEra
 	// lastSuccess is when a read last succeeded; at first, when the Watcher was
 	// created.
 	lastSuccess time.Time
@@ -125,6 +130,14 @@
 	return w.next
 }
 
+// Era returns the era of the store to which the position belongs; 0 if the store
+// doesn't say or nothing was read yet.
+func (w *Watcher) Era() currantwood.StoreEra {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.era
+}
+
 // Age returns how long ago this process last had all records of the topic; the
 // longest Duration if it never had.
 func (w *Watcher) Age(now time.Time) time.Duration {
@@ -135,11 +148,15 @@
 
 // ApplyPeerRecords applies records that a peer read at readAt. They are those in
 // the offset range [from, next) that caused an event at the peer. It returns
-// false if the topic isn't known yet or the range leaves a gap.
-func (w *Watcher) ApplyPeerRecords(now, readAt time.Time, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool {
+// false if the topic isn't known yet, the range leaves a gap or is of another era. A
+// later era also requests a read of its own.
+func (w *Watcher) ApplyPeerRecords(now, readAt time.Time, era currantwood.StoreEra, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.positionKnown || from > w.next {
+	if era > w.era {
+		w.Kick()
+	}
+	if !w.positionKnown || era != w.era || from > w.next {
 		return false
 	}
 	if next <= w.next {
@@ -273,6 +290,13 @@
 		return w.readNewest(ctx, sent)
 	}
 	batch, err := w.store.Read(ctx, w.feed.Topic, from, wait)
+	rose, eraErr := w.checkEra(batch.Era)
+	if eraErr != nil {
+		return eraErr
+	}
+	if rose {
+		return w.readNewest(ctx, sent)
+	}
 	if errors.Is(err, currantwood.ErrRecordsExpired) {
 		w.logger.Info("records expired, reading the newest", zap.String("feed", w.feed.Name), zap.Uint64("from", uint64(from)))
 		return w.readNewest(ctx, sent)
@@ -296,9 +320,9 @@
 	start := max(from, w.next)
 	w.next = max(w.next, batch.Next)
 	changed := w.feed.Apply(now, newer)
-	next := w.next
+	next, era := w.next, w.era
 	w.mu.Unlock()
-	w.feed.OnRead(now, start, next, changed)
+	w.feed.OnRead(now, era, start, next, changed)
 }
 
 // readNewest reads and applies the newest record of each key.
@@ -307,18 +331,53 @@
 	if err != nil {
 		return err
 	}
+	rose, err := w.checkEra(batch.Era)
+	if err != nil {
+		return err
+	}
 	w.recordSuccess()
 	now := w.now()
 	w.mu.Lock()
+	if rose {
+		w.handleEraRise(now, sent, batch)
+	}
 	w.markCurrent(now)
-	w.next, w.positionKnown = batch.Next, true
+	w.next, w.positionKnown, w.era = batch.Next, true, max(w.era, batch.Era)
 	w.feed.Replace(now, batch.Records)
+	era := w.era
 	w.mu.Unlock()
-	w.feed.OnRead(now, batch.Next, batch.Next, nil)
+	w.feed.OnRead(now, era, batch.Next, batch.Next, nil)
 	w.feed.OnCurrentAsOf(sent)
 	return nil
 }
 
+// checkEra reports whether an answer shows that the store has come back from an older
+// copy since the position was set. It fails for an answer of an earlier era, which was
+// long on its way. A store that doesn't say its era is taken to be in the known one.
+func (w *Watcher) checkEra(era currantwood.StoreEra) (rose bool, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if era == 0 {
+		return false, nil
+	}
+	if era < w.era {
+		return false, errors.Errorf("answer of era %d, in era %d", era, w.era)
+	}
+	return era > w.era && w.positionKnown, nil
+}
+
+// handleEraRise informs the feed that the store has come back from an older copy, in
+// which the newest records were read. What its writers had written since the copy is
+// missing until they write it again, as after an outage. Called with mu held.
+func (w *Watcher) handleEraRise(now, sent time.Time, newest currantwood.KeyedRecordBatch) {
+	w.logger.Warn("store came back from an older copy", zap.String("feed", w.feed.Name),
+		zap.Uint64("old-era", uint64(w.era)), zap.Uint64("new-era", uint64(newest.Era)),
+		zap.Uint64("position", uint64(w.next)), zap.Uint64("new-position", uint64(newest.Next)),
+		zap.Int("records", len(newest.Records)), zap.Duration("took", now.Sub(sent)))
+	w.feed.OnEraRise(now, newest.Era)
+	w.feed.OnOutageEnd(now)
+}
+
 // recordSuccess notes that a read succeeded, and logs that the store is reachable
 // again if it was declared unreachable.
 func (w *Watcher) recordSuccess() {
--- a/storewatcher/watcher_test.go
+++ b/storewatcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -87,9 +88,11 @@
 			note("apply", r)
 			return r
 		},
-		OnRead:        func(time.Time, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {},
+		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
+		},
 		OnCurrentAsOf: func(time.Time) {},
 		OnOutageEnd:   func(time.Time) { l.add("outage end") },
+		OnEraRise:     func(_ time.Time, era currantwood.StoreEra) { l.add(fmt.Sprint("era ", era)) },
 		Stale:         func(time.Time) bool { return false },
 		PeerCoverage:  func(time.Time) (time.Time, bool) { return time.Time{}, covered() },
 	}
@@ -150,9 +153,9 @@
 		w := start(s, l, func() bool { return true })
 		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
 		now := time.Now()
-		Expect(w.ApplyPeerRecords(now, now, 11, 12, batch(12, "gap").Records)).To(BeFalse())
-		Expect(w.ApplyPeerRecords(now, now, 9, 12, batch(12, "old", "b", "c").Records)).To(BeTrue())
-		Expect(w.ApplyPeerRecords(now, now, 9, 12, batch(12, "old", "b", "c").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(now, now, 0, 11, 12, batch(12, "gap").Records)).To(BeFalse())
+		Expect(w.ApplyPeerRecords(now, now, 0, 9, 12, batch(12, "old", "b", "c").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(now, now, 0, 9, 12, batch(12, "old", "b", "c").Records)).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "apply b", "apply c"}))
 		Expect(w.Position()).To(Equal(currantwood.Offset(12)))
 	})
@@ -162,7 +165,7 @@
 		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(10, "a")}}
 		w := start(s, l, func() bool { return true })
 		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
-		Expect(w.ApplyPeerRecords(time.Now().Add(5*time.Second), time.Now().Add(5*time.Second), 10, 11, batch(11, "b").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(time.Now().Add(5*time.Second), time.Now().Add(5*time.Second), 0, 10, 11, batch(11, "b").Records)).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "outage end", "apply b"}))
 	})
 
@@ -173,11 +176,11 @@
 		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
 		read := time.Now()
 		for ms := range 20 {
-			Expect(w.ApplyPeerRecords(read.Add(time.Duration(ms)*100*time.Millisecond), read, 10, 10, nil)).To(BeTrue())
+			Expect(w.ApplyPeerRecords(read.Add(time.Duration(ms)*100*time.Millisecond), read, 0, 10, 10, nil)).To(BeTrue())
 		}
 		Expect(w.Age(read.Add(1900 * time.Millisecond))).To(Equal(1900 * time.Millisecond))
 		later := read.Add(1900 * time.Millisecond)
-		Expect(w.ApplyPeerRecords(later, later, 10, 11, batch(11, "b").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(later, later, 0, 10, 11, batch(11, "b").Records)).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "outage end", "apply b"}))
 	})
 
@@ -189,7 +192,7 @@
 		// Long enough for several checks whether the peer reads.
 		time.Sleep(outageThreshold + 200*time.Millisecond)
 		now := time.Now()
-		Expect(w.ApplyPeerRecords(now, now, 10, 11, batch(11, "b").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(now, now, 0, 10, 11, batch(11, "b").Records)).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "outage end", "apply b"}))
 	})
 
@@ -205,6 +208,47 @@
 		Eventually(s.readWaits, "1s").Should(ContainElement(time.Duration(0)))
 	})
 
+	DescribeTable("takes an answer of a later era for a store that came back from an older copy",
+		func(eras []currantwood.StoreEra, want []string, era int) {
+			l := &callLog{}
+			inEra := func(e currantwood.StoreEra, b currantwood.KeyedRecordBatch) currantwood.KeyedRecordBatch {
+				b.Era = e
+				return b
+			}
+			s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{inEra(eras[0], batch(10, "a")), inEra(eras[2], batch(7, "copy"))}}
+			s.readResults = []func() (currantwood.KeyedRecordBatch, error){succeedWith(inEra(eras[1], batch(11, "b")))}
+			w := start(s, l, never)
+			Eventually(l.all).Should(Equal(want))
+			Consistently(l.all, "200ms").Should(Equal(want))
+			Expect(w.Era()).To(BeEquivalentTo(era))
+		},
+		Entry("the same era", []currantwood.StoreEra{3, 3, 3}, []string{"replace a", "apply b"}, 3),
+		Entry("a later one", []currantwood.StoreEra{3, 4, 4}, []string{"replace a", "era 4", "outage end", "replace copy"}, 4),
+		Entry("a later one, and one more before the newest are read", []currantwood.StoreEra{3, 4, 5}, []string{"replace a", "era 5", "outage end", "replace copy"}, 5),
+		Entry("an earlier one: an answer that was long on its way", []currantwood.StoreEra{3, 2, 3}, []string{"replace a"}, 3),
+		Entry("none: a store that doesn't say", []currantwood.StoreEra{0, 0, 0}, []string{"replace a", "apply b"}, 0),
+		Entry("none for once", []currantwood.StoreEra{3, 0, 3}, []string{"replace a", "apply b"}, 3),
+		Entry("one where there was none", []currantwood.StoreEra{0, 1, 1}, []string{"replace a", "era 1", "outage end", "replace copy"}, 1),
+	)
+
+	It("goes on from the new position after a rise, not from the old one, and takes no peer's records of another era", func() {
+		l := &callLog{}
+		first, second := batch(10, "a"), batch(7, "copy")
+		first.Era, second.Era = 1, 2
+		expired := func() (currantwood.KeyedRecordBatch, error) {
+			return currantwood.KeyedRecordBatch{Era: 2}, currantwood.ErrRecordsExpired
+		}
+		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{first, second}, readResults: []func() (currantwood.KeyedRecordBatch, error){expired}}
+		w := start(s, l, never)
+		Eventually(w.Era).Should(BeEquivalentTo(2))
+		Expect(w.Position()).To(BeEquivalentTo(7))
+		now := time.Now()
+		Expect(w.ApplyPeerRecords(now, now, 1, 7, 9, batch(9, "x", "y").Records)).To(BeFalse())
+		Expect(w.ApplyPeerRecords(now, now, 3, 7, 9, batch(9, "x", "y").Records)).To(BeFalse())
+		Expect(w.ApplyPeerRecords(now, now, 2, 7, 8, batch(8, "z").Records)).To(BeTrue())
+		Expect(l.all()).To(Equal([]string{"replace a", "era 2", "outage end", "replace copy", "apply z"}))
+	})
+
 	It("reports the store as unreachable after a failed read, and keeps reading", func() {
 		l := &callLog{}
 		fails := func() (currantwood.KeyedRecordBatch, error) {
--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -148,11 +148,12 @@
 	if e == nil || record.Incarnation != e.view.Incarnation {
 		return k.addIncarnation(now, e, record)
 	}
-	if record.Sequence <= e.view.Sequence {
+	lapsed := !e.lapsedAt.IsZero()
+	// A lapsed record may be written again as it was.
+	if record.Sequence < e.view.Sequence || record.Sequence == e.view.Sequence && !lapsed {
 		return nil
 	}
 	e.view.Sequence, e.view.Slots = record.Sequence, record.Slots
-	lapsed := !e.lapsedAt.IsZero()
 	e.lapsedAt = time.Time{}
 	if !e.removedAt.IsZero() {
 		return k.restore(e, record)
