--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -254,7 +254,7 @@
 
 // ForgetSavedCrashes notes that the store has come back from an older copy, so that
 // crashes have to be saved again.
-func (g *Gateway) ForgetSavedCrashes(now time.Time, _ currantwood.StoreEra) {
+func (g *Gateway) ForgetSavedCrashes() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crashes.ForgetSaved()
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -261,7 +261,7 @@
 		},
 		OnEraRise: func(now time.Time, era currantwood.StoreEra) {
 			p.countEraRise(now, era)
-			p.gateway.ForgetSavedCrashes(now, era)
+			p.gateway.ForgetSavedCrashes()
 		},
 		OnCurrentAsOf: func(time.Time) {},
 		OnOutageEnd:   func(time.Time) {},
