crashkeeper: recurrent requests; a digest's records bear the era that they are from

A digest took its era from the topic and its records from what was retained, which may be of the era before for a moment. Records in a digest have the era of the state that they answer. Result: vet and the packages' tests pass; the moment between the two reads has no test.

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -17,11 +17,11 @@
 	maxCrashes = 3
 	// crashLifetime is how long a crash counts.
 	crashLifetime = 10 * time.Minute
-	// suspectCrashes is the number of crashes from which on a request is a suspect:
+	// recurrentCrashes is the number of crashes from which on a request is recurrent:
 	// all gateways must know of them, also those that start later.
-	suspectCrashes = 2
+	recurrentCrashes = 2
 	// sendWindow is how long a crash is sent to peers after it was first recorded
-	// here. Those of suspects are sent later, too, to peers that lack them.
+	// here. Those of recurrent requests are sent later, too, to peers that lack them.
 	sendWindow = 4 * time.Second
 	// maxRequests bounds the number of requests whose crashes are kept.
 	maxRequests = 4096
@@ -111,14 +111,14 @@
 type Keeper struct {
 	// requests holds the requests that have crashed upstreams, at most maxRequests.
 	requests map[currantwood.Fingerprint]*request
-	// suspects holds those of requests that were suspects when a crash was last
+	// recurrent holds those of requests that were recurrent when a crash was last
 	// recorded, and those with saved crashes.
-	suspects map[currantwood.Fingerprint]*request
+	recurrent map[currantwood.Fingerprint]*request
 }
 
 // New returns a keeper without crashes.
 func New() *Keeper {
-	return &Keeper{requests: make(map[currantwood.Fingerprint]*request), suspects: make(map[currantwood.Fingerprint]*request)}
+	return &Keeper{requests: make(map[currantwood.Fingerprint]*request), recurrent: make(map[currantwood.Fingerprint]*request)}
 }
 
 // RecordCompletion notes that an upstream ran a request to the end. What crashed
@@ -181,8 +181,8 @@
 	if !known {
 		r.crashes[c.key()] = crashTimes{at: now.Add(-max(0, c.Age)), learnedAt: now}
 	}
-	if r.isSuspect() {
-		k.suspects[c.Fingerprint] = r
+	if r.isRecurrent() {
+		k.recurrent[c.Fingerprint] = r
 	}
 	return RecordResult{New: !known, Count: k.count(now, c.Fingerprint)}
 }
@@ -268,16 +268,16 @@
 // forget forgets a request.
 func (k *Keeper) forget(f currantwood.Fingerprint) {
 	delete(k.requests, f)
-	delete(k.suspects, f)
+	delete(k.recurrent, f)
 }
 
-// forgetSuspect notes that a request isn't a suspect, and forgets it if it has no
+// forgetRecurrent notes that a request isn't recurrent, and forgets it if it has no
 // crashes.
-func (k *Keeper) forgetSuspect(f currantwood.Fingerprint) {
+func (k *Keeper) forgetRecurrent(f currantwood.Fingerprint) {
 	if len(k.requests[f].crashes) == 0 {
 		k.forget(f)
 	}
-	delete(k.suspects, f)
+	delete(k.recurrent, f)
 }
 
 // Blocked reports whether so many upstreams have crashed while they ran a request
--- a/crashkeeper/save.go
+++ b/crashkeeper/save.go
@@ -16,17 +16,17 @@
 	sum uint64
 }
 
-// Unsaved returns up to limit requests whose crashes have to be saved: suspects of
+// Unsaved returns up to limit requests whose crashes have to be saved: recurrent ones of
 // which others are saved, and those with saved crashes that have all expired.
 func (k *Keeper) Unsaved(now time.Time, limit int) []Unsaved {
 	var unsaved []Unsaved
-	for f, r := range k.suspects {
+	for f, r := range k.recurrent {
 		if len(unsaved) >= limit {
 			break
 		}
 		r.deleteExpired(now)
-		if !r.isSuspect() && r.savedSum == 0 {
-			k.forgetSuspect(f)
+		if !r.isRecurrent() && r.savedSum == 0 {
+			k.forgetRecurrent(f)
 			continue
 		}
 		if sum := r.sum(f); sum != r.savedSum {
@@ -39,16 +39,16 @@
 // MarkSaved notes that crashes returned by Unsaved were saved.
 func (k *Keeper) MarkSaved(saved []Unsaved) {
 	for _, u := range saved {
-		if r := k.suspects[u.Fingerprint]; r != nil {
+		if r := k.recurrent[u.Fingerprint]; r != nil {
 			r.savedSum = u.sum
 		}
 	}
 }
 
 // ForgetSaved notes that nothing is saved for certain: the store has come back from an
-// older copy. All suspects are saved again.
+// older copy. All recurrent requests are saved again.
 func (k *Keeper) ForgetSaved() {
-	for _, r := range k.suspects {
+	for _, r := range k.recurrent {
 		r.savedSum = 0
 	}
 }
@@ -72,7 +72,7 @@
 	}
 	if r != nil {
 		r.savedSum = saved.sum(f)
-		k.suspects[f] = r
+		k.recurrent[f] = r
 	}
 	return learned
 }
--- a/crashkeeper/sync.go
+++ b/crashkeeper/sync.go
@@ -10,29 +10,29 @@
 	"github.com/currantwood/currantwood"
 )
 
-// Sum returns a checksum of the crashes of all suspects: two keepers that hold the
+// Sum returns a checksum of the crashes of all recurrent requests: two keepers that hold the
 // same have the same sum. It is 0 if there are none.
 func (k *Keeper) Sum(now time.Time) uint64 {
 	sum := uint64(0)
-	for f, r := range k.suspects {
+	for f, r := range k.recurrent {
 		r.deleteExpired(now)
-		if r.isSuspect() {
+		if r.isRecurrent() {
 			sum ^= r.sum(f)
 		}
 	}
 	return sum
 }
 
-// SuspectCrashes returns up to limit crashes of suspects, whole requests at a time
+// RecurrentCrashes returns up to limit crashes of recurrent requests, whole requests at a time
 // and at least one request, in order of fingerprint. It starts after the fingerprint
 // after, continues from the lowest once it has reached the highest, and returns the
 // last fingerprint included.
-func (k *Keeper) SuspectCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]AgedCrash, currantwood.Fingerprint) {
-	suspects := k.sortedSuspects(now)
-	first, _ := slices.BinarySearch(suspects, after+1)
+func (k *Keeper) RecurrentCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]AgedCrash, currantwood.Fingerprint) {
+	recurrent := k.sortedRecurrent(now)
+	first, _ := slices.BinarySearch(recurrent, after+1)
 	var crashes []AgedCrash
-	for i := range suspects {
-		f := suspects[(first+i)%len(suspects)]
+	for i := range recurrent {
+		f := recurrent[(first+i)%len(recurrent)]
 		more := k.requests[f].aged(now, f)
 		if len(crashes) > 0 && len(crashes)+len(more) > limit {
 			break
@@ -43,12 +43,12 @@
 	return crashes, after
 }
 
-// sortedSuspects returns the fingerprints of all suspects in ascending order.
-func (k *Keeper) sortedSuspects(now time.Time) []currantwood.Fingerprint {
+// sortedRecurrent returns the fingerprints of all recurrent requests in ascending order.
+func (k *Keeper) sortedRecurrent(now time.Time) []currantwood.Fingerprint {
 	var sorted []currantwood.Fingerprint
-	for f, r := range k.suspects {
+	for f, r := range k.recurrent {
 		r.deleteExpired(now)
-		if r.isSuspect() {
+		if r.isRecurrent() {
 			sorted = append(sorted, f)
 		}
 	}
@@ -56,9 +56,9 @@
 	return sorted
 }
 
-// isSuspect reports whether the request has suspectCrashes. Those from before a
+// isRecurrent reports whether the request has recurrentCrashes. Those from before a
 // completion are included: the completion is known only here.
-func (r *request) isSuspect() bool { return len(r.crashes) >= suspectCrashes }
+func (r *request) isRecurrent() bool { return len(r.crashes) >= recurrentCrashes }
 
 // aged returns the crashes of the request with the fingerprint f.
 func (r *request) aged(now time.Time, f currantwood.Fingerprint) []AgedCrash {
--- a/crashkeeper/sync_test.go
+++ b/crashkeeper/sync_test.go
@@ -12,12 +12,12 @@
 )
 
 // exchange sends from one keeper to another what the other lacks, as gateways do:
-// recent crashes always, those of suspects if the sums differ.
+// recent crashes always, those of recurrent requests if the sums differ.
 func exchange(now time.Time, from, to *Keeper, after currantwood.Fingerprint) currantwood.Fingerprint {
 	crashes := from.Recent(now)
 	if from.Sum(now) != 0 && from.Sum(now) != to.Sum(now) {
 		var missing []AgedCrash
-		missing, after = from.SuspectCrashes(now, after, 8)
+		missing, after = from.RecurrentCrashes(now, after, 8)
 		crashes = append(crashes, missing...)
 	}
 	for _, c := range crashes {
@@ -26,7 +26,7 @@
 	return after
 }
 
-var _ = Describe("Crashes of suspects", func() {
+var _ = Describe("Crashes of recurrent requests", func() {
 	It("are sent whole, in turn, at most as many as asked for", func() {
 		k := New()
 		for f := range currantwood.Fingerprint(5) {
@@ -39,7 +39,7 @@
 		after := currantwood.Fingerprint(0)
 		for range 3 {
 			var crashes []AgedCrash
-			crashes, after = k.SuspectCrashes(start, after, 7)
+			crashes, after = k.RecurrentCrashes(start, after, 7)
 			Expect(crashes).To(HaveLen(6))
 			for _, c := range crashes {
 				seen[c.Fingerprint]++
--- a/crashsaver/saver.go
+++ b/crashsaver/saver.go
@@ -1,4 +1,4 @@
-// Package crashsaver saves the crashes of suspects, the requests that have crashed
+// Package crashsaver saves the crashes of recurrent requests, those that have crashed
 // two or more upstreams, in the platform's store. There they outlast all gateways.
 package crashsaver
 
--- a/crashsaver/saver_test.go
+++ b/crashsaver/saver_test.go
@@ -57,7 +57,7 @@
 	k.keeper.MarkSaved(saved)
 }
 
-var _ = DescribeTable("Saver saves a suspect once, when it is responsible and the store answers",
+var _ = DescribeTable("Saver saves a recurrent request once, when it is responsible and the store answers",
 	func(failures int, responsible bool, want int) {
 		store := &recordingStore{failures: failures}
 		keeper := &lockedKeeper{keeper: crashkeeper.New()}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -200,12 +200,12 @@
 	return g.crashes.Sum(now)
 }
 
-// SuspectCrashes returns up to limit of the crashes that all gateways must know,
+// RecurrentCrashes returns up to limit of the crashes that all gateways must know,
 // those after a fingerprint, and the last fingerprint included.
-func (g *Gateway) SuspectCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint) {
+func (g *Gateway) RecurrentCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.SuspectCrashes(now, after, limit)
+	return g.crashes.RecurrentCrashes(now, after, limit)
 }
 
 // RecordCrashes records crashes that another gateway has reported.
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -74,7 +74,10 @@
 		Uses:               encodeRetryUsage(m.peers.TotalUsage(now, m.retryWindow(), peer.VM, usage)),
 	}
 	known := m.peers.KnownOffset(peer.VM)
-	if records, next, ok := m.peers.RecordsSince(m.peers.LastState(peer.VM).Era, known); ok {
+	era := m.peers.LastState(peer.VM).Era
+	if records, next, ok := m.peers.RecordsSince(era, known); ok {
+		// The topic may have gone on to a later era since these records were retained.
+		digest.StoreEra = uint64(era)
 		digest.From, digest.Next = uint64(known), uint64(next)
 		for _, r := range records {
 			digest.Records = append(digest.Records, &peerwire.Record{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value})
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -27,7 +27,7 @@
 func (idleGateway) RecentCrashes(time.Time) []crashkeeper.AgedCrash                    { return nil }
 func (idleGateway) CrashSum(time.Time) uint64                                          { return 0 }
 func (idleGateway) RecordCrashes(time.Time, currantwood.VMID, []crashkeeper.AgedCrash) {}
-func (idleGateway) SuspectCrashes(time.Time, currantwood.Fingerprint, int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint) {
+func (idleGateway) RecurrentCrashes(time.Time, currantwood.Fingerprint, int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint) {
 	return nil, 0
 }
 
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -57,7 +57,7 @@
 	if !due {
 		return nil
 	}
-	reports, last := m.Gateway.SuspectCrashes(now, after, maxMissingCrashes)
+	reports, last := m.Gateway.RecurrentCrashes(now, after, maxMissingCrashes)
 	m.peers.MarkCrashesSent(now, peer, last)
 	return reports
 }
