A request without a body is known again by its path, whatever its query

What callers saw: a short request that crashes its upstreams was sent on without end when it came again with another query.

Cause: without a body the query took the body's place in the request's fingerprint, so each request counted alone.

Change: crashes are counted for suspects, a kind and a fingerprint, in place of fingerprints of requests. A request without a body has two: itself, query included, and its path with the customer. Either blocks it at three crashes; a completion clears the counts, so a path with sound requests is served.

--- a/abandonkeeper/keeper.go
+++ b/abandonkeeper/keeper.go
@@ -19,7 +19,8 @@
 
 // Run is a run that was stopped.
 type Run struct {
-	Fingerprint currantwood.Fingerprint
+	// Suspects are those of the request.
+	Suspects    []currantwood.Suspect
 	Incarnation int64
 	// SentAt is when the request was sent to the upstream.
 	SentAt time.Time
--- a/abandonkeeper/keeper_test.go
+++ b/abandonkeeper/keeper_test.go
@@ -15,7 +15,7 @@
 	DescribeTable("returns the runs that an upstream's end may be due to",
 		func(incarnation, running int64, after time.Duration, taken int) {
 			k := New()
-			k.Add("u", Run{Fingerprint: 7, Incarnation: incarnation, AbandonedAt: start})
+			k.Add("u", Run{Suspects: []currantwood.Suspect{{Fingerprint: 7}}, Incarnation: incarnation, AbandonedAt: start})
 			Expect(k.Take(start.Add(after), "u", running)).To(HaveLen(taken))
 		},
 		Entry("it has restarted", int64(1), int64(2), time.Second, 1),
@@ -26,8 +26,8 @@
 
 	It("returns a run once, and only those of the upstream", func() {
 		k := New()
-		k.Add("u", Run{Fingerprint: 7, Incarnation: 1, AbandonedAt: start})
-		k.Add("v", Run{Fingerprint: 8, Incarnation: 1, AbandonedAt: start})
+		k.Add("u", Run{Suspects: []currantwood.Suspect{{Fingerprint: 7}}, Incarnation: 1, AbandonedAt: start})
+		k.Add("v", Run{Suspects: []currantwood.Suspect{{Fingerprint: 8}}, Incarnation: 1, AbandonedAt: start})
 		Expect(k.Take(start, "u", 0)).To(HaveLen(1))
 		Expect(k.Take(start, "u", 0)).To(BeEmpty())
 		Expect(k.Take(start, "v", 0)).To(HaveLen(1))
@@ -36,10 +36,10 @@
 	It("keeps the newest runs of an upstream, and none longer than retention", func() {
 		k := New()
 		for i := range 2 * maxRuns {
-			k.Add("u", Run{Fingerprint: currantwood.Fingerprint(i), AbandonedAt: start.Add(time.Duration(i) * time.Millisecond)})
+			k.Add("u", Run{Incarnation: int64(i), AbandonedAt: start.Add(time.Duration(i) * time.Millisecond)})
 		}
 		Expect(k.runs["u"]).To(HaveLen(maxRuns))
-		Expect(k.runs["u"][0].Fingerprint).To(Equal(currantwood.Fingerprint(maxRuns)))
+		Expect(k.runs["u"][0].Incarnation).To(Equal(int64(maxRuns)))
 		k.DeleteExpired(start.Add(retention + time.Second))
 		Expect(k.runs).To(BeEmpty())
 	})
--- a/crashencoder/encoder.go
+++ b/crashencoder/encoder.go
@@ -1,10 +1,11 @@
-// Package crashencoder converts the crashes of a request to and from the record in
+// Package crashencoder converts the crashes of a suspect to and from the record in
 // which the platform's store keeps them.
 package crashencoder
 
 import (
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,11 +14,15 @@
 	"github.com/currantwood/currantwood/crashkeeper"
 )
 
-// Encoder encodes and decodes records. The key of a record is the request's
-// fingerprint in hexadecimal, the value is JSON. Records hold times of day, as no
-// other clock is shared by all gateways.
+// Encoder encodes and decodes records. The key of a record is the suspect's kind, a
+// dash and its fingerprint in hexadecimal; that of a request is the fingerprint
+// alone. The value is JSON. Records hold times of day, as no other clock is shared by
+// all gateways.
 type Encoder struct{}
 
+// storedKinds holds the kinds of suspect that a record's key can name.
+var storedKinds = map[string]currantwood.SuspectKind{currantwood.SuspectPath.String(): currantwood.SuspectPath}
+
 // savedCrash is a crash in a record.
 type savedCrash struct {
 	Upstream       string `json:"upstream"`
@@ -27,47 +32,70 @@
 	AtMs int64 `json:"at-ms"`
 }
 
-type savedRequest struct {
+type savedSuspect struct {
 	Crashes []savedCrash `json:"crashes"`
 }
 
-// Encode returns the record of a request. Without crashes it deletes the key. now is
+// Encode returns the record of a suspect. Without crashes it deletes the key. now is
 // the time of day.
-func (Encoder) Encode(now time.Time, request currantwood.Fingerprint, crashes []crashkeeper.AgedCrash) (currantwood.KeyedRecord, error) {
-	record := currantwood.KeyedRecord{Key: strconv.FormatUint(uint64(request), 16)}
+func (Encoder) Encode(now time.Time, suspect currantwood.Suspect, crashes []crashkeeper.AgedCrash) (currantwood.KeyedRecord, error) {
+	record := currantwood.KeyedRecord{Key: encodeKey(suspect)}
 	if len(crashes) == 0 {
 		return record, nil
 	}
-	var saved savedRequest
+	var saved savedSuspect
 	for _, c := range crashes {
 		saved.Crashes = append(saved.Crashes, savedCrash{Upstream: string(c.Upstream), Incarnation: c.Incarnation, UnseenRestarts: c.UnseenRestarts, AtMs: now.Add(-c.Age).UnixMilli()})
 	}
 	value, err := json.Marshal(saved)
 	record.Value = value
-	return record, errors.Wrapf(err, "encode crashes of request %s", record.Key)
+	return record, errors.Wrapf(err, "encode crashes of suspect %s", record.Key)
 }
 
-// Decode returns the request of a record and its crashes. A crash later than now, by
+// Decode returns the suspect of a record and its crashes. A crash later than now, by
 // a clock that differs, has the age 0. now is the time of day.
-func (Encoder) Decode(now time.Time, record currantwood.KeyedRecord) (currantwood.Fingerprint, []crashkeeper.AgedCrash, error) {
-	fingerprint, err := strconv.ParseUint(record.Key, 16, 64)
+func (Encoder) Decode(now time.Time, record currantwood.KeyedRecord) (currantwood.Suspect, []crashkeeper.AgedCrash, error) {
+	suspect, err := decodeKey(record.Key)
 	if err != nil {
-		return 0, nil, errors.Wrapf(err, "decode crashes: key %q", record.Key)
+		return currantwood.Suspect{}, nil, errors.Wrapf(err, "decode crashes: key %q", record.Key)
 	}
-	request := currantwood.Fingerprint(fingerprint)
 	if len(record.Value) == 0 {
-		return request, nil, nil
+		return suspect, nil, nil
 	}
-	var saved savedRequest
+	var saved savedSuspect
 	if err := json.Unmarshal(record.Value, &saved); err != nil {
-		return 0, nil, errors.Wrapf(err, "decode crashes of request %s", record.Key)
+		return currantwood.Suspect{}, nil, errors.Wrapf(err, "decode crashes of suspect %s", record.Key)
 	}
 	crashes := make([]crashkeeper.AgedCrash, 0, len(saved.Crashes))
 	for _, c := range saved.Crashes {
 		crashes = append(crashes, crashkeeper.AgedCrash{
-			Crash: crashkeeper.Crash{Fingerprint: request, Upstream: currantwood.UpstreamID(c.Upstream), Incarnation: c.Incarnation, UnseenRestarts: c.UnseenRestarts},
+			Crash: crashkeeper.Crash{Suspect: suspect, Upstream: currantwood.UpstreamID(c.Upstream), Incarnation: c.Incarnation, UnseenRestarts: c.UnseenRestarts},
 			Age:   max(0, now.Sub(time.UnixMilli(c.AtMs))),
 		})
 	}
-	return request, crashes, nil
+	return suspect, crashes, nil
+}
+
+// encodeKey returns the key of a suspect's record.
+func encodeKey(s currantwood.Suspect) string {
+	fingerprint := strconv.FormatUint(uint64(s.Fingerprint), 16)
+	if s.Kind == currantwood.SuspectRequest {
+		return fingerprint
+	}
+	return s.Kind.String() + "-" + fingerprint
+}
+
+// decodeKey returns the suspect of a record's key.
+func decodeKey(key string) (currantwood.Suspect, error) {
+	var s currantwood.Suspect
+	text := key
+	if kind, rest, found := strings.Cut(key, "-"); found {
+		s.Kind, text = storedKinds[kind], rest
+		if s.Kind == currantwood.SuspectRequest {
+			return s, errors.Errorf("unknown kind of suspect %q", kind)
+		}
+	}
+	fingerprint, err := strconv.ParseUint(text, 16, 64)
+	s.Fingerprint = currantwood.Fingerprint(fingerprint)
+	return s, errors.WithStack(err)
 }
--- a/crashencoder/encoder_test.go
+++ b/crashencoder/encoder_test.go
@@ -13,19 +13,30 @@
 var start = time.UnixMilli(1_700_000_000_000)
 
 var _ = Describe("Encoder", func() {
-	crash := crashkeeper.Crash{Fingerprint: 0xbeef, Upstream: "i-1", Incarnation: 1_699_999_000_000, UnseenRestarts: 1}
+	suspect := currantwood.Suspect{Kind: currantwood.SuspectRequest, Fingerprint: 0xbeef}
+	crash := crashkeeper.Crash{Suspect: suspect, Upstream: "i-1", Incarnation: 1_699_999_000_000, UnseenRestarts: 1}
 
 	It("encodes crashes as JSON with their time of day, and decodes them to their age", func() {
-		record, err := Encoder{}.Encode(start, 0xbeef, []crashkeeper.AgedCrash{{Crash: crash, Age: 2 * time.Second}})
+		record, err := Encoder{}.Encode(start, suspect, []crashkeeper.AgedCrash{{Crash: crash, Age: 2 * time.Second}})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(record.Key).To(Equal("beef"))
 		Expect(string(record.Value)).To(MatchJSON(`{"crashes":[{"upstream":"i-1","incarnation":1699999000000,"unseen-restarts":1,"at-ms":1699999998000}]}`))
-		request, crashes, err := Encoder{}.Decode(start.Add(time.Second), record)
+		decoded, crashes, err := Encoder{}.Decode(start.Add(time.Second), record)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(request).To(Equal(currantwood.Fingerprint(0xbeef)))
+		Expect(decoded).To(Equal(suspect))
 		Expect(crashes).To(Equal([]crashkeeper.AgedCrash{{Crash: crash, Age: 3 * time.Second}}))
 	})
 
+	It("names the kind in the key of any other suspect than a request", func() {
+		suspect := currantwood.Suspect{Kind: currantwood.SuspectPath, Fingerprint: 0xbeef}
+		record, err := Encoder{}.Encode(start, suspect, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.Key).To(Equal("path-beef"))
+		decoded, _, err := Encoder{}.Decode(start, record)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded).To(Equal(suspect))
+	})
+
 	DescribeTable("decodes other records",
 		func(key, value string, crashes int, fails string) {
 			_, decoded, err := Encoder{}.Decode(start, currantwood.KeyedRecord{Key: key, Value: []byte(value)})
@@ -43,6 +54,7 @@
 		Entry("a crash from the future", "beef", `{"crashes":[{"upstream":"a","at-ms":1800000000000}]}`, 1, ""),
 		Entry("fields that are unknown", "beef", `{"crashes":[{"upstream":"a","more":1}],"new":{}}`, 1, ""),
 		Entry("a key that is no fingerprint", "x", `{"crashes":[]}`, 0, `key "x"`),
-		Entry("a value that is no JSON", "beef", `{"crash`, 0, "request beef"),
+		Entry("a value that is no JSON", "beef", `{"crash`, 0, "suspect beef"),
+		Entry("an unknown kind", "host-beef", `{"crashes":[]}`, 0, `unknown kind of suspect "host"`),
 	)
 })
--- a/crashkeeper/keeper_test.go
+++ b/crashkeeper/keeper_test.go
@@ -11,15 +11,20 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
+// request returns the suspect that is a request with a fingerprint.
+func request(fingerprint int) currantwood.Suspect {
+	return currantwood.Suspect{Kind: currantwood.SuspectRequest, Fingerprint: currantwood.Fingerprint(fingerprint)}
+}
+
 var _ = Describe("Keeper", func() {
 	DescribeTable("blocks a request if three upstreams have crashed while they ran it",
 		func(upstreams []string, after time.Duration, blocked bool) {
 			k := New()
 			for _, u := range upstreams {
-				k.Record(start, AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: currantwood.UpstreamID(u)}})
+				k.Record(start, AgedCrash{Crash: Crash{Suspect: request(7), Upstream: currantwood.UpstreamID(u)}})
 			}
-			Expect(k.Blocked(start.Add(after), 7)).To(Equal(blocked))
-			Expect(k.Blocked(start.Add(after), 8)).To(BeFalse())
+			Expect(k.Blocked(start.Add(after), request(7))).To(Equal(blocked))
+			Expect(k.Blocked(start.Add(after), request(8))).To(BeFalse())
 		},
 		Entry("three upstreams", []string{"a", "b", "c"}, time.Second, true),
 		Entry("two upstreams", []string{"a", "b"}, time.Second, false),
@@ -36,17 +41,17 @@
 			}
 			Expect(result.Count).To(Equal(count))
 		},
-		Entry("by its incarnation", []Crash{{7, "a", 1, 0}, {7, "a", 2, 0}, {7, "a", 3, 0}}, 3),
-		Entry("by restarts that the directory hasn't shown", []Crash{{7, "a", 1, 0}, {7, "a", 1, 1}}, 2),
-		Entry("an unknown incarnation, then a known one: one crash", []Crash{{7, "a", 0, 0}, {7, "a", 1, 0}}, 1),
-		Entry("a known incarnation, then an unknown one: one crash", []Crash{{7, "a", 1, 0}, {7, "a", 0, 0}}, 1),
+		Entry("by its incarnation", []Crash{{request(7), "a", 1, 0}, {request(7), "a", 2, 0}, {request(7), "a", 3, 0}}, 3),
+		Entry("by restarts that the directory hasn't shown", []Crash{{request(7), "a", 1, 0}, {request(7), "a", 1, 1}}, 2),
+		Entry("an unknown incarnation, then a known one: one crash", []Crash{{request(7), "a", 0, 0}, {request(7), "a", 1, 0}}, 1),
+		Entry("a known incarnation, then an unknown one: one crash", []Crash{{request(7), "a", 1, 0}, {request(7), "a", 0, 0}}, 1),
 	)
 
 	DescribeTable("takes a failure at the same incarnation for a new crash only after an unseen restart",
 		func(sent time.Duration, broken bool, count int) {
 			k := New()
-			k.RecordFailure(start, Failure{Fingerprint: 7, Upstream: "a", Incarnation: 1, SentAt: start, Broken: true})
-			_, result := k.RecordFailure(start.Add(2*time.Second), Failure{Fingerprint: 7, Upstream: "a", Incarnation: 1, SentAt: start.Add(sent), Broken: broken})
+			k.RecordFailure(start, Failure{Suspect: request(7), Upstream: "a", Incarnation: 1, SentAt: start, Broken: true})
+			_, result := k.RecordFailure(start.Add(2*time.Second), Failure{Suspect: request(7), Upstream: "a", Incarnation: 1, SentAt: start.Add(sent), Broken: broken})
 			Expect(result.Count).To(Equal(count))
 		},
 		Entry("sent before the first crash", -time.Second, true, 1),
@@ -58,53 +63,53 @@
 	It("doesn't count the crashes before an upstream ran the request to its end", func() {
 		k := New()
 		for i, id := range []currantwood.UpstreamID{"a", "b", "c"} {
-			k.Record(start.Add(time.Duration(i)*time.Second), AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: id}})
+			k.Record(start.Add(time.Duration(i)*time.Second), AgedCrash{Crash: Crash{Suspect: request(7), Upstream: id}})
 		}
-		Expect(k.Blocked(start.Add(3*time.Second), 7)).To(BeTrue())
-		k.RecordCompletion(start.Add(3*time.Second), 7)
-		Expect(k.Blocked(start.Add(3*time.Second), 7)).To(BeFalse())
+		Expect(k.Blocked(start.Add(3*time.Second), request(7))).To(BeTrue())
+		k.RecordCompletion(start.Add(3*time.Second), request(7))
+		Expect(k.Blocked(start.Add(3*time.Second), request(7))).To(BeFalse())
 		By("also if a peer reports one of them again")
-		Expect(k.Record(start.Add(4*time.Second), AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: "a"}}).Count).To(BeZero())
+		Expect(k.Record(start.Add(4*time.Second), AgedCrash{Crash: Crash{Suspect: request(7), Upstream: "a"}}).Count).To(BeZero())
 		By("but those after it")
-		Expect(k.Record(start.Add(5*time.Second), AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: "d"}}).Count).To(Equal(1))
+		Expect(k.Record(start.Add(5*time.Second), AgedCrash{Crash: Crash{Suspect: request(7), Upstream: "d"}}).Count).To(Equal(1))
 	})
 
 	It("still counts the crashes of a request while many others have one crash each", func() {
 		k := New()
-		for i := range currantwood.Fingerprint(maxRequests) {
-			k.Record(start, AgedCrash{Crash: Crash{Fingerprint: 1000 + i, Upstream: "a"}})
+		for i := range maxSuspects {
+			k.Record(start, AgedCrash{Crash: Crash{Suspect: request(1000 + i), Upstream: "a"}})
 		}
 		for i, id := range []currantwood.UpstreamID{"a", "b", "c"} {
-			k.Record(start.Add(time.Duration(i)*time.Second), AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: id}})
+			k.Record(start.Add(time.Duration(i)*time.Second), AgedCrash{Crash: Crash{Suspect: request(7), Upstream: id}})
 		}
-		Expect(k.Blocked(start.Add(3*time.Second), 7)).To(BeTrue())
+		Expect(k.Blocked(start.Add(3*time.Second), request(7))).To(BeTrue())
 		By("also after as many new ones")
-		for i := range currantwood.Fingerprint(maxRequests) {
-			k.Record(start.Add(4*time.Second), AgedCrash{Crash: Crash{Fingerprint: 10_000 + i, Upstream: "a"}})
+		for i := range maxSuspects {
+			k.Record(start.Add(4*time.Second), AgedCrash{Crash: Crash{Suspect: request(10_000 + i), Upstream: "a"}})
 		}
-		Expect(k.Blocked(start.Add(5*time.Second), 7)).To(BeTrue())
+		Expect(k.Blocked(start.Add(5*time.Second), request(7))).To(BeTrue())
 	})
 
 	It("counts a crash again that was recorded so long ago that it no longer counts", func() {
 		k := New()
 		for range 2 {
-			k.Record(start, AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: "a"}})
+			k.Record(start, AgedCrash{Crash: Crash{Suspect: request(7), Upstream: "a"}})
 		}
 		later := start.Add(crashLifetime + time.Second)
-		Expect(k.Record(later, AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: "a"}})).To(Equal(RecordResult{New: true, Count: 1}))
+		Expect(k.Record(later, AgedCrash{Crash: Crash{Suspect: request(7), Upstream: "a"}})).To(Equal(RecordResult{New: true, Count: 1}))
 	})
 
 	It("bounds the crashes that it keeps and sends to peers, and sends only recent ones", func() {
 		k := New()
-		for i := range currantwood.Fingerprint(2 * maxRequests) {
-			k.Record(start, AgedCrash{Crash: Crash{Fingerprint: i, Upstream: "a"}})
+		for i := range 2 * maxSuspects {
+			k.Record(start, AgedCrash{Crash: Crash{Suspect: request(i), Upstream: "a"}})
 		}
-		Expect(len(k.requests)).To(And(BeNumerically("<=", maxRequests), BeNumerically(">", maxRequests-evictedRequests)))
+		Expect(len(k.histories)).To(And(BeNumerically("<=", maxSuspects), BeNumerically(">", maxSuspects-evictedSuspects)))
 		Expect(k.Recent(start.Add(time.Second))).To(HaveLen(maxSent))
 		Expect(k.Recent(start.Add(time.Minute))).To(BeEmpty())
-		for i := range currantwood.Fingerprint(evictedRequests) {
-			k.Record(start.Add(time.Hour), AgedCrash{Crash: Crash{Fingerprint: 1<<40 + i, Upstream: "a"}})
+		for i := range evictedSuspects {
+			k.Record(start.Add(time.Hour), AgedCrash{Crash: Crash{Suspect: request(1<<40 + i), Upstream: "a"}})
 		}
-		Expect(len(k.requests)).To(BeNumerically("<=", evictedRequests))
+		Expect(len(k.histories)).To(BeNumerically("<=", evictedSuspects))
 	})
 })
--- a/crashkeeper/save.go
+++ b/crashkeeper/save.go
@@ -6,31 +6,31 @@
 	"github.com/currantwood/currantwood"
 )
 
-// Unsaved is a request whose crashes have to be saved.
+// Unsaved is a suspect whose crashes have to be saved.
 type Unsaved struct {
-	Fingerprint currantwood.Fingerprint
-	// Crashes are all those of the request. If there are none, what was saved has to
+	Suspect currantwood.Suspect
+	// Crashes are all those of the suspect. If there are none, what was saved has to
 	// be deleted.
 	Crashes []AgedCrash
 	// sum is the checksum of Crashes.
 	sum uint64
 }
 
-// Unsaved returns up to limit requests whose crashes have to be saved: recurrent ones of
-// which others are saved, and those with saved crashes that have all expired.
+// Unsaved returns up to limit suspects whose crashes have to be saved: recurrent ones
+// of which others are saved, and those with saved crashes that have all expired.
 func (k *Keeper) Unsaved(now time.Time, limit int) []Unsaved {
 	var unsaved []Unsaved
-	for f, r := range k.recurrent {
+	for s, h := range k.recurrent {
 		if len(unsaved) >= limit {
 			break
 		}
-		r.deleteExpired(now)
-		if !r.isRecurrent() && r.savedSum == 0 {
-			k.forgetRecurrent(f)
+		h.deleteExpired(now)
+		if !h.isRecurrent() && h.savedSum == 0 {
+			k.forgetRecurrent(s)
 			continue
 		}
-		if sum := r.sum(f); sum != r.savedSum {
-			unsaved = append(unsaved, Unsaved{Fingerprint: f, Crashes: r.aged(now, f), sum: sum})
+		if sum := h.sum(s); sum != h.savedSum {
+			unsaved = append(unsaved, Unsaved{Suspect: s, Crashes: h.aged(now, s), sum: sum})
 		}
 	}
 	return unsaved
@@ -39,24 +39,24 @@
 // MarkSaved notes that crashes returned by Unsaved were saved.
 func (k *Keeper) MarkSaved(saved []Unsaved) {
 	for _, u := range saved {
-		if r := k.recurrent[u.Fingerprint]; r != nil {
-			r.savedSum = u.sum
+		if h := k.recurrent[u.Suspect]; h != nil {
+			h.savedSum = u.sum
 		}
 	}
 }
 
 // ForgetSaved notes that nothing is saved for certain: the store has come back from an
-// older copy. All recurrent requests are saved again.
+// older copy. All recurrent suspects are saved again.
 func (k *Keeper) ForgetSaved() {
-	for _, r := range k.recurrent {
-		r.savedSum = 0
+	for _, h := range k.recurrent {
+		h.savedSum = 0
 	}
 }
 
-// RecordSaved records the saved crashes of a request, which may have expired, and
+// RecordSaved records the saved crashes of a suspect, which may have expired, and
 // returns those that were not known.
-func (k *Keeper) RecordSaved(now time.Time, f currantwood.Fingerprint, crashes []AgedCrash) []AgedCrash {
-	saved := &request{crashes: make(map[crashKey]crashTimes)}
+func (k *Keeper) RecordSaved(now time.Time, s currantwood.Suspect, crashes []AgedCrash) []AgedCrash {
+	saved := &history{crashes: make(map[crashKey]crashTimes)}
 	var learned []AgedCrash
 	for _, c := range crashes {
 		saved.crashes[c.key()] = crashTimes{}
@@ -64,15 +64,15 @@
 			learned = append(learned, c)
 		}
 	}
-	r := k.requests[f]
-	if r == nil && len(crashes) > 0 {
+	h := k.histories[s]
+	if h == nil && len(crashes) > 0 {
 		// All have expired: kept until they are deleted from the store.
-		r = &request{crashes: make(map[crashKey]crashTimes)}
-		k.requests[f] = r
+		h = &history{crashes: make(map[crashKey]crashTimes)}
+		k.histories[s] = h
 	}
-	if r != nil {
-		r.savedSum = saved.sum(f)
-		k.recurrent[f] = r
+	if h != nil {
+		h.savedSum = saved.sum(s)
+		k.recurrent[s] = h
 	}
 	return learned
 }
--- a/crashkeeper/sync.go
+++ b/crashkeeper/sync.go
@@ -10,72 +10,79 @@
 	"github.com/currantwood/currantwood"
 )
 
-// Sum returns a checksum of the crashes of all recurrent requests: two keepers that hold the
-// same have the same sum. It is 0 if there are none.
+// Sum returns a checksum of the crashes of all recurrent suspects: two keepers that
+// hold the same have the same sum. It is 0 if there are none.
 func (k *Keeper) Sum(now time.Time) uint64 {
 	sum := uint64(0)
-	for f, r := range k.recurrent {
-		r.deleteExpired(now)
-		if r.isRecurrent() {
-			sum ^= r.sum(f)
+	for s, h := range k.recurrent {
+		h.deleteExpired(now)
+		if h.isRecurrent() {
+			sum ^= h.sum(s)
 		}
 	}
 	return sum
 }
 
-// RecurrentCrashes returns up to limit crashes of recurrent requests, whole requests at a time
-// and at least one request, in order of fingerprint. It starts after the fingerprint
-// after, continues from the lowest once it has reached the highest, and returns the
-// last fingerprint included.
-func (k *Keeper) RecurrentCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]AgedCrash, currantwood.Fingerprint) {
+// RecurrentCrashes returns up to limit crashes of recurrent suspects, all of a suspect
+// at a time and those of at least one, in the order of suspects. It starts after the
+// suspect after, continues from the lowest once it has reached the highest, and
+// returns the last suspect included.
+func (k *Keeper) RecurrentCrashes(now time.Time, after currantwood.Suspect, limit int) ([]AgedCrash, currantwood.Suspect) {
 	recurrent := k.sortedRecurrent(now)
-	first, _ := slices.BinarySearch(recurrent, after+1)
+	first, found := slices.BinarySearchFunc(recurrent, after, currantwood.Suspect.Compare)
+	if found {
+		first++
+	}
 	var crashes []AgedCrash
 	for i := range recurrent {
-		f := recurrent[(first+i)%len(recurrent)]
-		more := k.requests[f].aged(now, f)
+		s := recurrent[(first+i)%len(recurrent)]
+		more := k.histories[s].aged(now, s)
 		if len(crashes) > 0 && len(crashes)+len(more) > limit {
 			break
 		}
 		crashes = append(crashes, more...)
-		after = f
+		after = s
 	}
 	return crashes, after
 }
 
-// sortedRecurrent returns the fingerprints of all recurrent requests in ascending order.
-func (k *Keeper) sortedRecurrent(now time.Time) []currantwood.Fingerprint {
-	var sorted []currantwood.Fingerprint
-	for f, r := range k.recurrent {
-		r.deleteExpired(now)
-		if r.isRecurrent() {
-			sorted = append(sorted, f)
+// sortedRecurrent returns all recurrent suspects in ascending order.
+func (k *Keeper) sortedRecurrent(now time.Time) []currantwood.Suspect {
+	var sorted []currantwood.Suspect
+	for s, h := range k.recurrent {
+		h.deleteExpired(now)
+		if h.isRecurrent() {
+			sorted = append(sorted, s)
 		}
 	}
-	slices.Sort(sorted)
+	slices.SortFunc(sorted, currantwood.Suspect.Compare)
 	return sorted
 }
 
-// isRecurrent reports whether the request has recurrentCrashes. Those from before a
+// isRecurrent reports whether the suspect has recurrentCrashes. Those from before a
 // completion are included: the completion is known only here.
-func (r *request) isRecurrent() bool { return len(r.crashes) >= recurrentCrashes }
+func (h *history) isRecurrent() bool { return len(h.crashes) >= recurrentCrashes }
 
-// aged returns the crashes of the request with the fingerprint f.
-func (r *request) aged(now time.Time, f currantwood.Fingerprint) []AgedCrash {
-	crashes := make([]AgedCrash, 0, len(r.crashes))
-	for key, times := range r.crashes {
-		crashes = append(crashes, newAgedCrash(now, f, key, times))
+// aged returns the crashes of the history, which is that of s.
+func (h *history) aged(now time.Time, s currantwood.Suspect) []AgedCrash {
+	crashes := make([]AgedCrash, 0, len(h.crashes))
+	for key, times := range h.crashes {
+		crashes = append(crashes, newAgedCrash(now, s, key, times))
 	}
 	return crashes
 }
 
-// sum returns a checksum of the crashes of the request with the fingerprint f,
-// whatever their order; 0 if there are none.
-func (r *request) sum(f currantwood.Fingerprint) uint64 {
+// sum returns a checksum of the crashes of the history, which is that of s, whatever
+// their order; 0 if there are none. That of a request is as gateways that know no
+// other kind compute it.
+func (h *history) sum(s currantwood.Suspect) uint64 {
 	sum := uint64(0)
 	var buffer []byte
-	for key := range r.crashes {
-		buffer = binary.BigEndian.AppendUint64(buffer[:0], uint64(f))
+	for key := range h.crashes {
+		buffer = binary.BigEndian.AppendUint64(buffer[:0], uint64(s.Fingerprint))
+		if s.Kind != currantwood.SuspectRequest {
+			buffer = append(buffer, byte(s.Kind))
+		}
 		buffer = binary.BigEndian.AppendUint64(buffer, uint64(key.incarnation))
 		buffer = binary.BigEndian.AppendUint32(buffer, key.unseenRestarts)
 		buffer = append(buffer, key.upstream...)
--- a/crashkeeper/sync_test.go
+++ b/crashkeeper/sync_test.go
@@ -13,7 +13,7 @@
 
 // exchange sends from one keeper to another what the other lacks, as gateways do:
 // recent crashes always, those of recurrent requests if the sums differ.
-func exchange(now time.Time, from, to *Keeper, after currantwood.Fingerprint) currantwood.Fingerprint {
+func exchange(now time.Time, from, to *Keeper, after currantwood.Suspect) currantwood.Suspect {
 	crashes := from.Recent(now)
 	if from.Sum(now) != 0 && from.Sum(now) != to.Sum(now) {
 		var missing []AgedCrash
@@ -29,50 +29,50 @@
 var _ = Describe("Crashes of recurrent requests", func() {
 	It("are sent whole, in turn, at most as many as asked for", func() {
 		k := New()
-		for f := range currantwood.Fingerprint(5) {
+		for f := range 5 {
 			for _, id := range []currantwood.UpstreamID{"a", "b", "c"} {
-				k.Record(start, AgedCrash{Crash: Crash{Fingerprint: 10 + f, Upstream: id}})
+				k.Record(start, AgedCrash{Crash: Crash{Suspect: request(10 + f), Upstream: id}})
 			}
 		}
-		k.Record(start, AgedCrash{Crash: Crash{Fingerprint: 1, Upstream: "a"}})
-		seen := map[currantwood.Fingerprint]int{}
-		after := currantwood.Fingerprint(0)
+		k.Record(start, AgedCrash{Crash: Crash{Suspect: request(1), Upstream: "a"}})
+		seen := map[currantwood.Suspect]int{}
+		after := currantwood.Suspect{}
 		for range 3 {
 			var crashes []AgedCrash
 			crashes, after = k.RecurrentCrashes(start, after, 7)
 			Expect(crashes).To(HaveLen(6))
 			for _, c := range crashes {
-				seen[c.Fingerprint]++
+				seen[c.Suspect]++
 			}
 		}
 		Expect(seen).To(HaveLen(5))
-		Expect(seen).NotTo(HaveKey(currantwood.Fingerprint(1)))
+		Expect(seen).NotTo(HaveKey(request(1)))
 	})
 
 	It("have the same sum in whatever order they were recorded, and another if one is missing", func() {
 		a, b := New(), New()
 		for i := range 6 {
-			a.Record(start, AgedCrash{Crash: Crash{Fingerprint: currantwood.Fingerprint(i / 3), Upstream: currantwood.UpstreamID(fmt.Sprint(i))}})
-			b.Record(start, AgedCrash{Crash: Crash{Fingerprint: currantwood.Fingerprint((5 - i) / 3), Upstream: currantwood.UpstreamID(fmt.Sprint(5 - i))}})
+			a.Record(start, AgedCrash{Crash: Crash{Suspect: request(i / 3), Upstream: currantwood.UpstreamID(fmt.Sprint(i))}})
+			b.Record(start, AgedCrash{Crash: Crash{Suspect: request((5 - i) / 3), Upstream: currantwood.UpstreamID(fmt.Sprint(5 - i))}})
 		}
 		Expect(a.Sum(start)).To(Equal(b.Sum(start)))
 		Expect(a.Sum(start)).NotTo(BeZero())
-		a.Record(start, AgedCrash{Crash: Crash{Fingerprint: 1, Upstream: "another"}})
+		a.Record(start, AgedCrash{Crash: Crash{Suspect: request(1), Upstream: "another"}})
 		Expect(a.Sum(start)).NotTo(Equal(b.Sum(start)))
 	})
 
 	It("don't live longer by being sent back and forth", func() {
 		a, b := New(), New()
 		for _, id := range []currantwood.UpstreamID{"a", "b", "c"} {
-			a.Record(start, AgedCrash{Crash: Crash{Fingerprint: 7, Upstream: id}})
+			a.Record(start, AgedCrash{Crash: Crash{Suspect: request(7), Upstream: id}})
 		}
-		after, back := currantwood.Fingerprint(0), currantwood.Fingerprint(0)
+		after, back := currantwood.Suspect{}, currantwood.Suspect{}
 		for now := start; now.Before(start.Add(2 * crashLifetime)); now = now.Add(time.Second) {
 			after = exchange(now, a, b, after)
 			back = exchange(now, b, a, back)
 		}
-		Expect(a.Blocked(start.Add(crashLifetime+time.Second), 7)).To(BeFalse())
-		Expect(b.Blocked(start.Add(crashLifetime+time.Second), 7)).To(BeFalse())
+		Expect(a.Blocked(start.Add(crashLifetime+time.Second), request(7))).To(BeFalse())
+		Expect(b.Blocked(start.Add(crashLifetime+time.Second), request(7))).To(BeFalse())
 	})
 
 	// Guards against a gateway that never hears of a crash since it was away when
@@ -82,7 +82,7 @@
 			random := rand.New(rand.NewSource(seed))
 			const gateways = 6
 			keepers := make([]*Keeper, gateways)
-			var cursors [2][gateways]currantwood.Fingerprint
+			var cursors [2][gateways]currantwood.Suspect
 			for i := range keepers {
 				keepers[i] = New()
 			}
@@ -101,7 +101,7 @@
 			}
 			for range 200 {
 				at := random.Intn(gateways)
-				keepers[at].Record(now, AgedCrash{Crash: Crash{Fingerprint: currantwood.Fingerprint(random.Intn(8)), Upstream: currantwood.UpstreamID(fmt.Sprint(random.Intn(12)))}})
+				keepers[at].Record(now, AgedCrash{Crash: Crash{Suspect: request(random.Intn(8)), Upstream: currantwood.UpstreamID(fmt.Sprint(random.Intn(12)))}})
 				if random.Float64() < 0.1 {
 					keepers[random.Intn(gateways)] = New()
 				}
--- a/crashsaver/saver.go
+++ b/crashsaver/saver.go
@@ -1,5 +1,5 @@
-// Package crashsaver saves the crashes of recurrent requests, those that have crashed
-// two or more upstreams, in the platform's store. There they outlast all gateways.
+// Package crashsaver saves the crashes of recurrent suspects, those that have crashed
+// several upstreams, in the platform's store. There they outlast all gateways.
 package crashsaver
 
 import (
@@ -21,13 +21,13 @@
 	retryPause = 500 * time.Millisecond
 	// appendTimeout bounds an append.
 	appendTimeout = 1500 * time.Millisecond
-	// maxRequests bounds the requests in one append, about 500 bytes each.
-	maxRequests = 200
+	// maxSuspects bounds the suspects in one append, about 500 bytes each.
+	maxSuspects = 200
 )
 
 // Crashes is what the gateway knows. Its methods are safe for concurrent use.
 type Crashes interface {
-	// UnsavedCrashes returns up to limit requests whose crashes have to be saved.
+	// UnsavedCrashes returns up to limit suspects whose crashes have to be saved.
 	UnsavedCrashes(now time.Time, limit int) []crashkeeper.Unsaved
 	// MarkCrashesSaved notes that they were.
 	MarkCrashesSaved(saved []crashkeeper.Unsaved)
@@ -74,13 +74,13 @@
 	if !s.options.Responsible(now) {
 		return true
 	}
-	unsaved := s.options.Crashes.UnsavedCrashes(now, maxRequests)
+	unsaved := s.options.Crashes.UnsavedCrashes(now, maxSuspects)
 	if len(unsaved) == 0 {
 		return true
 	}
 	records := make([]currantwood.KeyedRecord, 0, len(unsaved))
 	for _, u := range unsaved {
-		record, err := crashencoder.Encoder{}.Encode(s.options.TimeOfDay(), u.Fingerprint, u.Crashes)
+		record, err := crashencoder.Encoder{}.Encode(s.options.TimeOfDay(), u.Suspect, u.Crashes)
 		if err != nil {
 			s.options.Logger.Error("failed to encode crashes", zap.Error(err))
 			continue
@@ -99,12 +99,12 @@
 }
 
 // logOutcome logs each success, and the first of a series of failures.
-func (s *Saver) logOutcome(err error, requests int) {
+func (s *Saver) logOutcome(err error, suspects int) {
 	if err == nil {
-		s.options.Logger.Info("crashes saved", zap.Int("requests", requests), zap.Bool("after-failure", s.failing))
+		s.options.Logger.Info("crashes saved", zap.Int("suspects", suspects), zap.Bool("after-failure", s.failing))
 	}
 	if err != nil && !s.failing {
-		s.options.Logger.Warn("crashes not saved, trying again", zap.Int("requests", requests), zap.Error(err))
+		s.options.Logger.Warn("crashes not saved, trying again", zap.Int("suspects", suspects), zap.Error(err))
 	}
 	s.failing = err != nil
 }
--- a/crashsaver/saver_test.go
+++ b/crashsaver/saver_test.go
@@ -62,7 +62,7 @@
 		store := &recordingStore{failures: failures}
 		keeper := &lockedKeeper{keeper: crashkeeper.New()}
 		for _, id := range []currantwood.UpstreamID{"a", "b"} {
-			keeper.keeper.Record(time.Now(), crashkeeper.AgedCrash{Crash: crashkeeper.Crash{Fingerprint: 7, Upstream: id}})
+			keeper.keeper.Record(time.Now(), crashkeeper.AgedCrash{Crash: crashkeeper.Crash{Suspect: currantwood.Suspect{Fingerprint: 7}, Upstream: id}})
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/doc.go
+++ b/doc.go
@@ -10,4 +10,4 @@
 // takes the current time as an argument and performs no I/O.
 package currantwood
 
-//go:generate go tool stringer -linecomment -type=Class,Ran,Kind,Role,UpstreamKind,Pool,EventKind,OrderKind -output=enums_string.go
+//go:generate go tool stringer -linecomment -type=Class,Ran,Kind,Role,UpstreamKind,Pool,EventKind,OrderKind,SuspectKind -output=enums_string.go
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -20,8 +20,8 @@
 	// closeConnection closes the client's connection, so that it reconnects,
 	// possibly to another gateway.
 	closeConnection bool
-	// fingerprint is set if it decided.
-	fingerprint currantwood.Fingerprint
+	// suspect is set if it decided.
+	suspect *currantwood.Suspect
 }
 
 // admit matches the route, checks the key, picks the group, reads the body and
@@ -50,7 +50,7 @@
 	if err := q.readBody(); err != nil {
 		return err
 	}
-	q.fingerprint = q.computeFingerprint()
+	q.suspects = q.findSuspects()
 	if refusal := q.checkServable(); refusal != nil {
 		return refusal
 	}
@@ -68,9 +68,9 @@
 func (q *request) checkServable() *gatewayResponse {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if q.g.crashes.Blocked(q.arrived, q.fingerprint) {
+	if suspect := q.blockedSuspect(q.arrived); suspect != nil {
 		q.g.instruments.requestsBlocked.Inc(1)
-		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "request crashed its upstreams", fingerprint: q.fingerprint}
+		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "request crashed its upstreams", suspect: suspect}
 	}
 	if q.g.stopping.Load() && q.route.Stream && !q.route.Resumable {
 		left := time.Unix(0, q.g.stopDeadline.Load()).Sub(q.arrived)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -93,9 +93,9 @@
 	if q.possibleRuns >= q.route.MaxUpstreams || ctx.Err() != nil || len(q.attempted) >= maxAttempts {
 		return false
 	}
-	if q.blocked() {
+	if suspect := q.blocked(); suspect != nil {
 		q.g.instruments.requestsBlocked.Inc(1)
-		q.log("not retried: request crashed its upstreams", fingerprintField(q.fingerprint))
+		q.log("not retried: request crashed its upstreams", suspectFields(*suspect)...)
 		return false
 	}
 	if q.reachedUpstream && !q.g.takeRetryBudget(q.g.Now(), q.group, budgeter.FailedRequest) {
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -65,13 +65,13 @@
 		if record != nil {
 			g.ApplyUpstreamRecords(g.Now().Add(-after), []currantwood.KeyedRecord{*record})
 		}
-		q := &request{g: g, r: httptest.NewRequest("POST", "/", nil), fingerprint: 7}
+		q := &request{g: g, r: httptest.NewRequest("POST", "/", nil), suspects: []currantwood.Suspect{{Fingerprint: 7}}}
 		f := failure{view: upstreamkeeper.View{UpstreamRecord: currantwood.UpstreamRecord{ID: crashTestUpstream, Incarnation: 1}}, sentAt: start, broken: true}
 		if lastEvent > 0 {
 			f.lastEventAt = g.Now().Add(-lastEvent)
 		}
 		q.recordCrash(f)
-		_, learned := g.crashes.RecordFailure(g.Now(), crashkeeper.Failure{Fingerprint: 7, Upstream: crashTestUpstream, Incarnation: 1, SentAt: start})
+		_, learned := g.crashes.RecordFailure(g.Now(), crashkeeper.Failure{Suspect: currantwood.Suspect{Fingerprint: 7}, Upstream: crashTestUpstream, Incarnation: 1, SentAt: start})
 		Expect(learned.New).To(Equal(!counts))
 	},
 	Entry("at an upstream that is ready", time.Duration(0), nil, time.Duration(0), true),
@@ -88,7 +88,7 @@
 		first := request{r: httptest.NewRequest("POST", "/book/1?page=2", nil), customer: "ada", body: []byte("body")}
 		changed.r = httptest.NewRequest("POST", target, nil)
 		changed.r.Host = host
-		Expect(changed.computeFingerprint() == first.computeFingerprint()).To(Equal(same))
+		Expect(changed.findSuspects()[0] == first.findSuspects()[0]).To(Equal(same))
 	},
 	Entry("the same", request{customer: "ada", body: []byte("body")}, "/book/1?page=2", "a.example", true),
 	Entry("another host", request{customer: "ada", body: []byte("body")}, "/book/1?page=2", "b.example", true),
@@ -99,12 +99,13 @@
 	Entry("no body", request{customer: "ada"}, "/book/1?page=2", "a.example", false),
 )
 
-var _ = It("requests without a body have different fingerprints if their queries differ", func() {
+var _ = It("requests without a body have different fingerprints if their queries differ, and their path in common", func() {
 	first := request{r: httptest.NewRequest("GET", "/view/1?page=2", nil)}
 	second := request{r: httptest.NewRequest("GET", "/view/1?page=3", nil)}
 	again := request{r: httptest.NewRequest("GET", "/view/1?page=2", nil)}
-	Expect(first.computeFingerprint()).NotTo(Equal(second.computeFingerprint()))
-	Expect(first.computeFingerprint()).To(Equal(again.computeFingerprint()))
+	Expect(first.findSuspects()[0]).NotTo(Equal(second.findSuspects()[0]))
+	Expect(first.findSuspects()[1]).To(Equal(second.findSuspects()[1]))
+	Expect(first.findSuspects()).To(Equal(again.findSuspects()))
 })
 
 // Many requests may share a path without a body. If upstreams hang they time out at
@@ -112,7 +113,7 @@
 var _ = DescribeTable("a run without a body that timed out counts once its upstream turns out to have ended",
 	func(record *currantwood.KeyedRecord, counted int) {
 		g := newCrashTestGateway()
-		q := &request{g: g, r: httptest.NewRequest("GET", "/", nil), fingerprint: 7}
+		q := &request{g: g, r: httptest.NewRequest("GET", "/", nil), suspects: []currantwood.Suspect{{Fingerprint: 7}}}
 		q.recordCrash(failure{view: upstreamkeeper.View{UpstreamRecord: currantwood.UpstreamRecord{ID: crashTestUpstream, Incarnation: 1}}, sentAt: start})
 		Expect(g.instruments.crashesRecorded.Count()).To(BeZero())
 		if record != nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -131,7 +131,7 @@
 // received an event and still waits, the run will not end soon and its request
 // has not crashed too many upstreams.
 func (s *stream) mayMove() bool {
-	if s.blocked() {
+	if s.blocked() != nil {
 		return false
 	}
 	s.mu.Lock()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -83,8 +83,8 @@
 	// deadline is when the response must be complete, body or stream included.
 	deadline time.Time
 	body     []byte
-	// fingerprint is the result of computeFingerprint; 0 until the body is read.
-	fingerprint currantwood.Fingerprint
+	// suspects is the result of findSuspects; nil until the body is read.
+	suspects []currantwood.Suspect
 	// attempted lists the upstreams that were picked for the request, whether or
 	// not it reached them. The targets of moves aren't listed.
 	attempted []currantwood.UpstreamID
@@ -262,8 +262,8 @@
 		q.g.instruments.refused.Inc(1)
 	}
 	fields := []zap.Field{zap.Int("status", f.status), zap.String("reason", f.reason), zap.Duration("retry-after", f.retryAfter)}
-	if f.fingerprint != 0 {
-		fields = append(fields, fingerprintField(f.fingerprint))
+	if f.suspect != nil {
+		fields = append(fields, suspectFields(*f.suspect)...)
 	}
 	q.log("request ended by the gateway", fields...)
 }
--- /dev/null
+++ b/gateway/suspect.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+)
+
+// findSuspects returns what of the request may crash upstreams: the request as a
+// whole and, if it has no body, its path.
+func (q *request) findSuspects() []currantwood.Suspect {
+	path, query, _ := strings.Cut(q.requestTarget(), "?")
+	if len(q.body) > 0 {
+		return []currantwood.Suspect{q.newSuspect(currantwood.SuspectRequest, path, string(q.body))}
+	}
+	return []currantwood.Suspect{
+		q.newSuspect(currantwood.SuspectRequest, path, "?"+query),
+		q.newSuspect(currantwood.SuspectPath, path, ""),
+	}
+}
+
+// newSuspect returns the suspect of a path and content with the request's customer.
+// The host isn't included: a route may move to another.
+func (q *request) newSuspect(kind currantwood.SuspectKind, path, content string) currantwood.Suspect {
+	h := xxhash.New()
+	for _, part := range []string{path, string(q.customer)} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.WriteString(content)
+	return currantwood.Suspect{Kind: kind, Fingerprint: currantwood.Fingerprint(h.Sum64())}
+}
+
+// blocked returns the suspect of the request with which so many upstreams have
+// crashed that the request must not be sent to another; nil if there is none.
+func (q *request) blocked() *currantwood.Suspect {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	return q.blockedSuspect(q.g.Now())
+}
+
+// blockedSuspect is blocked. The caller holds the gateway's mu.
+func (q *request) blockedSuspect(now time.Time) *currantwood.Suspect {
+	for _, s := range q.suspects {
+		if q.g.crashes.Blocked(now, s) {
+			return &s
+		}
+	}
+	return nil
+}
+
+// suspectFields formats a suspect for logs.
+func suspectFields(s currantwood.Suspect) []zap.Field {
+	return []zap.Field{zap.Stringer("suspect", s.Kind), zap.String("fingerprint", strconv.FormatUint(uint64(s.Fingerprint), 16))}
+}
--- a/peerkeeper/crashes.go
+++ b/peerkeeper/crashes.go
@@ -20,17 +20,17 @@
 
 // CrashesDue reports whether a gateway may lack crashes that this one knows and has
 // to be sent some now. sum is the checksum of those that this one knows. after is
-// the last fingerprint sent to it.
-func (k *Keeper) CrashesDue(now time.Time, id currantwood.VMID, sum uint64) (after currantwood.Fingerprint, due bool) {
+// the last suspect whose crashes were sent to it.
+func (k *Keeper) CrashesDue(now time.Time, id currantwood.VMID, sum uint64) (after currantwood.Suspect, due bool) {
 	entry := k.peers[id]
 	if entry == nil || sum == 0 || entry.state.CrashSum == sum || now.Sub(entry.crashesSentAt) < crashSyncInterval {
-		return 0, false
+		return currantwood.Suspect{}, false
 	}
 	return entry.lastCrashSent, true
 }
 
-// MarkCrashesSent notes that crashes up to a fingerprint were sent to a gateway.
-func (k *Keeper) MarkCrashesSent(now time.Time, id currantwood.VMID, last currantwood.Fingerprint) {
+// MarkCrashesSent notes that the crashes of suspects up to last were sent to a gateway.
+func (k *Keeper) MarkCrashesSent(now time.Time, id currantwood.VMID, last currantwood.Suspect) {
 	if entry := k.peers[id]; entry != nil {
 		entry.crashesSentAt, entry.lastCrashSent = now, last
 	}
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -106,9 +106,9 @@
 	// lastSeen is when its last message or the last referral to it arrived.
 	lastSeen time.Time
 	// crashesSentAt is when crashes that it may lack were sent to it last, and
-	// lastCrashSent the last fingerprint among them.
+	// lastCrashSent the last suspect among them.
 	crashesSentAt time.Time
-	lastCrashSent currantwood.Fingerprint
+	lastCrashSent currantwood.Suspect
 	// former holds the retry usage of former processes of its VM.
 	former []formerUsage
 	// state is zero if none was received.
--- a/peermessenger/codec.go
+++ b/peermessenger/codec.go
@@ -33,17 +33,21 @@
 func encodeCrashes(reports []crashkeeper.AgedCrash) []*peerwire.Crash {
 	out := make([]*peerwire.Crash, 0, len(reports))
 	for _, r := range reports {
-		out = append(out, &peerwire.Crash{Request: uint64(r.Fingerprint), Upstream: string(r.Upstream), Incarnation: r.Incarnation, UnseenRestarts: r.UnseenRestarts, AgeMs: r.Age.Milliseconds()})
+		out = append(out, &peerwire.Crash{Kind: uint32(r.Suspect.Kind), Fingerprint: uint64(r.Suspect.Fingerprint), Upstream: string(r.Upstream), Incarnation: r.Incarnation, UnseenRestarts: r.UnseenRestarts, AgeMs: r.Age.Milliseconds()})
 	}
 	return out
 }
 
+// decodeCrashes decodes crashes without those of kinds that a later version may send.
 func decodeCrashes(crashes []*peerwire.Crash) []crashkeeper.AgedCrash {
 	out := make([]crashkeeper.AgedCrash, 0, len(crashes))
 	for _, c := range crashes {
+		if c.GetKind() > uint32(currantwood.SuspectPath) {
+			continue
+		}
 		out = append(out, crashkeeper.AgedCrash{
 			Crash: crashkeeper.Crash{
-				Fingerprint:    currantwood.Fingerprint(c.GetRequest()),
+				Suspect:        currantwood.Suspect{Kind: currantwood.SuspectKind(c.GetKind()), Fingerprint: currantwood.Fingerprint(c.GetFingerprint())},
 				Upstream:       currantwood.UpstreamID(c.GetUpstream()),
 				Incarnation:    c.GetIncarnation(),
 				UnseenRestarts: c.GetUnseenRestarts(),
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -62,9 +62,9 @@
 	RecentCrashes(now time.Time) []crashkeeper.AgedCrash
 	// CrashSum returns a checksum of the crashes that all gateways must know.
 	CrashSum(now time.Time) uint64
-	// RecurrentCrashes returns up to limit of these crashes, those after a
-	// fingerprint, and the last fingerprint included.
-	RecurrentCrashes(now time.Time, after currantwood.Fingerprint, limit int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint)
+	// RecurrentCrashes returns up to limit of these crashes, those of the suspects
+	// after one, and the last suspect included.
+	RecurrentCrashes(now time.Time, after currantwood.Suspect, limit int) ([]crashkeeper.AgedCrash, currantwood.Suspect)
 	// RecordCrashes records the crashes that another gateway sent.
 	RecordCrashes(now time.Time, from currantwood.VMID, reports []crashkeeper.AgedCrash)
 }
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -27,8 +27,8 @@
 func (idleGateway) RecentCrashes(time.Time) []crashkeeper.AgedCrash                    { return nil }
 func (idleGateway) CrashSum(time.Time) uint64                                          { return 0 }
 func (idleGateway) RecordCrashes(time.Time, currantwood.VMID, []crashkeeper.AgedCrash) {}
-func (idleGateway) RecurrentCrashes(time.Time, currantwood.Fingerprint, int) ([]crashkeeper.AgedCrash, currantwood.Fingerprint) {
-	return nil, 0
+func (idleGateway) RecurrentCrashes(time.Time, currantwood.Suspect, int) ([]crashkeeper.AgedCrash, currantwood.Suspect) {
+	return nil, currantwood.Suspect{}
 }
 
 // idleTopic is a Topic of which nothing is known.
