A completion clears a suspect at every gateway

What callers saw: a sound request could be refused for ten minutes by a gateway that had heard of crashes before another gateway saw the request completed, and one crash more.

Cause: crashes were told, the completion after them was known to one gateway only. With paths as suspects more requests share one, so this matters more.

Change: gateways tell each other completions for which crashes no longer count, and when a crash becomes known of a suspect with an earlier completion. Crashes before a completion leave checksums and the store.

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -99,8 +99,10 @@
 	// are.
 	savedSum uint64
 	// completedAt is when an upstream last ran a request with the suspect to the end;
-	// zero if none did.
+	// zero if none is known to have. Crashes until then don't count.
 	completedAt time.Time
+	// tellUntil is until when peers are told of that completion.
+	tellUntil time.Time
 }
 
 // counts reports whether a crash recorded at a time counts.
@@ -108,6 +110,17 @@
 	return now.Sub(at) <= crashLifetime && at.After(h.completedAt)
 }
 
+// count returns the number of crashes that count.
+func (h *history) count(now time.Time) int {
+	count := 0
+	for _, times := range h.crashes {
+		if h.counts(now, times.at) {
+			count++
+		}
+	}
+	return count
+}
+
 // Keeper holds recent crashes. It is not safe for concurrent use.
 type Keeper struct {
 	// histories holds those of suspects that have crashed upstreams, at most
@@ -116,18 +129,17 @@
 	// recurrent holds those of suspects that were recurrent when a crash was last
 	// recorded, and those with saved crashes.
 	recurrent map[currantwood.Suspect]*history
+	// completions holds when upstreams last ran requests with suspects to the end,
+	// also of those without crashes; at most maxCompletions, none of a request.
+	completions map[currantwood.Suspect]time.Time
 }
 
 // New returns a keeper without crashes.
 func New() *Keeper {
-	return &Keeper{histories: make(map[currantwood.Suspect]*history), recurrent: make(map[currantwood.Suspect]*history)}
-}
-
-// RecordCompletion notes that an upstream ran a request with a suspect to the end.
-// What crashed with it before did so for another reason, and no longer counts.
-func (k *Keeper) RecordCompletion(now time.Time, s currantwood.Suspect) {
-	if h := k.histories[s]; h != nil {
-		h.completedAt = now
+	return &Keeper{
+		histories:   make(map[currantwood.Suspect]*history),
+		recurrent:   make(map[currantwood.Suspect]*history),
+		completions: make(map[currantwood.Suspect]time.Time),
 	}
 }
 
@@ -164,59 +176,81 @@
 
 // Record adds a crash, seen here or reported by a peer. A crash that is known
 // counts once, from the time of its first record, and again once that no longer
-// counts. A crash that is too old to count is ignored. If maxSuspects have crashes,
-// those least likely to be blocked are forgotten.
+// counts. One that is too old to count, or from before a completion, is ignored. If
+// maxSuspects have crashes, those least likely to be blocked are forgotten. If a
+// completion is known, peers are told of it: they may lack it.
 func (k *Keeper) Record(now time.Time, c AgedCrash) RecordResult {
 	if c.Age > crashLifetime {
 		return RecordResult{Count: k.count(now, c.Suspect)}
 	}
-	h := k.histories[c.Suspect]
+	h := k.historyOf(now, c.Suspect)
+	h.deleteExpired(now)
+	at := now.Add(-max(0, c.Age))
+	key, known := h.find(c.Crash)
+	isNew := !known && at.After(h.completedAt)
+	switch {
+	case isNew:
+		h.crashes[key] = crashTimes{at: at, learnedAt: now}
+	case known:
+		h.reconcile(now, key, at)
+	}
+	if isNew || !at.After(h.completedAt) {
+		h.tellUntil = now.Add(sendWindow)
+	}
+	if h.isRecurrent(now) {
+		k.recurrent[c.Suspect] = h
+	}
+	return RecordResult{New: isNew, Count: h.count(now)}
+}
+
+// reconcile settles at which of two times a known crash was recorded first: the
+// earlier one. If the crash counts by the reported time only, peers are sent the
+// earlier one.
+func (h *history) reconcile(now time.Time, key crashKey, reported time.Time) {
+	times := h.crashes[key]
+	if reported.Before(times.at) {
+		times.at = reported
+	} else if !times.at.After(h.completedAt) && reported.After(h.completedAt) {
+		times.learnedAt = now
+		h.tellUntil = now.Add(sendWindow)
+	}
+	h.crashes[key] = times
+}
+
+// historyOf returns the history of a suspect, a new one if it had none.
+func (k *Keeper) historyOf(now time.Time, s currantwood.Suspect) *history {
+	h := k.histories[s]
 	if h == nil {
 		if len(k.histories) >= maxSuspects {
 			k.makeRoom(now)
 		}
-		h = &history{crashes: make(map[crashKey]crashTimes)}
-		k.histories[c.Suspect] = h
+		h = &history{crashes: make(map[crashKey]crashTimes), completedAt: k.completions[s]}
+		k.histories[s] = h
 	}
-	h.deleteExpired(now)
-	known := h.knows(c.Crash)
-	if !known {
-		h.crashes[c.key()] = crashTimes{at: now.Add(-max(0, c.Age)), learnedAt: now}
-	}
-	if h.isRecurrent() {
-		k.recurrent[c.Suspect] = h
-	}
-	return RecordResult{New: !known, Count: k.count(now, c.Suspect)}
+	return h
 }
 
-// knows reports whether a crash is recorded. A crash of an unknown incarnation is
-// taken for any other of the same upstream. If c has an incarnation and the
-// recorded crash doesn't, that one is forgotten in favor of c.
-func (h *history) knows(c Crash) bool {
+// find returns the key of a crash and whether the crash is recorded. One of an unknown
+// incarnation is taken for any other of the same upstream. If c has an incarnation and
+// the recorded crash doesn't, that one is forgotten in favor of c.
+func (h *history) find(c Crash) (key crashKey, known bool) {
 	if c.Incarnation != 0 {
 		delete(h.crashes, crashKey{upstream: c.Upstream})
 	}
 	for key := range h.crashes {
-		if key.upstream == c.Upstream && (c.Incarnation == 0 || key.incarnation == c.Incarnation && key.unseenRestarts == c.UnseenRestarts) {
-			return true
+		if key.upstream == c.Upstream && (c.Incarnation == 0 || key == c.key()) {
+			return key, true
 		}
 	}
-	return false
+	return c.key(), false
 }
 
 // count returns the number of crashes of a suspect that count.
 func (k *Keeper) count(now time.Time, s currantwood.Suspect) int {
-	h := k.histories[s]
-	if h == nil {
-		return 0
-	}
-	count := 0
-	for _, times := range h.crashes {
-		if h.counts(now, times.at) {
-			count++
-		}
+	if h := k.histories[s]; h != nil {
+		return h.count(now)
 	}
-	return count
+	return 0
 }
 
 // deleteExpired deletes the crashes that no longer count by their age.
--- a/crashkeeper/save.go
+++ b/crashkeeper/save.go
@@ -17,7 +17,7 @@
 }
 
 // Unsaved returns up to limit suspects whose crashes have to be saved: recurrent ones
-// of which others are saved, and those with saved crashes that have all expired.
+// of which others are saved, and those with saved crashes none of which counts.
 func (k *Keeper) Unsaved(now time.Time, limit int) []Unsaved {
 	var unsaved []Unsaved
 	for s, h := range k.recurrent {
@@ -25,11 +25,11 @@
 			break
 		}
 		h.deleteExpired(now)
-		if !h.isRecurrent() && h.savedSum == 0 {
+		if !h.isRecurrent(now) && h.savedSum == 0 {
 			k.forgetRecurrent(s)
 			continue
 		}
-		if sum := h.sum(s); sum != h.savedSum {
+		if sum := h.sum(now, s); sum != h.savedSum {
 			unsaved = append(unsaved, Unsaved{Suspect: s, Crashes: h.aged(now, s), sum: sum})
 		}
 	}
@@ -59,7 +59,7 @@
 	saved := &history{crashes: make(map[crashKey]crashTimes)}
 	var learned []AgedCrash
 	for _, c := range crashes {
-		saved.crashes[c.key()] = crashTimes{}
+		saved.crashes[c.key()] = crashTimes{at: now}
 		if k.Record(now, c).New {
 			learned = append(learned, c)
 		}
@@ -67,11 +67,10 @@
 	h := k.histories[s]
 	if h == nil && len(crashes) > 0 {
 		// All have expired: kept until they are deleted from the store.
-		h = &history{crashes: make(map[crashKey]crashTimes)}
-		k.histories[s] = h
+		h = k.historyOf(now, s)
 	}
 	if h != nil {
-		h.savedSum = saved.sum(s)
+		h.savedSum = saved.sum(now, s)
 		k.recurrent[s] = h
 	}
 	return learned
--- a/crashkeeper/sync.go
+++ b/crashkeeper/sync.go
@@ -16,8 +16,8 @@
 	sum := uint64(0)
 	for s, h := range k.recurrent {
 		h.deleteExpired(now)
-		if h.isRecurrent() {
-			sum ^= h.sum(s)
+		if h.isRecurrent(now) {
+			sum ^= h.sum(now, s)
 		}
 	}
 	return sum
@@ -51,7 +51,7 @@
 	var sorted []currantwood.Suspect
 	for s, h := range k.recurrent {
 		h.deleteExpired(now)
-		if h.isRecurrent() {
+		if h.isRecurrent(now) {
 			sorted = append(sorted, s)
 		}
 	}
@@ -59,26 +59,30 @@
 	return sorted
 }
 
-// isRecurrent reports whether the suspect has recurrentCrashes. Those from before a
-// completion are included: the completion is known only here.
-func (h *history) isRecurrent() bool { return len(h.crashes) >= recurrentCrashes }
+// isRecurrent reports whether recurrentCrashes count.
+func (h *history) isRecurrent(now time.Time) bool { return h.count(now) >= recurrentCrashes }
 
-// aged returns the crashes of the history, which is that of s.
+// aged returns the crashes that count. The history is that of s.
 func (h *history) aged(now time.Time, s currantwood.Suspect) []AgedCrash {
 	crashes := make([]AgedCrash, 0, len(h.crashes))
 	for key, times := range h.crashes {
-		crashes = append(crashes, newAgedCrash(now, s, key, times))
+		if h.counts(now, times.at) {
+			crashes = append(crashes, newAgedCrash(now, s, key, times))
+		}
 	}
 	return crashes
 }
 
-// sum returns a checksum of the crashes of the history, which is that of s, whatever
-// their order; 0 if there are none. That of a request is as gateways that know no
+// sum returns a checksum of the crashes that count, whatever their order; 0 if none
+// do. The history is that of s. The checksum of a request is as gateways that know no
 // other kind compute it.
-func (h *history) sum(s currantwood.Suspect) uint64 {
+func (h *history) sum(now time.Time, s currantwood.Suspect) uint64 {
 	sum := uint64(0)
 	var buffer []byte
-	for key := range h.crashes {
+	for key, times := range h.crashes {
+		if !h.counts(now, times.at) {
+			continue
+		}
 		buffer = binary.BigEndian.AppendUint64(buffer[:0], uint64(s.Fingerprint))
 		if s.Kind != currantwood.SuspectRequest {
 			buffer = append(buffer, byte(s.Kind))
--- a/crashkeeper/sync_test.go
+++ b/crashkeeper/sync_test.go
@@ -20,6 +20,9 @@
 		missing, after = from.RecurrentCrashes(now, after, 8)
 		crashes = append(crashes, missing...)
 	}
+	for _, c := range from.RecentCompletions(now) {
+		to.ApplyCompletion(now, c)
+	}
 	for _, c := range crashes {
 		to.Record(now, c)
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -143,9 +143,12 @@
 
 // recordCompletion notes that an upstream ran the request to the end.
 func (q *request) recordCompletion() {
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
 	for _, suspect := range q.suspects {
-		q.g.crashes.RecordCompletion(q.g.Now(), suspect)
+		q.g.mu.Lock()
+		cleared := q.g.crashes.RecordCompletion(q.g.Now(), suspect)
+		q.g.mu.Unlock()
+		if cleared {
+			q.log("suspect cleared", suspectFields(suspect)...)
+		}
 	}
 }
--- a/gateway/crashsync.go
+++ b/gateway/crashsync.go
@@ -13,11 +13,12 @@
 // it serves without them.
 const crashLoadTimeout = 2 * time.Second
 
-// RecentCrashes returns the recent crashes to report to other gateways.
-func (g *Gateway) RecentCrashes(now time.Time) []crashkeeper.AgedCrash {
+// RecentCrashes returns the recent crashes to report to other gateways, and the
+// completions after which crashes don't count.
+func (g *Gateway) RecentCrashes(now time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.Recent(now)
+	return g.crashes.Recent(now), g.crashes.RecentCompletions(now)
 }
 
 // CrashSum returns a checksum of the crashes that all gateways must know.
@@ -35,8 +36,16 @@
 	return g.crashes.RecurrentCrashes(now, after, limit)
 }
 
-// RecordCrashes records crashes that another gateway has reported.
-func (g *Gateway) RecordCrashes(now time.Time, from currantwood.VMID, crashes []crashkeeper.AgedCrash) {
+// RecordCrashes records crashes and completions that another gateway has reported.
+func (g *Gateway) RecordCrashes(now time.Time, from currantwood.VMID, crashes []crashkeeper.AgedCrash, completions []crashkeeper.AgedCompletion) {
+	for _, c := range completions {
+		g.mu.Lock()
+		cleared := g.crashes.ApplyCompletion(now, c)
+		g.mu.Unlock()
+		if cleared {
+			g.Logger.Info("suspect cleared", append(suspectFields(c.Suspect), zap.String("from", string(from)), zap.Duration("age", c.Age))...)
+		}
+	}
 	for _, c := range crashes {
 		g.mu.Lock()
 		record := g.crashes.Record(now, c)
--- a/peermessenger/codec.go
+++ b/peermessenger/codec.go
@@ -42,12 +42,13 @@
 func decodeCrashes(crashes []*peerwire.Crash) []crashkeeper.AgedCrash {
 	out := make([]crashkeeper.AgedCrash, 0, len(crashes))
 	for _, c := range crashes {
-		if c.GetKind() > uint32(currantwood.SuspectPath) {
+		suspect, known := decodeSuspect(c.GetKind(), c.GetFingerprint())
+		if !known {
 			continue
 		}
 		out = append(out, crashkeeper.AgedCrash{
 			Crash: crashkeeper.Crash{
-				Suspect:        currantwood.Suspect{Kind: currantwood.SuspectKind(c.GetKind()), Fingerprint: currantwood.Fingerprint(c.GetFingerprint())},
+				Suspect:        suspect,
 				Upstream:       currantwood.UpstreamID(c.GetUpstream()),
 				Incarnation:    c.GetIncarnation(),
 				UnseenRestarts: c.GetUnseenRestarts(),
@@ -58,6 +59,33 @@
 	return out
 }
 
+func encodeCompletions(completions []crashkeeper.AgedCompletion) []*peerwire.Completion {
+	out := make([]*peerwire.Completion, 0, len(completions))
+	for _, c := range completions {
+		out = append(out, &peerwire.Completion{Kind: uint32(c.Suspect.Kind), Fingerprint: uint64(c.Suspect.Fingerprint), AgeMs: c.Age.Milliseconds()})
+	}
+	return out
+}
+
+// decodeCompletions decodes completions without those of kinds that a later version
+// may send.
+func decodeCompletions(completions []*peerwire.Completion) []crashkeeper.AgedCompletion {
+	out := make([]crashkeeper.AgedCompletion, 0, len(completions))
+	for _, c := range completions {
+		suspect, known := decodeSuspect(c.GetKind(), c.GetFingerprint())
+		if known {
+			out = append(out, crashkeeper.AgedCompletion{Suspect: suspect, Age: time.Duration(c.GetAgeMs()) * time.Millisecond})
+		}
+	}
+	return out
+}
+
+// decodeSuspect returns a suspect and whether its kind is known here.
+func decodeSuspect(kind uint32, fingerprint uint64) (currantwood.Suspect, bool) {
+	s := currantwood.Suspect{Kind: currantwood.SuspectKind(kind), Fingerprint: currantwood.Fingerprint(fingerprint)}
+	return s, kind <= uint32(currantwood.SuspectPath)
+}
+
 func encodeRetryUsage(usage budgeter.GroupUsage) []*peerwire.Use {
 	out := make([]*peerwire.Use, 0, len(usage))
 	for id, u := range usage {
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -23,12 +23,13 @@
 	recipients := m.peers.DigestRecipients(now)
 	m.mu.Unlock()
 	own, usage := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now)
-	crashes, sum := encodeCrashes(m.Gateway.RecentCrashes(now)), m.Gateway.CrashSum(now)
+	recent, completed := m.Gateway.RecentCrashes(now)
+	crashes, completions, sum := encodeCrashes(recent), encodeCompletions(completed), m.Gateway.CrashSum(now)
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
 		m.mu.Lock()
 		missing := m.missingCrashes(now, recipients[i].VM, sum)
 		m.mu.Unlock()
-		digest.Crashes, digest.CrashSum = append(encodeCrashes(missing), crashes...), sum
+		digest.Crashes, digest.Completions, digest.CrashSum = append(encodeCrashes(missing), crashes...), completions, sum
 		m.send(recipients[i].Address, &peerwire.Datagram{Body: &peerwire.Datagram_Digest{Digest: digest}})
 	}
 	m.mu.Lock()
@@ -98,7 +99,7 @@
 		m.peers.SetCrashSum(from.VM, d.GetCrashSum())
 	}
 	m.mu.Unlock()
-	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(d.GetCrashes()))
+	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(d.GetCrashes()), decodeCompletions(d.GetCompletions()))
 	if !accepted {
 		return
 	}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -58,15 +58,16 @@
 	// SetBudgetPeers replaces what is known of the other gateways' use of the retry
 	// budgets.
 	SetBudgetPeers(now time.Time, peers budgeter.Peers)
-	// RecentCrashes returns the crashes that other gateways should learn of.
-	RecentCrashes(now time.Time) []crashkeeper.AgedCrash
+	// RecentCrashes returns the crashes that other gateways should learn of, and the
+	// completions after which crashes don't count.
+	RecentCrashes(now time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion)
 	// CrashSum returns a checksum of the crashes that all gateways must know.
 	CrashSum(now time.Time) uint64
 	// RecurrentCrashes returns up to limit of these crashes, those of the suspects
 	// after one, and the last suspect included.
 	RecurrentCrashes(now time.Time, after currantwood.Suspect, limit int) ([]crashkeeper.AgedCrash, currantwood.Suspect)
-	// RecordCrashes records the crashes that another gateway sent.
-	RecordCrashes(now time.Time, from currantwood.VMID, reports []crashkeeper.AgedCrash)
+	// RecordCrashes records the crashes and the completions that another gateway sent.
+	RecordCrashes(now time.Time, from currantwood.VMID, crashes []crashkeeper.AgedCrash, completions []crashkeeper.AgedCompletion)
 }
 
 // Configuration is the configuration that this gateway holds.
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -19,14 +19,17 @@
 // idleGateway is a Gateway without state.
 type idleGateway struct{}
 
-func (idleGateway) OwnLoads() balancer.Loads                                           { return nil }
-func (idleGateway) SetPeerLoads(time.Time, balancer.Loads)                             {}
-func (idleGateway) RetryUsage(time.Time) budgeter.GroupUsage                           { return nil }
-func (idleGateway) Established(time.Time) bool                                         { return true }
-func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)                           {}
-func (idleGateway) RecentCrashes(time.Time) []crashkeeper.AgedCrash                    { return nil }
-func (idleGateway) CrashSum(time.Time) uint64                                          { return 0 }
-func (idleGateway) RecordCrashes(time.Time, currantwood.VMID, []crashkeeper.AgedCrash) {}
+func (idleGateway) OwnLoads() balancer.Loads                 { return nil }
+func (idleGateway) SetPeerLoads(time.Time, balancer.Loads)   {}
+func (idleGateway) RetryUsage(time.Time) budgeter.GroupUsage { return nil }
+func (idleGateway) Established(time.Time) bool               { return true }
+func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers) {}
+func (idleGateway) RecentCrashes(time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
+	return nil, nil
+}
+func (idleGateway) CrashSum(time.Time) uint64 { return 0 }
+func (idleGateway) RecordCrashes(time.Time, currantwood.VMID, []crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
+}
 func (idleGateway) RecurrentCrashes(time.Time, currantwood.Suspect, int) ([]crashkeeper.AgedCrash, currantwood.Suspect) {
 	return nil, currantwood.Suspect{}
 }
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -33,6 +33,7 @@
 // buildState returns the state of this gateway.
 func (m *Messenger) buildState(now time.Time, storeReachable bool, loads balancer.Loads) *peerwire.State {
 	sum := m.Gateway.CrashSum(now)
+	recent, completed := m.Gateway.RecentCrashes(now)
 	m.mu.Lock()
 	collector, _ := m.peers.OtherCollector(now)
 	missing := m.missingCrashes(now, collector.VM, sum)
@@ -42,10 +43,12 @@
 		Store:    storeReachable,
 		Next:     uint64(m.directoryTopic.Position()),
 		Loads:    encodeLoads(loads),
-		Crashes:  encodeCrashes(append(m.Gateway.RecentCrashes(now), missing...)),
+		Crashes:  encodeCrashes(append(recent, missing...)),
 		Uses:     encodeRetryUsage(m.Gateway.RetryUsage(now)),
 		CrashSum: sum,
 		StoreEra: uint64(m.directoryTopic.Era()),
+
+		Completions: encodeCompletions(completed),
 	}
 }
 
@@ -65,7 +68,7 @@
 // receiveState stores a peer's state and answers with a referral if a third
 // gateway is the collector.
 func (m *Messenger) receiveState(now time.Time, from peerkeeper.Peer, process uint64, s *peerwire.State) {
-	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(s.GetCrashes()))
+	m.Gateway.RecordCrashes(now, from.VM, decodeCrashes(s.GetCrashes()), decodeCompletions(s.GetCompletions()))
 	m.mu.Lock()
 	m.peers.ApplyState(now, from, peerkeeper.State{
 		SentAt:         s.GetSentAt(),
