A path that is blocked wrongly is taken back by a probe

What callers saw: after all upstreams of a group had failed together, a path that was in flight at three of them was refused for ten minutes; blocked, it could never complete.

Cause: nothing could speak for a blocked suspect.

A request as a whole is never probed: nobody else shares it.

--- a/crashkeeper/completion.go
+++ b/crashkeeper/completion.go
@@ -45,7 +45,7 @@
 	}
 	before := h.count(now)
 	firstKnown := h.completedAt.IsZero()
-	h.completedAt = at
+	h.completedAt, h.probes = at, 0
 	cleared = h.count(now) < before
 	if cleared || firstKnown {
 		h.tellUntil = now.Add(sendWindow)
--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -103,6 +103,10 @@
 	completedAt time.Time
 	// tellUntil is until when peers are told of that completion.
 	tellUntil time.Time
+	// probes counts the probes that this gateway has sent since that completion, and
+	// probedAt is when it sent the last one.
+	probes   int
+	probedAt time.Time
 }
 
 // counts reports whether a crash recorded at a time counts.
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -68,7 +68,12 @@
 func (q *request) checkServable() *gatewayResponse {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if suspect := q.blockedSuspect(q.arrived); suspect != nil {
+	suspect := q.blockedSuspect(q.arrived)
+	probes := suspect != nil && q.takeProbe(q.arrived)
+	if probes {
+		q.log("request sent as a probe", suspectFields(*suspect)...)
+	}
+	if suspect != nil && !probes {
 		q.g.instruments.requestsBlocked.Inc(1)
 		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "request crashed its upstreams", suspect: suspect}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,8 @@
 	// directoryLoaded is set once the directory of upstreams has been read in
 	// full.
 	directoryLoaded atomic.Bool
+	// collects is whether this gateway is the collector.
+	collects atomic.Bool
 	// crashesLoaded is set once the crashes in the store have been read.
 	crashesLoaded atomic.Bool
 	// configuredAt is when awaitsCrashes first found a configuration, as the UnixNano
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -14,6 +14,9 @@
 // other gateways.
 const allPeers currantwood.VMID = "others"
 
+// SetCollects sets whether this gateway is the collector.
+func (g *Gateway) SetCollects(collects bool) { g.collects.Store(collects) }
+
 // OwnLoads returns the load that this gateway has in flight at each upstream.
 func (g *Gateway) OwnLoads() balancer.Loads {
 	g.mu.Lock()
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -54,6 +54,21 @@
 	return nil
 }
 
+// takeProbe reports whether the request may be sent although it has blocked suspects,
+// to learn whether upstreams still crash with them. Only the collector sends such
+// probes. The caller holds the gateway's mu.
+func (q *request) takeProbe(now time.Time) bool {
+	if !q.g.collects.Load() {
+		return false
+	}
+	for _, s := range q.suspects {
+		if q.g.crashes.Blocked(now, s) && !q.g.crashes.TakeProbe(now, s) {
+			return false
+		}
+	}
+	return true
+}
+
 // suspectFields formats a suspect for logs.
 func suspectFields(s currantwood.Suspect) []zap.Field {
 	return []zap.Field{zap.Stringer("suspect", s.Kind), zap.String("fingerprint", strconv.FormatUint(uint64(s.Fingerprint), 16))}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -45,6 +45,8 @@
 // Gateway is the part of this process whose state is exchanged. Its methods
 // are safe for concurrent use.
 type Gateway interface {
+	// SetCollects sets whether this gateway is the collector.
+	SetCollects(collects bool)
 	// OwnLoads returns what this gateway has in flight at each upstream.
 	OwnLoads() balancer.Loads
 	// SetPeerLoads replaces the loads of all other gateways.
@@ -232,7 +234,7 @@
 	m.mu.Lock()
 	m.peers.SetEstablished(established)
 	due := m.peers.MarkStateSentIfDue(now, loads)
-	m.logCollectorChange(now, storeReachable)
+	m.noteCollector(now, storeReachable)
 	m.mu.Unlock()
 	if due {
 		m.sendState(now, m.buildState(now, storeReachable, loads))
@@ -240,10 +242,11 @@
 	m.sendDigests(now)
 }
 
-// logCollectorChange logs when this gateway becomes the collector or stops
-// being it. Called with mu held.
-func (m *Messenger) logCollectorChange(now time.Time, storeReachable bool) {
+// noteCollector tells the gateway whether it is the collector, and logs when it
+// becomes it or stops being it. Called with mu held.
+func (m *Messenger) noteCollector(now time.Time, storeReachable bool) {
 	isCollector := m.peers.IsCollector(now, storeReachable)
+	m.Gateway.SetCollects(isCollector)
 	if isCollector != m.wasCollector {
 		m.wasCollector = isCollector
 		if isCollector {
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -27,6 +27,7 @@
 func (idleGateway) RecentCrashes(time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
 	return nil, nil
 }
+func (idleGateway) SetCollects(bool)          {}
 func (idleGateway) CrashSum(time.Time) uint64 { return 0 }
 func (idleGateway) RecordCrashes(time.Time, currantwood.VMID, []crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
 }
