--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -18,13 +18,24 @@
 type failure struct {
 	view   upstreamkeeper.View
 	sentAt time.Time
-	// lastEventAt is when the last event of a stream arrived; zero if none did.
-	lastEventAt time.Time
+	// firstEventAt and lastEventAt are when the first and the last event of a stream
+	// arrived; zero if none did.
+	firstEventAt, lastEventAt time.Time
 	// broken is whether the upstream closed the connection, rather than that this
 	// gateway stopped waiting.
 	broken bool
 }
 
+// sinceFirstEvent returns the log field for how long the upstream had sent events when
+// the exchange failed; -1 ms if it had sent none.
+func (f failure) sinceFirstEvent(now time.Time) zap.Field {
+	since := -time.Millisecond
+	if !f.firstEventAt.IsZero() {
+		since = now.Sub(f.firstEventAt)
+	}
+	return zap.Duration("since-first-event", since)
+}
+
 // recordCrash records the failure of an exchange as a crash of the upstream,
 // for each suspect of the request, unless crashDoubt finds another reason. If this gateway stopped the run since the
 // client left, the run is kept until the upstream turns out to have crashed; see
@@ -42,11 +53,12 @@
 	doubt := q.g.crashDoubt(now, f)
 	q.g.mu.Unlock()
 	if doubt != "" {
-		q.log("failure not counted as a crash", append(suspectFields(q.suspects[0]), zap.String("upstream", string(f.view.ID)), zap.Int64("incarnation", f.view.Incarnation), zap.String("reason", doubt))...)
+		q.log("failure not counted as a crash", append(suspectFields(q.suspects[0]), zap.String("upstream", string(f.view.ID)), zap.Int64("incarnation", f.view.Incarnation), zap.String("reason", doubt), f.sinceFirstEvent(now))...)
 		return
 	}
 	for _, suspect := range q.suspects {
-		q.log("crash recorded", q.g.recordFailure(now, crashkeeper.Failure{Suspect: suspect, Upstream: f.view.ID, Incarnation: f.view.Incarnation, SentAt: f.sentAt, Broken: f.broken})...)
+		fields := q.g.recordFailure(now, crashkeeper.Failure{Suspect: suspect, Upstream: f.view.ID, Incarnation: f.view.Incarnation, SentAt: f.sentAt, Broken: f.broken})
+		q.log("crash recorded", append(fields, zap.Any("parts", q.client.SharedParts), f.sinceFirstEvent(now))...)
 	}
 }
 
--- a/gateway/streamindex.go
+++ b/gateway/streamindex.go
@@ -45,7 +45,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.balancer.Progressed(now, up.view)
-	if !up.lastEventAt.IsZero() {
+	if up.lastEventAt.IsZero() {
+		up.firstEventAt = now
+	} else {
 		g.eventInterval += (now.Sub(up.lastEventAt) - g.eventInterval) / eventIntervalSmoothing
 	}
 	up.lastEventAt = now
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -31,8 +31,9 @@
 	queuedTokens currantwood.TokenCount
 	// startedAt is when the exchange began.
 	startedAt time.Time
-	// lastEventAt is when the last event arrived; zero before the first.
-	lastEventAt time.Time
+	// firstEventAt and lastEventAt are when the first and the last event arrived; zero
+	// before the first.
+	firstEventAt, lastEventAt time.Time
 	// stalled is whether the gateway ended the exchange since no event arrived.
 	stalled atomic.Bool
 }
@@ -40,7 +41,7 @@
 // failure describes the end of the exchange by an error. ctx is that of the
 // stream.
 func (up *upstreamStream) failure(ctx context.Context) failure {
-	return failure{view: up.view, sentAt: up.startedAt, lastEventAt: up.lastEventAt, broken: ctx.Err() == nil && !up.stalled.Load()}
+	return failure{view: up.view, sentAt: up.startedAt, firstEventAt: up.firstEventAt, lastEventAt: up.lastEventAt, broken: ctx.Err() == nil && !up.stalled.Load()}
 }
 
 // sendCancelable is sendToUpstream for the first run of a stream and for a
--- a/ids.go
+++ b/ids.go
@@ -36,6 +36,9 @@
 // PrefixID identifies a prompt prefix that an engine may have cached.
 type PrefixID uint64
 
+// PartID identifies a part of a prompt, which other prompts may have, too.
+type PartID string
+
 // OperationKey is the value of the client's Idempotency-Key header.
 type OperationKey string
 
--- a/routing.go
+++ b/routing.go
@@ -157,6 +157,9 @@
 	Size    GenerationSize
 	// LengthHint is the client's estimate of the output length; 0 if there is none.
 	LengthHint TokenCount
+	// SharedParts lists the parts of the prompt that other prompts may have, too, in
+	// order. The last part, which is the request's own, isn't among them.
+	SharedParts []PartID
 	// LastEvent is the number of the last event that the client received; -1 if
 	// it requests the stream from the start.
 	LastEvent int64
