A response without framing doesn't speak for its request

What callers saw: nothing yet. A request that crashes upstreams could be sent on if one of them ended in the middle of an answer without a length or chunks: such an answer looks whole.

Cause: any answer that ended cleanly was a completion, and cleared the crashes before it.

Change: an exchange says whether its body has a length or chunks; without, its end isn't a completion.

--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -73,6 +73,8 @@
 	// it is complete. Any other response ends with the connection, so that its
 	// io.EOF doesn't show whether it is complete.
 	Body io.Reader
+	// Framed is whether Body has a length or is chunked.
+	Framed bool
 
 	pool    *Pool
 	conn    *conn
@@ -155,7 +157,7 @@
 		answer := coder.Answer(response.StatusCode, response.Header)
 		if answer.Request == call.ID || (answer.Request == "" && answer.DeclaredNotRun) {
 			x.Status, x.Header, x.Answer = response.StatusCode, response.Header, answer
-			x.Body = response.Body
+			x.Body, x.Framed = response.Body, response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 			x.closeAfter = response.Close || unrelated > 0
 			return nil
 		}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -28,6 +28,9 @@
 type response struct {
 	// sentAt is when the request was sent to the upstream.
 	sentAt time.Time
+	// framed is whether the response had a length or chunks, so that its end shows that
+	// the upstream has sent it whole.
+	framed bool
 	status int
 	header http.Header
 	body   []byte
@@ -138,7 +141,7 @@
 		outcome = balancer.Failed
 	}
 	q.recordEnd(choice.View, load, outcome)
-	return &response{sentAt: sentAt, status: x.Status, header: x.Header, body: body}, nil
+	return &response{sentAt: sentAt, framed: x.Framed, status: x.Status, header: x.Header, body: body}, nil
 }
 
 // startExchange sends the request to an upstream and returns the exchange once
@@ -194,7 +197,7 @@
 // recordServed counts a response of an upstream that was passed on, whatever its
 // status.
 func (q *request) recordServed(choice balancer.Choice, a *response) {
-	if a.status < http.StatusMultipleChoices {
+	if a.status < http.StatusMultipleChoices && a.framed {
 		q.recordCompletion(a.sentAt)
 	}
 	q.g.instruments.served.Inc(1)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -184,7 +184,9 @@
 		}
 		if errors.Is(err, io.EOF) && s.complete() {
 			s.closeUpstream(up, balancer.Served)
-			s.recordCompletion(up.firstEventAt)
+			if up.exchange.Framed {
+				s.recordCompletion(up.firstEventAt)
+			}
 			s.g.instruments.served.Inc(1)
 			s.g.instruments.responseTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
 			s.log("stream served", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns))
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -100,7 +100,7 @@
 	}
 	up.exchange.Finish()
 	s.recordEnd(up.view, up.load, balancer.Failed)
-	s.writeResponse(&response{sentAt: up.startedAt, status: up.exchange.Status, header: up.exchange.Header, body: body}, choice)
+	s.writeResponse(&response{sentAt: up.startedAt, framed: up.exchange.Framed, status: up.exchange.Status, header: up.exchange.Header, body: body}, choice)
 }
 
 // setCurrent sets s.current to up and indexes the stream at its upstream.
