A request whose start crashed an engine that restarts fast is part of the report

The report of that crash, made by another stream, lacked the one request that caused it, and it was sent on as clear.

Change: a start that failed without a response stays in flight for the grace period of canceled streams. The engine's client tells such a failure from a response that refuses.

Result: the new spec of the watcher fails before (the missing element is the bad request).

--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -38,7 +38,7 @@
 
 // Generate starts a stream. The error wraps currantwood.ErrNotDispatched if no
 // connection to the engine was established or the engine refused the stream
-// with status 503.
+// with status 503, and currantwood.ErrNoResponse if the connection failed after that.
 func (c *Client) Generate(ctx context.Context, g currantwood.GenerationRequest) (currantwood.TokenSource, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.baseURL+"/v1/streams", bytes.NewReader(g.Prompt))
 	if err != nil {
@@ -126,7 +126,7 @@
 func (c *Client) openStream(request *http.Request, operation string) (currantwood.TokenSource, error) {
 	response, err := c.httpClient.Do(request)
 	if err != nil {
-		return nil, c.wrap(markNotDispatched(err), operation)
+		return nil, c.wrap(markNoResponse(err), operation)
 	}
 	if err := statusError(response.StatusCode); err != nil {
 		drainAndClose(response.Body)
@@ -166,6 +166,26 @@
 	return errors.Wrapf(err, "%s: %s at %s", errorPrefix, operation, c.baseURL)
 }
 
+// markNoResponse returns ErrNotDispatched as markNotDispatched does, and
+// ErrNoResponse with the text of err for any other error.
+func markNoResponse(err error) error {
+	err = markNotDispatched(err)
+	if errors.Is(err, currantwood.ErrNotDispatched) {
+		return err
+	}
+	return &noResponseError{cause: err}
+}
+
+// noResponseError is an ErrNoResponse that keeps why there was none.
+type noResponseError struct{ cause error }
+
+func (e *noResponseError) Error() string {
+	return currantwood.ErrNoResponse.Error() + ": " + e.cause.Error()
+}
+
+// Unwrap makes errors.Is find both ErrNoResponse and the cause.
+func (e *noResponseError) Unwrap() []error { return []error{currantwood.ErrNoResponse, e.cause} }
+
 // markNotDispatched returns ErrNotDispatched with the text of err if no connection
 // to the engine could be established, so that no byte was sent. It returns other
 // errors unchanged.
--- a/upstream.go
+++ b/upstream.go
@@ -19,6 +19,10 @@
 // no byte was sent, or an engine refused to start the run.
 var ErrNotDispatched = errors.New("nothing was sent to the upstream")
 
+// ErrNoResponse means that a request was sent to an engine, whose connection failed
+// before it responded: the engine may have run it, and may have crashed with it.
+var ErrNoResponse = errors.New("no response")
+
 // GenerationRequest is a run to start at an engine.
 type GenerationRequest struct {
 	Stream   EngineStreamID
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -28,7 +28,8 @@
 	checkTimeout = time.Second
 	// cancelGracePeriod is how long a canceled stream still counts as in flight
 	// if the engine has not confirmed the cancellation, because the stream may
-	// still crash the engine.
+	// still crash the engine, and how long one that failed to start without a
+	// response, because it may have crashed the engine, which another stream shows.
 	cancelGracePeriod = 3 * time.Second
 	// maxSuspects bounds the suspects that are remembered; further ones run like
 	// other requests. A suspect is kept until it runs to its end at this
@@ -122,7 +123,11 @@
 		return nil, err
 	}
 	w.checkFailedStart(ctx, g.Stream)
-	if stop() {
+	switch {
+	case !stop():
+	case errors.Is(err, currantwood.ErrNoResponse) && w.isRunning(g.Stream):
+		w.endAfterGracePeriod(g.Stream)
+	default:
 		w.end(g.Stream)
 	}
 	return nil, err
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -88,6 +88,20 @@
 	return ended
 }
 
+// slowChecks is an engine whose checks are slow, so that it has restarted by the time
+// that a call fails.
+type slowChecks struct{ currantwood.Engine }
+
+func (e slowChecks) Load(ctx context.Context) (currantwood.EngineLoad, error) {
+	time.Sleep(50 * time.Millisecond)
+	return e.Engine.Load(ctx)
+}
+
+func (e slowChecks) Resume(ctx context.Context, stream currantwood.EngineStreamID, from currantwood.TokenIndex) (currantwood.TokenSource, error) {
+	time.Sleep(150 * time.Millisecond)
+	return e.Engine.Resume(ctx, stream, from)
+}
+
 func bodyOf(text string, tokens int) []byte {
 	return fmt.Appendf(nil, `{"prompt": %q, "standin-tokens": %d}`, text, tokens)
 }
@@ -154,6 +168,19 @@
 		}, 0, 0),
 	)
 
+	// Guards against the request that crashed an engine left out of the report, since the
+	// engine responds again when its start has failed.
+	It("reports a request that failed to start as in flight, if the engine has restarted by then", func() {
+		f := newFixture(engine.Faults{CrashOn: crashMarker, RestartMs: 1})
+		f.watcher.Engine = slowChecks{f.watcher.Engine}
+		long := f.run(ctx, "long", "long", 100000)
+		Eventually(f.startedStreams).WithTimeout(eventTimeout).Should(BeEquivalentTo(1))
+		Eventually(f.run(ctx, "short", crashMarker, 1)).WithTimeout(eventTimeout).Should(Receive(HaveOccurred()))
+		Eventually(long).WithTimeout(eventTimeout).Should(Receive(HaveOccurred()))
+		Expect(f.reported()).To(HaveLen(1))
+		Expect(f.reported()[0].InFlight).To(ConsistOf(FingerprintOf(bodyOf("long", 100000)), FingerprintOf(bodyOf(crashMarker, 1))))
+	})
+
 	It("refuses streams while the engine is still down and reports no further crash", func() {
 		f := newFixture(engine.Faults{CrashOn: crashMarker, RestartMs: 100000})
 		Eventually(f.run(ctx, "a", crashMarker, 1)).WithTimeout(eventTimeout).Should(Receive(HaveOccurred()))
