Crashes are saved before the client hears of them

Cause: crashes were saved in rounds of 100 ms, by the collector alone.

Change: a crash of a recurrent suspect is saved at once, by the gateway that saw it, before the request's answer goes out; concurrent ones share an append. By SIGTERM a gateway saves what it knows before it ends, single crashes too.

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -77,6 +77,8 @@
 	New bool
 	// Count is the number of crashes of the suspect that count now.
 	Count int
+	// Recurrent is whether the suspect is recurrent.
+	Recurrent bool
 }
 
 // AgedCrash is a crash and how long ago it was recorded first, at any gateway.
@@ -134,6 +136,8 @@
 	// recurrent holds those of suspects that were recurrent when a crash was last
 	// recorded, and those with saved crashes.
 	recurrent map[currantwood.Suspect]*history
+	// savesSingles is whether suspects with one crash are saved, too.
+	savesSingles bool
 	// completions holds when upstreams last ran requests with suspects to the end,
 	// also of those without crashes; at most maxCompletions, none of a request.
 	completions map[currantwood.Suspect]time.Time
@@ -205,7 +209,7 @@
 	if h.isRecurrent(now) {
 		k.recurrent[c.Suspect] = h
 	}
-	return RecordResult{New: isNew, Count: h.count(now)}
+	return RecordResult{New: isNew, Count: h.count(now), Recurrent: h.isRecurrent(now)}
 }
 
 // reconcile settles at which of two times a known crash was recorded first: the
--- a/crashkeeper/save.go
+++ b/crashkeeper/save.go
@@ -25,6 +25,15 @@
 	sum uint64
 }
 
+// SaveSingles makes Unsaved return suspects with one crash, too. This process ends, and
+// nobody else may know of them.
+func (k *Keeper) SaveSingles() {
+	k.savesSingles = true
+	for s, h := range k.histories {
+		k.recurrent[s] = h
+	}
+}
+
 // Unsaved returns up to limit suspects whose crashes have to be saved: recurrent ones
 // of which others are saved, and those with saved crashes none of which counts.
 func (k *Keeper) Unsaved(now time.Time, limit int) []Unsaved {
@@ -34,7 +43,7 @@
 			break
 		}
 		h.deleteExpired(now)
-		if !h.isRecurrent(now) && h.savedSum == 0 {
+		if !h.isRecurrent(now) && h.savedSum == 0 && !(k.savesSingles && h.count(now) > 0) {
 			k.forgetRecurrent(s)
 			continue
 		}
--- a/crashsaver/saver_test.go
+++ b/crashsaver/saver_test.go
@@ -57,6 +57,12 @@
 	k.keeper.MarkSaved(saved)
 }
 
+func (k *lockedKeeper) SaveSingleCrashes() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keeper.SaveSingles()
+}
+
 var _ = DescribeTable("Saver saves a recurrent request once, when it is responsible and the store answers",
 	func(failures int, responsible bool, want int) {
 		store := &recordingStore{failures: failures}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"syscall"
 	"time"
@@ -71,10 +72,17 @@
 		q.log("failure not counted as a crash", append(suspectFields(q.suspects[0]), zap.String("upstream", string(f.view.ID)), zap.Int64("incarnation", f.view.Incarnation), zap.String("reason", doubt), f.sinceFirstEvent(now))...)
 		return
 	}
+	recurrent := false
 	for _, suspect := range f.suspects(now, q.suspects) {
-		fields := q.g.recordFailure(now, crashkeeper.Failure{Suspect: suspect, Upstream: f.view.ID, Incarnation: f.view.Incarnation, SentAt: f.sentAt, Broken: f.broken})
+		record, fields := q.g.recordFailure(now, crashkeeper.Failure{Suspect: suspect, Upstream: f.view.ID, Incarnation: f.view.Incarnation, SentAt: f.sentAt, Broken: f.broken})
+		recurrent = recurrent || record.New && record.Recurrent
 		q.log("crash recorded", append(fields, zap.Any("parts", q.client.SharedParts), f.sinceFirstEvent(now))...)
 	}
+	if recurrent {
+		// Before the client hears of the failure and sends the request again: all
+		// gateways may end meanwhile.
+		q.g.saveCrashes(context.WithoutCancel(q.r.Context()))
+	}
 }
 
 // recordBrokenBody records a body that wasn't read to its end because of err as a
@@ -134,7 +142,7 @@
 	g.mu.Unlock()
 	for _, run := range runs {
 		for _, suspect := range run.Suspects {
-			fields := g.recordFailure(now, crashkeeper.Failure{Suspect: suspect, Upstream: upstream, Incarnation: run.Incarnation, SentAt: run.SentAt, Broken: true})
+			_, fields := g.recordFailure(now, crashkeeper.Failure{Suspect: suspect, Upstream: upstream, Incarnation: run.Incarnation, SentAt: run.SentAt, Broken: true})
 			g.Logger.Info("crash recorded after the run was stopped", append(fields, zap.Duration("since-stopped", now.Sub(run.AbandonedAt)))...)
 		}
 	}
@@ -155,15 +163,15 @@
 }
 
 // recordFailure records a failure seen by this gateway as a crash, counts it and
-// returns its log fields.
-func (g *Gateway) recordFailure(now time.Time, f crashkeeper.Failure) []zap.Field {
+// returns its log fields, too.
+func (g *Gateway) recordFailure(now time.Time, f crashkeeper.Failure) (crashkeeper.RecordResult, []zap.Field) {
 	g.mu.Lock()
 	crash, record := g.crashes.RecordFailure(now, f)
 	g.mu.Unlock()
 	if record.New {
 		g.instruments.crashesRecorded.Inc(1)
 	}
-	return append(suspectFields(crash.Suspect),
+	return record, append(suspectFields(crash.Suspect),
 		zap.String("upstream", string(crash.Upstream)), zap.Int64("incarnation", crash.Incarnation),
 		zap.Uint32("unseen-restarts", crash.UnseenRestarts), zap.Int("crashes", record.Count), zap.Bool("new", record.New))
 }
--- a/gateway/crashsync.go
+++ b/gateway/crashsync.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,6 +72,17 @@
 	return g.crashes.Unsaved(now, limit)
 }
 
+// SaveSingleCrashes makes UnsavedCrashes return suspects with one crash, too.
+func (g *Gateway) SaveSingleCrashes() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes.SaveSingles()
+}
+
+// SetCrashSaver sets the function that saves crashes at once. Without it they are only
+// saved in the background. It must be called before the first request.
+func (g *Gateway) SetCrashSaver(save func(ctx context.Context)) { g.saveCrashes = save }
+
 // MarkCrashesSaved notes that crashes returned by UnsavedCrashes were saved.
 func (g *Gateway) MarkCrashesSaved(saved []crashkeeper.Unsaved) {
 	g.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand"
 	"net/http"
 	"sync"
@@ -60,6 +61,8 @@
 	// directoryLoaded is set once the directory of upstreams has been read in
 	// full.
 	directoryLoaded atomic.Bool
+	// saveCrashes saves crashes at once; see SetCrashSaver.
+	saveCrashes func(ctx context.Context)
 	// collects is whether this gateway is the collector.
 	collects atomic.Bool
 	// crashesLoaded is set once the crashes in the store have been read.
@@ -89,6 +92,7 @@
 // New returns a gateway that has no configuration and no upstreams yet.
 func New(options Options) *Gateway {
 	g := &Gateway{
+		saveCrashes:   func(context.Context) {},
 		Options:       options,
 		upstreams:     upstreamkeeper.New(options.Decode),
 		balancer:      balancer.New(options.Settings.Regions, options.Random),
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -110,6 +110,7 @@
 	config        *configkeeper.Keeper
 	gateway       *gateway.Gateway
 	peers         *peermessenger.Messenger
+	crashes       *crashsaver.Saver
 	metrics       metrics.Registry
 	eraRises      metrics.Counter
 	clientServer  *http.Server
@@ -173,7 +174,7 @@
 	directory := storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.directoryFeed())
 	storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.crashFeed())
 	peers.Start(ctx, configuration, directory)
-	crashsaver.New(ctx, crashsaver.Options{
+	p.crashes = crashsaver.New(ctx, crashsaver.Options{
 		Store:       p.options.Writer,
 		Topic:       p.options.CrashTopic,
 		Crashes:     p.gateway,
@@ -182,6 +183,7 @@
 		TimeOfDay:   time.Now,
 		Responsible: func(now time.Time) bool { return !peers.HasOtherCollector(now) },
 	})
+	p.gateway.SetCrashSaver(p.crashes.Save)
 	statepoller.New(ctx, statepoller.Options{
 		Reader:       p.options.States,
 		Gateway:      p.gateway,
@@ -385,6 +387,7 @@
 	defer cancel()
 	sleeper.Sleep(ctx, min(loadBalancerLag, grace/2))
 	err := p.clientServer.Shutdown(ctx)
+	p.crashes.SaveAll(context.WithoutCancel(ctx))
 	p.options.Logger.Info("stopped", zap.Int64("cut-off", p.gateway.InFlight()))
 	_ = p.readyServer.Close()
 	_ = p.metricsServer.Close()
