A shutdown begins once no requests arrive

What callers saw: beside load, a request that was sent within the time that an entry still serves got EOF, or a refused second connection.

Cause, from a trace of the closing connections: the server had read the request, after its shutdown had begun, and net/http closes the connection of such a request without a response, however long ago it was sent. The gateway's server of clients is the same.

--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -21,6 +21,7 @@
 	"github.com/currantwood/currantwood/crashhandler"
 	"github.com/currantwood/currantwood/dialer"
 	"github.com/currantwood/currantwood/distributor"
+	"github.com/currantwood/currantwood/drainer"
 	"github.com/currantwood/currantwood/entryserver"
 	"github.com/currantwood/currantwood/forwarder"
 	"github.com/currantwood/currantwood/headserver"
@@ -77,6 +78,8 @@
 	metrics          metrics.Registry
 	recentRequests   *requestkeeper.Keeper
 	shuttingDown     atomic.Bool
+	// arrivals tells whether requests still arrive during shutdown.
+	arrivals *drainer.Drainer
 	// linkedOnce is set by the first link to a side and never reset: an entry that
 	// lost all its sides stays ready, because it can still send clients accurate
 	// refusals.
@@ -130,6 +133,7 @@
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.shuttingDown.Store(true)
 	sleeper.Sleep(ctx, e.settings.Shutdown.BalancerLag.AsDuration())
+	e.arrivals.Wait(ctx, time.Now)
 	err := e.httpServer.Shutdown(ctx)
 	e.Kill()
 	return errors.Wrap(err, "entry: shut down HTTP server")
@@ -207,6 +211,7 @@
 		MaxBodyBytes:   e.settings.Entry.MaxBodyBytes,
 		Logger:         e.logger,
 	})
+	e.arrivals = drainer.New()
 	e.httpServer = &http.Server{Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout}
 }
 
@@ -214,6 +219,7 @@
 // connection: a request sent on a kept-alive connection while the entry closes it
 // would be lost.
 func (e *Entry) serveClient(w http.ResponseWriter, r *http.Request) {
+	e.arrivals.NoteRequest(time.Now())
 	if e.shuttingDown.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/gatewaystarter/servers.go
+++ b/gatewaystarter/servers.go
@@ -23,7 +23,7 @@
 		return errors.Wrap(err, "listen for readiness")
 	}
 	p.clientServer = &http.Server{
-		Handler:                      p.gateway,
+		Handler:                      http.HandlerFunc(p.serveClient),
 		ReadHeaderTimeout:            headerTimeout,
 		IdleTimeout:                  idleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
@@ -38,6 +38,12 @@
 	return nil
 }
 
+// serveClient serves one client request.
+func (p *Process) serveClient(w http.ResponseWriter, r *http.Request) {
+	p.arrivals.NoteRequest(p.now())
+	p.gateway.ServeHTTP(w, r)
+}
+
 // listenForMetrics starts to serve the metrics. If the port can't be opened,
 // the gateway serves clients without them.
 func (p *Process) listenForMetrics() {
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -18,6 +18,7 @@
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashsaver"
+	"github.com/currantwood/currantwood/drainer"
 	"github.com/currantwood/currantwood/gateway"
 	"github.com/currantwood/currantwood/peermessenger"
 	"github.com/currantwood/currantwood/sleeper"
@@ -101,14 +102,16 @@
 
 // Process is a running gateway process.
 type Process struct {
-	options       Options
-	now           func() time.Time
-	config        *configkeeper.Keeper
-	gateway       *gateway.Gateway
-	peers         *peermessenger.Messenger
-	crashes       *crashsaver.Saver
-	metrics       metrics.Registry
-	eraRises      metrics.Counter
+	options  Options
+	now      func() time.Time
+	config   *configkeeper.Keeper
+	gateway  *gateway.Gateway
+	peers    *peermessenger.Messenger
+	crashes  *crashsaver.Saver
+	metrics  metrics.Registry
+	eraRises metrics.Counter
+	// arrivals tells whether requests still arrive during shutdown.
+	arrivals      *drainer.Drainer
 	clientServer  *http.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
@@ -121,7 +124,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(options.Settings.MemoryBytes)))
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Process{options: options, now: boottimer.Clock{}.Now, config: configkeeper.New(), metrics: metrics.NewRegistry(), cancel: cancel}
+	p := &Process{options: options, arrivals: drainer.New(), now: boottimer.Clock{}.Now, config: configkeeper.New(), metrics: metrics.NewRegistry(), cancel: cancel}
 	p.eraRises = metrics.NewRegisteredCounter("store-era-rises", p.metrics)
 	p.gateway = gateway.New(gateway.Options{
 		Settings:      options.Settings,
@@ -202,6 +205,7 @@
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	sleeper.Sleep(ctx, min(loadBalancerLag, grace/2))
+	p.arrivals.Wait(ctx, p.now)
 	err := p.clientServer.Shutdown(ctx)
 	p.crashes.SaveAll(context.WithoutCancel(ctx))
 	p.options.Logger.Info("stopped", zap.Int64("cut-off", p.gateway.InFlight()))
