--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -43,6 +43,9 @@
 func (d *Drainer) Wait(ctx context.Context, now func() time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
-	for !d.IsQuiet(now()) && sleeper.Sleep(ctx, checkInterval) {
+	for !d.IsQuiet(now()) {
+		if !sleeper.Sleep(ctx, checkInterval) {
+			return
+		}
 	}
 }
