--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -52,11 +52,12 @@
 	return zap.Duration("since-first-event", since)
 }
 
-// recordCrash records the failure of an exchange as a crash of the upstream,
-// for each suspect of the request, unless crashDoubt finds another reason. If this gateway stopped the run since the
-// client left, the run is kept until the upstream turns out to have crashed; see
-// recordAbandoned. So is one without a body that timed out: many requests may share
-// its path, and would all be blocked if the upstreams only hang.
+// recordCrash records the failure of an exchange as a crash of the upstream, for each
+// suspect that may be the cause, unless crashDoubt finds another reason. If this
+// gateway stopped the run since the client left, the run is kept until the upstream
+// turns out to have crashed; see recordAbandoned. So is one without a body that timed
+// out: many requests may share its path, and would all be blocked if the upstreams only
+// hang.
 func (q *request) recordCrash(f failure) {
 	q.g.mu.Lock()
 	now := q.g.Now()
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -1,10 +1,11 @@
 // Package peermessenger exchanges UDP datagrams with the other gateways. Each
 // gateway sends its state to the collector: its loads, its retry usage (what it
-// sent to each group within the retry window) and recent crashes. The collector's
-// digest returns the summed loads and retry usage of all others, the recent
-// crashes that the collector knows and those that the gateway lacks, the number of gateways, the directory records
-// that it read and the version and age of its configuration. A gateway that isn't
-// the collector answers a state with a referral to the collector that it knows.
+// sent to each group within the retry window), recent crashes, and the completions
+// for which crashes don't count. The collector's digest returns the summed loads and
+// retry usage of all others, the recent crashes and completions that the collector
+// knows, the crashes that the gateway lacks, the number of gateways, the directory
+// records that it read and the version and age of its configuration. A gateway that
+// isn't the collector answers a state with a referral to the collector that it knows.
 package peermessenger
 
 import (
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -39,16 +39,15 @@
 	missing := m.missingCrashes(now, collector.VM, sum)
 	m.mu.Unlock()
 	return &peerwire.State{
-		SentAt:   now.UnixNano(),
-		Store:    storeReachable,
-		Next:     uint64(m.directoryTopic.Position()),
-		Loads:    encodeLoads(loads),
-		Crashes:  encodeCrashes(append(recent, missing...)),
-		Uses:     encodeRetryUsage(m.Gateway.RetryUsage(now)),
-		CrashSum: sum,
-		StoreEra: uint64(m.directoryTopic.Era()),
-
+		SentAt:      now.UnixNano(),
+		Store:       storeReachable,
+		Next:        uint64(m.directoryTopic.Position()),
+		Loads:       encodeLoads(loads),
+		Crashes:     encodeCrashes(append(recent, missing...)),
 		Completions: encodeCompletions(completed),
+		Uses:        encodeRetryUsage(m.Gateway.RetryUsage(now)),
+		CrashSum:    sum,
+		StoreEra:    uint64(m.directoryTopic.Era()),
 	}
 }
 
