A gateway logs when an upstream names another rate limit

Neither logs nor metrics could tell whether a limit was never read, read from some answers alone, held by each gateway for itself, or missed by second tries. The limit of each response is decoded in platform/, and a change is one line with the request, the upstream, its incarnation and the status. Nothing is decided by it yet.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -156,6 +156,7 @@
 		return nil, err
 	}
 	q.reachedUpstream = true
+	q.noteRateLimit(choice.View, x)
 	if x.Answer.DeclaredNotRun {
 		x.Finish()
 		q.recordEnd(choice.View, load, balancer.Neutral)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	crashes   *crashkeeper.Keeper
 	abandoned *abandonkeeper.Keeper
 	budget    *budgeter.Budgeter
+	// rateLimits holds the limits that upstreams named last in their responses to this
+	// gateway; guarded by mu.
+	rateLimits map[currantwood.UpstreamID]currantwood.RateLimit
 	// eventInterval is the moving average of the time between two events of a
 	// stream; guarded by mu.
 	eventInterval time.Duration
@@ -99,6 +102,7 @@
 		streams:       make(map[currantwood.UpstreamID]map[*stream]struct{}),
 		crashes:       crashkeeper.New(),
 		abandoned:     abandonkeeper.New(),
+		rateLimits:    make(map[currantwood.UpstreamID]currantwood.RateLimit),
 		responses:     newResponseBuffer(options.Settings.MemoryBytes),
 		eventInterval: initialEventInterval,
 		budget: budgeter.New(budgeter.Options{
--- a/routing.go
+++ b/routing.go
@@ -202,6 +202,22 @@
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if
 	// unknown.
 	IdleTimeout time.Duration
+	// RateLimit is what the response says of the rate of requests that the upstream
+	// accepts.
+	RateLimit RateLimit
+}
+
+// RateLimit is what one response says of the rate of requests that its upstream
+// accepts from all gateways together.
+type RateLimit struct {
+	// Known is whether the response says anything of it. One of another instance, or
+	// one whose value can't be decoded, doesn't.
+	Known bool
+	// Limited is whether the upstream limits the rate. It is false unless Known is true.
+	Limited bool
+	// PerSecond is the limit in requests per second; at least 0, and 0 unless Limited is
+	// true.
+	PerSecond float64
 }
 
 // HeaderCoder translates between the platform's HTTP headers and the types above.
