Logs name the software version of upstreams and whose stream a client resumes

Neither logs nor metrics could tell at which version a stream began and went on, or whether a client took it up. Nothing is decided by them yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -273,7 +273,7 @@
 	}
 	g.mu.Unlock()
 	for _, e := range events {
-		g.Logger.Info("upstream changed", zap.String("upstream", string(e.Record.ID)), zap.String("group", string(e.Record.Group)), zap.Stringer("change", e.Change), zap.String("address", e.Record.Address))
+		g.Logger.Info("upstream changed", zap.String("upstream", string(e.Record.ID)), zap.String("group", string(e.Record.Group)), zap.Stringer("change", e.Change), zap.String("address", e.Record.Address), zap.String("version", string(e.Record.Version)))
 		if e.Change == upstreamkeeper.Restarted {
 			g.Connections.CloseIdle(e.Record.Address)
 		}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -178,7 +178,10 @@
 // not, another engine may be tried.
 func (s *stream) moveTo(from *upstreamStream, choice balancer.Choice) bool {
 	began := s.g.Now()
-	fields := []zap.Field{zap.String("from", string(from.view.ID)), zap.String("to", string(choice.View.ID))}
+	fields := []zap.Field{
+		zap.String("from", string(from.view.ID)), zap.String("from-version", string(from.view.Version)),
+		zap.String("to", string(choice.View.ID)), zap.String("to-version", string(choice.View.Version)),
+	}
 	copied, err := s.g.Mover.Copy(s.client.ID, from.view.Address, choice.View.Address, copyTimeout)
 	if err != nil {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
--- a/ids.go
+++ b/ids.go
@@ -18,6 +18,10 @@
 // UpstreamID identifies one upstream: a model engine or a plain service.
 type UpstreamID string
 
+// SoftwareVersion is the version of an upstream's software, which is unrelated to the
+// version of a model's weights. Versions have no order.
+type SoftwareVersion string
+
 // GroupID identifies a set of interchangeable upstreams.
 type GroupID string
 
--- a/routing.go
+++ b/routing.go
@@ -116,6 +116,9 @@
 	Address string
 	Zone    ZoneID
 	Slots   int
+	// Version is the version of its software; empty if unknown. What two versions of a
+	// group generate doesn't fit together in one stream.
+	Version SoftwareVersion
 	// Leaving is true once the upstream has announced its shutdown.
 	Leaving bool
 	// WarmUp is how long the upstream remains slow, counted from the arrival of
@@ -163,6 +166,9 @@
 	// LastEvent is the number of the last event that the client received; -1 if
 	// it requests the stream from the start.
 	LastEvent int64
+	// Resumes is the attempt that brought the first event of the stream that this one
+	// goes on with; empty if the client doesn't name it.
+	Resumes RequestID
 }
 
 // UpstreamRequest holds the request parameters that the system sends to an
