A stream goes on only at the software version at which it began

Callers got streams with events of two versions of an engine's software, which don't fit together. Moves and resumes took any engine of the group: nothing read the version in the directory's records.

A stream keeps the version of the upstream that sent its first event, and whatever goes on with it asks the balancer for that version alone. An id may start again with another version before the directory shows it: an upstream is asked for its incarnation before a run is copied to it and before a resume is passed on, and a stream that is open when its upstream is seen to have started again is no longer moved.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -105,6 +105,16 @@
 	AvoidPrefill bool
 	// Reach limits how far away the upstream may be.
 	Reach Reach
+	// SameVersion admits only upstreams whose software has the version Version. It is
+	// set for a stream that has begun. An empty Version is an unknown one and admits
+	// none.
+	SameVersion bool
+	Version     currantwood.SoftwareVersion
+}
+
+// admitsVersion reports whether an upstream with a version may be chosen.
+func (q Query) admitsVersion(version currantwood.SoftwareVersion) bool {
+	return !q.SameVersion || version != "" && version == q.Version
 }
 
 //go:generate go tool stringer -linecomment -type=Reach,Outcome
@@ -294,7 +304,7 @@
 	for _, i := range b.random.Perm(len(g.members)) {
 		id := g.members[i]
 		u := b.upstreams[id]
-		if slices.Contains(q.Exclude, id) || !g.prober.Admits(now, id) || !b.inReach(q, u.view.Zone) {
+		if slices.Contains(q.Exclude, id) || !g.prober.Admits(now, id) || !b.inReach(q, u.view.Zone) || !q.admitsVersion(u.view.Version) {
 			continue
 		}
 		if !b.rates.Admits(now, id, u.view.Incarnation) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,7 +46,7 @@
 			final = refused
 			break
 		}
-		choice, err := q.pickUpstream(now, q.callStallTimeout())
+		choice, err := q.pickUpstream(now, q.callStallTimeout(), func(*balancer.Query) {})
 		if err != nil {
 			final = q.noUpstreamResponse(final, err)
 			break
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	Configuration *configkeeper.Keeper
 	Coder         currantwood.HeaderCoder
 	Mover         currantwood.RunMover
+	States        currantwood.StateReader
 	Connections   *connkeeper.Pool
 	Decode        upstreamkeeper.DecodeFunc
 	Metrics       metrics.Registry
@@ -261,7 +262,7 @@
 		g.balancer.SetUpstreams(g.upstreams.Available())
 		g.rates.Forget(func(id currantwood.UpstreamID) bool { _, known := g.upstreams.Get(id); return known })
 	}
-	var leaving []*stream
+	var leaving, restarted []*stream
 	var crashed []currantwood.UpstreamRecord
 	for _, e := range events {
 		if g.endedUnannounced(e) {
@@ -270,6 +271,9 @@
 		if e.Change == upstreamkeeper.Leaving || e.Change == upstreamkeeper.Removed {
 			leaving = append(leaving, g.streamsAt(e.Record.ID)...)
 		}
+		if e.Change == upstreamkeeper.Restarted {
+			restarted = append(restarted, g.streamsAt(e.Record.ID)...)
+		}
 	}
 	g.mu.Unlock()
 	for _, e := range events {
@@ -281,6 +285,10 @@
 	for _, record := range crashed {
 		g.recordAbandoned(now, record)
 	}
+	for _, s := range restarted {
+		// A stream that the former incarnation sent would have broken off.
+		s.forgetVersion()
+	}
 	g.moveStreams(leaving)
 }
 
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -153,11 +153,12 @@
 		reach           balancer.Reach
 		requireCapacity bool
 	}{{balancer.InZone, true}, {balancer.InZone, false}, {balancer.InRegion, true}, {balancer.InRegion, false}, {balancer.Anywhere, true}}
+	version := s.beganAt()
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	now := s.g.Now()
 	for _, scope := range scopes {
-		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true}
+		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true, SameVersion: true, Version: version}
 		if choice, err := s.g.balancer.Pick(now, query); err == nil {
 			s.g.balancer.Started(now, choice.View, query.Load, s.streamStallTimeout())
 			return choice, true
@@ -182,6 +183,11 @@
 		zap.String("from", string(from.view.ID)), zap.String("from-version", string(from.view.Version)),
 		zap.String("to", string(choice.View.ID)), zap.String("to-version", string(choice.View.Version)),
 	}
+	if !s.g.runsIncarnation(choice.View) {
+		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
+		s.log("run not moved to an engine that may have started again", fields...)
+		return false
+	}
 	copied, err := s.g.Mover.Copy(s.client.ID, from.view.Address, choice.View.Address, copyTimeout)
 	if err != nil {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -177,8 +177,8 @@
 //
 // A generation is refused rather than queued if no engine has enough memory for
 // it or none would prefill its prompt in time. In a queue it would cause other
-// generations to be preempted, or delay later ones.
-func (q *request) pickUpstream(now time.Time, stallTimeout time.Duration) (balancer.Choice, error) {
+// generations to be preempted, or delay later ones. restrict may narrow the choice.
+func (q *request) pickUpstream(now time.Time, stallTimeout time.Duration, restrict func(q *balancer.Query)) (balancer.Choice, error) {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	q.g.syncGroups(q.snapshot)
@@ -186,6 +186,7 @@
 	if q.isGeneration() {
 		query.RequireCapacity, query.MaxPrefillWait = true, q.maxQueueTime()
 	}
+	restrict(&query)
 	choice, err := q.g.balancer.Pick(now, query)
 	if err == nil {
 		q.g.balancer.Started(now, choice.View, query.Load, stallTimeout)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,6 +48,9 @@
 	// with the first event.
 	headerWritten atomic.Bool
 	mu            sync.Mutex
+	// version is that of the software of the upstream that sent the first event; empty
+	// before it, or if it is unknown. Guarded by mu.
+	version currantwood.SoftwareVersion
 	// current delivers events; next is where a move has resumed the stream,
 	// until relay switches to it. Both are changed only with mu held. current is
 	// changed only by the goroutine of serveStream, which therefore reads it
@@ -103,7 +106,7 @@
 			final = refused
 			break
 		}
-		choice, err := s.pickUpstream(now, s.streamStallTimeout())
+		choice, err := s.pickStreamUpstream(now)
 		if err != nil {
 			final = s.noUpstreamResponse(final, err)
 			break
@@ -113,6 +116,9 @@
 		if err == nil && opened.exchange.Status != http.StatusOK && s.headerWritten.Load() {
 			err = s.rejectResume(opened)
 		}
+		if err == nil && opened.exchange.Status == http.StatusOK && s.hasBegun() && !s.g.runsIncarnation(choice.View) {
+			err = s.rejectResume(opened)
+		}
 		if err == nil && opened.exchange.Status != http.StatusOK {
 			s.g.removeStream(choice.View.ID, s)
 			s.writeWholeResponse(opened, choice)
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -71,6 +71,7 @@
 	// forever.
 	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(s.deadline.Sub(s.g.Now()) + writeSlack))
 	s.w.WriteHeader(up.exchange.Status)
+	s.noteBegun(up)
 	s.headerWritten.Store(true)
 	s.g.instruments.firstEventTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
 }
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -75,9 +75,9 @@
 	return &upstreamStream{view: choice.View, exchange: x, events: eventsplitter.New(x.Body), load: load, startedAt: startedAt}, nil
 }
 
-// rejectResume ends the exchange with an upstream that was to resume the stream and
-// responded with an error, which can't be passed on within the stream. It returns that
-// as an error.
+// rejectResume ends the exchange with an upstream that was to resume the stream, and
+// responded with an error, which can't be passed on within the stream, or isn't known
+// to be the one that was chosen. It returns that as an error.
 func (s *stream) rejectResume(up *upstreamStream) error {
 	up.exchange.Abort()
 	s.g.removeStream(up.view.ID, s)
--- /dev/null
+++ b/gateway/version.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// incarnationTimeout bounds the question whether an upstream still runs the incarnation
+// that the directory shows.
+const incarnationTimeout = 300 * time.Millisecond
+
+// hasBegun reports whether the client has received an event of the stream, in this
+// attempt or in an earlier one.
+func (s *stream) hasBegun() bool { return s.lastEvent.Load() >= 0 || s.headerWritten.Load() }
+
+// beganAt returns the version at which the stream began; empty if it is unknown.
+func (s *stream) beganAt() currantwood.SoftwareVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// noteBegun notes that an upstream has sent the first event of this attempt.
+func (s *stream) noteBegun(up *upstreamStream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = up.view.Version
+}
+
+// forgetVersion notes that the upstream of the stream may not be the one that the
+// directory showed when the stream began, so that its version is unknown.
+func (s *stream) forgetVersion() {
+	s.mu.Lock()
+	s.version = ""
+	s.mu.Unlock()
+	s.log("version of a stream no longer known: its upstream started again")
+}
+
+// pickStreamUpstream is pickUpstream for a stream. One that has begun goes on only at
+// the version at which it began.
+func (s *stream) pickStreamUpstream(now time.Time) (balancer.Choice, error) {
+	version := s.beganAt()
+	return s.pickUpstream(now, s.streamStallTimeout(), func(q *balancer.Query) {
+		q.SameVersion, q.Version = s.hasBegun(), version
+	})
+}
+
+// runsIncarnation asks an upstream whether it is still the incarnation that the
+// directory shows: one that has started again under its id may have another version. No
+// answer counts as no.
+func (g *Gateway) runsIncarnation(view upstreamkeeper.View) bool {
+	state, err := g.States.State(view.Address, incarnationTimeout)
+	if err == nil && state.Incarnation == view.Incarnation {
+		return true
+	}
+	g.Logger.Info("incarnation of an upstream not confirmed", zap.String("upstream", string(view.ID)), zap.Int64("incarnation", view.Incarnation), zap.Int64("reported", state.Incarnation), zap.Error(err))
+	return false
+}
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -134,6 +134,7 @@
 		Configuration: p.config,
 		Coder:         options.Coder,
 		Mover:         options.Mover,
+		States:        options.States,
 		Connections:   connkeeper.New(p.now),
 		Decode:        upstreamkeeper.DecodeFunc(options.Decoder.Upstream),
 		Metrics:       p.metrics,
