Clients take a stream up at any gateway, at the version at which it began

A stream that another gateway began was refused, as nothing there told at which version of its engine's software it may go on.

Each gateway notes where a resumable stream began, by a fingerprint of the customer and the attempt that the client names later. It tells the collector, which tells all others, each with acknowledged positions; who doesn't know asks those that it has heard of and the seeds, for 200 ms. The collector saves what has begun in a ring of 64 records, one append a second while streams begin, and each gateway reads it when it starts. What contradicts itself, or isn't known anywhere that can be reached, is refused as not run.

--- a/cmd/currantwood/gateway.go
+++ b/cmd/currantwood/gateway.go
@@ -39,10 +39,11 @@
 	// maxResponseHeaderBytes bounds the header of a response. An upstream in trouble
 	// may send one without end.
 	maxResponseHeaderBytes = 64 << 10
-	// maxIdleToStore is the maximum number of idle connections to the store. Three
-	// watchers, of the configuration, the directory and the crashes of requests, each
-	// have at most one read in progress, and one append of crashes may be.
-	maxIdleToStore = 4
+	// maxIdleToStore is the maximum number of idle connections to the store. Four
+	// watchers, of the configuration, the directory, the crashes of requests and the
+	// starts of streams, each have at most one read in progress, and one append each of
+	// crashes and of starts may be.
+	maxIdleToStore = 6
 	// maxIdleToUpstream is the maximum number of idle connections to an upstream.
 	// At most one request for its state is in progress.
 	maxIdleToUpstream = 1
@@ -86,6 +87,7 @@
 		ConfigurationKey:   storeclient.ConfigurationKey,
 		UpstreamTopic:      storeclient.UpstreamTopic,
 		CrashTopic:         storeclient.CrashTopic,
+		StartTopic:         storeclient.StartTopic,
 	})
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
+	"github.com/currantwood/currantwood/streamkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -59,6 +60,10 @@
 	// rates holds the rates of requests that upstreams accept; guarded by mu. The
 	// balancer uses it, too.
 	rates *ratekeeper.Keeper
+	// streamStarts holds where streams began; guarded by mu.
+	streamStarts *streamkeeper.Keeper
+	// askStart asks other gateways where a stream began; see SetAskStart.
+	askStart AskStartFunc
 	// eventInterval is the moving average of the time between two events of a
 	// stream; guarded by mu.
 	eventInterval time.Duration
@@ -91,7 +96,7 @@
 	retries, generationsMoved, generationsLost metrics.Counter
 	crashesRecorded, crashesLearned            metrics.Counter
 	requestsBlocked, rateLimitChanges          metrics.Counter
-	rateLimited                                metrics.Counter
+	rateLimited, startsLearned, startsUnknown  metrics.Counter
 	responseTime, firstEventTime               metrics.Histogram
 }
 
@@ -101,7 +106,11 @@
 	seeds, _ := options.Settings.OtherSeeds()
 	rates := ratekeeper.New(ratekeeper.Options{MinGateways: 1 + len(seeds)}, options.Random)
 	g := &Gateway{
-		saveCrashes:   func(context.Context) {},
+		saveCrashes:  func(context.Context) {},
+		streamStarts: streamkeeper.New(),
+		askStart: func(context.Context, currantwood.Fingerprint) (streamkeeper.Origin, bool) {
+			return streamkeeper.Origin{}, false
+		},
 		Options:       options,
 		upstreams:     upstreamkeeper.New(options.Decode),
 		balancer:      balancer.New(options.Settings.Regions, rates, options.Random),
@@ -131,6 +140,8 @@
 		crashesLearned:    metrics.NewRegisteredCounter("crashes-learned", r),
 		requestsBlocked:   metrics.NewRegisteredCounter("requests-blocked", r),
 		rateLimitChanges:  metrics.NewRegisteredCounter("rate-limit-changes", r),
+		startsLearned:     metrics.NewRegisteredCounter("stream-starts-learned", r),
+		startsUnknown:     metrics.NewRegisteredCounter("stream-starts-unknown", r),
 		rateLimited:       metrics.NewRegisteredCounter("requests-rate-limited", r),
 		responseTime:      metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
 		firstEventTime:    metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,6 +78,10 @@
 	s := &stream{request: q, ctx: ctx, pacer: pacer.New(q.route.GapTarget)}
 	s.lastEvent.Store(q.client.LastEvent)
 	defer s.finish()
+	if refusal := s.findStart(); refusal != nil {
+		s.endRequest(refusal)
+		return
+	}
 	for {
 		if !s.openUpstream() {
 			return
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -28,16 +28,22 @@
 // noteBegun notes that an upstream has sent the first event of this attempt.
 func (s *stream) noteBegun(up *upstreamStream) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.version = up.view.Version
+	s.mu.Unlock()
+	s.recordStart(up.view.Version)
 }
 
 // forgetVersion notes that the upstream of the stream may not be the one that the
 // directory showed when the stream began, so that its version is unknown.
 func (s *stream) forgetVersion() {
 	s.mu.Lock()
+	begun := s.version != ""
 	s.version = ""
 	s.mu.Unlock()
+	if begun {
+		// Replaces what was recorded before.
+		s.recordStart("")
+	}
 	s.log("version of a stream no longer known: its upstream started again")
 }
 
--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -8,6 +8,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/crashencoder"
 	"github.com/currantwood/currantwood/storewatcher"
+	"github.com/currantwood/currantwood/streamencoder"
 )
 
 // configurationFeed returns the feed of the topic that holds the configuration.
@@ -87,6 +88,44 @@
 	}
 }
 
+// startFeed returns the feed of where streams began. All gateways read it when they
+// start, and after that the collector alone.
+func (p *Process) startFeed() storewatcher.Feed {
+	return storewatcher.Feed{
+		Name:    "starts of streams",
+		Topic:   p.options.StartTopic,
+		Pause:   startReadPause,
+		Replace: p.applyStarts,
+		Apply: func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
+			p.applyStarts(now, records)
+			return nil
+		},
+		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
+		},
+		OnEraRise: func(now time.Time, era currantwood.StoreEra) {
+			p.countEraRise(now, era)
+			p.gateway.ForgetSavedStarts()
+		},
+		OnCurrentAsOf: func(time.Time) {},
+		OnOutageEnd:   func(time.Time) {},
+		Stale:         func(time.Time) bool { return false },
+		PeerCoverage:  func(now time.Time) (time.Time, bool) { return now, p.peers.HasOtherCollector(now) },
+	}
+}
+
+// applyStarts decodes records of where streams began. One that can't be decoded is
+// logged and ignored.
+func (p *Process) applyStarts(now time.Time, records []currantwood.KeyedRecord) {
+	for _, record := range records {
+		starts, err := streamencoder.Encoder{}.Decode(now, time.Now(), record)
+		if err != nil {
+			p.options.Logger.Warn("record of starts of streams ignored", zap.Error(err))
+			continue
+		}
+		p.gateway.LearnSavedStarts(now, starts)
+	}
+}
+
 // countEraRise counts, for each feed, that the store has come back from an older copy.
 func (p *Process) countEraRise(time.Time, currantwood.StoreEra) { p.eraRises.Inc(1) }
 
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -24,6 +25,8 @@
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/statepoller"
 	"github.com/currantwood/currantwood/storewatcher"
+	"github.com/currantwood/currantwood/streamencoder"
+	"github.com/currantwood/currantwood/streamsaver"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -69,6 +72,9 @@
 	// crashReadWait is how long a read waits for new crashes in the store, which
 	// gateways that this one doesn't reach may have saved.
 	crashReadWait = 2 * time.Second
+	// startReadPause is the time between two reads of where streams began. The collector
+	// writes these records itself, and reads what another one wrote.
+	startReadPause = 10 * time.Second
 	// exitMargin is how long before the end of the grace period Shutdown stops
 	// waiting for requests.
 	exitMargin = 300 * time.Millisecond
@@ -98,6 +104,8 @@
 	ConfigurationKey   string
 	UpstreamTopic      string
 	CrashTopic         string
+	// StartTopic locates where streams began.
+	StartTopic string
 }
 
 // Process is a running gateway process.
@@ -108,6 +116,7 @@
 	gateway  *gateway.Gateway
 	peers    *peermessenger.Messenger
 	crashes  *crashsaver.Saver
+	starts   *streamsaver.Saver
 	metrics  metrics.Registry
 	eraRises metrics.Counter
 	// arrivals tells whether requests still arrive during shutdown.
@@ -184,6 +193,18 @@
 		Responsible: func(now time.Time) bool { return !peers.HasOtherCollector(now) },
 	})
 	p.gateway.SetCrashSaver(p.crashes.Save)
+	storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.startFeed())
+	p.starts = streamsaver.New(ctx, streamsaver.Options{
+		Store:       p.options.Writer,
+		Topic:       p.options.StartTopic,
+		Starts:      p.gateway,
+		Encoder:     streamencoder.Encoder{Writer: uint8(xxhash.Sum64String(string(p.options.Settings.VM)) % streamencoder.Writers)},
+		Logger:      p.options.Logger,
+		Now:         p.now,
+		TimeOfDay:   time.Now,
+		Responsible: func(now time.Time) bool { return !peers.HasOtherCollector(now) },
+	})
+	p.gateway.SetAskStart(peers.AskStart)
 	statepoller.New(ctx, statepoller.Options{
 		Reader:       p.options.States,
 		Gateway:      p.gateway,
@@ -209,6 +230,7 @@
 	p.arrivals.Wait(ctx, p.now)
 	err := p.clientServer.Shutdown(ctx)
 	p.crashes.SaveAll(context.WithoutCancel(ctx))
+	p.starts.Save(context.WithoutCancel(ctx))
 	p.options.Logger.Info("stopped", zap.Int64("cut-off", p.gateway.InFlight()))
 	_ = p.readyServer.Close()
 	_ = p.metricsServer.Close()
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -113,6 +113,10 @@
 	// lastCrashSent the last suspect among them.
 	crashesSentAt time.Time
 	lastCrashSent currantwood.Suspect
+	// startsOf is how far its starts of streams are known here, startsBy up to where it
+	// has those of this VM. takesStarts is whether it takes any.
+	startsOf, startsBy [startLogs]StartPosition
+	takesStarts        bool
 	// former holds the retry usage of former processes of its VM.
 	former []formerUsage
 	// state is zero if none was received.
@@ -231,16 +235,22 @@
 	if collector, ok := k.OtherCollector(now); ok {
 		return []Peer{collector}
 	}
-	var known []Peer
 	for id, entry := range k.peers {
 		if now.Sub(entry.lastSeen) > peerRetention {
 			delete(k.peers, id)
-			continue
 		}
+	}
+	return k.Known(maxDiscoveryPeers)
+}
+
+// Known returns up to limit gateways that were heard of, in the order of their rank.
+func (k *Keeper) Known(limit int) []Peer {
+	var known []Peer
+	for _, entry := range k.peers {
 		known = append(known, entry.Peer)
 	}
 	slices.SortFunc(known, compareRank)
-	return known[:min(len(known), maxDiscoveryPeers)]
+	return known[:min(len(known), limit)]
 }
 
 // MarkStateSentIfDue reports whether the state of this gateway has to be sent now, and
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -31,6 +31,7 @@
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
 		m.mu.Lock()
 		missing := m.missingCrashes(now, recipients[i].VM, sum)
+		m.addStartsToDigest(now, recipients[i].VM, digest)
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
 		m.mu.Unlock()
 		digest.Crashes, digest.Completions, digest.CrashSum = append(encodeCrashes(missing), crashes...), completions, sum
@@ -94,8 +95,8 @@
 }
 
 // receiveDigest applies a digest if its sender is accepted as the collector.
-// Crashes are applied in any case.
-func (m *Messenger) receiveDigest(now time.Time, from peerkeeper.Peer, d *peerwire.Digest) {
+// Crashes are applied in any case. process is the sender's.
+func (m *Messenger) receiveDigest(now time.Time, from peerkeeper.Peer, process uint64, d *peerwire.Digest) {
 	m.mu.Lock()
 	usage := decodeRetryUsage(d.GetUses())
 	accepted := m.peers.AcceptDigest(now, from, m.storeReachable())
@@ -111,6 +112,7 @@
 	}
 	m.Gateway.SetPeerLoads(now, decodeLoads(d.GetLoads()))
 	m.Gateway.SetBudgetPeers(now, budgeter.Peers{Usage: usage, Gateways: int(d.GetGateways()), Established: int(d.GetEstablished())})
+	m.receiveDigestStarts(now, from.VM, process, d)
 	if d.GetSumsRateLimits() {
 		m.Gateway.SetFleetRates(now, decodeRates(now, d.GetRateLimits()), int(d.GetGateways()))
 	}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -28,6 +28,7 @@
 	"github.com/currantwood/currantwood/peerwire"
 	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/sleeper"
+	"github.com/currantwood/currantwood/streamkeeper"
 )
 
 const (
@@ -65,6 +66,14 @@
 	// SetFleetRates replaces what all gateways have heard, and the demand of all others.
 	// gateways counts all that are heard from, this one included.
 	SetFleetRates(now time.Time, rates ratekeeper.Rates, gateways int)
+	// OwnStarts returns up to limit starts of streams at this gateway from a position on,
+	// and the position of the first; AllStarts the same for all that are known.
+	OwnStarts(from uint64, limit int) ([]streamkeeper.Start, uint64)
+	AllStarts(from uint64, limit int) ([]streamkeeper.Start, uint64)
+	// LearnStarts notes starts of streams that another gateway sent.
+	LearnStarts(now time.Time, from currantwood.VMID, starts []streamkeeper.Start)
+	// StartOf returns where a stream began, if this gateway knows.
+	StartOf(stream currantwood.Fingerprint) (streamkeeper.Origin, bool)
 	// SetBudgetPeers replaces what is known of the other gateways' use of the retry
 	// budgets.
 	SetBudgetPeers(now time.Time, peers budgeter.Peers)
@@ -138,6 +147,9 @@
 	directoryCoveredAt time.Time
 	// wasCollector is the role that was logged last.
 	wasCollector bool
+	// questions holds, for each stream that other gateways were asked about, where those
+	// who wait take the answers.
+	questions map[currantwood.Fingerprint][]chan streamkeeper.Origin
 	// process identifies this process among those of its VM.
 	process uint64
 	// startedAt is when this process created the Messenger.
@@ -148,7 +160,7 @@
 // address that can't be parsed is logged and skipped; this VM's own address is
 // skipped without a log line.
 func New(options Options) (*Messenger, error) {
-	m := &Messenger{Options: options, process: rand.Uint64(), startedAt: options.Now(), peers: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Capacity: options.Settings.CapacityMillicores()})}
+	m := &Messenger{Options: options, process: rand.Uint64(), startedAt: options.Now(), questions: make(map[currantwood.Fingerprint][]chan streamkeeper.Origin), peers: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Capacity: options.Settings.CapacityMillicores()})}
 	port := strconv.Itoa(options.Settings.PeerPort)
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(options.Settings.IP, port))
 	if err != nil {
@@ -304,7 +316,11 @@
 	case *peerwire.Datagram_State:
 		m.receiveState(now, from, datagram.GetProcess(), body.State)
 	case *peerwire.Datagram_Digest:
-		m.receiveDigest(now, from, body.Digest)
+		m.receiveDigest(now, from, datagram.GetProcess(), body.Digest)
+	case *peerwire.Datagram_StartQuestion:
+		m.receiveQuestion(now, from, body.StartQuestion)
+	case *peerwire.Datagram_StartAnswer:
+		m.receiveAnswer(now, body.StartAnswer)
 	case *peerwire.Datagram_Referral:
 		m.mu.Lock()
 		m.peers.NotePeer(now, peerkeeper.Peer{VM: currantwood.VMID(body.Referral.GetVm()), Address: body.Referral.GetAddress(), Capacity: body.Referral.GetStrength(), Established: body.Referral.GetEstablished()})
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -15,15 +15,22 @@
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
 	"github.com/currantwood/currantwood/ratekeeper"
+	"github.com/currantwood/currantwood/streamkeeper"
 )
 
 // idleGateway is a Gateway without state.
 type idleGateway struct{}
 
-func (idleGateway) OwnLoads() balancer.Loads                       { return nil }
-func (idleGateway) SetPeerLoads(time.Time, balancer.Loads)         {}
-func (idleGateway) RetryUsage(time.Time) budgeter.GroupUsage       { return nil }
-func (idleGateway) Established(time.Time) bool                     { return true }
+func (idleGateway) OwnLoads() balancer.Loads                                      { return nil }
+func (idleGateway) SetPeerLoads(time.Time, balancer.Loads)                        {}
+func (idleGateway) RetryUsage(time.Time) budgeter.GroupUsage                      { return nil }
+func (idleGateway) Established(time.Time) bool                                    { return true }
+func (idleGateway) OwnStarts(uint64, int) ([]streamkeeper.Start, uint64)          { return nil, 0 }
+func (idleGateway) AllStarts(uint64, int) ([]streamkeeper.Start, uint64)          { return nil, 0 }
+func (idleGateway) LearnStarts(time.Time, currantwood.VMID, []streamkeeper.Start) {}
+func (idleGateway) StartOf(currantwood.Fingerprint) (streamkeeper.Origin, bool) {
+	return streamkeeper.Origin{}, false
+}
 func (idleGateway) OwnRates(time.Time) ratekeeper.Rates            { return nil }
 func (idleGateway) SetFleetRates(time.Time, ratekeeper.Rates, int) {}
 func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)       {}
@@ -65,7 +72,7 @@
 			peers:   peerkeeper.New(peerkeeper.Peer{VM: "b"}), process: 7, startedAt: bootSeconds(5),
 			configurationTopic: idleTopic{}, directoryTopic: idleTopic{},
 		}
-		m.receiveDigest(bootSeconds(9), peerkeeper.Peer{VM: "a", Address: "a:1"}, &peerwire.Digest{
+		m.receiveDigest(bootSeconds(9), peerkeeper.Peer{VM: "a", Address: "a:1"}, 1, &peerwire.Digest{
 			Configuration: 3, ConfigurationAgeUs: 100_000, Echo: bootSeconds(echo).UnixNano(), EchoProcess: process,
 		})
 		Expect(keeper.Age(bootSeconds(9)) < time.Minute).To(Equal(confirmed))
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -38,7 +38,7 @@
 	collector, _ := m.peers.OtherCollector(now)
 	missing := m.missingCrashes(now, collector.VM, sum)
 	m.mu.Unlock()
-	return &peerwire.State{
+	state := &peerwire.State{
 		SentAt:      now.UnixNano(),
 		Store:       storeReachable,
 		Next:        uint64(m.directoryTopic.Position()),
@@ -50,6 +50,10 @@
 		StoreEra:    uint64(m.directoryTopic.Era()),
 		RateLimits:  encodeRates(now, m.Gateway.OwnRates(now)),
 	}
+	m.mu.Lock()
+	m.addStartsToState(now, collector.VM, state)
+	m.mu.Unlock()
+	return state
 }
 
 // missingCrashes returns crashes that a peer may lack, as its checksum differs from
@@ -83,6 +87,7 @@
 	})
 	collector, known := m.peers.OtherCollector(now)
 	m.mu.Unlock()
+	m.receiveStateStarts(now, from.VM, process, s)
 	if known && collector.VM != from.VM {
 		m.send(from.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Referral{
 			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Capacity, Established: collector.Established},
