A move asks its target's incarnation while the run is resumed there

A target that starts again after the copy has lost it, so the answer is needed only before events are passed on.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -183,11 +183,6 @@
 		zap.String("from", string(from.view.ID)), zap.String("from-version", string(from.view.Version)),
 		zap.String("to", string(choice.View.ID)), zap.String("to-version", string(choice.View.Version)),
 	}
-	if !s.g.runsIncarnation(choice.View) {
-		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
-		s.log("run not moved to an engine that may have started again", fields...)
-		return false
-	}
 	copied, err := s.g.Mover.Copy(s.client.ID, from.view.Address, choice.View.Address, copyTimeout)
 	if err != nil {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
@@ -203,13 +198,17 @@
 	}
 	s.resuming.Store(true)
 	defer s.resuming.Store(false)
+	// A target that starts again after the copy has lost it, so this needn't wait for the
+	// resume.
+	confirmed := make(chan bool, 1)
+	go func() { confirmed <- s.g.runsIncarnation(choice.View) }()
 	opened, err := s.sendToUpstream(s.ctx, choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.lastEvent.Load(), ResumeFrom: &copied})
 	if err != nil {
 		s.log("resume failed", append(fields, zap.Error(err), zap.Duration("copy", copyTime))...)
 		s.freeCopy(copied)
 		return false
 	}
-	if opened.exchange.Status != http.StatusOK {
+	if opened.exchange.Status != http.StatusOK || !<-confirmed {
 		opened.exchange.Abort()
 		s.recordEnd(opened.view, opened.load, balancer.Failed)
 		s.log("resume failed", append(fields, zap.Int("status", opened.exchange.Status), zap.Duration("copy", copyTime))...)
