--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -54,92 +54,6 @@
 	maxEjection  = 6 * time.Second
 )
 
-// Load is the load of the requests in flight at an upstream.
-type Load struct {
-	Requests int
-	// MemoryTokens is the number of tokens whose key-value cache the requests need
-	// by their end.
-	MemoryTokens currantwood.TokenCount
-	// PrefillTokens is the number of prompt tokens of the requests whose first
-	// event has not arrived yet; a moved run counts a fixed number instead.
-	PrefillTokens currantwood.TokenCount
-}
-
-// Loads holds the load of each upstream.
-type Loads map[currantwood.UpstreamID]Load
-
-// Add adds o to l.
-func (l *Load) Add(o Load) {
-	l.Requests += o.Requests
-	l.MemoryTokens += o.MemoryTokens
-	l.PrefillTokens += o.PrefillTokens
-}
-
-// Subtract lowers l by o. No field falls below 0.
-func (l *Load) Subtract(o Load) {
-	l.Requests = max(0, l.Requests-o.Requests)
-	l.MemoryTokens = max(0, l.MemoryTokens-o.MemoryTokens)
-	l.PrefillTokens = max(0, l.PrefillTokens-o.PrefillTokens)
-}
-
-// Query describes a request for which an upstream is chosen.
-type Query struct {
-	Group currantwood.GroupID
-	// Load is what the request adds to its upstream.
-	Load Load
-	// Zone is the availability zone to which Reach and the distance penalty of
-	// upstreams relate; its upstreams are preferred.
-	Zone currantwood.ZoneID
-	// Exclude lists the upstreams that must not be chosen.
-	Exclude []currantwood.UpstreamID
-	// RequireCapacity admits an engine only if it has a free slot, and memory for
-	// the whole load.
-	RequireCapacity bool
-	// MaxPrefillWait is the longest time that the prompt may wait until the
-	// upstream has prefilled those that were sent before it; 0 means no limit.
-	MaxPrefillWait time.Duration
-	// AvoidPrefill raises the weight of queued prompts. It is set for a moved run.
-	// A run is the generation of a response by an engine. It is moved when its
-	// engine shuts down, and pauses until the new engine has prefilled the prompts
-	// already queued there.
-	AvoidPrefill bool
-	// Reach limits how far away the upstream may be.
-	Reach Reach
-	// SameVersion admits only upstreams whose software has the version Version. It is
-	// set for a stream that has begun. An empty Version is an unknown one and admits
-	// none.
-	SameVersion bool
-	Version     currantwood.SoftwareVersion
-}
-
-// admitsVersion reports whether an upstream with a version may be chosen.
-func (q Query) admitsVersion(version currantwood.SoftwareVersion) bool {
-	return !q.SameVersion || version != "" && version == q.Version
-}
-
-//go:generate go tool stringer -linecomment -type=Reach,Outcome
-
-// Reach limits a choice to an availability zone or a region.
-type Reach uint8
-
-// Limits of a choice.
-const (
-	Anywhere Reach = iota // anywhere
-	InRegion              // region
-	InZone                // zone
-)
-
-// Choice is a candidate upstream, or the chosen one, and how it was scored.
-type Choice struct {
-	View upstreamkeeper.View
-	// Score is the relative load, with this request, plus penalties; the lowest
-	// score wins. Without penalties, queued prompts and noise, an upstream that
-	// this request would fill scores 1.
-	Score float64
-	// Load is what was in flight there before the request.
-	Load Load
-}
-
 // PrefillSample measures how long an upstream took to prefill a prompt and those
 // queued before it.
 type PrefillSample struct {
@@ -387,28 +301,6 @@
 	return Choice{View: u.view, Score: score, Load: load}
 }
 
-// inReach reports whether an availability zone is within the reach of a query.
-func (b *Balancer) inReach(q Query, zone currantwood.ZoneID) bool {
-	switch q.Reach {
-	case InZone:
-		return zone == q.Zone
-	case InRegion:
-		return b.regions[zone] == b.regions[q.Zone]
-	default:
-		return true
-	}
-}
-
-func (b *Balancer) distancePenalty(from, to currantwood.ZoneID) float64 {
-	if from == to {
-		return 0
-	}
-	if b.regions[from] == b.regions[to] {
-		return zonePenalty
-	}
-	return regionPenalty
-}
-
 // Started records a request that is sent to an upstream. stallTimeout is how
 // long a healthy upstream may go without any of its requests making progress. It
 // replaces that of earlier requests, but a deadline that already runs stays.
--- /dev/null
+++ b/balancer/load.go
@@ -0,0 +1,31 @@
+package balancer
+
+import "github.com/currantwood/currantwood"
+
+// Load is the load of the requests in flight at an upstream.
+type Load struct {
+	Requests int
+	// MemoryTokens is the number of tokens whose key-value cache the requests need
+	// by their end.
+	MemoryTokens currantwood.TokenCount
+	// PrefillTokens is the number of prompt tokens of the requests whose first
+	// event has not arrived yet; a moved run counts a fixed number instead.
+	PrefillTokens currantwood.TokenCount
+}
+
+// Loads holds the load of each upstream.
+type Loads map[currantwood.UpstreamID]Load
+
+// Add adds o to l.
+func (l *Load) Add(o Load) {
+	l.Requests += o.Requests
+	l.MemoryTokens += o.MemoryTokens
+	l.PrefillTokens += o.PrefillTokens
+}
+
+// Subtract lowers l by o. No field falls below 0.
+func (l *Load) Subtract(o Load) {
+	l.Requests = max(0, l.Requests-o.Requests)
+	l.MemoryTokens = max(0, l.MemoryTokens-o.MemoryTokens)
+	l.PrefillTokens = max(0, l.PrefillTokens-o.PrefillTokens)
+}
--- /dev/null
+++ b/balancer/query.go
@@ -0,0 +1,88 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// Query describes a request for which an upstream is chosen.
+type Query struct {
+	Group currantwood.GroupID
+	// Load is what the request adds to its upstream.
+	Load Load
+	// Zone is the availability zone to which Reach and the distance penalty of
+	// upstreams relate; its upstreams are preferred.
+	Zone currantwood.ZoneID
+	// Exclude lists the upstreams that must not be chosen.
+	Exclude []currantwood.UpstreamID
+	// RequireCapacity admits an engine only if it has a free slot, and memory for
+	// the whole load.
+	RequireCapacity bool
+	// MaxPrefillWait is the longest time that the prompt may wait until the
+	// upstream has prefilled those that were sent before it; 0 means no limit.
+	MaxPrefillWait time.Duration
+	// AvoidPrefill raises the weight of queued prompts. It is set for a moved run.
+	// A run is the generation of a response by an engine. It is moved when its
+	// engine shuts down, and pauses until the new engine has prefilled the prompts
+	// already queued there.
+	AvoidPrefill bool
+	// Reach limits how far away the upstream may be.
+	Reach Reach
+	// SameVersion admits only upstreams whose software has the version Version. It is
+	// set for a stream that has begun. An empty Version is an unknown one and admits
+	// none.
+	SameVersion bool
+	Version     currantwood.SoftwareVersion
+}
+
+// admitsVersion reports whether an upstream with a version may be chosen.
+func (q Query) admitsVersion(version currantwood.SoftwareVersion) bool {
+	return !q.SameVersion || version != "" && version == q.Version
+}
+
+//go:generate go tool stringer -linecomment -type=Reach,Outcome
+
+// Reach limits a choice to an availability zone or a region.
+type Reach uint8
+
+// Limits of a choice.
+const (
+	Anywhere Reach = iota // anywhere
+	InRegion              // region
+	InZone                // zone
+)
+
+// Choice is a candidate upstream, or the chosen one, and how it was scored.
+type Choice struct {
+	View upstreamkeeper.View
+	// Score is the relative load, with this request, plus penalties; the lowest
+	// score wins. Without penalties, queued prompts and noise, an upstream that
+	// this request would fill scores 1.
+	Score float64
+	// Load is what was in flight there before the request.
+	Load Load
+}
+
+// inReach reports whether an availability zone is within the reach of a query.
+func (b *Balancer) inReach(q Query, zone currantwood.ZoneID) bool {
+	switch q.Reach {
+	case InZone:
+		return zone == q.Zone
+	case InRegion:
+		return b.regions[zone] == b.regions[q.Zone]
+	default:
+		return true
+	}
+}
+
+func (b *Balancer) distancePenalty(from, to currantwood.ZoneID) float64 {
+	if from == to {
+		return 0
+	}
+	if b.regions[from] == b.regions[to] {
+		return zonePenalty
+	}
+	return regionPenalty
+}
--- /dev/null
+++ b/gateway/upstreams.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// ApplyUpstreamRecords applies new records of the directory in order and
+// returns those that changed anything.
+func (g *Gateway) ApplyUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
+	var changed []currantwood.KeyedRecord
+	var events []upstreamkeeper.Event
+	g.mu.Lock()
+	for i, record := range records {
+		if changes := g.upstreams.Apply(now, records[i:i+1]); len(changes) > 0 {
+			events = append(events, changes...)
+			changed = append(changed, record)
+		}
+	}
+	g.handleEventsAndUnlock(now, events)
+	return changed
+}
+
+// ReplaceUpstreamRecords replaces the known upstreams by a full read of the
+// directory, which has the newest record of each.
+func (g *Gateway) ReplaceUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) {
+	g.mu.Lock()
+	events := g.upstreams.Replace(now, records)
+	g.handleEventsAndUnlock(now, events)
+	g.directoryLoaded.Store(true)
+}
+
+// DirectoryRecovered records that the directory answers again after an outage.
+func (g *Gateway) DirectoryRecovered(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.upstreams.DirectoryRecovered(now)
+}
+
+// UpstreamsToPoll returns the engines that run movable streams and are not known
+// to be leaving.
+func (g *Gateway) UpstreamsToPoll() []upstreamkeeper.View {
+	snapshot := g.Configuration.Current()
+	if snapshot == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var views []upstreamkeeper.View
+	for id, streams := range g.streams {
+		view, ok := g.upstreams.Get(id)
+		if !ok || len(streams) == 0 || !view.LeavingSince.IsZero() {
+			continue
+		}
+		// Only engines that can move runs report their state.
+		if engine := snapshot.Groups[view.Group].Engine; engine != nil && engine.Moves {
+			views = append(views, view)
+		}
+	}
+	return views
+}
+
+// ApplyUpstreamState applies the state that an upstream reported about itself.
+func (g *Gateway) ApplyUpstreamState(now time.Time, id currantwood.UpstreamID, state currantwood.UpstreamState) {
+	g.mu.Lock()
+	g.handleEventsAndUnlock(now, g.upstreams.ApplyState(now, id, state))
+}
+
+// Tick does the work that is due by time alone: it ejects stalled upstreams,
+// removes those whose lapsed records were not written again in time, and closes
+// idle connections.
+func (g *Gateway) Tick(now time.Time) {
+	g.mu.Lock()
+	stalled := g.balancer.EjectStalled(now)
+	var affected []*stream
+	for _, id := range stalled {
+		affected = append(affected, g.streamsAt(id)...)
+	}
+	events := g.upstreams.Tick(now)
+	g.abandoned.DeleteExpired(now)
+	g.handleEventsAndUnlock(now, events)
+	for _, id := range stalled {
+		g.Logger.Warn("upstream makes no progress, excluded from balancing", zap.String("upstream", string(id)))
+	}
+	for _, s := range affected {
+		s.cancelStalled()
+	}
+	g.Connections.CloseExpired(now)
+}
+
+// handleEventsAndUnlock updates the balancer and the connections, and moves
+// streams away from upstreams that leave or are gone. The caller holds mu,
+// which it releases.
+func (g *Gateway) handleEventsAndUnlock(now time.Time, events []upstreamkeeper.Event) {
+	if len(events) > 0 {
+		g.balancer.SetUpstreams(g.upstreams.Available())
+		g.rates.Forget(func(id currantwood.UpstreamID) bool { _, known := g.upstreams.Get(id); return known })
+	}
+	var leaving, restarted []*stream
+	var crashed []currantwood.UpstreamRecord
+	for _, e := range events {
+		if g.endedUnannounced(e) {
+			crashed = append(crashed, e.Record)
+		}
+		if e.Change == upstreamkeeper.Leaving || e.Change == upstreamkeeper.Removed {
+			leaving = append(leaving, g.streamsAt(e.Record.ID)...)
+		}
+		if e.Change == upstreamkeeper.Restarted {
+			restarted = append(restarted, g.streamsAt(e.Record.ID)...)
+		}
+	}
+	g.mu.Unlock()
+	for _, e := range events {
+		g.Logger.Info("upstream changed", zap.String("upstream", string(e.Record.ID)), zap.String("group", string(e.Record.Group)), zap.Stringer("change", e.Change), zap.String("address", e.Record.Address), zap.String("version", string(e.Record.Version)))
+		if e.Change == upstreamkeeper.Restarted {
+			g.Connections.CloseIdle(e.Record.Address)
+		}
+	}
+	for _, record := range crashed {
+		g.recordAbandoned(now, record)
+	}
+	for _, s := range restarted {
+		// A stream that the former incarnation sent would have broken off.
+		s.forgetVersion()
+	}
+	g.moveStreams(leaving)
+}
+
+// endedUnannounced reports whether an event shows that an incarnation has ended
+// without an announcement: it restarted, or its record was removed. The caller
+// holds mu.
+func (g *Gateway) endedUnannounced(e upstreamkeeper.Event) bool {
+	view, _ := g.upstreams.Get(e.Record.ID)
+	return e.Change == upstreamkeeper.Restarted || e.Change == upstreamkeeper.Removed && !view.LeaveAnnounced
+}
+
+func (g *Gateway) streamsAt(id currantwood.UpstreamID) []*stream {
+	var list []*stream
+	for s := range g.streams[id] {
+		list = append(list, s)
+	}
+	return list
+}
--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -59,52 +59,39 @@
 	}
 }
 
-// crashFeed returns the feed of the crashes of requests. All gateways read it when
-// they start, and after that the collector alone: the others learn of crashes from
-// it.
+// crashFeed returns the feed of the crashes of requests.
 func (p *Process) crashFeed() storewatcher.Feed {
-	return storewatcher.Feed{
-		Name:  "crashes",
-		Topic: p.options.CrashTopic,
-		Wait:  crashReadWait,
-		Replace: func(now time.Time, records []currantwood.KeyedRecord) {
-			p.applyCrashes(now, records)
-			p.gateway.SetCrashesLoaded()
-		},
-		Apply: func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
-			p.applyCrashes(now, records)
-			return nil
-		},
-		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
-		},
-		OnEraRise: func(now time.Time, era currantwood.StoreEra) {
-			p.countEraRise(now, era)
-			p.gateway.ForgetSavedCrashes()
-		},
-		OnCurrentAsOf: func(time.Time) {},
-		OnOutageEnd:   func(time.Time) {},
-		Stale:         func(time.Time) bool { return false },
-		PeerCoverage:  func(now time.Time) (time.Time, bool) { return now, p.peers.HasOtherCollector(now) },
+	feed := p.savedFeed(p.applyCrashes, p.gateway.ForgetSavedCrashes)
+	feed.Name, feed.Topic, feed.Wait = "crashes", p.options.CrashTopic, crashReadWait
+	feed.Replace = func(now time.Time, records []currantwood.KeyedRecord) {
+		p.applyCrashes(now, records)
+		p.gateway.SetCrashesLoaded()
 	}
+	return feed
 }
 
-// startFeed returns the feed of where streams began. All gateways read it when they
-// start, and after that the collector alone.
+// startFeed returns the feed of where streams began.
 func (p *Process) startFeed() storewatcher.Feed {
+	feed := p.savedFeed(p.applyStarts, p.gateway.ForgetSavedStarts)
+	feed.Name, feed.Topic, feed.Pause = "starts of streams", p.options.StartTopic, startReadPause
+	return feed
+}
+
+// savedFeed returns a feed of what gateways save themselves, without name and topic. All
+// of them read it when they start, and after that the collector alone: the others learn
+// from it. forgetSaved is called when the store has come back from an older copy.
+func (p *Process) savedFeed(apply func(time.Time, []currantwood.KeyedRecord), forgetSaved func()) storewatcher.Feed {
 	return storewatcher.Feed{
-		Name:    "starts of streams",
-		Topic:   p.options.StartTopic,
-		Pause:   startReadPause,
-		Replace: p.applyStarts,
+		Replace: apply,
 		Apply: func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
-			p.applyStarts(now, records)
+			apply(now, records)
 			return nil
 		},
 		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
 		},
 		OnEraRise: func(now time.Time, era currantwood.StoreEra) {
 			p.countEraRise(now, era)
-			p.gateway.ForgetSavedStarts()
+			forgetSaved()
 		},
 		OnCurrentAsOf: func(time.Time) {},
 		OnOutageEnd:   func(time.Time) {},
