Idle connections to an upstream are bounded for all gateways together

Now all together keep half of what the group accepts, by the number of gateways that are heard, and at least one each.

--- a/connkeeper/pool.go
+++ b/connkeeper/pool.go
@@ -35,8 +35,9 @@
 	// idle connection open. The connection isn't used in it, as the upstream
 	// might close it at the same moment.
 	idleMargin = 1200 * time.Millisecond
-	// maxIdlePerAddress bounds the idle connections to one address.
-	maxIdlePerAddress = 16
+	// MaxIdlePerAddress bounds the idle connections to one address, unless SetMaxIdle
+	// sets a lower bound.
+	MaxIdlePerAddress = 16
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 2048
 	// userTimeout is how long sent data may stay unacknowledged.
@@ -53,6 +54,8 @@
 	now    func() time.Time
 	dialer net.Dialer
 	mu     sync.Mutex
+	// maxIdle bounds the idle connections to one address; protected by mu.
+	maxIdle int
 	// idle holds the unused connections to each address, the least recently
 	// used first; protected by mu.
 	idle map[string][]*conn
@@ -72,7 +75,7 @@
 
 // New returns an empty pool.
 func New(now func() time.Time) *Pool {
-	p := &Pool{now: now, idle: map[string][]*conn{}}
+	p := &Pool{now: now, maxIdle: MaxIdlePerAddress, idle: map[string][]*conn{}}
 	p.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: KeepAlive,
@@ -160,17 +163,22 @@
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	list := append(p.idle[address], c)
-	var excess *conn
-	if len(list) > maxIdlePerAddress {
-		excess, list = list[0], list[1:]
-	}
-	p.idle[address] = list
+	excess := list[:max(0, len(list)-p.maxIdle)]
+	p.idle[address] = list[len(excess):]
 	p.mu.Unlock()
-	if excess != nil {
-		_ = excess.Close()
+	for _, c := range excess {
+		_ = c.Close()
 	}
 }
 
+// SetMaxIdle bounds the idle connections to one address by limit, and by
+// MaxIdlePerAddress. More that are idle already stay until the next is released.
+func (p *Pool) SetMaxIdle(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = min(limit, MaxIdlePerAddress)
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -89,6 +89,7 @@
 	for _, s := range affected {
 		s.cancelStalled()
 	}
+	g.boundIdleConnections()
 	g.Connections.CloseExpired(now)
 }
 
