Questions for starts of streams are bounded; only engines are asked for their incarnation

Read afresh: any client can make up attempts, each of which was asked about with several datagrams; now 256 streams at a time are, the rest counts as unknown. A resume at a service that isn't an engine would have been refused for lack of an answer. One parameter less in learning starts.

--- a/gateway/starts.go
+++ b/gateway/starts.go
@@ -95,26 +95,24 @@
 }
 
 // LearnStarts notes starts of streams that another gateway sent.
-func (g *Gateway) LearnStarts(now time.Time, from currantwood.VMID, starts []streamkeeper.Start) {
-	g.learnStarts(now, string(from), starts, false)
+func (g *Gateway) LearnStarts(now time.Time, starts []streamkeeper.Start) {
+	g.learnStarts(now, starts, false)
 }
 
 // LearnSavedStarts notes starts of streams that the store holds.
 func (g *Gateway) LearnSavedStarts(now time.Time, starts []streamkeeper.Start) {
-	g.learnStarts(now, "store", starts, true)
+	if learned := g.learnStarts(now, starts, true); learned > 0 {
+		g.Logger.Info("starts of streams read from the store", zap.Int("streams", learned))
+	}
 }
 
-func (g *Gateway) learnStarts(now time.Time, from string, starts []streamkeeper.Start, saved bool) {
-	if len(starts) == 0 {
-		return
-	}
+// learnStarts returns how many of the starts weren't known.
+func (g *Gateway) learnStarts(now time.Time, starts []streamkeeper.Start, saved bool) int {
 	g.mu.Lock()
 	learned := g.streamStarts.Learn(now, starts, saved)
 	g.mu.Unlock()
 	g.instruments.startsLearned.Inc(int64(learned))
-	if saved && learned > 0 {
-		g.Logger.Info("starts of streams read from the store", zap.String("from", from), zap.Int("streams", learned))
-	}
+	return learned
 }
 
 // UnsavedStarts returns up to limit starts that the store may lack, and a position for
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -120,7 +120,7 @@
 		if err == nil && opened.exchange.Status != http.StatusOK && s.headerWritten.Load() {
 			err = s.rejectResume(opened)
 		}
-		if err == nil && opened.exchange.Status == http.StatusOK && s.hasBegun() && !s.g.runsIncarnation(choice.View) {
+		if err == nil && opened.exchange.Status == http.StatusOK && s.hasBegun() && !s.confirms(choice.View) {
 			err = s.rejectResume(opened)
 		}
 		if err == nil && opened.exchange.Status != http.StatusOK {
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -56,6 +56,12 @@
 	})
 }
 
+// confirms reports whether an upstream is still the incarnation that the directory shows.
+// Only engines can be asked.
+func (s *stream) confirms(view upstreamkeeper.View) bool {
+	return !s.isGeneration() || s.g.runsIncarnation(view)
+}
+
 // runsIncarnation asks an upstream whether it is still the incarnation that the
 // directory shows: one that has started again under its id may have another version. No
 // answer counts as no.
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -71,7 +71,7 @@
 	OwnStarts(from uint64, limit int) ([]streamkeeper.Start, uint64)
 	AllStarts(from uint64, limit int) ([]streamkeeper.Start, uint64)
 	// LearnStarts notes starts of streams that another gateway sent.
-	LearnStarts(now time.Time, from currantwood.VMID, starts []streamkeeper.Start)
+	LearnStarts(now time.Time, starts []streamkeeper.Start)
 	// StartOf returns where a stream began, if this gateway knows.
 	StartOf(stream currantwood.Fingerprint) (streamkeeper.Origin, bool)
 	// SetBudgetPeers replaces what is known of the other gateways' use of the retry
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -21,13 +21,13 @@
 // idleGateway is a Gateway without state.
 type idleGateway struct{}
 
-func (idleGateway) OwnLoads() balancer.Loads                                      { return nil }
-func (idleGateway) SetPeerLoads(time.Time, balancer.Loads)                        {}
-func (idleGateway) RetryUsage(time.Time) budgeter.GroupUsage                      { return nil }
-func (idleGateway) Established(time.Time) bool                                    { return true }
-func (idleGateway) OwnStarts(uint64, int) ([]streamkeeper.Start, uint64)          { return nil, 0 }
-func (idleGateway) AllStarts(uint64, int) ([]streamkeeper.Start, uint64)          { return nil, 0 }
-func (idleGateway) LearnStarts(time.Time, currantwood.VMID, []streamkeeper.Start) {}
+func (idleGateway) OwnLoads() balancer.Loads                             { return nil }
+func (idleGateway) SetPeerLoads(time.Time, balancer.Loads)               {}
+func (idleGateway) RetryUsage(time.Time) budgeter.GroupUsage             { return nil }
+func (idleGateway) Established(time.Time) bool                           { return true }
+func (idleGateway) OwnStarts(uint64, int) ([]streamkeeper.Start, uint64) { return nil, 0 }
+func (idleGateway) AllStarts(uint64, int) ([]streamkeeper.Start, uint64) { return nil, 0 }
+func (idleGateway) LearnStarts(time.Time, []streamkeeper.Start)          {}
 func (idleGateway) StartOf(currantwood.Fingerprint) (streamkeeper.Origin, bool) {
 	return streamkeeper.Origin{}, false
 }
--- a/peermessenger/starts.go
+++ b/peermessenger/starts.go
@@ -14,6 +14,9 @@
 const (
 	// maxStarts bounds the starts of streams in one datagram. One takes about 35 bytes.
 	maxStarts = 64
+	// maxQuestions bounds the streams that are asked about at a time. Any client can make
+	// up attempts, and each question is several datagrams.
+	maxQuestions = 256
 	// maxAsked bounds the gateways that are asked where a stream began.
 	maxAsked = 16
 	// askInterval is the time after which they are asked again, as datagrams are lost,
@@ -80,7 +83,7 @@
 	if !s.GetTakesStarts() {
 		return
 	}
-	m.Gateway.LearnStarts(now, from, decodeStarts(now, s.GetStarts()))
+	m.Gateway.LearnStarts(now, decodeStarts(now, s.GetStarts()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.peers.NoteStarts(from, peerkeeper.OwnStarts, peerkeeper.StartPosition{Process: process, Next: s.GetStartsFirst() + uint64(len(s.GetStarts()))})
@@ -93,7 +96,7 @@
 	if !d.GetTakesStarts() {
 		return
 	}
-	m.Gateway.LearnStarts(now, from, decodeStarts(now, d.GetStarts()))
+	m.Gateway.LearnStarts(now, decodeStarts(now, d.GetStarts()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.peers.NoteStarts(from, peerkeeper.AllStarts, peerkeeper.StartPosition{Process: process, Next: d.GetStartsFirst() + uint64(len(d.GetStarts()))})
@@ -104,10 +107,10 @@
 // says so in time.
 func (m *Messenger) AskStart(ctx context.Context, stream currantwood.Fingerprint) (streamkeeper.Origin, bool) {
 	answers := make(chan streamkeeper.Origin, 4*maxAsked)
-	m.mu.Lock()
-	m.questions[stream] = append(m.questions[stream], answers)
-	m.mu.Unlock()
-	defer m.forgetQuestion(stream)
+	if !m.addQuestion(stream, answers) {
+		return streamkeeper.Origin{}, false
+	}
+	defer m.forgetQuestion(stream, answers)
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	for {
@@ -156,14 +159,28 @@
 	return streamkeeper.Origin{}, false, true
 }
 
-// forgetQuestion drops the oldest question for a stream.
-func (m *Messenger) forgetQuestion(stream currantwood.Fingerprint) {
+// addQuestion notes who waits for answers about a stream. It returns false if too many
+// streams are asked about already.
+func (m *Messenger) addQuestion(stream currantwood.Fingerprint, answers chan streamkeeper.Origin) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.questions[stream] = m.questions[stream][1:]
-	if len(m.questions[stream]) == 0 {
+	if len(m.questions) >= maxQuestions {
+		return false
+	}
+	m.questions[stream] = append(m.questions[stream], answers)
+	return true
+}
+
+// forgetQuestion notes that nobody waits on answers any more.
+func (m *Messenger) forgetQuestion(stream currantwood.Fingerprint, answers chan streamkeeper.Origin) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rest := slices.DeleteFunc(m.questions[stream], func(c chan streamkeeper.Origin) bool { return c == answers })
+	if len(rest) == 0 {
 		delete(m.questions, stream)
+		return
 	}
+	m.questions[stream] = rest
 }
 
 // receiveQuestion answers where a stream began, as far as this gateway knows.
