--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -1,10 +1,12 @@
 // Package peermessenger exchanges UDP datagrams with the other gateways. Each
 // gateway sends its state to the collector: its loads, its retry usage (what it
-// sent to each group within the retry window), recent crashes, and the completions
-// for which crashes don't count. The collector's digest returns the summed loads and
-// retry usage of all others, the recent crashes and completions that the collector
-// knows, the crashes that the gateway lacks, the number of gateways, the directory
-// records that it read and the version and age of its configuration. A gateway that
+// sent to each group within the retry window), recent crashes, the completions
+// for which crashes don't count, the rate limits that it has heard itself, and the starts
+// of streams that the collector lacks. The collector's digest returns the summed loads,
+// retry usage and demand of all others, the newest rate limits, the recent crashes and
+// completions that the collector knows, the crashes and the starts of streams that the
+// gateway lacks, the number of gateways, the directory records that it read and the
+// version and age of its configuration. A gateway that
 // isn't the collector answers a state with a referral to the collector that it knows.
 package peermessenger
 
--- a/ratekeeper/keeper.go
+++ b/ratekeeper/keeper.go
@@ -126,9 +126,7 @@
 	k.countGateways(now, gateways)
 	k.gateways, k.fleetAt = max(1, gateways), now
 	for id, r := range rates {
-		if u := k.upstreams[id]; u == nil && !r.Limit.Limited {
-			continue
-		} else if u == nil {
+		if k.upstreams[id] == nil && r.Limit.Limited {
 			k.add(now, id)
 		}
 	}
