A rate limit that is named again begins with a whole share

Cause, found by reading: while a limit had ended, its entry stayed for 10 s (for longer while the store is away), and each request sent without a limit was taken from the share. If the upstream named a limit again within that time, callers found it closed: 500 requests sent meanwhile at 5 a second are 100 s. Nothing counts now while there is no limit, and a share begins anew with the next one.

--- a/ratekeeper/keeper.go
+++ b/ratekeeper/keeper.go
@@ -108,13 +108,22 @@
 	if u == nil {
 		u = k.add(now, id)
 	}
-	before := u.limit(incarnation)
+	before, wasLimited := u.limit(incarnation), u.isLimited()
 	u.heard = Rate{Incarnation: incarnation, Limit: limit, At: now}
+	k.restartIfLimited(now, u, wasLimited)
 	return before != u.limit(incarnation)
 }
 
+// restartIfLimited lets a share begin anew if the upstream has a limit now and had none
+// before: what was sent meanwhile doesn't count against it.
+func (k *Keeper) restartIfLimited(now time.Time, u *upstream, wasLimited bool) {
+	if !wasLimited && u.isLimited() {
+		u.accrued, u.accruedAt, u.recent = k.random.Float64(), now, nil
+	}
+}
+
 func (k *Keeper) add(now time.Time, id currantwood.UpstreamID) *upstream {
-	u := &upstream{accrued: k.random.Float64(), accruedAt: now, demandAt: now}
+	u := &upstream{accruedAt: now, demandAt: now}
 	k.upstreams[id] = u
 	return u
 }
@@ -133,8 +142,9 @@
 	changed := make(Rates)
 	for id, u := range k.upstreams {
 		k.accrue(now, u)
-		before := u.current().Limit
+		before, wasLimited := u.current().Limit, u.isLimited()
 		u.told = rates[id]
+		k.restartIfLimited(now, u, wasLimited)
 		if after := u.current(); after.Limit != before {
 			changed[id] = after
 		}
@@ -193,14 +203,14 @@
 // within recentTime. Without it, the shares of many gateways may by chance accrue at
 // the same time.
 func (k *Keeper) fitsRecent(now time.Time, u *upstream) bool {
-	limit := max(minRate, u.current().Limit.PerSecond)
+	limit := u.sharedRate()
 	allowed := limit*(recentTime+spareTime).Seconds() + spareRequests
 	return float64(u.recentAfter(now)+u.told.Recent+1) <= allowed
 }
 
-// Sent notes that a request is sent to an upstream.
+// Sent notes that a request is sent to an upstream. Without a limit it counts nothing.
 func (k *Keeper) Sent(now time.Time, id currantwood.UpstreamID) {
-	if u := k.upstreams[id]; u != nil {
+	if u := k.upstreams[id]; u != nil && u.isLimited() {
 		k.accrue(now, u)
 		u.accrued--
 		u.recent = append(u.recent, now)
@@ -215,14 +225,14 @@
 		return 0
 	}
 	k.accrue(now, u)
-	missing := time.Duration(max(0, 1-u.accrued) / k.share(now, u) * float64(time.Second))
+	missing := seconds(max(0, 1-u.accrued) / k.share(now, u))
 	return max(missing, u.promisedUntil.Sub(now))
 }
 
 // Promise notes that a refused request was told to come back after Wait.
 func (k *Keeper) Promise(now time.Time, id currantwood.UpstreamID) {
 	if u := k.upstreams[id]; u != nil {
-		interval := time.Duration(float64(time.Second) / (promisedPart * k.share(now, u)))
+		interval := seconds(1 / (promisedPart * k.share(now, u)))
 		u.promisedUntil = now.Add(k.Wait(now, id) + interval)
 	}
 }
@@ -231,7 +241,7 @@
 // second; 0 if it has no limit.
 func (k *Keeper) Share(now time.Time, id currantwood.UpstreamID) float64 {
 	u := k.upstreams[id]
-	if u == nil || !u.current().Limit.Limited {
+	if u == nil || !u.isLimited() {
 		return 0
 	}
 	return k.share(now, u)
@@ -239,7 +249,7 @@
 
 // share returns the rate at which this gateway may send to an upstream.
 func (k *Keeper) share(now time.Time, u *upstream) float64 {
-	limit := max(minRate, u.current().Limit.PerSecond)
+	limit := u.sharedRate()
 	all := float64(k.assumedGateways())
 	if k.fleetAt.IsZero() || now.Sub(k.fleetAt) > fleetMaxAge {
 		return limit / all
@@ -256,8 +266,7 @@
 // accrue adds what the share has allowed since the last call.
 func (k *Keeper) accrue(now time.Time, u *upstream) {
 	rate := k.share(now, u)
-	limit := max(minRate, u.current().Limit.PerSecond)
-	lapses := float64(k.assumedGateways()) > limit*spareTime.Seconds()+spareRequests
+	lapses := float64(k.assumedGateways()) > u.sharedRate()*spareTime.Seconds()+spareRequests
 	u.accrue(now, rate, lapses)
 }
 
@@ -273,7 +282,7 @@
 		if !r.Limit.Known {
 			r.Incarnation = u.told.Incarnation
 		}
-		if u.current().Limit.Limited {
+		if u.isLimited() {
 			r.Demand, r.Recent = u.demandAfter(now), u.recentAfter(now)
 		}
 		own[id] = r
--- a/ratekeeper/keeper_test.go
+++ b/ratekeeper/keeper_test.go
@@ -87,6 +87,29 @@
 		Expect(k.Share(start.Add(3*gatewayRetention), "u")).To(BeNumerically("~", 8, 0.01))
 	})
 
+	// Guards against what was sent without a limit counted against the next one.
+	It("has its share of a limit at once that is named again soon after it has ended", func() {
+		k.Observe(start, "u", 1, limitedTo(5))
+		k.Observe(start, "u", 1, unlimited)
+		now := start
+		for range 500 {
+			now = now.Add(10 * time.Millisecond)
+			Expect(k.Admits(now, "u", 1)).To(BeTrue())
+			k.Sent(now, "u")
+		}
+		k.Observe(now, "u", 1, limitedTo(5))
+		admitted := 0
+		for range 200 {
+			now = now.Add(10 * time.Millisecond)
+			k.SetFleet(now, nil, 1)
+			if k.Admits(now, "u", 1) {
+				k.Sent(now, "u")
+				admitted++
+			}
+		}
+		Expect(admitted).To(BeNumerically("~", 10, 2))
+	})
+
 	// Names the load: a burst beyond the limit, after which nothing new comes.
 	It("admits those that it refused in a burst when they were told to come back", func() {
 		k.Observe(start, "u", 1, limitedTo(5))
--- a/ratekeeper/upstream.go
+++ b/ratekeeper/upstream.go
@@ -35,6 +35,12 @@
 	return newer(u.heard, u.told)
 }
 
+// isLimited reports whether the upstream limits its rate, by the newest that is known.
+func (u *upstream) isLimited() bool { return u.current().Limit.Limited }
+
+// sharedRate returns the limit that all gateways share, in requests per second.
+func (u *upstream) sharedRate() float64 { return max(minRate, u.current().Limit.PerSecond) }
+
 // limit returns the limit of an incarnation.
 func (u *upstream) limit(incarnation int64) currantwood.RateLimit {
 	if r := u.current(); r.Incarnation == incarnation {
@@ -46,7 +52,7 @@
 // isOver reports whether the limit has ended so long ago that all gateways know.
 func (u *upstream) isOver(now time.Time) bool {
 	r := u.current()
-	return !r.Limit.Limited && now.Sub(r.At) > endRetention
+	return !u.isLimited() && now.Sub(r.At) > endRetention
 }
 
 // want adds a request to the demand.
