Retry-After counts what all gateways have sent

Cause, found by reading: where this gateway's share was free, and the requests of all within 4 s closed the upstream, a refusal named the shortest time, 100 ms. It names the time of one request of all gateways at least now. The new test got 0 for a limit of 2 a second before, 500 ms now.

--- a/ratekeeper/keeper.go
+++ b/ratekeeper/keeper.go
@@ -226,6 +226,9 @@
 	}
 	k.accrue(now, u)
 	missing := seconds(max(0, 1-u.accrued) / k.share(now, u))
+	if !k.fitsRecent(now, u) {
+		missing = max(missing, seconds(1/u.sharedRate()))
+	}
 	return max(missing, u.promisedUntil.Sub(now))
 }
 
--- a/ratekeeper/keeper_test.go
+++ b/ratekeeper/keeper_test.go
@@ -110,6 +110,16 @@
 		Expect(admitted).To(BeNumerically("~", 10, 2))
 	})
 
+	// Guards against a time to come back that is too early while all gateways together
+	// have sent what the limit allows.
+	It("names at least the time of one request of all gateways if these have sent enough", func() {
+		k.Observe(start, "u", 1, limitedTo(2))
+		k.SetFleet(start.Add(10*time.Second), Rates{"u": {Incarnation: 1, Limit: limitedTo(2), At: start, Recent: 40}}, 1)
+		now := start.Add(10 * time.Second)
+		Expect(k.Admits(now, "u", 1)).To(BeFalse())
+		Expect(k.Wait(now, "u")).To(BeNumerically(">=", 500*time.Millisecond))
+	})
+
 	// Names the load: a burst beyond the limit, after which nothing new comes.
 	It("admits those that it refused in a burst when they were told to come back", func() {
 		k.Observe(start, "u", 1, limitedTo(5))
