A start that was taken back isn't believed again

Cause, found by reading: two records of one stream, the second of which takes the first back, shared their entry; when the older record was dropped, the entry went with it, and a gateway that still held the first could bring it back. The entry goes with the record that it is from now. The new test failed before.

--- a/streamkeeper/keeper.go
+++ b/streamkeeper/keeper.go
@@ -96,7 +96,10 @@
 // prune drops starts that are too old, or too many.
 func (k *Keeper) prune(now time.Time) {
 	for _, start := range k.all.prune(now, maxStarts) {
-		delete(k.origins, start.Stream)
+		// A later start of the same stream may have replaced this one.
+		if k.origins[start.Stream] == start.Origin {
+			delete(k.origins, start.Stream)
+		}
 	}
 	k.own.prune(now, maxStarts)
 	k.unsaved.prune(now, maxStarts)
--- a/streamkeeper/keeper_test.go
+++ b/streamkeeper/keeper_test.go
@@ -68,6 +68,20 @@
 		Expect(starts).To(HaveLen(4))
 	})
 
+	// Guards against a start that was taken back and is believed again, since the record
+	// of the first was dropped.
+	It("keeps what was taken back as long as its own record", func() {
+		k.Begin(begun(0, "v1"))
+		k.Begin(begun(1, "v1"))
+		k.Begin(begun(0, ""))
+		for n := range maxStarts - 2 {
+			k.Begin(begun(n+2, "v1"))
+		}
+		k.Learn(start, []Start{begun(0, "v1")}, false)
+		_, known := k.Origin(0)
+		Expect(known).To(BeFalse())
+	})
+
 	It("bounds what it keeps; the oldest go first", func() {
 		for n := range maxStarts + 10 {
 			k.Begin(begun(n, "v1"))
