A stream whose engine had started again before its first event has no version

Cause, found by reading the diff afresh: an id may start again with another version before the directory shows it. A stream that was open with events was taken back when it did, but one whose first event came after that took the version of the old record, was recorded with it, and its client went on at an engine of that version: events of two versions in one stream. The version is now taken only if the directory still shows the incarnation that the request was sent to.

--- a/gateway/version.go
+++ b/gateway/version.go
@@ -27,10 +27,23 @@
 
 // noteBegun notes that an upstream has sent the first event of this attempt.
 func (s *stream) noteBegun(up *upstreamStream) {
+	version := s.g.versionOf(up.view)
 	s.mu.Lock()
-	s.version = up.view.Version
+	s.version = version
 	s.mu.Unlock()
-	s.recordStart(up.view.Version)
+	s.recordStart(version)
+}
+
+// versionOf returns the version of an upstream as it was when a request was sent to it;
+// empty if the directory has shown since that it had started again. The request may have
+// reached the new incarnation.
+func (g *Gateway) versionOf(view upstreamkeeper.View) currantwood.SoftwareVersion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if known, ok := g.upstreams.Get(view.ID); !ok || known.Incarnation != view.Incarnation {
+		return ""
+	}
+	return view.Version
 }
 
 // forgetVersion notes that the upstream of the stream may not be the one that the
