balancer, peerkeeper, stand-in of the engine: split by matter; positions of starts named by what they are

Change: groups and loads, the collector's rank and loads, runs have files of their own; the positions are received and acknowledged ones. No change of behaviour; the tests of the three packages and of the gateway pass.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -54,15 +54,6 @@
 	maxEjection  = 6 * time.Second
 )
 
-// PrefillSample measures how long an upstream took to prefill a prompt and those
-// queued before it.
-type PrefillSample struct {
-	// Tokens counts the tokens of all these prompts.
-	Tokens currantwood.TokenCount
-	// Duration is the time from sending the prompt to its first event.
-	Duration time.Duration
-}
-
 type upstream struct {
 	view upstreamkeeper.View
 	// own is what this gateway has in flight there.
@@ -75,22 +66,6 @@
 	loads Loads
 }
 
-// group holds the upstreams of one group.
-type group struct {
-	config  currantwood.Group
-	prober  *prober.Prober
-	members []currantwood.UpstreamID
-	// averageSampleTokens and averageSampleTime are exponential moving averages
-	// of PrefillSample.Tokens and, in nanoseconds, PrefillSample.Duration.
-	averageSampleTokens, averageSampleTime float64
-}
-
-// prefillTimePerToken estimates how long an engine of the group takes to prefill
-// a prompt token.
-func (g *group) prefillTimePerToken() time.Duration {
-	return time.Duration(g.averageSampleTime / g.averageSampleTokens)
-}
-
 // Balancer tracks the load and health of upstreams and chooses among them. It is
 // not safe for concurrent use.
 type Balancer struct {
@@ -172,38 +147,6 @@
 // included.
 func (b *Balancer) SetGatewayCount(count int) { b.gatewayCount = max(1, count) }
 
-// SetPeerLoads replaces the loads of a peer. They count for peerLoadMaxAge.
-func (b *Balancer) SetPeerLoads(now time.Time, peer currantwood.VMID, loads Loads) {
-	b.peers[peer] = peerLoad{at: now, loads: loads}
-}
-
-// OwnLoads returns what this gateway has in flight at each upstream, to be sent to
-// its peers.
-func (b *Balancer) OwnLoads() Loads {
-	loads := make(Loads, len(b.upstreams))
-	for id, u := range b.upstreams {
-		if u.own.Requests > 0 {
-			loads[id] = u.own
-		}
-	}
-	return loads
-}
-
-// TotalLoad returns what this gateway and its peers have in flight at an
-// upstream.
-func (b *Balancer) TotalLoad(now time.Time, id currantwood.UpstreamID) Load {
-	var total Load
-	if u := b.upstreams[id]; u != nil {
-		total = u.own
-	}
-	for _, p := range b.peers {
-		if now.Sub(p.at) < peerLoadMaxAge {
-			total.Add(p.loads[id])
-		}
-	}
-	return total
-}
-
 // Pick chooses the upstream with the lowest score from a random sample of the
 // group. It returns a *RefusalError if none may be chosen.
 func (b *Balancer) Pick(now time.Time, q Query) (Choice, error) {
@@ -246,16 +189,6 @@
 	return best, nil
 }
 
-// excessPrefillWait returns how much longer than q.MaxPrefillWait the prompt
-// would wait for those queued before it. It is negative if the wait is
-// shorter, and 0 if there is no limit.
-func (g *group) excessPrefillWait(c Choice, q Query) time.Duration {
-	if q.MaxPrefillWait <= 0 {
-		return 0
-	}
-	return time.Duration(c.Load.PrefillTokens)*g.prefillTimePerToken() - q.MaxPrefillWait
-}
-
 // sampleSize returns the number of eligible upstreams that a choice compares at
 // most. The loads of peers arrive with a delay, in which all gateways see the
 // same upstream as the least loaded; the more gateways there are, the fewer
@@ -268,16 +201,6 @@
 	return min(maxSample, max(minSample, len(g.members)/b.gatewayCount+1))
 }
 
-// hasCapacity reports whether an engine has a free slot, and memory for the
-// load of the query. An upstream that isn't an engine always has capacity.
-func hasCapacity(g *group, c Choice, q Query) bool {
-	e := g.config.Engine
-	if e == nil {
-		return true
-	}
-	return c.Load.MemoryTokens+q.Load.MemoryTokens <= e.MemoryTokens && c.Load.Requests < e.Slots
-}
-
 // evaluate scores an upstream by the requests and memory in use with this
 // request, its queued prompts, its distance, and whether it is warming up.
 func (b *Balancer) evaluate(now time.Time, g *group, u *upstream, q Query) Choice {
@@ -314,21 +237,6 @@
 	b.group(view.Group).prober.Started(now, view.ID, stallTimeout)
 }
 
-// PrefillEnded records that an upstream has prefilled the prompt of a request.
-// promptTokens is the PrefillTokens of the load that Started was given. sample is
-// the zero value if there is no measurement, as for a moved run: it waits for the
-// prompts queued before it, but its own is hardly prefilled again.
-func (b *Balancer) PrefillEnded(view upstreamkeeper.View, promptTokens currantwood.TokenCount, sample PrefillSample) {
-	if u := b.upstreams[view.ID]; u != nil && u.view.Incarnation == view.Incarnation {
-		u.own.PrefillTokens = max(0, u.own.PrefillTokens-promptTokens)
-	}
-	if sample.Tokens > 0 {
-		g := b.group(view.Group)
-		g.averageSampleTokens += (float64(sample.Tokens) - g.averageSampleTokens) / prefillAverageDivisor
-		g.averageSampleTime += (float64(sample.Duration) - g.averageSampleTime) / prefillAverageDivisor
-	}
-}
-
 // Progressed records a sign that an upstream works on its requests.
 func (b *Balancer) Progressed(now time.Time, view upstreamkeeper.View) {
 	b.group(view.Group).prober.Progressed(now, view.ID)
--- /dev/null
+++ b/balancer/group.go
@@ -0,0 +1,69 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/prober"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// group holds the upstreams of one group.
+type group struct {
+	config  currantwood.Group
+	prober  *prober.Prober
+	members []currantwood.UpstreamID
+	// averageSampleTokens and averageSampleTime are exponential moving averages
+	// of PrefillSample.Tokens and, in nanoseconds, PrefillSample.Duration.
+	averageSampleTokens, averageSampleTime float64
+}
+
+// prefillTimePerToken estimates how long an engine of the group takes to prefill
+// a prompt token.
+func (g *group) prefillTimePerToken() time.Duration {
+	return time.Duration(g.averageSampleTime / g.averageSampleTokens)
+}
+
+// excessPrefillWait returns how much longer than q.MaxPrefillWait the prompt
+// would wait for those queued before it. It is negative if the wait is
+// shorter, and 0 if there is no limit.
+func (g *group) excessPrefillWait(c Choice, q Query) time.Duration {
+	if q.MaxPrefillWait <= 0 {
+		return 0
+	}
+	return time.Duration(c.Load.PrefillTokens)*g.prefillTimePerToken() - q.MaxPrefillWait
+}
+
+// hasCapacity reports whether an engine has a free slot, and memory for the
+// load of the query. An upstream that isn't an engine always has capacity.
+func hasCapacity(g *group, c Choice, q Query) bool {
+	e := g.config.Engine
+	if e == nil {
+		return true
+	}
+	return c.Load.MemoryTokens+q.Load.MemoryTokens <= e.MemoryTokens && c.Load.Requests < e.Slots
+}
+
+// PrefillSample measures how long an upstream took to prefill a prompt and those
+// queued before it.
+type PrefillSample struct {
+	// Tokens counts the tokens of all these prompts.
+	Tokens currantwood.TokenCount
+	// Duration is the time from sending the prompt to its first event.
+	Duration time.Duration
+}
+
+// PrefillEnded records that an upstream has prefilled the prompt of a request.
+// promptTokens is the PrefillTokens of the load that Started was given. sample is
+// the zero value if there is no measurement, as for a moved run: it waits for the
+// prompts queued before it, but its own is hardly prefilled again.
+func (b *Balancer) PrefillEnded(view upstreamkeeper.View, promptTokens currantwood.TokenCount, sample PrefillSample) {
+	if u := b.upstreams[view.ID]; u != nil && u.view.Incarnation == view.Incarnation {
+		u.own.PrefillTokens = max(0, u.own.PrefillTokens-promptTokens)
+	}
+	if sample.Tokens > 0 {
+		g := b.group(view.Group)
+		g.averageSampleTokens += (float64(sample.Tokens) - g.averageSampleTokens) / prefillAverageDivisor
+		g.averageSampleTime += (float64(sample.Duration) - g.averageSampleTime) / prefillAverageDivisor
+	}
+}
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -10,7 +10,6 @@
 package peerkeeper
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -113,10 +112,11 @@
 	// lastCrashSent the last suspect among them.
 	crashesSentAt time.Time
 	lastCrashSent currantwood.Suspect
-	// startsOf is how far its starts of streams are known here, startsBy up to where it
-	// has those of this VM. takesStarts is whether it takes any.
-	startsOf, startsBy [startLogs]StartPosition
-	takesStarts        bool
+	// startsReceived is the position up to which its starts of streams have arrived here,
+	// startsAcknowledged that up to which it has those of this VM, one for each log.
+	// takesStarts is whether it takes any.
+	startsReceived, startsAcknowledged [startLogs]StartPosition
+	takesStarts                        bool
 	// former holds the retry usage of former processes of its VM.
 	former []formerUsage
 	// state is zero if none was received.
@@ -194,38 +194,6 @@
 	entry.state = s
 }
 
-// AcceptDigest makes the sender of a digest the collector and reports whether
-// it did. It rejects a sender that this gateway precedes while storeReachable
-// is true, and one that the current collector precedes.
-func (k *Keeper) AcceptDigest(now time.Time, from Peer, storeReachable bool) bool {
-	k.NotePeer(now, from)
-	if storeReachable && k.self.precedes(from) {
-		return false
-	}
-	current, ok := k.OtherCollector(now)
-	if ok && current.VM != from.VM && current.precedes(from) {
-		return false
-	}
-	k.collector, k.digestAt = from, now
-	return true
-}
-
-// OtherCollector returns the other gateway that is the collector. It returns
-// false if none is known; then this gateway is the collector if it reaches the
-// store.
-func (k *Keeper) OtherCollector(now time.Time) (Peer, bool) {
-	if k.digestAt.IsZero() || now.Sub(k.digestAt) > collectorTimeout {
-		return Peer{}, false
-	}
-	return k.collector, true
-}
-
-// IsCollector reports whether this gateway is the collector.
-func (k *Keeper) IsCollector(now time.Time, storeReachable bool) bool {
-	_, other := k.OtherCollector(now)
-	return storeReachable && !other
-}
-
 // StateRecipients returns the gateways to send this gateway's state to: the
 // other gateway that is the collector or, if none is known, also because this
 // one is the collector, gateways that may answer with a referral to another. In
@@ -285,20 +253,6 @@
 	return recipients
 }
 
-// compareRank orders gateways by their precedence as the collector.
-func compareRank(a, b Peer) int {
-	if a.Established != b.Established {
-		if a.Established {
-			return -1
-		}
-		return 1
-	}
-	if a.Capacity != b.Capacity {
-		return cmp.Compare(b.Capacity, a.Capacity)
-	}
-	return cmp.Compare(a.VM, b.VM)
-}
-
 // SendInterval returns the time until the next messages are due.
 func (k *Keeper) SendInterval(now time.Time) time.Duration {
 	recipients := len(k.DigestRecipients(now))
@@ -331,39 +285,3 @@
 	}
 	return State{}
 }
-
-// TotalLoads returns the sum of own and the loads of all gateways heard from
-// within peerTimeout.
-func (k *Keeper) TotalLoads(now time.Time, own balancer.Loads) balancer.Loads {
-	sum := maps.Clone(own)
-	if sum == nil {
-		sum = make(balancer.Loads)
-	}
-	for _, entry := range k.peers {
-		if now.Sub(entry.lastSeen) > peerTimeout {
-			continue
-		}
-		for id, load := range entry.state.Loads {
-			total := sum[id]
-			total.Add(load)
-			sum[id] = total
-		}
-	}
-	return sum
-}
-
-// LoadsExcept returns sum less the loads that the gateway id reported.
-func (k *Keeper) LoadsExcept(sum balancer.Loads, id currantwood.VMID) balancer.Loads {
-	entry := k.peers[id]
-	if entry == nil {
-		return sum
-	}
-	others := make(balancer.Loads, len(sum))
-	for upstream, total := range sum {
-		total.Subtract(entry.state.Loads[upstream])
-		if total != (balancer.Load{}) {
-			others[upstream] = total
-		}
-	}
-	return others
-}
--- a/peerkeeper/starts.go
+++ b/peerkeeper/starts.go
@@ -19,44 +19,44 @@
 	Process, Next uint64
 }
 
-// NoteStarts notes that the starts in a log of a gateway are known here up to a
+// NoteStartsReceived notes that the starts in a log of a gateway are known here up to a
 // position.
-func (k *Keeper) NoteStarts(id currantwood.VMID, log StartLog, known StartPosition) {
+func (k *Keeper) NoteStartsReceived(id currantwood.VMID, log StartLog, known StartPosition) {
 	entry := k.peers[id]
 	if entry == nil {
 		return
 	}
-	if before := entry.startsOf[log]; before.Process == known.Process {
+	if before := entry.startsReceived[log]; before.Process == known.Process {
 		known.Next = max(known.Next, before.Next)
 	}
-	entry.startsOf[log] = known
+	entry.startsReceived[log] = known
 }
 
-// StartsOf returns up to which position the starts in a log of a gateway are known here.
-func (k *Keeper) StartsOf(id currantwood.VMID, log StartLog) StartPosition {
+// StartsReceived returns up to which position the starts in a log of a gateway are known here.
+func (k *Keeper) StartsReceived(id currantwood.VMID, log StartLog) StartPosition {
 	if entry := k.peers[id]; entry != nil {
-		return entry.startsOf[log]
+		return entry.startsReceived[log]
 	}
 	return StartPosition{}
 }
 
-// SetStartsKnownBy notes up to which position a gateway has the starts in a log of this
+// SetStartsAcknowledged notes up to which position a gateway has the starts in a log of this
 // VM.
-func (k *Keeper) SetStartsKnownBy(id currantwood.VMID, log StartLog, known StartPosition) {
+func (k *Keeper) SetStartsAcknowledged(id currantwood.VMID, log StartLog, known StartPosition) {
 	if entry := k.peers[id]; entry != nil {
-		entry.startsBy[log], entry.takesStarts = known, true
+		entry.startsAcknowledged[log], entry.takesStarts = known, true
 	}
 }
 
-// StartsKnownBy returns up to which position a gateway has the starts in a log of this
+// StartsAcknowledged returns up to which position a gateway has the starts in a log of this
 // process, and whether it takes any.
-func (k *Keeper) StartsKnownBy(id currantwood.VMID, log StartLog, process uint64) (next uint64, takes bool) {
+func (k *Keeper) StartsAcknowledged(id currantwood.VMID, log StartLog, process uint64) (next uint64, takes bool) {
 	entry := k.peers[id]
 	if entry == nil || !entry.takesStarts {
 		return 0, false
 	}
-	if entry.startsBy[log].Process != process {
+	if entry.startsAcknowledged[log].Process != process {
 		return 0, true
 	}
-	return entry.startsBy[log].Next, true
+	return entry.startsAcknowledged[log].Next, true
 }
--- a/peermessenger/starts.go
+++ b/peermessenger/starts.go
@@ -53,9 +53,9 @@
 // with mu held.
 func (m *Messenger) addStartsToState(now time.Time, collector currantwood.VMID, state *peerwire.State) {
 	state.TakesStarts = true
-	of := m.peers.StartsOf(collector, peerkeeper.AllStarts)
+	of := m.peers.StartsReceived(collector, peerkeeper.AllStarts)
 	state.StartsProcess, state.StartsKnown = of.Process, of.Next
-	known, takes := m.peers.StartsKnownBy(collector, peerkeeper.OwnStarts, m.process)
+	known, takes := m.peers.StartsAcknowledged(collector, peerkeeper.OwnStarts, m.process)
 	if !takes {
 		return
 	}
@@ -66,10 +66,10 @@
 // addStartsToDigest adds the starts that a gateway may lack. Called with mu held.
 func (m *Messenger) addStartsToDigest(now time.Time, to currantwood.VMID, digest *peerwire.Digest) {
 	digest.TakesStarts = true
-	if of := m.peers.StartsOf(to, peerkeeper.OwnStarts); of.Process == digest.GetEchoProcess() {
+	if of := m.peers.StartsReceived(to, peerkeeper.OwnStarts); of.Process == digest.GetEchoProcess() {
 		digest.StartsKnown = of.Next
 	}
-	known, takes := m.peers.StartsKnownBy(to, peerkeeper.AllStarts, m.process)
+	known, takes := m.peers.StartsAcknowledged(to, peerkeeper.AllStarts, m.process)
 	if !takes {
 		return
 	}
@@ -86,8 +86,8 @@
 	m.Gateway.LearnStarts(now, decodeStarts(now, s.GetStarts()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers.NoteStarts(from, peerkeeper.OwnStarts, peerkeeper.StartPosition{Process: process, Next: s.GetStartsFirst() + uint64(len(s.GetStarts()))})
-	m.peers.SetStartsKnownBy(from, peerkeeper.AllStarts, peerkeeper.StartPosition{Process: s.GetStartsProcess(), Next: s.GetStartsKnown()})
+	m.peers.NoteStartsReceived(from, peerkeeper.OwnStarts, peerkeeper.StartPosition{Process: process, Next: s.GetStartsFirst() + uint64(len(s.GetStarts()))})
+	m.peers.SetStartsAcknowledged(from, peerkeeper.AllStarts, peerkeeper.StartPosition{Process: s.GetStartsProcess(), Next: s.GetStartsKnown()})
 }
 
 // receiveDigestStarts is receiveStateStarts for a digest, which has the starts that the
@@ -99,8 +99,8 @@
 	m.Gateway.LearnStarts(now, decodeStarts(now, d.GetStarts()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers.NoteStarts(from, peerkeeper.AllStarts, peerkeeper.StartPosition{Process: process, Next: d.GetStartsFirst() + uint64(len(d.GetStarts()))})
-	m.peers.SetStartsKnownBy(from, peerkeeper.OwnStarts, peerkeeper.StartPosition{Process: d.GetEchoProcess(), Next: d.GetStartsKnown()})
+	m.peers.NoteStartsReceived(from, peerkeeper.AllStarts, peerkeeper.StartPosition{Process: process, Next: d.GetStartsFirst() + uint64(len(d.GetStarts()))})
+	m.peers.SetStartsAcknowledged(from, peerkeeper.OwnStarts, peerkeeper.StartPosition{Process: d.GetEchoProcess(), Next: d.GetStartsKnown()})
 }
 
 // AskStart asks other gateways where a stream began, and returns false if none of them
