Heed what upstreams say in their responses: leaving, and pauses

Cause: Server-Leaving and the Retry-After of a status 503 were decoded nowhere. A leaving counted only from the directory, and an upstream that turned requests away was sent more until the retry budget was spent. Change: noticekeeper holds leaving and pauses by incarnation and asks ratekeeper for the rate limit; the balancer asks it alone. A leaving also marks the upstream in upstreamkeeper, so that runs are moved and idle connections closed. Gateways tell new notices for 2 s, and all to a process that has just started. A pause is no failure, its end is told to clients and not capped at 6 s, and work comes back over 2 s. A status 421 now counts as a failure of the upstream at that address. Retry-After dates are taken relative to the response's own date; 10 minutes bound a pause.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/prober"
-	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -33,6 +33,9 @@
 	// warmUpPenalty is added to the score of an upstream that is still slow
 	// after its start.
 	warmUpPenalty = 0.25
+	// resumePenalty is added to the score of an upstream whose pause has just ended, for
+	// fewer and fewer requests.
+	resumePenalty = 0.5
 	// fullPrefillQueue is the number of queued prompt tokens, those not prefilled
 	// yet, that scores like a full upstream. Their prefill takes a second at 14
 	// tokens per millisecond, and 2.1 s at initialPrefillTimePerToken.
@@ -77,16 +80,17 @@
 	// gatewayCount is the number of gateways that share the upstreams, this one
 	// included; at least 1.
 	gatewayCount int
-	// rates holds the rates of requests that upstreams accept.
-	rates *ratekeeper.Keeper
+	// notices holds what upstreams say of themselves, which decides whether a request may
+	// be sent to them now.
+	notices *noticekeeper.Keeper
 }
 
 // New returns a balancer without upstreams, given the region of each
-// availability zone, the keeper of the rates that upstreams accept and a source of
+// availability zone, the keeper of what upstreams say of themselves and a source of
 // random numbers.
-func New(regions map[currantwood.ZoneID]currantwood.RegionID, rates *ratekeeper.Keeper, random *rand.Rand) *Balancer {
+func New(regions map[currantwood.ZoneID]currantwood.RegionID, notices *noticekeeper.Keeper, random *rand.Rand) *Balancer {
 	return &Balancer{
-		rates:        rates,
+		notices:      notices,
 		regions:      regions,
 		random:       random,
 		upstreams:    make(map[currantwood.UpstreamID]*upstream),
@@ -156,7 +160,7 @@
 	}
 	best, found := Choice{}, false
 	refused := &RefusalError{}
-	b.rates.Want(now, g.members)
+	b.notices.Want(now, g.members)
 	considered, limit := 0, b.sampleSize(g, q)
 	for _, i := range b.random.Perm(len(g.members)) {
 		id := g.members[i]
@@ -164,8 +168,8 @@
 		if slices.Contains(q.Exclude, id) || !g.prober.Admits(now, id) || !b.inReach(q, u.view.Zone) || !q.admitsVersion(u.view.Version) {
 			continue
 		}
-		if !b.rates.Admits(now, id, u.view.Incarnation) {
-			refused.lowerRetryAfterRate(id, b.rates.Wait(now, id))
+		if verdict := b.notices.Check(now, id, u.view.Incarnation); !verdict.Admitted() {
+			refused.lowerRetryAfterNotice(id, verdict)
 			continue
 		}
 		choice := b.evaluate(now, g, u, q)
@@ -202,7 +206,7 @@
 }
 
 // evaluate scores an upstream by the requests and memory in use with this
-// request, its queued prompts, its distance, and whether it is warming up.
+// request, its queued prompts, its distance, and whether it is warming up or was paused.
 func (b *Balancer) evaluate(now time.Time, g *group, u *upstream, q Query) Choice {
 	load := b.TotalLoad(now, u.view.ID)
 	slots := max(1, u.view.Slots)
@@ -218,6 +222,9 @@
 	if now.Before(u.view.WarmAt) {
 		score += warmUpPenalty
 	}
+	if b.random.Float64() >= b.notices.ResumedShare(now, u.view.ID, u.view.Incarnation) {
+		score += resumePenalty
+	}
 	// Random noise keeps gateways from all choosing the same one of upstreams with
 	// nearly equal scores.
 	score += b.random.Float64() * 0.01
@@ -233,7 +240,7 @@
 		return
 	}
 	u.own.Add(load)
-	b.rates.Sent(now, view.ID)
+	b.notices.Sent(now, view.ID)
 	b.group(view.Group).prober.Started(now, view.ID, stallTimeout)
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -23,11 +24,21 @@
 	}}
 }
 
+func newRates() *ratekeeper.Keeper {
+	return ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1)))
+}
+
 // newBalancer returns a balancer with engines that are given as "id@zone", each
 // with two characters.
-func newBalancer(engines ...string) *Balancer {
+func newBalancer(engines ...string) *Balancer { return newBalancerWithRates(newRates(), engines...) }
+
+func newBalancerWithRates(rates *ratekeeper.Keeper, engines ...string) *Balancer {
+	return newBalancerWithNotices(noticekeeper.New(rates), engines...)
+}
+
+func newBalancerWithNotices(notices *noticekeeper.Keeper, engines ...string) *Balancer {
 	regions := map[currantwood.ZoneID]currantwood.RegionID{"n1": "north", "n2": "north", "s1": "south"}
-	b := New(regions, ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))), rand.New(rand.NewSource(1)))
+	b := New(regions, notices, rand.New(rand.NewSource(1)))
 	b.SetGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: 10_000}}})
 	var views []upstreamkeeper.View
 	for _, e := range engines {
@@ -247,7 +258,7 @@
 	}
 	all := make([]*Balancer, gateways)
 	for i := range all {
-		all[i] = New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))), rand.New(rand.NewSource(seed*100+int64(i))))
+		all[i] = New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, noticekeeper.New(newRates()), rand.New(rand.NewSource(seed*100+int64(i))))
 		all[i].SetGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: 10_000}}})
 		all[i].SetUpstreams(views)
 		all[i].SetGatewayCount(gateways)
--- a/balancer/ratelimit_test.go
+++ b/balancer/ratelimit_test.go
@@ -8,19 +8,23 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
 var _ = Describe("Balancer with upstreams that limit their rate", func() {
 	limit := currantwood.RateLimit{Known: true, Limited: true, PerSecond: 4}
 
+	var rates *ratekeeper.Keeper
+	BeforeEach(func() { rates = newRates() })
+
 	// send picks upstreams for requests that come each interval and end at once, and
 	// returns how many each got.
 	send := func(b *Balancer, interval, duration time.Duration) (sent map[currantwood.UpstreamID]int, refused []*RefusalError) {
 		sent = map[currantwood.UpstreamID]int{}
 		for after := time.Duration(0); after < duration; after += interval {
 			now := start.Add(after)
-			b.rates.SetFleet(now, nil, 1)
+			rates.SetFleet(now, nil, 1)
 			choice, err := b.Pick(now, Query{Group: "g", Load: Load{Requests: 1}, Zone: "n1"})
 			var refusal *RefusalError
 			if errors.As(err, &refusal) {
@@ -35,8 +39,8 @@
 	}
 
 	It("sends what is over to the one without a limit", func() {
-		b := newBalancer("e1@n1", "e2@n1")
-		b.rates.Observe(start, "e1", 1, limit)
+		b := newBalancerWithRates(rates, "e1@n1", "e2@n1")
+		rates.Observe(start, "e1", 1, limit)
 		sent, refused := send(b, 20*time.Millisecond, 10*time.Second)
 		Expect(refused).To(BeEmpty())
 		Expect(sent["e1"]).To(BeNumerically("~", 40, 4))
@@ -44,9 +48,9 @@
 	})
 
 	It("refuses what is over if all have one, and says when the next is accepted", func() {
-		b := newBalancer("e1@n1", "e2@n1")
-		b.rates.Observe(start, "e1", 1, limit)
-		b.rates.Observe(start, "e2", 1, limit)
+		b := newBalancerWithRates(rates, "e1@n1", "e2@n1")
+		rates.Observe(start, "e1", 1, limit)
+		rates.Observe(start, "e2", 1, limit)
 		sent, refused := send(b, 20*time.Millisecond, 10*time.Second)
 		Expect(sent["e1"] + sent["e2"]).To(BeNumerically("~", 80, 6))
 		Expect(refused).NotTo(BeEmpty())
@@ -57,8 +61,8 @@
 	})
 
 	It("sends to an upstream without its limit once it has started again", func() {
-		b := newBalancer("e1@n1")
-		b.rates.Observe(start, "e1", 1, limit)
+		b := newBalancerWithRates(rates, "e1@n1")
+		rates.Observe(start, "e1", 1, limit)
 		restarted := view("e1", "n1")
 		restarted.Incarnation = 2
 		b.SetUpstreams([]upstreamkeeper.View{restarted})
--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -4,16 +4,20 @@
 	"time"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/noticekeeper"
 )
 
 // RefusalError says that no upstream may be chosen.
 type RefusalError struct {
 	// RetryAfter estimates the time until an upstream's queue of prompts is short
 	// enough for Query.MaxPrefillWait, or until this gateway may send an upstream with a
-	// rate limit another request; 0 if no upstream was ruled out for either.
+	// rate limit or one that pauses another request; 0 if no upstream was ruled out for
+	// any of these.
 	RetryAfter time.Duration
 	// RateLimited is the upstream whose rate limit RetryAfter is from; empty if none is.
 	RateLimited currantwood.UpstreamID
+	// Paused is whether RetryAfter is the end of an upstream's pause.
+	Paused bool
 }
 
 // Error implements error.
@@ -21,6 +25,8 @@
 	switch {
 	case e.RateLimited != "":
 		return "no upstream accepts more requests a second"
+	case e.Paused:
+		return "all upstreams pause"
 	case e.RetryAfter > 0:
 		return "no upstream reads the prompt in time"
 	}
@@ -33,13 +39,19 @@
 	if e.RetryAfter > 0 && excess >= e.RetryAfter {
 		return false
 	}
-	e.RetryAfter, e.RateLimited = excess, ""
+	e.RetryAfter, e.RateLimited, e.Paused = excess, "", false
 	return true
 }
 
-// lowerRetryAfterRate is lowerRetryAfter for an upstream with a rate limit.
-func (e *RefusalError) lowerRetryAfterRate(id currantwood.UpstreamID, wait time.Duration) {
-	if e.lowerRetryAfter(max(wait, time.Nanosecond)) {
-		e.RateLimited = id
+// lowerRetryAfterNotice is lowerRetryAfter for an upstream that accepts no request now by
+// what it has said. One that is leaving accepts none again.
+func (e *RefusalError) lowerRetryAfterNotice(id currantwood.UpstreamID, verdict noticekeeper.Verdict) {
+	if verdict.Reason == noticekeeper.Leaving || !e.lowerRetryAfter(verdict.Wait) {
+		return
 	}
+	if verdict.Reason == noticekeeper.Paused {
+		e.Paused = true
+		return
+	}
+	e.RateLimited = id
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -136,11 +136,7 @@
 		return nil, errors.Wrap(err, "read response body")
 	}
 	x.Finish()
-	outcome := balancer.Served
-	if x.Status >= http.StatusInternalServerError {
-		outcome = balancer.Failed
-	}
-	q.recordEnd(choice.View, load, outcome)
+	q.recordEnd(choice.View, load, outcomeOf(x))
 	return &response{sentAt: sentAt, framed: x.Framed, status: x.Status, header: x.Header, body: body}, nil
 }
 
@@ -156,10 +152,14 @@
 		return nil, err
 	}
 	q.reachedUpstream = true
-	q.noteRateLimit(choice.View, x)
+	q.noteResponse(choice.View, x)
 	if x.Answer.DeclaredNotRun {
 		x.Finish()
-		q.recordEnd(choice.View, load, balancer.Neutral)
+		outcome := balancer.Neutral
+		if x.Answer.OtherInstance {
+			outcome = balancer.Failed
+		}
+		q.recordEnd(choice.View, load, outcome)
 		return nil, errors.Errorf("rejected with status %d", x.Status)
 	}
 	return x, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/streamkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
@@ -57,9 +58,11 @@
 	crashes   *crashkeeper.Keeper
 	abandoned *abandonkeeper.Keeper
 	budget    *budgeter.Budgeter
-	// rates holds the rates of requests that upstreams accept; guarded by mu. The
-	// balancer uses it, too.
+	// rates holds the rates of requests that upstreams accept; guarded by mu.
 	rates *ratekeeper.Keeper
+	// notices holds what upstreams say of themselves in responses, and asks rates;
+	// guarded by mu.
+	notices *noticekeeper.Keeper
 	// streamStarts holds where streams began; guarded by mu.
 	streamStarts *streamkeeper.Keeper
 	// askStart asks other gateways where a stream began; see SetAskStart.
@@ -96,6 +99,7 @@
 	retries, generationsMoved, generationsLost metrics.Counter
 	crashesRecorded, crashesLearned            metrics.Counter
 	requestsBlocked, rateLimitChanges          metrics.Counter
+	leavingNotices, pauses, refusedPaused      metrics.Counter
 	rateLimited, startsLearned, startsUnknown  metrics.Counter
 	responseTime, firstEventTime               metrics.Histogram
 }
@@ -105,6 +109,7 @@
 	// The seeds are some of the other gateways.
 	seeds, _ := options.Settings.OtherSeeds()
 	rates := ratekeeper.New(ratekeeper.Options{MinGateways: 1 + len(seeds)}, options.Random)
+	notices := noticekeeper.New(rates)
 	g := &Gateway{
 		saveCrashes:  func(context.Context) {},
 		streamStarts: streamkeeper.New(),
@@ -113,11 +118,12 @@
 		},
 		Options:       options,
 		upstreams:     upstreamkeeper.New(options.Decode),
-		balancer:      balancer.New(options.Settings.Regions, rates, options.Random),
+		balancer:      balancer.New(options.Settings.Regions, notices, options.Random),
 		streams:       make(map[currantwood.UpstreamID]map[*stream]struct{}),
 		crashes:       crashkeeper.New(),
 		abandoned:     abandonkeeper.New(),
 		rates:         rates,
+		notices:       notices,
 		responses:     newResponseBuffer(options.Settings.MemoryBytes),
 		eventInterval: initialEventInterval,
 		budget: budgeter.New(budgeter.Options{
@@ -142,6 +148,9 @@
 		rateLimitChanges:  metrics.NewRegisteredCounter("rate-limit-changes", r),
 		startsLearned:     metrics.NewRegisteredCounter("stream-starts-learned", r),
 		startsUnknown:     metrics.NewRegisteredCounter("stream-starts-unknown", r),
+		leavingNotices:    metrics.NewRegisteredCounter("upstream-leaving-notices", r),
+		pauses:            metrics.NewRegisteredCounter("upstream-pauses", r),
+		refusedPaused:     metrics.NewRegisteredCounter("requests-refused-paused", r),
 		rateLimited:       metrics.NewRegisteredCounter("requests-rate-limited", r),
 		responseTime:      metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
 		firstEventTime:    metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -184,6 +184,9 @@
 		zap.String("to", string(choice.View.ID)), zap.String("to-version", string(choice.View.Version)),
 	}
 	copied, err := s.g.Mover.Copy(s.client.ID, from.view.Address, choice.View.Address, copyTimeout)
+	if copied.SourceLeaving {
+		s.g.noteLeaving(from.view)
+	}
 	if err != nil {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
 		s.log("copy failed", append(fields, zap.Error(err), zap.Duration("took", s.g.Now().Sub(began)))...)
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -6,28 +6,9 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
-	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
-	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
-// noteRateLimit notes what a response says of the rate of requests that its upstream
-// accepts, and logs a change.
-func (q *request) noteRateLimit(view upstreamkeeper.View, x *connkeeper.Exchange) {
-	limit, now := x.Answer.RateLimit, q.g.Now()
-	q.g.mu.Lock()
-	changed := q.g.rates.Observe(now, view.ID, view.Incarnation, limit)
-	share := q.g.rates.Share(now, view.ID)
-	q.g.mu.Unlock()
-	if !changed {
-		return
-	}
-	q.g.instruments.rateLimitChanges.Inc(1)
-	q.log("upstream changed its rate limit",
-		zap.String("upstream", string(view.ID)), zap.Int64("incarnation", view.Incarnation), zap.Bool("limited", limit.Limited),
-		zap.Float64("limit-per-second", limit.PerSecond), zap.Float64("share-per-second", share), zap.Int("status", x.Status))
-}
-
 // OwnRates returns what this gateway has heard itself of the rates that upstreams
 // accept, and its demand.
 func (g *Gateway) OwnRates(now time.Time) ratekeeper.Rates {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -63,7 +63,8 @@
 	// minRetryAfter is the shortest Retry-After that is derived from an
 	// upstream's queue.
 	minRetryAfter = 100 * time.Millisecond
-	// maxRetryAfter is the longest.
+	// maxRetryAfter is the longest, but for the end of an upstream's pause: until then it
+	// accepts nothing.
 	maxRetryAfter = 6 * time.Second
 	// upstreamRetryAfter is the Retry-After if no upstream accepts work.
 	upstreamRetryAfter = 400 * time.Millisecond
@@ -213,7 +214,12 @@
 	retryAfter := upstreamRetryAfter
 	var refused *balancer.RefusalError
 	if errors.As(err, &refused) && refused.RetryAfter > 0 {
-		retryAfter = min(maxRetryAfter, max(minRetryAfter, refused.RetryAfter))
+		retryAfter = max(minRetryAfter, refused.RetryAfter)
+	}
+	if refused != nil && refused.Paused {
+		q.g.instruments.refusedPaused.Inc(1)
+	} else {
+		retryAfter = min(maxRetryAfter, retryAfter)
 	}
 	if refused != nil && refused.RateLimited != "" {
 		q.g.promise(refused.RateLimited)
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -42,18 +42,19 @@
 }
 
 // UpstreamsToPoll returns the engines that run movable streams and are not known
-// to be leaving.
+// to be leaving. Those that want no requests for now aren't asked.
 func (g *Gateway) UpstreamsToPoll() []upstreamkeeper.View {
 	snapshot := g.Configuration.Current()
 	if snapshot == nil {
 		return nil
 	}
+	now := g.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var views []upstreamkeeper.View
 	for id, streams := range g.streams {
 		view, ok := g.upstreams.Get(id)
-		if !ok || len(streams) == 0 || !view.LeavingSince.IsZero() {
+		if !ok || len(streams) == 0 || !view.LeavingSince.IsZero() || g.notices.IsPaused(now, id, view.Incarnation) {
 			continue
 		}
 		// Only engines that can move runs report their state.
@@ -89,6 +90,7 @@
 	for _, s := range affected {
 		s.cancelStalled()
 	}
+	g.logEndedPauses(now)
 	g.boundIdleConnections()
 	g.Connections.CloseExpired(now)
 }
@@ -97,6 +99,7 @@
 // streams away from upstreams that leave or are gone. The caller holds mu,
 // which it releases.
 func (g *Gateway) handleEventsAndUnlock(now time.Time, events []upstreamkeeper.Event) {
+	events = append(events, g.markLeavingAgain(now, events)...)
 	if len(events) > 0 {
 		g.balancer.SetUpstreams(g.upstreams.Available())
 		g.rates.Forget(func(id currantwood.UpstreamID) bool { _, known := g.upstreams.Get(id); return known })
@@ -117,7 +120,7 @@
 	g.mu.Unlock()
 	for _, e := range events {
 		g.Logger.Info("upstream changed", zap.String("upstream", string(e.Record.ID)), zap.String("group", string(e.Record.Group)), zap.Stringer("change", e.Change), zap.String("address", e.Record.Address), zap.String("version", string(e.Record.Version)))
-		if e.Change == upstreamkeeper.Restarted {
+		if e.Change == upstreamkeeper.Restarted || e.Change == upstreamkeeper.Leaving {
 			g.Connections.CloseIdle(e.Record.Address)
 		}
 	}
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -99,7 +99,11 @@
 		return
 	}
 	up.exchange.Finish()
-	s.recordEnd(up.view, up.load, balancer.Failed)
+	outcome := balancer.Failed
+	if up.exchange.Answer.Pause > 0 {
+		outcome = balancer.Neutral
+	}
+	s.recordEnd(up.view, up.load, outcome)
 	s.writeResponse(&response{sentAt: up.startedAt, framed: up.exchange.Framed, status: up.exchange.Status, header: up.exchange.Header, body: body}, choice)
 }
 
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -53,6 +53,8 @@
 	// maxFormerProcesses bounds the former processes of a VM whose retries count. The
 	// platform starts a process again no sooner than some seconds after it ended.
 	maxFormerProcesses = 8
+	// newProcessTime is how long after its first state a process counts as just started.
+	newProcessTime = 2 * time.Second
 	// recordRetention is how long records of the directory are kept for peers.
 	recordRetention = 3 * time.Second
 	// maxDigestRecords bounds the records in one digest. A record takes about
@@ -106,6 +108,8 @@
 // peerEntry is a known gateway and the state received last from it.
 type peerEntry struct {
 	Peer
+	// processSince is when the first state of its process arrived.
+	processSince time.Time
 	// lastSeen is when its last message or the last referral to it arrived.
 	lastSeen time.Time
 	// crashesSentAt is when crashes that it may lack were sent to it last, and
@@ -191,9 +195,18 @@
 		entry.former = append(entry.former, formerUsage{entry.state.RetryUsage, lastSeen})
 		entry.former = entry.former[max(0, len(entry.former)-maxFormerProcesses):]
 	}
+	if entry.state.Process != s.Process || entry.processSince.IsZero() {
+		entry.processSince = now
+	}
 	entry.state = s
 }
 
+// HasJustStarted reports whether a gateway's process was heard from first a moment ago.
+func (k *Keeper) HasJustStarted(now time.Time, id currantwood.VMID) bool {
+	entry := k.peers[id]
+	return entry != nil && now.Sub(entry.processSince) <= newProcessTime
+}
+
 // StateRecipients returns the gateways to send this gateway's state to: the
 // other gateway that is the collector or, if none is known, also because this
 // one is the collector, gateways that may answer with a referral to another. In
--- a/peerkeeper/simulation_test.go
+++ b/peerkeeper/simulation_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -79,7 +80,7 @@
 	regions := map[currantwood.ZoneID]currantwood.RegionID{"z": "r"}
 	group := currantwood.Group{ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: engineMemoryTokens}}
 	for range simGateways {
-		b := balancer.New(regions, ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))), rand.New(rand.NewSource(s.random.Int63())))
+		b := balancer.New(regions, noticekeeper.New(ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1)))), rand.New(rand.NewSource(s.random.Int63())))
 		b.SetGroups(map[currantwood.GroupID]currantwood.Group{"g": group})
 		b.SetGatewayCount(simGateways)
 		s.gateways = append(s.gateways, b)
--- a/peermessenger/codec.go
+++ b/peermessenger/codec.go
@@ -9,6 +9,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/peerwire"
 	"github.com/currantwood/currantwood/ratekeeper"
 )
@@ -136,3 +137,33 @@
 	}
 	return out
 }
+
+// maxNotices bounds the notices in one datagram. One takes about 30 bytes.
+const maxNotices = 256
+
+// encodeNotices encodes notices, the first ones by the id of their upstream.
+func encodeNotices(now time.Time, notices noticekeeper.Notices) []*peerwire.Notice {
+	out := make([]*peerwire.Notice, 0, len(notices))
+	for id, n := range notices {
+		left := max(0, n.PausedUntil.Sub(now))
+		out = append(out, &peerwire.Notice{Upstream: string(id), Incarnation: n.Incarnation, Leaving: n.Leaving, PauseMs: left.Milliseconds()})
+	}
+	slices.SortFunc(out, func(a, b *peerwire.Notice) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
+	return out[:min(len(out), maxNotices)]
+}
+
+func decodeNotices(now time.Time, notices []*peerwire.Notice) noticekeeper.Notices {
+	out := make(noticekeeper.Notices, len(notices))
+	for _, n := range notices {
+		notice := noticekeeper.Notice{Incarnation: n.GetIncarnation(), Leaving: n.GetLeaving()}
+		if n.GetPauseMs() > 0 {
+			notice.PausedUntil = now.Add(min(time.Duration(n.GetPauseMs()), maxPauseMs) * time.Millisecond)
+		}
+		out[currantwood.UpstreamID(n.GetUpstream())] = notice
+	}
+	return out
+}
+
+// maxPauseMs is the longest pause, in milliseconds, that is decoded, so that it fits a
+// Duration.
+const maxPauseMs = 24 * 60 * 60 * 1000
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -28,11 +28,16 @@
 	m.mu.Unlock()
 	recent, completed := m.Gateway.RecentCrashes(now)
 	crashes, completions, sum := encodeCrashes(recent), encodeCompletions(completed), m.Gateway.CrashSum(now)
+	notices, allNotices := encodeNotices(now, m.Gateway.KnownNotices(now, false)), encodeNotices(now, m.Gateway.KnownNotices(now, true))
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
 		m.mu.Lock()
 		missing := m.missingCrashes(now, recipients[i].VM, sum)
 		m.addStartsToDigest(now, recipients[i].VM, digest)
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
+		digest.Notices = notices
+		if m.peers.HasJustStarted(now, recipients[i].VM) {
+			digest.Notices = allNotices
+		}
 		m.mu.Unlock()
 		digest.Crashes, digest.Completions, digest.CrashSum = append(encodeCrashes(missing), crashes...), completions, sum
 		m.send(recipients[i].Address, &peerwire.Datagram{Body: &peerwire.Datagram_Digest{Digest: digest}})
@@ -116,6 +121,7 @@
 	if d.GetSumsRateLimits() {
 		m.Gateway.SetFleetRates(now, decodeRates(now, d.GetRateLimits()), int(d.GetGateways()))
 	}
+	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, d.GetNotices()))
 	m.applyConfigurationAge(now, d)
 	if currantwood.StoreEra(d.GetStoreEra()) > m.directoryTopic.Era() {
 		m.directoryTopic.Kick()
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -1,9 +1,9 @@
 // Package peermessenger exchanges UDP datagrams with the other gateways. Each
 // gateway sends its state to the collector: its loads, its retry usage (what it
 // sent to each group within the retry window), recent crashes, the completions
-// for which crashes don't count, the rate limits that it has heard itself, and the starts
-// of streams that the collector lacks. The collector's digest returns the summed loads,
-// retry usage and demand of all others, the newest rate limits, the recent crashes and
+// for which crashes don't count, the rate limits and notices that it has heard itself, and
+// the starts of streams that the collector lacks. The collector's digest returns the summed loads,
+// retry usage and demand of all others, the newest rate limits and notices, the recent crashes and
 // completions that the collector knows, the crashes and the starts of streams that the
 // gateway lacks, the number of gateways, the directory records that it read and the
 // version and age of its configuration. A gateway that
@@ -26,6 +26,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
 	"github.com/currantwood/currantwood/ratekeeper"
@@ -68,6 +69,12 @@
 	// SetFleetRates replaces what all gateways have heard, and the demand of all others.
 	// gateways counts all that are heard from, this one included.
 	SetFleetRates(now time.Time, rates ratekeeper.Rates, gateways int)
+	// HeardNotices returns the new notices that upstreams gave to this gateway, and
+	// KnownNotices those that it knows; all if all is true.
+	HeardNotices(now time.Time) noticekeeper.Notices
+	KnownNotices(now time.Time, all bool) noticekeeper.Notices
+	// LearnNotices notes the notices that another gateway sent.
+	LearnNotices(now time.Time, from currantwood.VMID, notices noticekeeper.Notices)
 	// OwnStarts returns up to limit starts of streams at this gateway from a position on,
 	// and the position of the first; AllStarts the same for all that are known.
 	OwnStarts(from uint64, limit int) ([]streamkeeper.Start, uint64)
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -12,6 +12,7 @@
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
 	"github.com/currantwood/currantwood/ratekeeper"
@@ -31,9 +32,12 @@
 func (idleGateway) StartOf(currantwood.Fingerprint) (streamkeeper.Origin, bool) {
 	return streamkeeper.Origin{}, false
 }
-func (idleGateway) OwnRates(time.Time) ratekeeper.Rates            { return nil }
-func (idleGateway) SetFleetRates(time.Time, ratekeeper.Rates, int) {}
-func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)       {}
+func (idleGateway) HeardNotices(time.Time) noticekeeper.Notices                    { return nil }
+func (idleGateway) KnownNotices(time.Time, bool) noticekeeper.Notices              { return nil }
+func (idleGateway) LearnNotices(time.Time, currantwood.VMID, noticekeeper.Notices) {}
+func (idleGateway) OwnRates(time.Time) ratekeeper.Rates                            { return nil }
+func (idleGateway) SetFleetRates(time.Time, ratekeeper.Rates, int)                 {}
+func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)                       {}
 func (idleGateway) RecentCrashes(time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
 	return nil, nil
 }
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -49,6 +49,7 @@
 		CrashSum:    sum,
 		StoreEra:    uint64(m.directoryTopic.Era()),
 		RateLimits:  encodeRates(now, m.Gateway.OwnRates(now)),
+		Notices:     encodeNotices(now, m.Gateway.HeardNotices(now)),
 	}
 	m.mu.Lock()
 	m.addStartsToState(now, collector.VM, state)
@@ -88,6 +89,7 @@
 	collector, known := m.peers.OtherCollector(now)
 	m.mu.Unlock()
 	m.receiveStateStarts(now, from.VM, process, s)
+	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, s.GetNotices()))
 	if known && collector.VM != from.VM {
 		m.send(from.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Referral{
 			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Capacity, Established: collector.Established},
--- a/routing.go
+++ b/routing.go
@@ -211,6 +211,12 @@
 	// RateLimit is what the response says of the rate of requests that the upstream
 	// accepts.
 	RateLimit RateLimit
+	// Leaving is whether the upstream says that it is about to shut down.
+	Leaving bool
+	// Pause is how long the upstream wants no further requests; 0 if it doesn't say so.
+	Pause time.Duration
+	// OtherInstance is whether another instance than the named one answered.
+	OtherInstance bool
 }
 
 // RateLimit is what one response says of the rate of requests that its upstream
@@ -244,6 +250,8 @@
 	Source string
 	// Handle identifies the copy; it is valid only at Source.
 	Handle string
+	// SourceLeaving is whether the source said that it is about to shut down.
+	SourceLeaving bool
 }
 
 // ErrNoRoom means that an engine refused a copy or could not place it, which may be
@@ -269,7 +277,8 @@
 type RunMover interface {
 	// Copy copies the run of a request from one engine to another while the run
 	// continues at the source, and returns when the copy is complete. It fails with
-	// ErrNoRoom if another target, or a later attempt, may succeed.
+	// ErrNoRoom if another target, or a later attempt, may succeed. SourceLeaving of the
+	// copy is valid also if it fails.
 	Copy(request RequestID, from, to string, timeout time.Duration) (RunCopy, error)
 	// Drop frees an unused copy.
 	Drop(copied RunCopy, timeout time.Duration) error
--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -286,6 +286,17 @@
 	return views
 }
 
+// At returns the upstreams with an address that aren't known to be gone.
+func (k *Keeper) At(address string) []View {
+	var views []View
+	for _, e := range k.entries {
+		if e.view.Address == address && e.removedAt.IsZero() {
+			views = append(views, e.view)
+		}
+	}
+	return views
+}
+
 // Get returns an upstream by its ID, also one that is leaving, undecodable or
 // was removed within removedRetention.
 func (k *Keeper) Get(id currantwood.UpstreamID) (View, bool) {
