Read a failing store at a rate that hardly grows with the gateways

Besides, the deadline of a read of the newest records held for all its pages together, so that many gateways which start at once before a large directory read it again and again in vain. Topics that nothing urgent depends on wait while the others fail; only the collector saves crashes and starts.

--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -18,7 +18,7 @@
 			p.applyConfiguration(record)
 		}
 	}
-	return storewatcher.Feed{
+	return p.pace(storewatcher.Feed{
 		Name:    "configuration",
 		Topic:   p.options.ConfigurationTopic,
 		Wait:    configurationReadWait,
@@ -37,12 +37,22 @@
 			age := p.config.Age(now)
 			return now.Add(-age), p.peers.HasOtherCollector(now) && age < time.Duration(collectorAgeShare*float64(p.options.Settings.Bounds.RevocationTime))
 		},
+		Held: func() bool { return false },
+	})
+}
+
+// pace sets when a feed is read while reads fail or the collector is gone.
+func (p *Process) pace(feed storewatcher.Feed) storewatcher.Feed {
+	feed.RetryPause = func(failures int) (least, pause time.Duration) {
+		return p.readPacer.RetryPause(failures, p.peers.Fleet(p.now()))
 	}
+	feed.TakeOverPause = func() time.Duration { return p.readPacer.TakeOverPause(p.peers.Fleet(p.now())) }
+	return feed
 }
 
 // directoryFeed returns the feed of the directory of upstreams.
 func (p *Process) directoryFeed() storewatcher.Feed {
-	return storewatcher.Feed{
+	return p.pace(storewatcher.Feed{
 		Name:          "upstreams",
 		Topic:         p.options.UpstreamTopic,
 		Pause:         directoryReadPause,
@@ -56,7 +66,8 @@
 		PeerCoverage: func(now time.Time) (time.Time, bool) {
 			return time.Time{}, p.peers.CollectorReadsDirectory(now)
 		},
-	}
+		Held: func() bool { return false },
+	})
 }
 
 // crashFeed returns the feed of the crashes of requests.
@@ -74,14 +85,16 @@
 func (p *Process) startFeed() storewatcher.Feed {
 	feed := p.savedFeed(p.applyStarts, p.gateway.ForgetSavedStarts)
 	feed.Name, feed.Topic, feed.Pause = "starts of streams", p.options.StartTopic, startReadPause
+	// Clients can be served without them, so they are read after the directory.
+	feed.Held = func() bool { return p.storeAway() || !p.gateway.DirectoryLoaded() }
 	return feed
 }
 
 // savedFeed returns a feed of what gateways save themselves, without name and topic. All
 // of them read it when they start, and after that the collector alone: the others learn
-// from it. forgetSaved is called when the store has come back from an older copy.
+// from it. Nothing urgent depends on it, so it isn't read while the store is away. forgetSaved is called when the store has come back from an older copy.
 func (p *Process) savedFeed(apply func(time.Time, []currantwood.KeyedRecord), forgetSaved func()) storewatcher.Feed {
-	return storewatcher.Feed{
+	return p.pace(storewatcher.Feed{
 		Replace: apply,
 		Apply: func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
 			apply(now, records)
@@ -97,9 +110,13 @@
 		OnOutageEnd:   func(time.Time) {},
 		Stale:         func(time.Time) bool { return false },
 		PeerCoverage:  func(now time.Time) (time.Time, bool) { return now, p.peers.HasOtherCollector(now) },
-	}
+		Held:          func() bool { return p.storeAway() },
+	})
 }
 
+// storeAway reports whether the reads of the configuration or the directory fail here.
+func (p *Process) storeAway() bool { return p.configuration.Failing() || p.directory.Failing() }
+
 // applyStarts decodes records of where streams began. One that can't be decoded is
 // logged and ignored.
 func (p *Process) applyStarts(now time.Time, records []currantwood.KeyedRecord) {
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -22,8 +22,10 @@
 	"github.com/currantwood/currantwood/drainer"
 	"github.com/currantwood/currantwood/gateway"
 	"github.com/currantwood/currantwood/peermessenger"
+	"github.com/currantwood/currantwood/readpacer"
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/statepoller"
+	"github.com/currantwood/currantwood/storecounter"
 	"github.com/currantwood/currantwood/storewatcher"
 	"github.com/currantwood/currantwood/streamencoder"
 	"github.com/currantwood/currantwood/streamsaver"
@@ -75,6 +77,8 @@
 	// startReadPause is the time between two reads of where streams began. The collector
 	// writes these records itself, and reads what another one wrote.
 	startReadPause = 10 * time.Second
+	// callsLogInterval is the time between two lines about the calls to the store.
+	callsLogInterval = 10 * time.Second
 	// exitMargin is how long before the end of the grace period Shutdown stops
 	// waiting for requests.
 	exitMargin = 300 * time.Millisecond
@@ -110,15 +114,21 @@
 
 // Process is a running gateway process.
 type Process struct {
-	options  Options
-	now      func() time.Time
-	config   *configkeeper.Keeper
-	gateway  *gateway.Gateway
-	peers    *peermessenger.Messenger
-	crashes  *crashsaver.Saver
-	starts   *streamsaver.Saver
-	metrics  metrics.Registry
-	eraRises metrics.Counter
+	options Options
+	now     func() time.Time
+	config  *configkeeper.Keeper
+	gateway *gateway.Gateway
+	peers   *peermessenger.Messenger
+	// calls counts the calls to the store.
+	calls *storecounter.Counter
+	// readPacer decides when reads of the store that failed are repeated.
+	readPacer *readpacer.Pacer
+	// configuration and directory follow the topics that a gateway can't serve without.
+	configuration, directory *storewatcher.Watcher
+	crashes                  *crashsaver.Saver
+	starts                   *streamsaver.Saver
+	metrics                  metrics.Registry
+	eraRises                 metrics.Counter
 	// arrivals tells whether requests still arrive during shutdown.
 	arrivals      *drainer.Drainer
 	clientServer  *http.Server
@@ -134,6 +144,8 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(options.Settings.MemoryBytes)))
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Process{options: options, arrivals: drainer.New(), now: boottimer.Clock{}.Now, config: configkeeper.New(), metrics: metrics.NewRegistry(), cancel: cancel}
+	p.calls = storecounter.New(options.Store, options.Writer, p.metrics)
+	p.options.Store, p.options.Writer = p.calls, p.calls
 	p.eraRises = metrics.NewRegisteredCounter("store-era-rises", p.metrics)
 	p.gateway = gateway.New(gateway.Options{
 		Settings:      options.Settings,
@@ -161,6 +173,11 @@
 			p.gateway.Tick(p.now())
 		}
 	}()
+	go func() {
+		for sleeper.Sleep(ctx, callsLogInterval) {
+			p.logCalls()
+		}
+	}()
 	options.Logger.Info("started", zap.String("vm", string(options.Settings.VM)), zap.String("zone", string(options.Settings.Zone)), zap.String("clients", options.Settings.ListenClients))
 	return p, nil
 }
@@ -179,10 +196,11 @@
 		return err
 	}
 	p.peers = peers
-	configuration := storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.configurationFeed())
-	directory := storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.directoryFeed())
+	p.readPacer = readpacer.New(rand.New(rand.NewSource(time.Now().UnixNano())))
+	p.configuration = storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.configurationFeed())
+	p.directory = storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.directoryFeed())
 	storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.crashFeed())
-	peers.Start(ctx, configuration, directory)
+	peers.Start(ctx, p.configuration, p.directory)
 	p.crashes = crashsaver.New(ctx, crashsaver.Options{
 		Store:       p.options.Writer,
 		Topic:       p.options.CrashTopic,
@@ -190,7 +208,7 @@
 		Logger:      p.options.Logger,
 		Now:         p.now,
 		TimeOfDay:   time.Now,
-		Responsible: func(now time.Time) bool { return !peers.HasOtherCollector(now) },
+		Responsible: peers.Collects,
 	})
 	p.gateway.SetCrashSaver(p.crashes.Save)
 	storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.startFeed())
@@ -202,7 +220,7 @@
 		Logger:      p.options.Logger,
 		Now:         p.now,
 		TimeOfDay:   time.Now,
-		Responsible: func(now time.Time) bool { return !peers.HasOtherCollector(now) },
+		Responsible: peers.Collects,
 	})
 	p.gateway.SetAskStart(peers.AskStart)
 	statepoller.New(ctx, statepoller.Options{
@@ -211,7 +229,7 @@
 		Logger:       p.options.Logger,
 		Metrics:      p.metrics,
 		Now:          p.now,
-		DirectoryAge: directory.Age,
+		DirectoryAge: p.directory.Age,
 	})
 	return nil
 }
@@ -231,6 +249,7 @@
 	err := p.clientServer.Shutdown(ctx)
 	p.crashes.SaveAll(context.WithoutCancel(ctx))
 	p.starts.Save(context.WithoutCancel(ctx))
+	p.logCalls()
 	p.options.Logger.Info("stopped", zap.Int64("cut-off", p.gateway.InFlight()))
 	_ = p.readyServer.Close()
 	_ = p.metricsServer.Close()
@@ -238,6 +257,14 @@
 	return errors.Wrap(err, "requests still running at the end of shutdown")
 }
 
+// logCalls logs the calls to the store since the last such line.
+func (p *Process) logCalls() {
+	if fields := p.calls.LogFields(); len(fields) > 0 {
+		collects := zap.Bool("collects", p.peers.Collects(p.now()))
+		p.options.Logger.Info("calls to the store", append(fields, collects)...)
+	}
+}
+
 // Close stops the gateway at once and cuts off the requests in flight.
 func (p *Process) Close() {
 	p.cancel()
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -146,7 +146,7 @@
 	// digest.
 	digestUsage budgeter.GroupUsage
 	// digestGateways is the number of gateways that the last accepted digest
-	// reported.
+	// reported, or that this gateway counted as the collector.
 	digestGateways int
 	// sentLoads are the loads in the state that was sent last, at stateSentAt.
 	sentLoads   balancer.Loads
@@ -276,7 +276,8 @@
 	return min(maxSendInterval, minSendInterval+time.Duration(excess)*intervalPerGateway)
 }
 
-// SetDigestGateways sets the number of gateways that an accepted digest reported.
+// SetDigestGateways sets the number of gateways that an accepted digest reported, or that
+// this gateway counts as the collector.
 func (k *Keeper) SetDigestGateways(count int) { k.digestGateways = count }
 
 // CountGateways returns the number of gateways heard from within peerTimeout,
@@ -291,6 +292,10 @@
 	return count
 }
 
+// FleetSize returns the number of gateways, this one included, as it was known last. It
+// stays while no collector counts them.
+func (k *Keeper) FleetSize(now time.Time) int { return max(k.digestGateways, k.CountGateways(now)) }
+
 // LastState returns the state received last from a gateway; zero if none was.
 func (k *Keeper) LastState(id currantwood.VMID) State {
 	if entry := k.peers[id]; entry != nil {
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -45,6 +45,7 @@
 	m.mu.Lock()
 	loads := m.peers.TotalLoads(now, nil)
 	rates = rates.Without(ownRates)
+	m.peers.SetDigestGateways(m.peers.CountGateways(now))
 	peers := budgeter.Peers{
 		Usage:       m.peers.TotalUsage(now, m.retryWindow(), "", nil),
 		Gateways:    m.peers.CountGateways(now),
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -30,6 +30,7 @@
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
 	"github.com/currantwood/currantwood/ratekeeper"
+	"github.com/currantwood/currantwood/readpacer"
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/streamkeeper"
 )
@@ -43,6 +44,9 @@
 	// the collector to read the directory. The digest must cover an offset range
 	// that leaves no gap; the range may be empty.
 	coverageTimeout = 700 * time.Millisecond
+	// collectorSettleTime is how long a gateway is the collector before it counts as the
+	// last one. Until then it may not have heard of a better one.
+	collectorSettleTime = time.Second
 	// maxMissingCrashes bounds the crashes in one datagram that the receiver may
 	// lack. A crash takes about 45 bytes.
 	maxMissingCrashes = 32
@@ -154,8 +158,14 @@
 	// directoryCoveredAt is when an accepted digest last covered the directory
 	// without a gap; zero if none did.
 	directoryCoveredAt time.Time
-	// wasCollector is the role that was logged last.
+	// wasCollector is the role that was logged last, and roleSince when it began.
 	wasCollector bool
+	roleSince    time.Time
+	// wasCovered is whether another gateway was the collector when it was noted last.
+	wasCovered bool
+	// collectedLast is whether, of this gateway and the others, this one was the last to
+	// be the collector for collectorSettleTime.
+	collectedLast bool
 	// questions holds, for each stream that other gateways were asked about, where those
 	// who wait take the answers.
 	questions map[currantwood.Fingerprint][]chan streamkeeper.Origin
@@ -273,8 +283,9 @@
 func (m *Messenger) noteCollector(now time.Time, storeReachable bool) {
 	isCollector := m.peers.IsCollector(now, storeReachable)
 	m.Gateway.SetCollects(isCollector)
+	m.noteOtherCollector(now)
 	if isCollector != m.wasCollector {
-		m.wasCollector = isCollector
+		m.wasCollector, m.roleSince = isCollector, now
 		if isCollector {
 			m.peers.BecomeCollector(now)
 		}
@@ -282,6 +293,38 @@
 	}
 }
 
+// noteOtherCollector notes whether another gateway is the collector. If one is for the
+// first time after none was, this gateway may have missed what it read meanwhile and
+// reads once itself, without the pause after failed reads. Called with mu held.
+func (m *Messenger) noteOtherCollector(now time.Time) {
+	_, covered := m.peers.OtherCollector(now)
+	if covered && !m.wasCovered && !m.storeReachable() {
+		m.directoryTopic.Kick()
+	}
+	m.wasCovered = covered
+	if covered {
+		m.collectedLast = false
+	} else if m.wasCollector && now.Sub(m.roleSince) >= collectorSettleTime {
+		m.collectedLast = true
+	}
+}
+
+// Collects reports whether this gateway is the collector. It is false while this gateway
+// doesn't reach the store.
+func (m *Messenger) Collects(now time.Time) bool {
+	storeReachable := m.storeReachable()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peers.IsCollector(now, storeReachable)
+}
+
+// Fleet returns what is known of all gateways.
+func (m *Messenger) Fleet(now time.Time) readpacer.Fleet {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return readpacer.Fleet{Gateways: m.peers.FleetSize(now), Collected: m.collectedLast}
+}
+
 // storeReachable reports whether this gateway's latest own reads of both topics
 // succeeded, however long ago.
 func (m *Messenger) storeReachable() bool {
--- a/storewatcher/read.go
+++ b/storewatcher/read.go
@@ -10,6 +10,10 @@
 	"github.com/currantwood/currantwood"
 )
 
+// failuresBeforePatience is the number of failed reads after which
+// firstReadTimeoutMargin applies.
+const failuresBeforePatience = 2
+
 // readOnce reads the topic once and applies the result. It reads the newest
 // record of each key if the position isn't known or the store no longer keeps the
 // records from there on.
@@ -24,7 +28,10 @@
 		wait = 0
 	}
 	timeout := wait + readTimeoutMargin
-	if w.consecutiveFailures > 0 {
+	switch {
+	case w.consecutiveFailures >= failuresBeforePatience && !known:
+		timeout = wait + firstReadTimeoutMargin
+	case w.consecutiveFailures > 0:
 		timeout = wait + slowReadTimeoutMargin
 	}
 	w.mu.Unlock()
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -21,10 +21,10 @@
 	// slowReadTimeoutMargin replaces readTimeoutMargin after a failed read, so
 	// that a slow store is still read.
 	slowReadTimeoutMargin = 1200 * time.Millisecond
-	// backoffBase is doubled for each failed read in a row, up to maxBackoff:
-	// the delays after failed reads are 100, 200 and then 400 ms.
-	backoffBase = 50 * time.Millisecond
-	maxBackoff  = 400 * time.Millisecond
+	// firstReadTimeoutMargin replaces both after several failed reads while nothing is
+	// known yet. All gateways may be reading everything, and a read that is given up is
+	// work in vain for the store.
+	firstReadTimeoutMargin = 2500 * time.Millisecond
 	// unreachableThreshold is the time since the last successful read after
 	// which a single failed read is enough to declare the store unreachable.
 	// Before that, it takes two in a row.
@@ -73,6 +73,15 @@
 	// when it last did. readAt is zero if the time of the peer's read is only
 	// passed to ApplyPeerRecords.
 	PeerCoverage func(now time.Time) (readAt time.Time, covered bool)
+	// RetryPause returns the pause after a number of failed reads in a row. A requested
+	// read may shorten it to least.
+	RetryPause func(failures int) (least, pause time.Duration)
+	// TakeOverPause returns how long to wait, once no peer reads the topic any more,
+	// before this process does.
+	TakeOverPause func() time.Duration
+	// Held reports whether reads must wait, as those of other topics show that the store
+	// is away.
+	Held func() bool
 }
 
 // Watcher follows one feed.
@@ -105,6 +114,9 @@
 	// consecutiveFailures is the number of failed reads since the last successful
 	// one.
 	consecutiveFailures int
+	// takeOverAt is when this process reads the topic although a peer did so at the last
+	// check; zero if none did. Only the goroutine that reads uses it.
+	takeOverAt time.Time
 }
 
 // New returns a Watcher that follows feed in the background until ctx is done.
@@ -213,6 +225,13 @@
 	return w.positionKnown && !w.declaredUnreachable && w.consecutiveFailures == 0
 }
 
+// Failing reports whether this process's latest own read failed.
+func (w *Watcher) Failing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.consecutiveFailures > 0
+}
+
 // runOnce reads the topic once, or waits if a peer reads it.
 func (w *Watcher) runOnce(ctx context.Context) {
 	kicked := false
@@ -221,13 +240,16 @@
 		kicked = true
 	default:
 	}
-	if !kicked && w.isPositionKnown() && w.covered() {
+	if !kicked && (w.isPositionKnown() && w.awaitsPeer() || w.feed.Held()) {
 		w.waitForKick(ctx, coverageCheckInterval)
 		return
 	}
 	if err := w.readOnce(ctx); err != nil {
 		w.recordFailure(err)
-		sleeper.Sleep(ctx, min(maxBackoff, backoffBase<<min(w.consecutiveFailures, 8)))
+		least, pause := w.feed.RetryPause(w.consecutiveFailures)
+		if sleeper.Sleep(ctx, least) {
+			w.waitForKick(ctx, pause-least)
+		}
 		return
 	}
 	if w.feed.Pause > 0 {
@@ -241,6 +263,17 @@
 	return w.positionKnown
 }
 
+// awaitsPeer reports whether a peer reads the topic, or did a moment ago so that another
+// one may take over.
+func (w *Watcher) awaitsPeer() bool {
+	now := w.now()
+	if w.covered() {
+		w.takeOverAt = now.Add(w.feed.TakeOverPause())
+		return true
+	}
+	return now.Before(w.takeOverAt)
+}
+
 // covered reports whether a peer reads the topic, and notes when it last did.
 func (w *Watcher) covered() bool {
 	readAt, covered := w.feed.PeerCoverage(w.now())
--- a/storewatcher/watcher_test.go
+++ b/storewatcher/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -95,6 +96,11 @@
 		OnEraRise:     func(_ time.Time, era currantwood.StoreEra) { l.add(fmt.Sprint("era ", era)) },
 		Stale:         func(time.Time) bool { return false },
 		PeerCoverage:  func(time.Time) (time.Time, bool) { return time.Time{}, covered() },
+		RetryPause: func(int) (least, pause time.Duration) {
+			return 20 * time.Millisecond, 20 * time.Millisecond
+		},
+		TakeOverPause: func() time.Duration { return 0 },
+		Held:          func() bool { return false },
 	}
 }
 
@@ -260,4 +266,49 @@
 		Eventually(w.Reachable, "1s", "1ms").Should(BeFalse())
 		Eventually(l.all, "2s").Should(ContainElement("apply b"))
 	})
+
+	startFeed := func(s *scriptedStore, feed Feed) *Watcher {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		return New(ctx, s, zap.NewNop(), time.Now, feed)
+	}
+
+	It("waits for another peer before it takes over", func() {
+		var uncovered atomic.Bool
+		feed := newFeed(&callLog{}, func() bool { return !uncovered.Load() })
+		feed.TakeOverPause = func() time.Duration { return 400 * time.Millisecond }
+		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(1, "a")}}
+		w := startFeed(s, feed)
+		Eventually(w.Position).Should(Equal(currantwood.Offset(1)))
+		time.Sleep(150 * time.Millisecond)
+		uncovered.Store(true)
+		Consistently(s.readWaits, "200ms", "10ms").Should(BeEmpty())
+		Eventually(s.readWaits, "1s", "10ms").ShouldNot(BeEmpty())
+	})
+
+	It("doesn't read while it is held", func() {
+		var released atomic.Bool
+		l := &callLog{}
+		feed := newFeed(l, never)
+		feed.Held = func() bool { return !released.Load() }
+		startFeed(&scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(1, "a")}}, feed)
+		Consistently(l.all, "200ms", "10ms").Should(BeEmpty())
+		released.Store(true)
+		Eventually(l.all).Should(Equal([]string{"replace a"}))
+	})
+
+	It("pauses after a failed read, but a requested one comes after the shortest pause", func() {
+		feed := newFeed(&callLog{}, never)
+		feed.RetryPause = func(int) (least, pause time.Duration) { return 10 * time.Millisecond, time.Hour }
+		fails := func() (currantwood.KeyedRecordBatch, error) {
+			return currantwood.KeyedRecordBatch{}, errors.New("store unreachable")
+		}
+		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(10, "a")}, readResults: []func() (currantwood.KeyedRecordBatch, error){fails}}
+		w := startFeed(s, feed)
+		Eventually(s.readWaits).Should(HaveLen(1))
+		Consistently(s.readWaits, "100ms", "10ms").Should(HaveLen(1))
+		Expect(w.Failing()).To(BeTrue())
+		w.Kick()
+		Eventually(s.readWaits).Should(HaveLen(2))
+	})
 })
