Name the next collectors in digests, and take over in the order of rank

Cause: when the collector ends, each gateway knows few others and reads the directory itself until it hears the next one. With thousands of upstreams such a read is long, and decoding it delays the streams that the gateway relays. Change: digests name the receiver's rank and the next two collectors, to whom states go at once; gateways wait by rank before they read themselves.

--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -148,6 +148,9 @@
 	// digestGateways is the number of gateways that the last accepted digest
 	// reported, or that this gateway counted as the collector.
 	digestGateways int
+	// rank is the position of this gateway among the next collectors, from 1 on, in the
+	// last accepted digest; 0 if unknown.
+	rank int
 	// sentLoads are the loads in the state that was sent last, at stateSentAt.
 	sentLoads   balancer.Loads
 	stateSentAt time.Time
@@ -292,6 +295,13 @@
 	return count
 }
 
+// SetRank sets the position of this gateway among the next collectors, from 1 on; 0 if it
+// is unknown.
+func (k *Keeper) SetRank(rank int) { k.rank = rank }
+
+// Rank returns what SetRank has set.
+func (k *Keeper) Rank() int { return k.rank }
+
 // FleetSize returns the number of gateways, this one included, as it was known last. It
 // stays while no collector counts them.
 func (k *Keeper) FleetSize(now time.Time) int { return max(k.digestGateways, k.CountGateways(now)) }
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -29,11 +29,13 @@
 	recent, completed := m.Gateway.RecentCrashes(now)
 	crashes, completions, sum := encodeCrashes(recent), encodeCompletions(completed), m.Gateway.CrashSum(now)
 	notices, allNotices := encodeNotices(now, m.Gateway.KnownNotices(now, false)), encodeNotices(now, m.Gateway.KnownNotices(now, true))
+	successors := encodeSuccessors(recipients)
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
 		m.mu.Lock()
 		missing := m.missingCrashes(now, recipients[i].VM, sum)
 		m.addStartsToDigest(now, recipients[i].VM, digest)
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
+		digest.Rank, digest.Successors = uint32(i+1), successors
 		digest.Notices = notices
 		if m.peers.HasJustStarted(now, recipients[i].VM) {
 			digest.Notices = allNotices
@@ -57,6 +59,27 @@
 	m.Gateway.SetFleetRates(now, rates, peers.Gateways)
 }
 
+// maxSuccessors bounds the next collectors that a digest names.
+const maxSuccessors = 2
+
+// encodeSuccessors returns those of the recipients, who are in the order of their rank,
+// that would be the next collectors.
+func encodeSuccessors(recipients []peerkeeper.Peer) []*peerwire.Referral {
+	out := make([]*peerwire.Referral, 0, maxSuccessors)
+	for _, peer := range recipients[:min(len(recipients), maxSuccessors)] {
+		out = append(out, &peerwire.Referral{Vm: string(peer.VM), Address: peer.Address, Strength: peer.Capacity, Established: peer.Established})
+	}
+	return out
+}
+
+// noteSuccessors notes the next collectors, so that this gateway sends them its state as
+// soon as the present one is no longer heard from. Called with mu held.
+func (m *Messenger) noteSuccessors(now time.Time, successors []*peerwire.Referral) {
+	for _, s := range successors {
+		m.peers.NotePeer(now, peerkeeper.Peer{VM: currantwood.VMID(s.GetVm()), Address: s.GetAddress(), Capacity: s.GetStrength(), Established: s.GetEstablished()})
+	}
+}
+
 // buildDigests returns a digest for each of the recipients, in their order.
 func (m *Messenger) buildDigests(now time.Time, recipients []peerkeeper.Peer, own balancer.Loads, usage budgeter.GroupUsage) []*peerwire.Digest {
 	m.mu.Lock()
@@ -109,6 +132,8 @@
 	if accepted {
 		m.peers.SetDigestUsage(usage)
 		m.peers.SetDigestGateways(int(d.GetGateways()))
+		m.peers.SetRank(int(d.GetRank()))
+		m.noteSuccessors(now, d.GetSuccessors())
 		m.peers.SetCrashSum(from.VM, d.GetCrashSum())
 	}
 	m.mu.Unlock()
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -322,7 +322,7 @@
 func (m *Messenger) Fleet(now time.Time) readpacer.Fleet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return readpacer.Fleet{Gateways: m.peers.FleetSize(now), Collected: m.collectedLast}
+	return readpacer.Fleet{Gateways: m.peers.FleetSize(now), Rank: m.peers.Rank(), Collected: m.collectedLast}
 }
 
 // storeReachable reports whether this gateway's latest own reads of both topics
--- a/readpacer/pacer.go
+++ b/readpacer/pacer.go
@@ -5,7 +5,8 @@
 // its own rate, the calls would grow with their number and could keep the store down. So
 // the pause grows with the number of gateways, which keeps the rate of all together
 // nearly constant, and is random. The gateway that was the collector doesn't slow down:
-// once it reads again, it reads for all.
+// once it reads again, it reads for all. When the collector goes, gateways take over in the
+// order of their rank, so that the first one reads and most others needn't.
 package readpacer
 
 import (
@@ -26,16 +27,20 @@
 	// maxPause.
 	pausePerGateway = 150 * time.Millisecond
 	maxPause        = 20 * time.Second
-	// takeOverPerGateway is by how much each gateway lengthens the time over which the
-	// first reads without a collector are spread, up to maxTakeOver.
-	takeOverPerGateway = 30 * time.Millisecond
-	maxTakeOver        = 700 * time.Millisecond
+	// takeOverPerRank is how much longer each gateway waits for another collector than the
+	// one before it in rank, up to maxTakeOver. The first one takes some tenths of a second
+	// to be known to all as the collector.
+	takeOverPerRank = 25 * time.Millisecond
+	maxTakeOver     = 1500 * time.Millisecond
 )
 
 // Fleet is what a gateway knows of all gateways.
 type Fleet struct {
 	// Gateways is their number, this one included, as it was known last.
 	Gateways int
+	// Rank is the position of this one among the next collectors, from 1 on; 0 if it is
+	// unknown.
+	Rank int
 	// Collected is whether this gateway was the collector last.
 	Collected bool
 }
@@ -61,9 +66,12 @@
 }
 
 // TakeOverPause returns how long a gateway that no longer hears the collector waits for
-// another one before it reads itself.
+// another one before it reads itself. The next collector doesn't wait.
 func (p *Pacer) TakeOverPause(fleet Fleet) time.Duration {
-	return p.draw(min(maxTakeOver, time.Duration(fleet.Gateways)*takeOverPerGateway))
+	if fleet.Rank == 0 {
+		return p.draw(min(maxTakeOver, time.Duration(fleet.Gateways)*takeOverPerRank))
+	}
+	return min(maxTakeOver, time.Duration(fleet.Rank-1)*takeOverPerRank)
 }
 
 // draw returns a random duration from 0 to most.
--- a/readpacer/pacer_test.go
+++ b/readpacer/pacer_test.go
@@ -44,7 +44,7 @@
 	const settled = 2 * time.Second
 	pacer, queue := newPacer(int64(gateways)), &reads{}
 	for n := range gateways {
-		fleet := Fleet{Gateways: gateways, Collected: n == 0}
+		fleet := Fleet{Gateways: gateways, Rank: n, Collected: n == 0}
 		if n == 0 && !collectorLives {
 			continue
 		}
@@ -100,6 +100,13 @@
 		Expect(p.TakeOverPause(Fleet{})).To(BeZero())
 	})
 
+	It("lets gateways take over in the order of their rank", func() {
+		p := newPacer(1)
+		Expect(p.TakeOverPause(Fleet{Gateways: 300, Rank: 1})).To(BeZero())
+		Expect(p.TakeOverPause(Fleet{Gateways: 300, Rank: 5})).To(Equal(100 * time.Millisecond))
+		Expect(p.TakeOverPause(Fleet{Gateways: 300, Rank: 300})).To(Equal(maxTakeOver))
+	})
+
 	// Answers the load pattern of a store that goes away for seconds while every gateway
 	// has to know when it is back.
 	DescribeTable("reads a store that is away for 10 s at a rate that hardly grows with the gateways:",
