Take in a large directory without delaying streams

Change: records are applied 64 at a time; the first full read logs one line; reads get 2.5 s after two failures; changed records are kept for peers for 30 s in place of 3. The test of that time names the new one. upstreamkeeper.Replace becomes RemoveMissing.

--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"runtime"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,28 +11,49 @@
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
+// recordsPerLock is the number of records that are applied at a time. In a large
+// directory, all of them take longer than streams may pause.
+const recordsPerLock = 64
+
 // ApplyUpstreamRecords applies new records of the directory in order and
 // returns those that changed anything.
 func (g *Gateway) ApplyUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
 	var changed []currantwood.KeyedRecord
-	var events []upstreamkeeper.Event
-	g.mu.Lock()
-	for i, record := range records {
-		if changes := g.upstreams.Apply(now, records[i:i+1]); len(changes) > 0 {
-			events = append(events, changes...)
-			changed = append(changed, record)
+	for part := range slices.Chunk(records, recordsPerLock) {
+		var events []upstreamkeeper.Event
+		g.mu.Lock()
+		for i, record := range part {
+			if changes := g.upstreams.Apply(now, part[i:i+1]); len(changes) > 0 {
+				events = append(events, changes...)
+				changed = append(changed, record)
+			}
 		}
+		g.handleEventsAndUnlock(now, events)
+		runtime.Gosched()
 	}
-	g.handleEventsAndUnlock(now, events)
 	return changed
 }
 
 // ReplaceUpstreamRecords replaces the known upstreams by a full read of the
 // directory, which has the newest record of each.
 func (g *Gateway) ReplaceUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) {
+	if !g.directoryLoaded.Load() {
+		g.loadUpstreamRecords(now, records)
+		return
+	}
+	g.ApplyUpstreamRecords(now, records)
 	g.mu.Lock()
-	events := g.upstreams.Replace(now, records)
-	g.handleEventsAndUnlock(now, events)
+	g.handleEventsAndUnlock(now, g.upstreams.RemoveMissing(now, records))
+}
+
+// loadUpstreamRecords applies the first full read of the directory. It logs one line, as
+// one for each upstream would take longer than the reading.
+func (g *Gateway) loadUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) {
+	g.mu.Lock()
+	events := g.upstreams.Apply(now, records)
+	g.balancer.SetUpstreams(g.upstreams.Available())
+	g.handleEventsAndUnlock(now, g.markLeavingAgain(now, events))
+	g.Logger.Info("directory read", zap.Int("records", len(records)), zap.Int("upstreams", len(events)))
 	g.directoryLoaded.Store(true)
 }
 
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -55,8 +55,9 @@
 	maxFormerProcesses = 8
 	// newProcessTime is how long after its first state a process counts as just started.
 	newProcessTime = 2 * time.Second
-	// recordRetention is how long records of the directory are kept for peers.
-	recordRetention = 3 * time.Second
+	// recordRetention is how long records of the directory are kept for peers. One that
+	// has been cut off for longer reads the directory itself.
+	recordRetention = 30 * time.Second
 	// maxDigestRecords bounds the records in one digest. A record takes about
 	// 200 bytes.
 	maxDigestRecords = 24
--- a/storewatcher/read.go
+++ b/storewatcher/read.go
@@ -11,7 +11,7 @@
 )
 
 // failuresBeforePatience is the number of failed reads after which
-// firstReadTimeoutMargin applies.
+// patientReadTimeoutMargin applies.
 const failuresBeforePatience = 2
 
 // readOnce reads the topic once and applies the result. It reads the newest
@@ -29,8 +29,8 @@
 	}
 	timeout := wait + readTimeoutMargin
 	switch {
-	case w.consecutiveFailures >= failuresBeforePatience && !known:
-		timeout = wait + firstReadTimeoutMargin
+	case w.consecutiveFailures >= failuresBeforePatience:
+		timeout = wait + patientReadTimeoutMargin
 	case w.consecutiveFailures > 0:
 		timeout = wait + slowReadTimeoutMargin
 	}
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -21,10 +21,9 @@
 	// slowReadTimeoutMargin replaces readTimeoutMargin after a failed read, so
 	// that a slow store is still read.
 	slowReadTimeoutMargin = 1200 * time.Millisecond
-	// firstReadTimeoutMargin replaces both after several failed reads while nothing is
-	// known yet. All gateways may be reading everything, and a read that is given up is
-	// work in vain for the store.
-	firstReadTimeoutMargin = 2500 * time.Millisecond
+	// patientReadTimeoutMargin replaces both after several failed reads. Many gateways may
+	// be reading much at once, and a read that is given up is work in vain for the store.
+	patientReadTimeoutMargin = 2500 * time.Millisecond
 	// unreachableThreshold is the time since the last successful read after
 	// which a single failed read is enough to declare the store unreachable.
 	// Before that, it takes two in a row.
--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -119,10 +119,9 @@
 	return events
 }
 
-// Replace applies a complete set of records: upstreams without a record in it
-// are handled as missing.
-func (k *Keeper) Replace(now time.Time, records []currantwood.KeyedRecord) []Event {
-	events := k.Apply(now, records)
+// RemoveMissing handles as missing the upstreams without a record in a complete set.
+func (k *Keeper) RemoveMissing(now time.Time, records []currantwood.KeyedRecord) []Event {
+	var events []Event
 	present := make(map[string]bool, len(records))
 	for _, r := range records {
 		present[r.Key] = true
--- a/upstreamkeeper/keeper_test.go
+++ b/upstreamkeeper/keeper_test.go
@@ -153,7 +153,8 @@
 		reported.Leaving = state == "leaving"
 		return k.ApplyState(now, currantwood.UpstreamID(id), reported)
 	case strings.HasPrefix(action, "all "):
-		return k.Replace(now, []currantwood.KeyedRecord{parseRecord(strings.TrimPrefix(action, "all "))})
+		all := []currantwood.KeyedRecord{parseRecord(strings.TrimPrefix(action, "all "))}
+		return append(k.Apply(now, all), k.RemoveMissing(now, all)...)
 	}
 	return k.Apply(now, []currantwood.KeyedRecord{parseRecord(action)})
 }
