Divide what is left of the retry budget among the gateways that may retry

Cause: each gateway might use an equal part of what is left until the next report. On the large deployment, lookups were passed on as failed while the budget was hardly used. Change: the parts are those of the gateways that may serve a request before the others hear of a retry, by the rate of all requests, twice for bursts, at most all.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -36,6 +36,10 @@
 	failurePart = 0.6
 	// peerUsageMaxAge is how long reported usage of the peers is used.
 	peerUsageMaxAge = time.Second
+	// reportDelay is the time from a retry until other gateways hear of it by the collector,
+	// and burstFactor by how much more than on the average all may serve in that time.
+	reportDelay = 400 * time.Millisecond
+	burstFactor = 2
 	// minGateways is the number of gateways assumed until more have reported.
 	minGateways = 4
 )
@@ -222,24 +226,33 @@
 	if b.peersAt.IsZero() || now.Sub(b.peersAt) > peerUsageMaxAge {
 		return false
 	}
-	return b.fitsJointBudget(own, id, part)
+	return b.fitsJointBudget(now, own, id, part)
 }
 
 // fitsJointBudget reports whether one more retry fits the budget of all
 // gateways together. What is left of it, before this gateway's retries since
 // the last call of SetPeers are subtracted, is divided equally among the
-// gateways whose reports arrive; each may use its part until the next call.
+// gateways that may retry until the next call; each may use its part.
 // part is the part of the joint budget that is open to this kind of retry:
 // failurePart or 1. The part of the reserve that belongs to gateways whose
 // reports don't arrive is left to them, and that of those that aren't established
 // to their former processes.
-func (b *Budgeter) fitsJointBudget(own Usage, id currantwood.GroupID, part float64) bool {
+func (b *Budgeter) fitsJointBudget(now time.Time, own Usage, id currantwood.GroupID, part float64) bool {
 	all := b.peers.Usage[id]
 	all.Requests += own.Requests
 	all.Retries += own.Retries
 	newRetries := b.retriesSinceReport[id]
 	left := part*jointPart*b.budget(all.Requests, float64(b.peers.Established)/float64(b.maxReportingGateways)) - float64(all.Retries-newRetries)
-	return float64(newRetries+1) <= left/float64(b.peers.Gateways)
+	return float64(newRetries+1)*b.contenders(now, all.Requests) <= left
+}
+
+// contenders returns how many gateways may retry before this one hears of it. Only those
+// that serve a request meanwhile can: of many gateways, each of which serves few, that are
+// fewer than all.
+func (b *Budgeter) contenders(now time.Time, requests int) float64 {
+	unheard := reportDelay + now.Sub(b.peersAt)
+	served := float64(requests) * unheard.Seconds() / b.options.Window.Seconds()
+	return min(float64(b.peers.Gateways), minGateways+burstFactor*served)
 }
 
 // budget returns the number of retries that requests and a part of the reserve
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -79,6 +79,24 @@
 	})
 
 	// Guards against retries that are forgotten when all processes are replaced.
+	// Answers the load pattern of a service that fails one request in twenty, behind so
+	// many gateways that each serves a request now and then.
+	It("lets nearly all of few failures be retried, however many gateways there are", func() {
+		for _, gateways := range []int{4, 68, 300, 2200} {
+			failed, retried := retriesOfMany(int64(gateways), gateways, func(time.Duration) float64 { return 0.05 })
+			Expect(float64(retried)).To(BeNumerically(">=", 0.9*float64(failed)), "%d gateways", gateways)
+		}
+	})
+
+	It("keeps the retries of many gateways within the budget while all requests fail, at once and in bursts", func() {
+		for seed := range int64(10) {
+			for _, gateways := range []int{4, 30, 68, 300} {
+				retriesOfMany(seed, gateways, func(time.Duration) float64 { return 1 })
+				retriesOfMany(seed, gateways, func(t time.Duration) float64 { return float64(t / (3 * time.Second) % 2) })
+			}
+		}
+	})
+
 	It("keeps the retries within the budget while all gateways are replaced at once, again and again", func() {
 		for seed := range int64(40) {
 			checkBudgetHolds(seed, true)
@@ -86,6 +104,62 @@
 	})
 })
 
+// manyOptions is the budget of a fleet with few requests at each gateway.
+var manyOptions = Options{Window: 10 * time.Second, RetryShare: 0.2, Reserve: 176, FirstStart: true}
+
+// retriesOfMany lets many gateways serve requests, some of which fail and are retried at
+// most once. Each hears what all have used with a delay, and at times not. It checks that
+// the retries within each window fit the budget, and returns the failed requests and how
+// many of them were retried.
+func retriesOfMany(seed int64, gateways int, failing func(t time.Duration) float64) (failed, retried int) {
+	const tick, day, delay, perSecond = 50 * time.Millisecond, 30 * time.Second, 8, 100
+	random := rand.New(rand.NewSource(seed))
+	all := make([]*Budgeter, gateways)
+	for i := range all {
+		all[i] = New(manyOptions, start)
+	}
+	var totals []Usage
+	var requests, retries []int
+	for t := time.Duration(0); t < day; t += tick {
+		now := start.Add(t)
+		var total Usage
+		for _, b := range all {
+			used := b.OwnUsage(now)[group]
+			total.Requests, total.Retries = total.Requests+used.Requests, total.Retries+used.Retries
+		}
+		totals = append(totals, total)
+		if len(totals) > delay {
+			heard := totals[len(totals)-1-delay]
+			for _, b := range all {
+				if own := b.OwnUsage(now)[group]; random.Intn(10) > 0 {
+					peers := Usage{max(0, heard.Requests-own.Requests), max(0, heard.Retries-own.Retries)}
+					b.SetPeers(now, Peers{Usage: GroupUsage{group: peers}, Gateways: gateways, Established: gateways})
+				}
+			}
+		}
+		requests, retries = append(requests, 0), append(retries, 0)
+		last := len(requests) - 1
+		for range int(perSecond * tick.Seconds() * (0.5 + 1.5*random.Float64())) {
+			b := all[random.Intn(gateways)]
+			b.Requested(now, group)
+			requests[last]++
+			if random.Float64() >= failing(t) {
+				continue
+			}
+			failed++
+			if b.Allows(now, group, FailedRequest) {
+				b.Retried(now, group)
+				retries[last]++
+				retried++
+			}
+		}
+		first := max(0, len(requests)-int(manyOptions.Window/tick))
+		budget := float64(manyOptions.RetryShare)*float64(sum(requests[first:])) + manyOptions.Reserve
+		ExpectWithOffset(1, float64(sum(retries[first:]))).To(BeNumerically("<=", budget), "seed %d, %d gateways, %v", seed, gateways, t)
+	}
+	return failed, retried
+}
+
 // retryWhileAllowed sends retries as long as they are allowed, at most count,
 // and returns their number.
 func retryWhileAllowed(b *Budgeter, now time.Time, reason RetryReason, count int) int {
