Shuffle upstreams only as far as a choice considers them

Cause: each choice drew a permutation of all upstreams of its group, 10,000 at the target. Change: the members are shuffled in place, step by step. Result: the specs of balancer and of the simulation of peerkeeper pass.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -162,7 +162,10 @@
 	refused := &RefusalError{}
 	b.notices.Want(now, g.members)
 	considered, limit := 0, b.sampleSize(g, q)
-	for _, i := range b.random.Perm(len(g.members)) {
+	for i := range g.members {
+		// Shuffles only as far as upstreams are considered.
+		j := i + b.random.Intn(len(g.members)-i)
+		g.members[i], g.members[j] = g.members[j], g.members[i]
 		id := g.members[i]
 		u := b.upstreams[id]
 		if slices.Contains(q.Exclude, id) || !g.prober.Admits(now, id) || !b.inReach(q, u.view.Zone) || !q.admitsVersion(u.view.Version) {
--- a/balancer/group.go
+++ b/balancer/group.go
@@ -10,8 +10,9 @@
 
 // group holds the upstreams of one group.
 type group struct {
-	config  currantwood.Group
-	prober  *prober.Prober
+	config currantwood.Group
+	prober *prober.Prober
+	// members are in no order; a choice shuffles some of them.
 	members []currantwood.UpstreamID
 	// averageSampleTokens and averageSampleTime are exponential moving averages
 	// of PrefillSample.Tokens and, in nanoseconds, PrefillSample.Duration.
