Read where streams began beside the directory again, not after it

Cause: a stream taken up right after its gateway started was refused, as the starts of streams waited for the directory and then up to 100 ms more. Seen in the whole suite of platform/proof: 'is taken up ... after all gateways were replaced, and most are'. Change: they wait only while the store is away.

--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -57,9 +57,6 @@
 	g.directoryLoaded.Store(true)
 }
 
-// DirectoryLoaded reports whether the directory was read in full.
-func (g *Gateway) DirectoryLoaded() bool { return g.directoryLoaded.Load() }
-
 // DirectoryRecovered records that the directory answers again after an outage.
 func (g *Gateway) DirectoryRecovered(now time.Time) {
 	g.mu.Lock()
--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -85,8 +85,6 @@
 func (p *Process) startFeed() storewatcher.Feed {
 	feed := p.savedFeed(p.applyStarts, p.gateway.ForgetSavedStarts)
 	feed.Name, feed.Topic, feed.Pause = "starts of streams", p.options.StartTopic, startReadPause
-	// Clients can be served without them, so they are read after the directory.
-	feed.Held = func() bool { return p.storeAway() || !p.gateway.DirectoryLoaded() }
 	return feed
 }
 
