--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -18,7 +18,7 @@
 			p.applyConfiguration(record)
 		}
 	}
-	return p.pace(storewatcher.Feed{
+	feed := p.pace(storewatcher.Feed{
 		Name:    "configuration",
 		Topic:   p.options.ConfigurationTopic,
 		Wait:    configurationReadWait,
@@ -39,6 +39,9 @@
 		},
 		Held: func() bool { return false },
 	})
+	takeOver := feed.TakeOverPause
+	feed.TakeOverPause = func() time.Duration { return min(takeOver(), maxConfigurationTakeOver) }
+	return feed
 }
 
 // pace sets when a feed is read while reads fail or the collector is gone.
@@ -90,7 +93,8 @@
 
 // savedFeed returns a feed of what gateways save themselves, without name and topic. All
 // of them read it when they start, and after that the collector alone: the others learn
-// from it. Nothing urgent depends on it, so it isn't read while the store is away. forgetSaved is called when the store has come back from an older copy.
+// from it. Nothing urgent depends on it, so it isn't read while the store is away.
+// forgetSaved is called when the store has come back from an older copy.
 func (p *Process) savedFeed(apply func(time.Time, []currantwood.KeyedRecord), forgetSaved func()) storewatcher.Feed {
 	return p.pace(storewatcher.Feed{
 		Replace: apply,
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -67,6 +67,9 @@
 	// 0.6 s (keyMargin in package gateway) before the end of RevocationTime. So
 	// RevocationTime must be at least 1.7 s.
 	collectorAgeShare = 1.0 / 3
+	// maxConfigurationTakeOver bounds the wait for another collector before this gateway
+	// reads the configuration, on whose age its keys depend.
+	maxConfigurationTakeOver = 400 * time.Millisecond
 	// directoryReadPause is the time between two reads of the directory.
 	// Upstreams write to it all the time, so a read that waits for the next
 	// record would return at once.
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -2,12 +2,13 @@
 // gateway sends its state to the collector: its loads, its retry usage (what it
 // sent to each group within the retry window), recent crashes, the completions
 // for which crashes don't count, the rate limits and notices that it has heard itself, and
-// the starts of streams that the collector lacks. The collector's digest returns the summed loads,
-// retry usage and demand of all others, the newest rate limits and notices, the recent crashes and
-// completions that the collector knows, the crashes and the starts of streams that the
-// gateway lacks, the number of gateways, the directory records that it read and the
-// version and age of its configuration. A gateway that
-// isn't the collector answers a state with a referral to the collector that it knows.
+// the starts of streams that the collector lacks. The collector's digest returns the
+// summed loads, retry usage and demand of all others, the newest rate limits and notices,
+// the recent crashes and completions that the collector knows, the crashes and the starts
+// of streams that the gateway lacks, the number of gateways and the receiver's rank among
+// the next collectors, the directory records that it read and the version and age of its
+// configuration. A gateway that isn't the collector answers a state with a referral to the
+// collector that it knows.
 package peermessenger
 
 import (
@@ -30,7 +31,6 @@
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
 	"github.com/currantwood/currantwood/ratekeeper"
-	"github.com/currantwood/currantwood/readpacer"
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/streamkeeper"
 )
@@ -40,13 +40,6 @@
 	readRetryDelay = 200 * time.Millisecond
 	// maxDatagramBytes is the longest datagram that is received.
 	maxDatagramBytes = 64 << 10
-	// coverageTimeout is how long after an accepted digest this gateway relies on
-	// the collector to read the directory. The digest must cover an offset range
-	// that leaves no gap; the range may be empty.
-	coverageTimeout = 700 * time.Millisecond
-	// collectorSettleTime is how long a gateway is the collector before it counts as the
-	// last one. Until then it may not have heard of a better one.
-	collectorSettleTime = time.Second
 	// maxMissingCrashes bounds the crashes in one datagram that the receiver may
 	// lack. A crash takes about 45 bytes.
 	maxMissingCrashes = 32
@@ -222,24 +215,6 @@
 	}()
 }
 
-// CollectorReadsDirectory reports whether the collector currently reads the
-// directory for this gateway.
-func (m *Messenger) CollectorReadsDirectory(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	_, known := m.peers.OtherCollector(now)
-	return known && !m.directoryCoveredAt.IsZero() && now.Sub(m.directoryCoveredAt) < coverageTimeout
-}
-
-// HasOtherCollector reports whether another gateway is known as the collector.
-// It is false on the collector itself.
-func (m *Messenger) HasOtherCollector(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	_, known := m.peers.OtherCollector(now)
-	return known
-}
-
 // NoteDirectoryRead notes a read of the directory by this gateway. changed are
 // the records in the offset range [from, next) that caused an event; if there
 // are any and this gateway is the collector, it sends digests at once. era is that of
@@ -278,59 +253,6 @@
 	m.sendDigests(now)
 }
 
-// noteCollector tells the gateway whether it is the collector, and logs when it
-// becomes it or stops being it. Called with mu held.
-func (m *Messenger) noteCollector(now time.Time, storeReachable bool) {
-	isCollector := m.peers.IsCollector(now, storeReachable)
-	m.Gateway.SetCollects(isCollector)
-	m.noteOtherCollector(now)
-	if isCollector != m.wasCollector {
-		m.wasCollector, m.roleSince = isCollector, now
-		if isCollector {
-			m.peers.BecomeCollector(now)
-		}
-		m.Logger.Info("this gateway became the collector or stopped being it", zap.Bool("collects", isCollector), zap.Bool("store", storeReachable), zap.Int("gateways", m.peers.CountGateways(now)))
-	}
-}
-
-// noteOtherCollector notes whether another gateway is the collector. If one is for the
-// first time after none was, this gateway may have missed what it read meanwhile and
-// reads once itself, without the pause after failed reads. Called with mu held.
-func (m *Messenger) noteOtherCollector(now time.Time) {
-	_, covered := m.peers.OtherCollector(now)
-	if covered && !m.wasCovered && !m.storeReachable() {
-		m.directoryTopic.Kick()
-	}
-	m.wasCovered = covered
-	if covered {
-		m.collectedLast = false
-	} else if m.wasCollector && now.Sub(m.roleSince) >= collectorSettleTime {
-		m.collectedLast = true
-	}
-}
-
-// Collects reports whether this gateway is the collector. It is false while this gateway
-// doesn't reach the store.
-func (m *Messenger) Collects(now time.Time) bool {
-	storeReachable := m.storeReachable()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.peers.IsCollector(now, storeReachable)
-}
-
-// Fleet returns what is known of all gateways.
-func (m *Messenger) Fleet(now time.Time) readpacer.Fleet {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return readpacer.Fleet{Gateways: m.peers.FleetSize(now), Rank: m.peers.Rank(), Collected: m.collectedLast}
-}
-
-// storeReachable reports whether this gateway's latest own reads of both topics
-// succeeded, however long ago.
-func (m *Messenger) storeReachable() bool {
-	return m.directoryTopic.Reachable() && m.configurationTopic.Reachable()
-}
-
 // retryWindow is the window of the retry budget from the settings; 0 if they have
 // none.
 func (m *Messenger) retryWindow() time.Duration { return m.Settings.Bounds.RetryWindow }
