--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"runtime"
 	"slices"
 	"time"
 
@@ -19,8 +18,8 @@
 // returns those that changed anything.
 func (g *Gateway) ApplyUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
 	var changed []currantwood.KeyedRecord
+	var events []upstreamkeeper.Event
 	for part := range slices.Chunk(records, recordsPerLock) {
-		var events []upstreamkeeper.Event
 		g.mu.Lock()
 		for i, record := range part {
 			if changes := g.upstreams.Apply(now, part[i:i+1]); len(changes) > 0 {
@@ -28,9 +27,10 @@
 				changed = append(changed, record)
 			}
 		}
-		g.handleEventsAndUnlock(now, events)
-		runtime.Gosched()
+		g.mu.Unlock()
 	}
+	g.mu.Lock()
+	g.handleEventsAndUnlock(now, events)
 	return changed
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -95,14 +95,16 @@
 
 // SetUpstreams sets the upstreams of the group. The state of others is deleted.
 func (p *Prober) SetUpstreams(ids []currantwood.UpstreamID) {
+	known := make(map[currantwood.UpstreamID]bool, len(ids))
+	for _, id := range ids {
+		known[id] = true
+		p.upstream(id)
+	}
 	for id := range p.upstreams {
-		if !slices.Contains(ids, id) {
+		if !known[id] {
 			delete(p.upstreams, id)
 		}
 	}
-	for _, id := range ids {
-		p.upstream(id)
-	}
 }
 
 // Admits reports whether a new request may be sent to the upstream. It ends an
