Let the feed that recovers first read the other one at once

Cause: after an outage on the large site a gateway's configuration could be read again seconds before its directory, or the reverse, as each waits for a pause of its own. Besides, the last collector lost its fast retries to one that was it for a moment. Change: a feed that recovers kicks the other one; a collector of less than a second doesn't replace the last one.

--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -38,6 +38,10 @@
 			return now.Add(-age), p.peers.HasOtherCollector(now) && age < time.Duration(collectorAgeShare*float64(p.options.Settings.Bounds.RevocationTime))
 		},
 		Held: func() bool { return false },
+		OnRecovery: func() {
+			<-p.watching
+			p.directory.Kick()
+		},
 	})
 	takeOver := feed.TakeOverPause
 	feed.TakeOverPause = func() time.Duration { return min(takeOver(), maxConfigurationTakeOver) }
@@ -53,7 +57,9 @@
 	return feed
 }
 
-// directoryFeed returns the feed of the directory of upstreams.
+// directoryFeed returns the feed of the directory of upstreams. After an outage, the one
+// of the two feeds that is read first lets the other one be read at once: only a gateway
+// that reads both can be the collector.
 func (p *Process) directoryFeed() storewatcher.Feed {
 	return p.pace(storewatcher.Feed{
 		Name:          "upstreams",
@@ -70,6 +76,10 @@
 			return time.Time{}, p.peers.CollectorReadsDirectory(now)
 		},
 		Held: func() bool { return false },
+		OnRecovery: func() {
+			<-p.watching
+			p.configuration.Kick()
+		},
 	})
 }
 
@@ -112,6 +122,7 @@
 		OnOutageEnd:   func(time.Time) {},
 		Stale:         func(time.Time) bool { return false },
 		PeerCoverage:  func(now time.Time) (time.Time, bool) { return now, p.peers.HasOtherCollector(now) },
+		OnRecovery:    func() {},
 		Held:          func() bool { return p.storeAway() },
 	})
 }
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -127,7 +127,9 @@
 	// readPacer decides when reads of the store that failed are repeated.
 	readPacer *readpacer.Pacer
 	// configuration and directory follow the topics that a gateway can't serve without.
+	// watching is closed once both are set.
 	configuration, directory *storewatcher.Watcher
+	watching                 chan struct{}
 	crashes                  *crashsaver.Saver
 	starts                   *streamsaver.Saver
 	metrics                  metrics.Registry
@@ -146,7 +148,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(options.Settings.MemoryBytes)))
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Process{options: options, arrivals: drainer.New(), now: boottimer.Clock{}.Now, config: configkeeper.New(), metrics: metrics.NewRegistry(), cancel: cancel}
+	p := &Process{options: options, arrivals: drainer.New(), now: boottimer.Clock{}.Now, config: configkeeper.New(), watching: make(chan struct{}), metrics: metrics.NewRegistry(), cancel: cancel}
 	p.calls = storecounter.New(options.Store, options.Writer, p.metrics)
 	p.options.Store, p.options.Writer = p.calls, p.calls
 	p.eraRises = metrics.NewRegisteredCounter("store-era-rises", p.metrics)
@@ -202,6 +204,7 @@
 	p.readPacer = readpacer.New(rand.New(rand.NewSource(time.Now().UnixNano())))
 	p.configuration = storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.configurationFeed())
 	p.directory = storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.directoryFeed())
+	close(p.watching)
 	storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.crashFeed())
 	peers.Start(ctx, p.configuration, p.directory)
 	p.crashes = crashsaver.New(ctx, crashsaver.Options{
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -156,6 +156,8 @@
 	roleSince    time.Time
 	// wasCovered is whether another gateway was the collector when it was noted last.
 	wasCovered bool
+	// coveredSince is when wasCovered changed last.
+	coveredSince time.Time
 	// collectedLast is whether, of this gateway and the others, this one was the last to
 	// be the collector for collectorSettleTime.
 	collectedLast bool
--- a/peermessenger/role.go
+++ b/peermessenger/role.go
@@ -59,8 +59,10 @@
 	if covered && !m.wasCovered && !m.storeReachable() {
 		m.directoryTopic.Kick()
 	}
-	m.wasCovered = covered
-	if covered {
+	if covered != m.wasCovered {
+		m.wasCovered, m.coveredSince = covered, now
+	}
+	if covered && now.Sub(m.coveredSince) >= collectorSettleTime {
 		m.collectedLast = false
 	} else if m.wasCollector && now.Sub(m.roleSince) >= collectorSettleTime {
 		m.collectedLast = true
--- a/storewatcher/read.go
+++ b/storewatcher/read.go
@@ -135,8 +135,12 @@
 	now := w.now()
 	w.mu.Lock()
 	wasUnreachable, sinceSuccess := w.declaredUnreachable, now.Sub(w.lastSuccess)
+	wasFailing := w.consecutiveFailures > 0
 	w.declaredUnreachable, w.consecutiveFailures, w.lastSuccess = false, 0, now
 	w.mu.Unlock()
+	if wasFailing {
+		w.feed.OnRecovery()
+	}
 	if wasUnreachable {
 		w.logger.Info("store reachable again", zap.String("feed", w.feed.Name), zap.Duration("away", sinceSuccess))
 	}
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -78,6 +78,8 @@
 	// TakeOverPause returns how long to wait, once no peer reads the topic any more,
 	// before this process does.
 	TakeOverPause func() time.Duration
+	// OnRecovery is called when a read succeeds after one that failed.
+	OnRecovery func()
 	// Held reports whether reads must wait, as those of other topics show that the store
 	// is away.
 	Held func() bool
--- a/storewatcher/watcher_test.go
+++ b/storewatcher/watcher_test.go
@@ -100,6 +100,7 @@
 			return 20 * time.Millisecond, 20 * time.Millisecond
 		},
 		TakeOverPause: func() time.Duration { return 0 },
+		OnRecovery:    func() { l.add("recovery") },
 		Held:          func() bool { return false },
 	}
 }
