--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -56,8 +56,9 @@
 	// newProcessTime is how long after its first state a process counts as just started.
 	newProcessTime = 2 * time.Second
 	// recordRetention is how long records of the directory are kept for peers. One that
-	// has been cut off for longer reads the directory itself.
-	recordRetention = 30 * time.Second
+	// lags behind by more reads the directory itself: with maxDigestRecords in each digest
+	// it would catch up too slowly.
+	recordRetention = 3 * time.Second
 	// maxDigestRecords bounds the records in one digest. A record takes about
 	// 200 bytes.
 	maxDigestRecords = 24
--- a/peerkeeper/keeper_test.go
+++ b/peerkeeper/keeper_test.go
@@ -140,7 +140,7 @@
 	It("drops earlier records after a gap in its own reads, and old records", func() {
 		k := New(peer("a"))
 		k.RetainRecords(atMS(0), 0, 10, 20, records(12))
-		k.RetainRecords(atMS(31_000), 0, 20, 30, records(25))
+		k.RetainRecords(atMS(4000), 0, 20, 30, records(25))
 		_, _, ok := k.RecordsSince(0, 12)
 		Expect(ok).To(BeFalse())
 		_, _, ok = k.RecordsSince(0, 13)
