--- a/noticekeeper/keeper_test.go
+++ b/noticekeeper/keeper_test.go
@@ -55,6 +55,7 @@
 		},
 		Entry("an upstream that said nothing", nil, 0.0, int64(1), Accepts, time.Duration(0)),
 		Entry("a leaving for good", []step{{0, 1, true, 0, false}, {1, 1, false, 0, false}}, 300.0, int64(1), Leaving, time.Duration(0)),
+		Entry("a leaving after a pause that doesn't mention it", []step{{0, 1, true, 0, false}, {1, 1, false, 2, false}}, 5.0, int64(1), Leaving, time.Duration(0)),
 		Entry("a leaving that ends with the incarnation", []step{{0, 1, true, 0, false}}, 1.0, int64(2), Accepts, time.Duration(0)),
 		Entry("a late response of an earlier incarnation", []step{{0, 2, false, 5, false}, {1, 1, true, 0, false}}, 2.0, int64(2), Paused, 3*time.Second),
 		Entry("a pause until its end", []step{{0, 1, false, 3, false}}, 2.0, int64(1), Paused, time.Second),
