Ask a move's target for its incarnation before the run goes on there

The question whether the target is still the incarnation in the directory was awaited after the run had gone on there and before it was ended at its source, up to 300 ms. Change: the question is asked while the run is copied, and awaited before the resume.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -183,6 +183,10 @@
 		zap.String("from", string(from.view.ID)), zap.String("from-version", string(from.view.Version)),
 		zap.String("to", string(choice.View.ID)), zap.String("to-version", string(choice.View.Version)),
 	}
+	// A target that starts again after the copy has begun loses it, so the answer may be
+	// older than the resume. After the resume it would delay the end of the run here.
+	confirmed := make(chan bool, 1)
+	go func() { confirmed <- s.g.runsIncarnation(choice.View) }()
 	copied, err := s.g.Mover.Copy(s.client.ID, from.view.Address, choice.View.Address, copyTimeout)
 	if copied.SourceLeaving {
 		s.g.noteLeaving(from.view)
@@ -193,6 +197,12 @@
 		return !errors.Is(err, currantwood.ErrNoRoom)
 	}
 	copyTime := s.g.Now().Sub(began)
+	if !<-confirmed {
+		s.recordEnd(choice.View, s.moveLoad(), balancer.Failed)
+		s.log("copied run not resumed: the target isn't the incarnation in the directory", fields...)
+		s.freeCopy(copied)
+		return false
+	}
 	if !s.mayMove() || !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
 		s.log("copied run not resumed: it has ended, or the retry budget is exhausted", fields...)
@@ -201,17 +211,13 @@
 	}
 	s.resuming.Store(true)
 	defer s.resuming.Store(false)
-	// A target that starts again after the copy has lost it, so this needn't wait for the
-	// resume.
-	confirmed := make(chan bool, 1)
-	go func() { confirmed <- s.g.runsIncarnation(choice.View) }()
 	opened, err := s.sendToUpstream(s.ctx, choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.lastEvent.Load(), ResumeFrom: &copied})
 	if err != nil {
 		s.log("resume failed", append(fields, zap.Error(err), zap.Duration("copy", copyTime))...)
 		s.freeCopy(copied)
 		return false
 	}
-	if opened.exchange.Status != http.StatusOK || !<-confirmed {
+	if opened.exchange.Status != http.StatusOK {
 		opened.exchange.Abort()
 		s.recordEnd(opened.view, opened.load, balancer.Failed)
 		s.log("resume failed", append(fields, zap.Int("status", opened.exchange.Status), zap.Duration("copy", copyTime))...)
