Rank gateways that don't reach the store after the others

Cause: a digest ranked its receivers by capacity alone, and named as next collectors also gateways that had reported that they don't reach the store. Others would have sent their states to one of these and waited for it. Found by reading, not seen to happen. Change: peerkeeper.Ranks puts them last and leaves them out of the successors.

--- a/peerkeeper/collector.go
+++ b/peerkeeper/collector.go
@@ -50,3 +50,24 @@
 	}
 	return cmp.Compare(a.VM, b.VM)
 }
+
+// Ranks returns the rank of each recipient of digests as the next collector, from 1 on,
+// and those that could be it, in that order. Recipients must be in the order of their
+// precedence. One that hasn't reported that it reaches the store comes after all others.
+func (k *Keeper) Ranks(recipients []Peer) (ranks []int, successors []Peer) {
+	for _, peer := range recipients {
+		if k.LastState(peer.VM).StoreReachable {
+			successors = append(successors, peer)
+		}
+	}
+	next := 0
+	for _, peer := range recipients {
+		rank := len(successors) + 1
+		if k.LastState(peer.VM).StoreReachable {
+			next++
+			rank = next
+		}
+		ranks = append(ranks, rank)
+	}
+	return ranks, successors
+}
--- a/peerkeeper/keeper_test.go
+++ b/peerkeeper/keeper_test.go
@@ -137,6 +137,17 @@
 		Entry("directory not known", 0, nil, 0, false),
 	)
 
+	// Guards against a next collector that can't read, for which all others would wait.
+	It("ranks gateways that don't reach the store after those that do", func() {
+		k := New(peer("a"))
+		for _, id := range []string{"b", "c", "d"} {
+			k.ApplyState(atMS(0), peer(id), State{StoreReachable: id != "b"})
+		}
+		ranks, successors := k.Ranks([]Peer{peer("b"), peer("c"), peer("d")})
+		Expect(ranks).To(Equal([]int{3, 1, 2}))
+		Expect(successors).To(Equal([]Peer{peer("c"), peer("d")}))
+	})
+
 	It("drops earlier records after a gap in its own reads, and old records", func() {
 		k := New(peer("a"))
 		k.RetainRecords(atMS(0), 0, 10, 20, records(12))
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -25,17 +25,18 @@
 	own, usage, ownRates := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now), m.Gateway.OwnRates(now)
 	m.mu.Lock()
 	rates := m.peers.TotalRates(now, ownRates)
+	ranks, next := m.peers.Ranks(recipients)
 	m.mu.Unlock()
+	successors := encodeSuccessors(next)
 	recent, completed := m.Gateway.RecentCrashes(now)
 	crashes, completions, sum := encodeCrashes(recent), encodeCompletions(completed), m.Gateway.CrashSum(now)
 	notices, allNotices := encodeNotices(now, m.Gateway.KnownNotices(now, false)), encodeNotices(now, m.Gateway.KnownNotices(now, true))
-	successors := encodeSuccessors(recipients)
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
 		m.mu.Lock()
 		missing := m.missingCrashes(now, recipients[i].VM, sum)
 		m.addStartsToDigest(now, recipients[i].VM, digest)
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
-		digest.Rank, digest.Successors = uint32(i+1), successors
+		digest.Rank, digest.Successors = uint32(ranks[i]), successors
 		digest.Notices = notices
 		if m.peers.HasJustStarted(now, recipients[i].VM) {
 			digest.Notices = allNotices
@@ -62,11 +63,11 @@
 // maxSuccessors bounds the next collectors that a digest names.
 const maxSuccessors = 2
 
-// encodeSuccessors returns those of the recipients, who are in the order of their rank,
-// that would be the next collectors.
-func encodeSuccessors(recipients []peerkeeper.Peer) []*peerwire.Referral {
+// encodeSuccessors encodes the first of the next collectors, which are in the order of
+// their rank.
+func encodeSuccessors(next []peerkeeper.Peer) []*peerwire.Referral {
 	out := make([]*peerwire.Referral, 0, maxSuccessors)
-	for _, peer := range recipients[:min(len(recipients), maxSuccessors)] {
+	for _, peer := range next[:min(len(next), maxSuccessors)] {
 		out = append(out, &peerwire.Referral{Vm: string(peer.VM), Address: peer.Address, Strength: peer.Capacity, Established: peer.Established})
 	}
 	return out
