--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -26,37 +26,6 @@
 // newest records, the next reads may return earlier ones once more.
 const removedRetention = 30 * time.Second
 
-//go:generate go tool stringer -linecomment -type=Change
-
-// Change is the kind of an upstream's change.
-type Change uint8
-
-// The kinds of change.
-const (
-	// Appeared means that an upstream is new or may get work again.
-	Appeared Change = iota + 1 // appeared
-	// Leaving means that the upstream announced its shutdown.
-	Leaving // leaving
-	// Removed means that the record was removed from the directory, or lapsed
-	// and was not written again in time.
-	Removed // removed
-	// Restarted means that a new incarnation uses the ID.
-	Restarted // reborn
-	// Undecodable means that the newest record can't be decoded.
-	Undecodable // unusable
-	// Lapsed means that the record was found missing after an outage of the
-	// directory, during which it may have expired. The upstream still gets work.
-	Lapsed // lapsed
-	// Returned means that a lapsed record was written again in time.
-	Returned // returned
-)
-
-// Event is one change of one upstream.
-type Event struct {
-	Change Change
-	Record currantwood.UpstreamRecord
-}
-
 // View is an upstream as it is currently known.
 type View struct {
 	// UpstreamRecord is the first record of the incarnation, with the Sequence
