--- a/linker/linker.go
+++ b/linker/linker.go
@@ -57,9 +57,9 @@
 	// Hello is the first frame to the peer.
 	Hello *wire.Hello
 	// HeartbeatInterval is the time between heartbeats; SilenceTimeout is the time without
-	// any incoming bytes after which the link is closed. SilenceTimeout must exceed
-	// 2 * HeartbeatInterval, which New doesn't check, so that one late heartbeat doesn't
-	// close the link.
+	// any incoming bytes after which the link is closed. Time during which this process
+	// didn't run doesn't count. SilenceTimeout must exceed 2 * HeartbeatInterval, which New
+	// doesn't check, so that one late heartbeat doesn't close the link.
 	HeartbeatInterval, SilenceTimeout time.Duration
 	// OnFrame is called for each incoming frame but heartbeats, in order. It must
 	// not block.
@@ -89,10 +89,10 @@
 	reader  *bufio.Reader
 	peer    *wire.Hello
 
-	// lastReadAt is when bytes last arrived, in nanoseconds since the Unix epoch.
-	// A partial frame counts too, since a large one on a slow connection can
-	// take longer than the silence.
-	lastReadAt atomic.Int64
+	// reads is the number of reads from the connection that returned bytes. A partial
+	// frame counts too, since a large one on a slow connection can take longer than the
+	// silence timeout.
+	reads atomic.Uint64
 	// sentHeartbeat is the sequence number of the last heartbeat sent, and
 	// peerHeartbeat that of the last one received. echoedHeartbeat is the highest
 	// of our numbers that the peer has confirmed; it is at most sentHeartbeat.
@@ -116,7 +116,6 @@
 		writeReady: make(chan struct{}, 1),
 		done:       make(chan struct{}),
 	}
-	l.lastReadAt.Store(time.Now().UnixNano())
 	if err := l.openSession(conn); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "open link with %s", conn.RemoteAddr())
@@ -169,7 +168,7 @@
 	config.EnableKeepAlive = false
 	config.LogOutput = io.Discard
 	config.MaxStreamWindowSize = streamWindowBytes
-	conn = readTimeConn{Conn: conn, link: l}
+	conn = countingConn{Conn: conn, reads: &l.reads}
 	var err error
 	if l.options.Dialed {
 		l.session, err = yamux.Client(conn, config)
@@ -312,12 +311,13 @@
 func (l *Link) runHeartbeats() {
 	ticker := time.NewTicker(l.options.HeartbeatInterval)
 	defer ticker.Stop()
+	meter := newSilenceMeter(time.Now(), l.options.HeartbeatInterval)
 	for {
 		select {
 		case <-l.done:
 			return
-		case now := <-ticker.C:
-			if silence := l.silence(now); silence > l.options.SilenceTimeout {
+		case <-ticker.C:
+			if silence := meter.check(time.Now(), l.reads.Load()); silence > l.options.SilenceTimeout {
 				l.close(errors.Errorf("no data for %s from peer %s", silence, l.peer.GetProcess()))
 				return
 			}
@@ -355,20 +355,16 @@
 	return nil
 }
 
-func (l *Link) silence(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, l.lastReadAt.Load()))
-}
-
-// readTimeConn records when bytes were last read from the connection.
-type readTimeConn struct {
+// countingConn counts the reads from the connection that returned bytes.
+type countingConn struct {
 	net.Conn
-	link *Link
+	reads *atomic.Uint64
 }
 
-func (c readTimeConn) Read(p []byte) (int, error) {
+func (c countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.link.lastReadAt.Store(time.Now().UnixNano())
+		c.reads.Add(1)
 	}
 	return n, err
 }
