Get configurations from the collector in place of one read of the store by each gateway

Change: a gateway that lacks the version asks the collector for the record, by a datagram. configasker decides: asked again after 120 ms, read from the store 350 ms after it fell behind, at once if the collector declines (too long for a datagram, or more than a fifth of its link asked for). The record is applied by its offset and era as one that was read, checksummed; it confirms no age. A store that comes back from a copy makes the collector forget it.

--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -29,7 +29,10 @@
 		},
 		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
 		},
-		OnEraRise:     p.countEraRise,
+		OnEraRise: func(now time.Time, era currantwood.StoreEra) {
+			p.countEraRise(now, era)
+			p.peers.ForgetConfiguration()
+		},
 		OnCurrentAsOf: p.config.Confirm,
 		OnOutageEnd:   func(time.Time) {},
 		Stale:         func(now time.Time) bool { return !p.gateway.ConfigurationFresh(now) },
@@ -174,4 +177,7 @@
 	if p.config.SetIfNewer(configuration) {
 		p.options.Logger.Info("configuration applied", zap.Uint64("version", uint64(configuration.Version)), zap.Int("routes", len(configuration.Routes)), zap.Int("keys", len(configuration.Keys)))
 	}
+	if configuration.Version == p.config.Version() {
+		p.peers.RetainConfiguration(configuration.Version, record)
+	}
 }
--- a/peermessenger/datagram.go
+++ b/peermessenger/datagram.go
@@ -49,6 +49,10 @@
 		m.receiveQuestion(now, from, body.StartQuestion)
 	case *peerwire.Datagram_StartAnswer:
 		m.receiveAnswer(now, body.StartAnswer)
+	case *peerwire.Datagram_ConfigurationQuestion:
+		m.receiveConfigurationQuestion(now, from, body.ConfigurationQuestion)
+	case *peerwire.Datagram_ConfigurationAnswer:
+		m.receiveConfigurationAnswer(now, from, body.ConfigurationAnswer)
 	case *peerwire.Datagram_Referral:
 		m.mu.Lock()
 		m.peers.NotePeer(now, peerkeeper.Peer{VM: currantwood.VMID(body.Referral.GetVm()), Address: body.Referral.GetAddress(), Capacity: body.Referral.GetStrength(), Established: body.Referral.GetEstablished()})
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -149,7 +149,7 @@
 		m.Gateway.SetFleetRates(now, decodeRates(now, d.GetRateLimits()), int(d.GetGateways()))
 	}
 	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, d.GetNotices()))
-	m.applyConfigurationAge(now, d)
+	m.applyConfigurationAge(now, from, d)
 	if currantwood.StoreEra(d.GetStoreEra()) > m.directoryTopic.Era() {
 		m.directoryTopic.Kick()
 		m.configurationTopic.Kick()
@@ -171,17 +171,20 @@
 	}
 }
 
-// applyConfigurationAge notes how recently the collector knew the
-// configuration to be the newest, and requests a read if the collector has a
-// newer one. The digest's transit time is unknown, so the age counts back from
+// applyConfigurationAge notes how recently the collector, from, knew the
+// configuration to be the newest, and obtains a newer one if the collector has it. The digest's transit time is unknown, so the age counts back from
 // when this gateway sent the state that the digest answers.
-func (m *Messenger) applyConfigurationAge(now time.Time, d *peerwire.Digest) {
+func (m *Messenger) applyConfigurationAge(now time.Time, from peerkeeper.Peer, d *peerwire.Digest) {
 	version := currantwood.ConfigurationVersion(d.GetConfiguration())
 	m.Configuration.NoteNewest(version)
-	switch {
-	case version > m.Configuration.Version():
-		m.configurationTopic.Kick()
-	case version == m.Configuration.Version() && m.isOwnEcho(now, d):
+	if version > m.Configuration.Version() {
+		m.obtainConfiguration(now, from, version)
+		return
+	}
+	m.mu.Lock()
+	m.configurationAsker.CaughtUp()
+	m.mu.Unlock()
+	if version == m.Configuration.Version() && m.isOwnEcho(now, d) {
 		age := time.Duration(d.GetConfigurationAgeUs()) * time.Microsecond
 		m.Configuration.Confirm(time.Unix(0, d.GetEcho()).Add(-age))
 	}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -7,8 +7,9 @@
 // the recent crashes and completions that the collector knows, the crashes and the starts
 // of streams that the gateway lacks, the number of gateways and the receiver's rank among
 // the next collectors, the directory records that it read and the version and age of its
-// configuration. A gateway that isn't the collector answers a state with a referral to the
-// collector that it knows.
+// configuration. A gateway that lacks this version asks the collector for its record. A
+// gateway that isn't the collector answers a state with a referral to the collector that it
+// knows.
 package peermessenger
 
 import (
@@ -17,14 +18,17 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/configasker"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/peerkeeper"
@@ -162,6 +166,13 @@
 	// questions holds, for each stream that other gateways were asked about, where those
 	// who wait take the answers.
 	questions map[currantwood.Fingerprint][]chan streamkeeper.Origin
+	// configurationAsker decides how to get a configuration that this gateway lacks.
+	configurationAsker configasker.Asker
+	// configuration is the record of the configuration for gateways that ask for it; nil
+	// if there is none. mu doesn't protect it, since it is set while a topic's lock is held.
+	configuration atomic.Pointer[retainedConfiguration]
+	// configurationLimiter bounds the bytes of configurations that are sent.
+	configurationLimiter *rate.Limiter
 	// process identifies this process among those of its VM.
 	process uint64
 	// startedAt is when this process created the Messenger.
@@ -173,6 +184,7 @@
 // skipped without a log line.
 func New(options Options) (*Messenger, error) {
 	m := &Messenger{Options: options, process: rand.Uint64(), startedAt: options.Now(), questions: make(map[currantwood.Fingerprint][]chan streamkeeper.Origin), peers: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Capacity: options.Settings.CapacityMillicores()})}
+	m.configurationLimiter = newConfigurationLimiter(options.Settings.LinkBitsPerSecond)
 	port := strconv.Itoa(options.Settings.PeerPort)
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(options.Settings.IP, port))
 	if err != nil {
