Let a shutdown begin only once no request waits unread in the kernel

The drainer waited for quiet, 1.5 s at most, and counted only requests that had been read. Change: the drainer wraps the listener, follows the state of each connection, and polls the idle ones and the listener for what is unread; also a request of which only a part was read counts. The wait for quiet keeps its bound, the wait for unread requests ends with the grace period. Gateway and entry both use it.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -1,10 +1,14 @@
 // Package drainer delays the shutdown of an HTTP server while requests still arrive.
-// net/http closes the connection of a request that it reads after its shutdown has
-// begun, without a response, however long ago the client has sent it.
+// net/http closes an idle connection, and the listener with the connections that it
+// hasn't accepted, without looking whether a request waits there unread: one that a client
+// has sent long ago may not have been read, if the process got little processor time.
 package drainer
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,21 +18,56 @@
 const (
 	// quietTime is how long no request must have arrived.
 	quietTime = 250 * time.Millisecond
-	// maxWait bounds the wait, as clients may go on sending.
-	maxWait = 1500 * time.Millisecond
+	// maxQuietWait bounds the wait for quietTime, as clients may go on sending.
+	maxQuietWait = 1500 * time.Millisecond
 	// checkInterval is the time between two checks.
 	checkInterval = 25 * time.Millisecond
 )
 
-// Drainer notes when requests arrive. It is safe for concurrent use.
+// Drainer notes when requests arrive and which connections may have unread ones. It is safe
+// for concurrent use.
 type Drainer struct {
 	// last is when the last request arrived, as the UnixNano of the caller's clock; 0
 	// before the first.
 	last atomic.Int64
+
+	mu sync.Mutex
+	// listener is the one that Listen has wrapped; nil before.
+	listener net.Listener
+	// idle holds the open connections on which the server serves no request.
+	idle map[*conn]struct{}
 }
 
 // New returns a Drainer without requests.
-func New() *Drainer { return &Drainer{} }
+func New() *Drainer { return &Drainer{idle: make(map[*conn]struct{})} }
+
+// Listen returns the listener that the server must serve, so that connections that it hasn't
+// accepted yet and requests that it hasn't read yet are known.
+func (d *Drainer) Listen(listener net.Listener) net.Listener {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listener = listener
+	return drainedListener{listener}
+}
+
+// NoteState is the server's ConnState.
+func (d *Drainer) NoteState(c net.Conn, state http.ConnState) {
+	drained, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		d.idle[drained] = struct{}{}
+	case http.StateIdle:
+		drained.begun.Store(false)
+		d.idle[drained] = struct{}{}
+	case http.StateActive, http.StateHijacked, http.StateClosed:
+		delete(d.idle, drained)
+	}
+}
 
 // NoteRequest notes that a request has arrived.
 func (d *Drainer) NoteRequest(now time.Time) { d.last.Store(now.UnixNano()) }
@@ -38,14 +77,55 @@
 	return now.Sub(time.Unix(0, d.last.Load())) >= quietTime
 }
 
-// Wait waits until it is quiet, for maxWait at most or until ctx is done. now reads the
-// clock of NoteRequest.
+// HasUnread reports whether a client may have sent a request that the server hasn't read
+// whole, or has opened a connection that it hasn't accepted.
+func (d *Drainer) HasUnread() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if isReadable(d.listener) {
+		return true
+	}
+	for c := range d.idle {
+		if c.begun.Load() || isReadable(c.Conn) {
+			return true
+		}
+	}
+	return false
+}
+
+// Wait waits until it is quiet, for maxQuietWait at most, and nothing is unread, or until
+// ctx is done. now reads the clock of NoteRequest.
 func (d *Drainer) Wait(ctx context.Context, now func() time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, maxWait)
-	defer cancel()
-	for !d.IsQuiet(now()) {
+	quietBy := now().Add(maxQuietWait)
+	for d.HasUnread() || !d.IsQuiet(now()) && now().Before(quietBy) {
 		if !sleeper.Sleep(ctx, checkInterval) {
 			return
 		}
 	}
 }
+
+// drainedListener returns connections whose reads are noted.
+type drainedListener struct{ net.Listener }
+
+func (l drainedListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: accepted}, nil
+}
+
+// conn notes whether a request has begun to arrive.
+type conn struct {
+	net.Conn
+	// begun is whether bytes were read since the connection was new or became idle.
+	begun atomic.Bool
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begun.Store(true)
+	}
+	return n, err
+}
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -10,7 +10,7 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-var _ = DescribeTable("Drainer waits until no request has arrived for quietTime, for maxWait at most",
+var _ = DescribeTable("Drainer waits until no request has arrived for quietTime, for maxQuietWait at most",
 	func(requests int, interval, waited time.Duration) {
 		d := New()
 		ctx, cancel := context.WithCancel(context.Background())
@@ -29,7 +29,7 @@
 	Entry("no request", 0, time.Duration(0), time.Duration(0)),
 	Entry("one just before", 1, time.Duration(0), quietTime),
 	Entry("some more", 6, 100*time.Millisecond, 500*time.Millisecond+quietTime),
-	Entry("without end", 40, 100*time.Millisecond, maxWait),
+	Entry("without end", 40, 100*time.Millisecond, maxQuietWait),
 )
 
 var _ = It("a request is recent for quietTime", func() {
--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -212,7 +212,7 @@
 		Logger:         e.logger,
 	})
 	e.arrivals = drainer.New()
-	e.httpServer = &http.Server{Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout}
+	e.httpServer = &http.Server{Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout, ConnState: e.arrivals.NoteState}
 }
 
 // serveClient serves one client request. During shutdown every response closes its
@@ -240,10 +240,11 @@
 		Metrics:  e.metrics,
 		Pages:    []operatorserver.Page{{Path: reporter.Path, Handler: e.serveServiceLevels}, {Path: requestkeeper.Path, Handler: e.serveRecentRequests}, {Path: headserver.Path, Handler: e.headServer.ServeHTTP}},
 	})
+	clients := e.arrivals.Listen(e.clientListener)
 	e.goroutines.Add(4)
 	go func() {
 		defer e.goroutines.Done()
-		_ = e.httpServer.Serve(e.clientListener)
+		_ = e.httpServer.Serve(clients)
 	}()
 	go func() {
 		defer e.goroutines.Done()
--- a/gatewaystarter/servers.go
+++ b/gatewaystarter/servers.go
@@ -29,9 +29,11 @@
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     zap.NewStdLog(p.options.Logger.Named("http")),
+		ConnState:                    p.arrivals.NoteState,
 	}
 	p.readyServer = newSinglePathServer("/readyz", p.serveReady)
 	p.metricsServer = newSinglePathServer("/metrics", p.serveMetrics)
+	clients = p.arrivals.Listen(clients)
 	go func() { _ = p.clientServer.Serve(clients) }()
 	go func() { _ = p.readyServer.Serve(ready) }()
 	p.listenForMetrics()
