Look for a store that is away with reads of the directory only

Change: while reads of the directory fail, too, failed reads of the configuration are at least 3 s apart.

--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -46,6 +46,15 @@
 			p.directory.Kick()
 		},
 	})
+	retryPause := feed.RetryPause
+	feed.RetryPause = func(failures int) (least, pause time.Duration) {
+		least, pause = retryPause(failures)
+		<-p.watching
+		if p.directory.Failing() {
+			pause = max(pause, dependentRetryPause)
+		}
+		return least, pause
+	}
 	takeOver := feed.TakeOverPause
 	feed.TakeOverPause = func() time.Duration { return min(takeOver(), maxConfigurationTakeOver) }
 	return feed
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -70,6 +70,10 @@
 	// maxConfigurationTakeOver bounds the wait for another collector before this gateway
 	// reads the configuration, on whose age its keys depend.
 	maxConfigurationTakeOver = 400 * time.Millisecond
+	// dependentRetryPause is the least pause between failed reads of the configuration while
+	// reads of the directory fail, too. One of them is enough to find the store back, and
+	// lets the other be read at once.
+	dependentRetryPause = 3 * time.Second
 	// directoryReadPause is the time between two reads of the directory.
 	// Upstreams write to it all the time, so a read that waits for the next
 	// record would return at once.
