Keep the sums of all gateways current while none of them reaches the store

Cause: only a gateway that reaches the store collected. While the store was away nobody added up what the gateways report, the usage of the retry budget was too old after a second, and each fell back on a fifth of its own share, at 68 gateways less than one retry in the window. Change: while no collector is known, the gateway that precedes all others heard from sends interim digests: sums, notices and crashes, nothing of what the store holds, as a message of its own that older gateways ignore. A gateway that reaches the store rejects them, so the way in which collectors are found stays as it was.

--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -90,6 +90,10 @@
 type Keeper struct {
 	self  Peer
 	peers map[currantwood.VMID]*peerEntry
+	// interimCollector is the sender of the last accepted interim digest, received at
+	// interimDigestAt.
+	interimCollector Peer
+	interimDigestAt  time.Time
 	// collector is the sender of the last accepted digest, received at
 	// digestAt.
 	collector Peer
--- a/peermessenger/datagram.go
+++ b/peermessenger/datagram.go
@@ -45,6 +45,8 @@
 		m.receiveState(now, from, datagram.GetProcess(), body.State)
 	case *peerwire.Datagram_Digest:
 		m.receiveDigest(now, from, datagram.GetProcess(), body.Digest)
+	case *peerwire.Datagram_InterimDigest:
+		m.receiveInterimDigest(now, from, body.InterimDigest)
 	case *peerwire.Datagram_StartQuestion:
 		m.receiveQuestion(now, from, body.StartQuestion)
 	case *peerwire.Datagram_StartAnswer:
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -11,12 +11,13 @@
 )
 
 // sendDigests sends a digest to each recipient if this gateway is the
-// collector, and applies the sums of the others' loads and retry usage to its
-// own process.
+// collector or the interim collector, and applies the sums of the others' loads and retry
+// usage to its own process.
 func (m *Messenger) sendDigests(now time.Time) {
 	storeReachable := m.storeReachable()
 	m.mu.Lock()
-	if !m.peers.IsCollector(now, storeReachable) {
+	interim := m.peers.IsInterimCollector(now, storeReachable)
+	if !interim && !m.peers.IsCollector(now, storeReachable) {
 		m.mu.Unlock()
 		return
 	}
@@ -34,7 +35,9 @@
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
 		m.mu.Lock()
 		missing := m.missingCrashes(now, recipients[i].VM, sum)
-		m.addStartsToDigest(now, recipients[i].VM, digest)
+		if !interim {
+			m.addStartsToDigest(now, recipients[i].VM, digest)
+		}
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
 		digest.Rank, digest.Successors = uint32(ranks[i]), successors
 		digest.Notices = notices
@@ -43,7 +46,7 @@
 		}
 		m.mu.Unlock()
 		digest.Crashes, digest.Completions, digest.CrashSum = append(encodeCrashes(missing), crashes...), completions, sum
-		m.send(recipients[i].Address, &peerwire.Datagram{Body: &peerwire.Datagram_Digest{Digest: digest}})
+		m.sendDigest(recipients[i].Address, digest, interim)
 	}
 	m.mu.Lock()
 	loads := m.peers.TotalLoads(now, nil)
@@ -128,11 +131,8 @@
 // Crashes are applied in any case. process is the sender's.
 func (m *Messenger) receiveDigest(now time.Time, from peerkeeper.Peer, process uint64, d *peerwire.Digest) {
 	m.mu.Lock()
-	usage := decodeRetryUsage(d.GetUses())
 	accepted := m.peers.AcceptDigest(now, from, m.storeReachable())
 	if accepted {
-		m.peers.SetDigestUsage(usage)
-		m.peers.SetDigestGateways(int(d.GetGateways()))
 		m.peers.SetRank(int(d.GetRank()))
 		m.noteSuccessors(now, d.GetSuccessors())
 		m.peers.SetCrashSum(from.VM, d.GetCrashSum())
@@ -142,13 +142,8 @@
 	if !accepted {
 		return
 	}
-	m.Gateway.SetPeerLoads(now, decodeLoads(d.GetLoads()))
-	m.Gateway.SetBudgetPeers(now, budgeter.Peers{Usage: usage, Gateways: int(d.GetGateways()), Established: int(d.GetEstablished())})
+	m.applySums(now, from, d)
 	m.receiveDigestStarts(now, from.VM, process, d)
-	if d.GetSumsRateLimits() {
-		m.Gateway.SetFleetRates(now, decodeRates(now, d.GetRateLimits()), int(d.GetGateways()))
-	}
-	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, d.GetNotices()))
 	m.applyConfigurationAge(now, from, d)
 	if currantwood.StoreEra(d.GetStoreEra()) > m.directoryTopic.Era() {
 		m.directoryTopic.Kick()
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -156,6 +156,8 @@
 	// wasCollector is the role that was logged last, and roleSince when it began.
 	wasCollector bool
 	roleSince    time.Time
+	// wasInterim is whether this gateway was the interim collector when it was noted last.
+	wasInterim bool
 	// wasCovered is whether another gateway was the collector when it was noted last.
 	wasCovered bool
 	// coveredSince is when wasCovered changed last.
--- a/peermessenger/role.go
+++ b/peermessenger/role.go
@@ -42,6 +42,10 @@
 	isCollector := m.peers.IsCollector(now, storeReachable)
 	m.Gateway.SetCollects(isCollector)
 	m.noteOtherCollector(now)
+	if interim := m.peers.IsInterimCollector(now, storeReachable); interim != m.wasInterim {
+		m.wasInterim = interim
+		m.Logger.Info("this gateway began or stopped adding up reports while no gateway reaches the store", zap.Bool("adds-up", interim), zap.Int("gateways", m.peers.CountGateways(now)))
+	}
 	if isCollector != m.wasCollector {
 		m.wasCollector, m.roleSince = isCollector, now
 		if isCollector {
