--- a/configasker/asker.go
+++ b/configasker/asker.go
@@ -28,7 +28,7 @@
 	// repeatInterval is the time after which a question is asked again, as datagrams are
 	// lost.
 	repeatInterval = 120 * time.Millisecond
-	// askTimeout is the time since the first question after which the store is read.
+	// askTimeout is how long a gateway is behind before it reads the store.
 	askTimeout = 350 * time.Millisecond
 )
 
--- a/linker/silence.go
+++ b/linker/silence.go
@@ -20,7 +20,8 @@
 	return &silenceMeter{interval: interval, checkedAt: now}
 }
 
-// check returns for how long the number of reads has been the same.
+// check returns for how long no read has returned bytes, given the number of those that have
+// so far.
 func (m *silenceMeter) check(now time.Time, reads uint64) time.Duration {
 	elapsed := min(now.Sub(m.checkedAt), m.interval)
 	m.checkedAt = now
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -166,9 +166,10 @@
 	}
 }
 
-// applyConfigurationAge notes how recently the collector, from, knew the
-// configuration to be the newest, and obtains a newer one if the collector has it. The digest's transit time is unknown, so the age counts back from
-// when this gateway sent the state that the digest answers.
+// applyConfigurationAge notes how recently the collector, from, knew the configuration to
+// be the newest, and obtains a newer one if the collector has it. The digest's transit time
+// is unknown, so the age counts back from when this gateway sent the state that the digest
+// answers.
 func (m *Messenger) applyConfigurationAge(now time.Time, from peerkeeper.Peer, d *peerwire.Digest) {
 	version := currantwood.ConfigurationVersion(d.GetConfiguration())
 	m.Configuration.NoteNewest(version)
