--- a/entrystarter/entrystarter.go
+++ b/entrystarter/entrystarter.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	mathrand "math/rand"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -38,7 +37,6 @@
 	"github.com/currantwood/currantwood/requestkeeper"
 	"github.com/currantwood/currantwood/settingsreader"
 	"github.com/currantwood/currantwood/sleeper"
-	"github.com/currantwood/currantwood/subsetter"
 	"github.com/currantwood/currantwood/tracker"
 	"github.com/currantwood/currantwood/vmclient"
 	"github.com/currantwood/currantwood/wire"
@@ -260,80 +258,6 @@
 	}()
 }
 
-func (e *Entry) linkOptions(dialed bool) linker.Options {
-	return linker.Options{
-		Dialed:            dialed,
-		Hello:             e.hello,
-		HeartbeatInterval: e.settings.Links.Heartbeat.AsDuration(),
-		SilenceTimeout:    e.settings.Links.Silence.AsDuration(),
-		OnFrame:           e.distributor.Frame,
-		OnClosed:          e.distributor.Down,
-	}
-}
-
-// acceptLinks accepts links from other processes until the listener is closed.
-func (e *Entry) acceptLinks() {
-	for {
-		conn, err := e.linkListener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			link, err := linker.New(conn, e.linkOptions(false))
-			if err != nil {
-				e.logger.Warn("failed to open a link", zap.Error(err))
-				return
-			}
-			e.distributor.Up(link)
-		}()
-	}
-}
-
-func (e *Entry) newLinkKeeper() *linkkeeper.Keeper {
-	return linkkeeper.New(linkkeeper.Options{
-		Self: currantwood.VM{
-			ID:     currantwood.VMID(e.settings.VM),
-			Role:   currantwood.RoleEntry.String(),
-			Region: currantwood.RegionID(e.settings.Region),
-			Zone:   currantwood.ZoneID(e.settings.Zone),
-		},
-		VMs:          e.vmList,
-		PollInterval: e.settings.Platform.VMListInterval.AsDuration(),
-		Subset: subsetter.Options{
-			SidesPerGroup:  e.settings.Entry.SidesPerGroup,
-			SidesElsewhere: e.settings.Entry.SidesElsewhere,
-			WholeGroup:     e.settings.Entry.WholeGroup,
-		},
-		SetAddresses: func(addresses []string) { e.dialer.SetAddresses(addresses) },
-		HasInFlight:  e.tracker.HasInFlight,
-		OnLeaving:    e.tracker.RecordLeaving,
-		Logger:       e.logger,
-	})
-}
-
-func (e *Entry) dialFailed(address string, err error) {
-	e.logger.Debug("dial failed", zap.String("peer", address), zap.Error(err))
-}
-
-// serveServiceLevels serves this entry's measurements against its service-level
-// objectives.
-func (e *Entry) serveServiceLevels(w http.ResponseWriter, _ *http.Request) {
-	levels, err := e.observer.Snapshot(time.Now(), e.settings.Process)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	operatorserver.WriteJSON(w, levels)
-}
-
-// recentRequestLimit is the number of served generations kept for workload
-// traces.
-const recentRequestLimit = 4096
-
-func (e *Entry) serveRecentRequests(w http.ResponseWriter, _ *http.Request) {
-	operatorserver.WriteJSON(w, e.recentRequests.Recent())
-}
-
 // Ready returns nil if the entry accepts requests, or the reason why it doesn't.
 func (e *Entry) Ready() error {
 	if e.shuttingDown.Load() {
@@ -355,16 +279,5 @@
 // it waits for another entry's crash reports.
 const crashReportTimeout = 3 * time.Second
 
-func newHello(settings settingsreader.Settings) *wire.Hello {
-	return &wire.Hello{
-		Process:     settings.Process,
-		Vm:          settings.VM,
-		Role:        currantwood.RoleEntry.String(),
-		Region:      settings.Region,
-		Zone:        settings.Zone,
-		Incarnation: rand.Uint64(),
-	}
-}
-
 // vmListTimeout bounds one request for the VM list.
 const vmListTimeout = 5 * time.Second
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -139,6 +139,18 @@
 	return !s.finished && s.headerWritten.Load() && s.eventsLeft() >= minEventsLeft && s.ctx.Err() == nil
 }
 
+// reasonNotToResume returns why a run that was copied stays where it is, or "" if it may go
+// on at the target. It then takes what the move costs from the retry budget.
+func (s *stream) reasonNotToResume() string {
+	if !s.mayMove() {
+		return "run ends soon or has ended"
+	}
+	if !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
+		return "retry budget exhausted"
+	}
+	return ""
+}
+
 // pickMoveTarget picks the engine that a run is moved to and reports whether
 // there is one. It prefers the availability zone of the current engine to the
 // rest of its region, and that to other regions. Within the zone and the region
@@ -203,9 +215,9 @@
 		s.freeCopy(copied)
 		return false
 	}
-	if !s.mayMove() || !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
+	if reason := s.reasonNotToResume(); reason != "" {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
-		s.log("copied run not resumed: it has ended, or the retry budget is exhausted", fields...)
+		s.log("copied run not resumed: it ends soon or has ended, or the retry budget is exhausted", append(fields, zap.String("reason", reason))...)
 		s.freeCopy(copied)
 		return true
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -5,9 +5,6 @@
 
 import (
 	"bufio"
-	"context"
-	"encoding/binary"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,14 +12,11 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/currantwood/currantwood/wire"
 )
 
 const (
-	// maxFrameBytes bounds one frame; the largest request body must fit in.
-	maxFrameBytes = 4 << 20
 	// maxQueuedItems bounds the send queue of a link whose peer reads slowly. A
 	// source is one item, however many frames it creates.
 	maxQueuedItems = 1 << 16
@@ -34,10 +28,6 @@
 	writeBufferBytes    = writeThresholdBytes + 16<<10
 	// streamWindowBytes is yamux's flow control window.
 	streamWindowBytes = 1 << 20
-	// flushPollInterval is how often Flush checks for the peer's echo.
-	flushPollInterval = 10 * time.Millisecond
-	// helloTimeout bounds the exchange of the hello frames.
-	helloTimeout = 3 * time.Second
 )
 
 // writeBuffers is shared by all links, since few of them write at the same time
@@ -163,60 +153,6 @@
 // Done returns a channel that is closed when the link is.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
-func (l *Link) openSession(conn net.Conn) error {
-	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = false
-	config.LogOutput = io.Discard
-	config.MaxStreamWindowSize = streamWindowBytes
-	conn = countingConn{Conn: conn, reads: &l.reads}
-	var err error
-	if l.options.Dialed {
-		l.session, err = yamux.Client(conn, config)
-	} else {
-		l.session, err = yamux.Server(conn, config)
-	}
-	if err != nil {
-		return err
-	}
-	if err := l.handshake(); err != nil {
-		_ = l.session.Close()
-		return err
-	}
-	return nil
-}
-
-func (l *Link) handshake() error {
-	timer := time.AfterFunc(helloTimeout, func() { _ = l.session.Close() })
-	defer timer.Stop()
-	var err error
-	if l.options.Dialed {
-		l.stream, err = l.session.OpenStream()
-	} else {
-		l.stream, err = l.session.AcceptStream()
-	}
-	if err != nil {
-		return err
-	}
-	l.reader = bufio.NewReaderSize(l.stream, readBufferBytes)
-	hello := &wire.Frame{Body: &wire.Frame_Hello{Hello: l.options.Hello}}
-	buffer, err := appendFrame(nil, hello)
-	if err != nil {
-		return err
-	}
-	if _, err := l.stream.Write(buffer); err != nil {
-		return err
-	}
-	first, err := l.readFrame()
-	if err != nil {
-		return err
-	}
-	l.peer = first.GetHello()
-	if l.peer == nil {
-		return errors.New("first frame of the peer is not a hello")
-	}
-	return nil
-}
-
 func (l *Link) runWriter() {
 	var batch []queueItem
 	for {
@@ -268,13 +204,6 @@
 	return err
 }
 
-// appendFrame appends the frame with its length as a varint prefix.
-func appendFrame(buffer []byte, frame *wire.Frame) ([]byte, error) {
-	options := proto.MarshalOptions{UseCachedSize: true}
-	buffer = binary.AppendUvarint(buffer, uint64(proto.Size(frame)))
-	return options.MarshalAppend(buffer, frame)
-}
-
 func (l *Link) runReader() {
 	for {
 		frame, err := l.readFrame()
@@ -292,83 +221,6 @@
 	l.options.OnClosed(l, l.closeCause())
 }
 
-func (l *Link) readFrame() (*wire.Frame, error) {
-	size, err := binary.ReadUvarint(l.reader)
-	if err != nil {
-		return nil, err
-	}
-	if size > maxFrameBytes {
-		return nil, errors.Errorf("frame of %d bytes exceeds the limit of %d bytes", size, maxFrameBytes)
-	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(l.reader, body); err != nil {
-		return nil, err
-	}
-	frame := &wire.Frame{}
-	return frame, proto.Unmarshal(body, frame)
-}
-
-func (l *Link) runHeartbeats() {
-	ticker := time.NewTicker(l.options.HeartbeatInterval)
-	defer ticker.Stop()
-	meter := newSilenceMeter(time.Now(), l.options.HeartbeatInterval)
-	for {
-		select {
-		case <-l.done:
-			return
-		case <-ticker.C:
-			if silence := meter.check(time.Now(), l.reads.Load()); silence > l.options.SilenceTimeout {
-				l.close(errors.Errorf("no data for %s from peer %s", silence, l.peer.GetProcess()))
-				return
-			}
-			l.sendHeartbeat()
-		}
-	}
-}
-
-// sendHeartbeat sends a heartbeat and returns its sequence number.
-func (l *Link) sendHeartbeat() uint64 {
-	seq := l.sentHeartbeat.Add(1)
-	_ = l.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{
-		Seq:  seq,
-		Echo: l.peerHeartbeat.Load(),
-	}}})
-	return seq
-}
-
-// Flush waits until the peer has read all frames that were sent before, which
-// takes up to the peer's heartbeat interval. It fails when the link is closed or
-// ctx is done first.
-func (l *Link) Flush(ctx context.Context) error {
-	seq := l.sendHeartbeat()
-	ticker := time.NewTicker(flushPollInterval)
-	defer ticker.Stop()
-	for l.echoedHeartbeat.Load() < seq {
-		select {
-		case <-ticker.C:
-		case <-l.done:
-			return errors.Wrapf(ErrClosed, "flush to peer %s", l.peer.GetProcess())
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "flush to peer %s", l.peer.GetProcess())
-		}
-	}
-	return nil
-}
-
-// countingConn counts the reads from the connection that returned bytes.
-type countingConn struct {
-	net.Conn
-	reads *atomic.Uint64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.reads.Add(1)
-	}
-	return n, err
-}
-
 func (l *Link) closeCause() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
