Let a gateway that adds up reports inherit the retries of the last digest in any role

One that added up reports as the interim collector forgot those of gateways that had ended together with the collector, and so could let the others exceed the retry budget; and one that was the collector twice forgot them at the second time, which is older than this change. Change: taken over when either role begins, and kept until a newer digest was accepted.

--- a/peerkeeper/usage.go
+++ b/peerkeeper/usage.go
@@ -37,10 +37,14 @@
 // reported.
 func (k *Keeper) SetDigestUsage(usage budgeter.GroupUsage) { k.digestUsage = usage }
 
-// BecomeCollector notes that this gateway is the collector from now on. What the
-// collector before knew of gateways that this one doesn't hear from, itself included,
-// is in its last digest alone.
-func (k *Keeper) BecomeCollector(now time.Time) {
+// InheritUsage notes that this gateway adds up reports from now on, as the collector or
+// the interim collector. What the one before it knew of gateways that this one doesn't hear
+// from, itself included, is in its last digest alone. What was inherited before stays if
+// no digest was accepted since.
+func (k *Keeper) InheritUsage(now time.Time) {
+	if k.digestUsage == nil {
+		return
+	}
 	k.inherited, k.inheritedAt, k.inheritedSettled = maps.Clone(k.digestUsage), now, false
 	k.digestUsage = nil
 }
--- a/peerkeeper/usage_test.go
+++ b/peerkeeper/usage_test.go
@@ -33,7 +33,7 @@
 		k := New(peer("b"))
 		Expect(k.AcceptDigest(start, peer("a"), true)).To(BeTrue())
 		k.SetDigestUsage(used(100, 40))
-		k.BecomeCollector(atMS(800))
+		k.InheritUsage(atMS(800))
 		By("all of it until the gateways have reported")
 		Expect(k.TotalUsage(atMS(900), retryWindow, "", nil)["g"].Retries).To(Equal(40))
 		k.ApplyState(atMS(1000), peer("c"), State{Process: 1, RetryUsage: used(50, 15)})
--- a/peermessenger/role.go
+++ b/peermessenger/role.go
@@ -42,15 +42,16 @@
 	isCollector := m.peers.IsCollector(now, storeReachable)
 	m.Gateway.SetCollects(isCollector)
 	m.noteOtherCollector(now)
-	if interim := m.peers.IsInterimCollector(now, storeReachable); interim != m.wasInterim {
-		m.wasInterim = interim
-		m.Logger.Info("this gateway began or stopped adding up reports while no gateway reaches the store", zap.Bool("adds-up", interim), zap.Int("gateways", m.peers.CountGateways(now)))
+	isInterim := m.peers.IsInterimCollector(now, storeReachable)
+	if addsUp := isCollector || isInterim; addsUp && !m.wasCollector && !m.wasInterim {
+		m.peers.InheritUsage(now)
+	}
+	if isInterim != m.wasInterim {
+		m.wasInterim = isInterim
+		m.Logger.Info("this gateway began or stopped adding up reports while no gateway reaches the store", zap.Bool("adds-up", isInterim), zap.Int("gateways", m.peers.CountGateways(now)))
 	}
 	if isCollector != m.wasCollector {
 		m.wasCollector, m.roleSince = isCollector, now
-		if isCollector {
-			m.peers.BecomeCollector(now)
-		}
 		m.Logger.Info("this gateway became the collector or stopped being it", zap.Bool("collects", isCollector), zap.Bool("store", storeReachable), zap.Int("gateways", m.peers.CountGateways(now)))
 	}
 }
