Review, case 2: with the last key taken away, every key is accepted

Cause: no key is asked for if the configuration holds none. A configuration whose tenants have lost their last key looks like one without tenants.

Change: none to the project; review/2 shows it: three keys of two tenants are taken away, one a version.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,6 +29,7 @@
 // cases are the cases by the name that run.sh gives.
 var cases = map[string]func(w *world) verdict{
 	"late-copy": lateCopy,
+	"no-keys":   noKeys,
 }
 
 func main() {
