Review, case 3: a worker updated in place during an outage joins two versions

Cause: the version of a stream is taken from the directory without asking the worker whether it still is that incarnation. While the store is away, a worker that was updated in place counts as the old version, and reports of it with another start are ignored.

Change: none to the project; review/3 shows it: the store is down for 7.5 s, one of six workers starts again under its id as the next version, and crashes while it writes.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(w *world) verdict{
 	"late-copy": lateCopy,
 	"no-keys":   noKeys,
+	"versions":  versions,
 }
 
 func main() {
