Review, case 4: a moved run goes on at two workers at once

Cause: the request that goes on with a copied run has no timeout of its own, and the run before is ended only once its answer has come. A worker that runs it and gives no answer leaves both at work.

Change: none to the project; review/4 shows it: nine workers are replaced in turn while one of seven gives no answer to nine of twenty requests that it runs.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,6 +31,7 @@
 	"late-copy": lateCopy,
 	"no-keys":   noKeys,
 	"versions":  versions,
+	"mute":      mute,
 }
 
 func main() {
