Review, case 5: long request bodies make gateways exceed their memory

Cause: each request's body is read whole before a worker is chosen, and nothing bounds the bodies of all requests together. Response bodies have such a bound.

Change: none to the project; review/5 shows it: 72 clients come to two gateways with bodies of 4,000,000 bytes, below maxBodyBytes. The stand-in of the platform ends a process that has allocated more than memoryMb.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -32,6 +32,7 @@
 	"no-keys":   noKeys,
 	"versions":  versions,
 	"mute":      mute,
+	"bodies":    bodies,
 }
 
 func main() {
