--- a/review/stand/nokeys.go
+++ b/review/stand/nokeys.go
@@ -29,13 +29,11 @@
 	if err := w.addGateways(2); err != nil {
 		return notRun("%v", err)
 	}
-	held := 0
 	for i, key := range append(keys, unknownKey, "") {
 		o := w.once(w.gateways[i%2], payWith(key))
 		if known := i < len(keys); known != (o.status == 200) {
 			return notRun("before the disruption, key %q was answered %d", key, o.status)
 		}
-		held++
 	}
 	time.Sleep(revokeGap)
 	remaining := [][2][]string{{keys[1:2], keys[2:]}, {{}, keys[2:]}, {{}, {}}}
