--- a/gateway/call.go
+++ b/gateway/call.go
@@ -160,7 +160,7 @@
 			outcome = balancer.Failed
 		}
 		q.recordEnd(choice.View, load, outcome)
-		return nil, errors.Errorf("rejected with status %d", x.Status)
+		return nil, &rejectedError{x.Status}
 	}
 	return x, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,7 @@
 type instruments struct {
 	served, refused, failed, clientDisconnects metrics.Counter
 	retries, generationsMoved, generationsLost metrics.Counter
+	movesUnanswered                            metrics.Counter
 	crashesRecorded, crashesLearned            metrics.Counter
 	requestsBlocked, rateLimitChanges          metrics.Counter
 	leavingNotices, pauses, refusedPaused      metrics.Counter
@@ -142,6 +143,7 @@
 		retries:           metrics.NewRegisteredCounter("retries", r),
 		generationsMoved:  metrics.NewRegisteredCounter("generations-moved", r),
 		generationsLost:   metrics.NewRegisteredCounter("generations-lost", r),
+		movesUnanswered:   metrics.NewRegisteredCounter("moves-unanswered", r),
 		crashesRecorded:   metrics.NewRegisteredCounter("crashes-recorded", r),
 		crashesLearned:    metrics.NewRegisteredCounter("crashes-learned", r),
 		requestsBlocked:   metrics.NewRegisteredCounter("requests-blocked", r),
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"net/http"
+	"context"
 	"slices"
 	"time"
 
@@ -36,6 +36,10 @@
 	minEventsLeft = 10
 )
 
+// errOtherIncarnation means that the target of a move isn't known to be the incarnation
+// that the directory shows.
+var errOtherIncarnation = errors.New("the target isn't the incarnation in the directory")
+
 // moveStreams starts to move streams away from leaving upstreams, those with the
 // most events left first. The moves then run concurrently.
 func (g *Gateway) moveStreams(leaving []*stream) {
@@ -80,10 +84,13 @@
 		return
 	}
 	done := make(chan struct{})
-	s.moveDone = done
+	// The upstream that the move reaches is used as long as the stream lasts, so ctx is
+	// canceled only if nobody waits for the move any longer.
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.moveDone, s.cancelMove = done, cancel
 	s.mu.Unlock()
 	go func() {
-		s.move(from)
+		s.move(ctx, from)
 		s.mu.Lock()
 		s.moveDone = nil
 		s.mu.Unlock()
@@ -94,9 +101,9 @@
 // move copies the run's memory to another engine and resumes the stream there.
 // Engines that had no room are asked again after a pause: meanwhile other runs
 // leave them and copies under way end.
-func (s *stream) move(from *upstreamStream) {
+func (s *stream) move(ctx context.Context, from *upstreamStream) {
 	for range maxMoveRounds {
-		if s.moveRound(from) || !sleeper.Sleep(s.ctx, moveRetryPause) {
+		if s.moveRound(ctx, from) || !sleeper.Sleep(ctx, moveRetryPause) {
 			return
 		}
 	}
@@ -105,10 +112,10 @@
 
 // moveRound tries up to maxEnginesPerRound engines, one after the other, and
 // reports whether the move is over, whatever its outcome.
-func (s *stream) moveRound(from *upstreamStream) bool {
+func (s *stream) moveRound(ctx context.Context, from *upstreamStream) bool {
 	exclude := []currantwood.UpstreamID{from.view.ID}
 	for range maxEnginesPerRound {
-		if !s.mayMove() {
+		if !s.mayMove(ctx) {
 			return true
 		}
 		choice, ok := s.pickMoveTarget(from, exclude)
@@ -120,7 +127,7 @@
 			return false
 		}
 		exclude = append(exclude, choice.View.ID)
-		if s.moveTo(from, choice) {
+		if s.moveTo(ctx, from, choice) {
 			return true
 		}
 	}
@@ -130,19 +137,19 @@
 // mayMove reports whether the run can be moved and is worth it: the client has
 // received an event and still waits, the run will not end soon and its request
 // has not crashed too many upstreams.
-func (s *stream) mayMove() bool {
+func (s *stream) mayMove(ctx context.Context) bool {
 	if s.blocked() != nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.finished && s.headerWritten.Load() && s.eventsLeft() >= minEventsLeft && s.ctx.Err() == nil
+	return !s.finished && s.headerWritten.Load() && s.eventsLeft() >= minEventsLeft && ctx.Err() == nil
 }
 
 // reasonNotToResume returns why a run that was copied stays where it is, or "" if it may go
 // on at the target. It then takes what the move costs from the retry budget.
-func (s *stream) reasonNotToResume() string {
-	if !s.mayMove() {
+func (s *stream) reasonNotToResume(ctx context.Context) string {
+	if !s.mayMove(ctx) {
 		return "run ends soon or has ended"
 	}
 	if !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
@@ -189,66 +196,56 @@
 
 // moveTo moves the run to one engine and reports whether the move is over; if
 // not, another engine may be tried.
-func (s *stream) moveTo(from *upstreamStream, choice balancer.Choice) bool {
+func (s *stream) moveTo(ctx context.Context, from *upstreamStream, choice balancer.Choice) bool {
 	began := s.g.Now()
-	fields := []zap.Field{
+	fields := moveFields(from, choice)
+	copied, err := s.copyRun(from, choice, false)
+	if err != nil {
+		s.log("copy failed", append(fields, zap.Error(err), zap.Duration("took", s.g.Now().Sub(began)))...)
+		return !errors.Is(err, currantwood.ErrNoRoom) && !errors.Is(err, errOtherIncarnation)
+	}
+	fields = append(fields, zap.Duration("copy", s.g.Now().Sub(began)))
+	if reason := s.reasonNotToResume(ctx); reason != "" {
+		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
+		s.log("copied run not resumed: it ends soon or has ended, or the retry budget is exhausted", append(fields, zap.String("reason", reason))...)
+		s.freeCopy(copied)
+		return true
+	}
+	return s.resumeAt(ctx, from, s.startResume(ctx, choice, copied, fields))
+}
+
+// moveFields returns the fields of log lines that say where a run is and where it goes.
+func moveFields(from *upstreamStream, choice balancer.Choice) []zap.Field {
+	return []zap.Field{
 		zap.String("from", string(from.view.ID)), zap.String("from-version", string(from.view.Version)),
 		zap.String("to", string(choice.View.ID)), zap.String("to-version", string(choice.View.Version)),
 	}
+}
+
+// copyRun copies the run's memory to an engine, and asks it meanwhile whether it is still
+// the incarnation in the directory; if not, the error is errOtherIncarnation. If stop is
+// set, the source stops the run first. If copyRun fails, it has reported the end of the
+// target's load to the balancer.
+func (s *stream) copyRun(from *upstreamStream, choice balancer.Choice, stop bool) (currantwood.RunCopy, error) {
 	// A target that starts again after the copy has begun loses it, so the answer may be
 	// older than the resume. After the resume it would delay the end of the run here.
 	confirmed := make(chan bool, 1)
 	go func() { confirmed <- s.g.runsIncarnation(choice.View) }()
-	copied, err := s.g.Mover.Copy(s.client.ID, from.view.Address, choice.View.Address, copyTimeout)
+	order := currantwood.CopyOrder{Request: s.client.ID, From: from.view.Address, To: choice.View.Address, Stop: stop}
+	copied, err := s.g.Mover.Copy(order, copyTimeout)
 	if copied.SourceLeaving {
 		s.g.noteLeaving(from.view)
 	}
 	if err != nil {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
-		s.log("copy failed", append(fields, zap.Error(err), zap.Duration("took", s.g.Now().Sub(began)))...)
-		return !errors.Is(err, currantwood.ErrNoRoom)
+		return currantwood.RunCopy{}, err
 	}
-	copyTime := s.g.Now().Sub(began)
 	if !<-confirmed {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Failed)
-		s.log("copied run not resumed: the target isn't the incarnation in the directory", fields...)
-		s.freeCopy(copied)
-		return false
-	}
-	if reason := s.reasonNotToResume(); reason != "" {
-		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
-		s.log("copied run not resumed: it ends soon or has ended, or the retry budget is exhausted", append(fields, zap.String("reason", reason))...)
-		s.freeCopy(copied)
-		return true
-	}
-	s.resuming.Store(true)
-	defer s.resuming.Store(false)
-	opened, err := s.sendToUpstream(s.ctx, choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.lastEvent.Load(), ResumeFrom: &copied})
-	if err != nil {
-		s.log("resume failed", append(fields, zap.Error(err), zap.Duration("copy", copyTime))...)
-		s.freeCopy(copied)
-		return false
-	}
-	if opened.exchange.Status != http.StatusOK {
-		opened.exchange.Abort()
-		s.recordEnd(opened.view, opened.load, balancer.Failed)
-		s.log("resume failed", append(fields, zap.Int("status", opened.exchange.Status), zap.Duration("copy", copyTime))...)
 		s.freeCopy(copied)
-		return false
-	}
-	s.mu.Lock()
-	if s.finished {
-		s.mu.Unlock()
-		opened.exchange.Abort()
-		s.recordEnd(opened.view, opened.load, balancer.Neutral)
-		return true
+		return currantwood.RunCopy{}, errOtherIncarnation
 	}
-	s.next = opened
-	s.mu.Unlock()
-	from.exchange.Abort()
-	s.g.instruments.generationsMoved.Inc(1)
-	s.log("run moved", append(fields, zap.Duration("copy", copyTime), zap.Duration("took", s.g.Now().Sub(began)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int64("events-left", s.eventsLeft()))...)
-	return true
+	return copied, nil
 }
 
 // freeCopy frees a copy that will not be used.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -57,13 +56,15 @@
 	// without mu.
 	current *upstreamStream
 	next    *upstreamStream
-	// cancelUpstream cancels the exchange that sendCancelable began last; nil
-	// before the first. It doesn't cancel an exchange that a move began.
-	// Guarded by mu.
+	// cancelUpstream cancels the exchange that sendCancelable began last or, after a
+	// move, that with current; nil before the first. Guarded by mu.
 	cancelUpstream context.CancelFunc
 	// moveDone is closed when the move under way ends; nil if there is none.
 	// Guarded by mu.
 	moveDone chan struct{}
+	// cancelMove ends the move that began last and what it has reached; nil before the
+	// first. Guarded by mu.
+	cancelMove context.CancelFunc
 	// finished is set when nothing more will be delivered; guarded by mu.
 	finished bool
 	// resuming is true while the target of a move has been asked to resume the
@@ -190,7 +191,7 @@
 		if s.switchTo(up, s.takeNext()) {
 			continue
 		}
-		if errors.Is(err, io.EOF) && s.complete() {
+		if up.ended(err) && s.complete() {
 			s.closeUpstream(up, balancer.Served)
 			if up.exchange.Framed {
 				s.recordCompletion(up.firstEventAt)
@@ -200,14 +201,14 @@
 			s.log("stream served", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns))
 			return nil
 		}
-		if broken {
+		if broken && !up.handedOver.Load() {
 			s.recordBrokenBody(err, up.failure(s.ctx))
 		}
 		if s.switchTo(up, s.awaitMove()) {
 			continue
 		}
 		outcome := balancer.Failed
-		if s.ctx.Err() != nil {
+		if s.ctx.Err() != nil || up.handedOver.Load() {
 			outcome = balancer.Neutral
 		}
 		s.closeUpstream(up, outcome)
@@ -231,8 +232,8 @@
 
 // cancelStalled cancels the exchange with a stalled upstream if the route allows
 // the stream to be resumed at another. Otherwise the stream is left alone, as
-// the upstream may recover. cancelStalled doesn't cancel an exchange that a move
-// began, and doesn't check whether MaxUpstreams still allows another run.
+// the upstream may recover. cancelStalled doesn't check whether MaxUpstreams still
+// allows another run.
 func (s *stream) cancelStalled() {
 	if !s.route.Resumable || s.route.MaxUpstreams < 2 {
 		return
@@ -272,10 +273,12 @@
 	return next
 }
 
-// awaitMove waits for the move under way, if any, and then returns takeNext.
+// awaitMove waits for the move under way, if any, and then returns takeNext. A move that
+// takes too long is canceled, so that its target doesn't run the request beside another
+// upstream.
 func (s *stream) awaitMove() *upstreamStream {
 	s.mu.Lock()
-	done := s.moveDone
+	done, cancel := s.moveDone, s.cancelMove
 	s.mu.Unlock()
 	if done == nil {
 		return nil
@@ -285,6 +288,8 @@
 	select {
 	case <-done:
 	case <-timer.C:
+		cancel()
+		<-done
 	case <-s.ctx.Done():
 	}
 	return s.takeNext()
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,19 @@
 	begun bool
 	// stalled is whether the gateway ended the exchange since no event arrived.
 	stalled atomic.Bool
+	// handedOver is whether a move has ended the run here although no other engine has
+	// resumed it yet. See handOver.
+	handedOver atomic.Bool
+	// cancel cancels the exchange, also while the upstream has not responded; nil if
+	// sendCancelable has set stream.cancelUpstream.
+	cancel context.CancelFunc
+}
+
+// ended reports whether err, the result of reading the events, shows that the upstream
+// has sent all of them. The end of a body without framing doesn't if a move has ended the
+// run.
+func (up *upstreamStream) ended(err error) bool {
+	return errors.Is(err, io.EOF) && (up.exchange.Framed || !up.handedOver.Load())
 }
 
 // failure describes the end of the exchange by an error. ctx is that of the
@@ -111,6 +125,9 @@
 func (s *stream) setCurrent(up *upstreamStream) {
 	s.mu.Lock()
 	s.current = up
+	if up.cancel != nil {
+		s.cancelUpstream = up.cancel
+	}
 	s.mu.Unlock()
 	s.g.addStream(up.view.ID, s)
 }
--- a/routing.go
+++ b/routing.go
@@ -264,6 +264,8 @@
 	Incarnation int64
 	// Leaving is whether the upstream is about to shut down.
 	Leaving bool
+	// Runs are the requests that the upstream works on; empty if it doesn't tell.
+	Runs []RequestID
 }
 
 // StateReader reads the state that upstreams report about themselves.
@@ -272,14 +274,24 @@
 	State(address string, timeout time.Duration) (UpstreamState, error)
 }
 
+// CopyOrder asks an engine to copy a run to another engine.
+type CopyOrder struct {
+	Request RequestID
+	// From and To are the addresses, host:port, of the engine that runs the request and
+	// of the one that gets the copy.
+	From, To string
+	// Stop ends the run before the rest of its memory is copied; the source closes the
+	// stream without its end. Otherwise the run continues at the source.
+	Stop bool
+}
+
 // RunMover copies runs between engines. A run is the generation that an engine runs
 // for a request; its key-value cache is what is copied.
 type RunMover interface {
-	// Copy copies the run of a request from one engine to another while the run
-	// continues at the source, and returns when the copy is complete. It fails with
+	// Copy carries out an order and returns when the copy is complete. It fails with
 	// ErrNoRoom if another target, or a later attempt, may succeed. SourceLeaving of the
 	// copy is valid also if it fails.
-	Copy(request RequestID, from, to string, timeout time.Duration) (RunCopy, error)
+	Copy(order CopyOrder, timeout time.Duration) (RunCopy, error)
 	// Drop frees an unused copy.
 	Drop(copied RunCopy, timeout time.Duration) error
 }
