--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -109,7 +109,8 @@
 }
 
 // authenticate checks the API key and sets the customer and the priority of the
-// request. If the configuration has no keys at all, every request is accepted.
+// request. A configuration that requires no keys accepts requests without one. It holds
+// none, so that a key which is sent nevertheless is unknown: it may have been withdrawn.
 func (q *request) authenticate(tooOld bool) *gatewayResponse {
 	holder, known := q.snapshot.Keys[q.client.APIKey]
 	q.priority = q.route.Priority
@@ -119,7 +120,7 @@
 			q.priority = holder.Priority
 		}
 	}
-	if q.route.Anonymous || len(q.snapshot.Keys) == 0 {
+	if q.route.Anonymous || !q.snapshot.RequiresKeys && q.client.APIKey == "" {
 		return nil
 	}
 	if known && tooOld {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -143,7 +143,7 @@
 // sent now. It is called before each attempt, as the configuration may have
 // changed since admission.
 func (q *request) recheckKey(now time.Time) *gatewayResponse {
-	if q.route.Anonymous || len(q.snapshot.Keys) == 0 {
+	if q.route.Anonymous || !q.snapshot.RequiresKeys {
 		return nil
 	}
 	r := &gatewayResponse{status: http.StatusServiceUnavailable, retryAfter: storeRetryAfter, closeConnection: true}
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -18,7 +18,7 @@
 // configuration returns a configuration of the given version that has the given
 // keys.
 func configuration(version currantwood.ConfigurationVersion, keys ...string) currantwood.Configuration {
-	c := currantwood.Configuration{Version: version, Keys: map[string]currantwood.KeyHolder{}}
+	c := currantwood.Configuration{Version: version, RequiresKeys: true, Keys: map[string]currantwood.KeyHolder{}}
 	for _, key := range keys {
 		c.Keys[key] = currantwood.KeyHolder{Customer: "ada"}
 	}
@@ -64,6 +64,7 @@
 	Entry("ignores the age on an anonymous route", true, time.Hour, nil, true),
 	Entry("accepts a key that a newer version still has", false, 10*time.Second, []string{"k"}, true),
 	Entry("refuses a key that a newer version removed after the request was admitted", false, 10*time.Second, []string{"other"}, false),
+	Entry("refuses the last key once a newer version removed it", false, time.Second, []string{}, false),
 	Entry("refuses a removed key even if the version that had it was fresh", false, time.Second, []string{"other"}, false),
 )
 
--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -184,7 +184,7 @@
 		return
 	}
 	if p.config.SetIfNewer(configuration) {
-		p.options.Logger.Info("configuration applied", zap.Uint64("version", uint64(configuration.Version)), zap.Int("routes", len(configuration.Routes)), zap.Int("keys", len(configuration.Keys)))
+		p.options.Logger.Info("configuration applied", zap.Uint64("version", uint64(configuration.Version)), zap.Int("routes", len(configuration.Routes)), zap.Bool("requires-keys", configuration.RequiresKeys), zap.Int("keys", len(configuration.Keys)))
 	}
 	if configuration.Version == p.config.Version() {
 		p.peers.RetainConfiguration(configuration.Version, record)
--- a/routing.go
+++ b/routing.go
@@ -17,7 +17,11 @@
 	Routes  []Route
 	// Groups holds the properties that all upstreams of a group share.
 	Groups map[GroupID]Group
-	// Keys maps each API key to its holder.
+	// RequiresKeys is whether requests need an API key, but for those of anonymous
+	// routes: the configuration lists customers. The list may be empty, and customers may
+	// hold no key; then no request has a valid one.
+	RequiresKeys bool
+	// Keys maps each API key to its holder. No key is empty.
 	Keys   map[string]KeyHolder
 	Limits ClientLimits
 }
