--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -9,6 +9,10 @@
 	"github.com/currantwood/currantwood"
 )
 
+// callsAcceptedTime is how long after the start of a shutdown calls are accepted that end
+// in time unless their upstream is slow.
+const callsAcceptedTime = 2500 * time.Millisecond
+
 // gatewayResponse is a final response that the gateway generates itself, to
 // refuse a request or to report that it failed.
 type gatewayResponse struct {
@@ -51,21 +55,18 @@
 		return err
 	}
 	q.suspects = q.findSuspects()
-	if refusal := q.checkServable(); refusal != nil {
-		return refusal
-	}
 	wait := q.client.Timeout
 	if wait <= 0 {
 		wait = defaultClientTimeout
 	}
 	q.deadline = q.arrived.Add(min(wait, q.route.Timeout))
-	return nil
+	return q.checkServable(q.g.Now())
 }
 
-// checkServable refuses requests that have crashed their upstreams, and streams
-// that the end of this process would cut off. All others it counts as requests
-// of their group, from which the retry budget is computed.
-func (q *request) checkServable() *gatewayResponse {
+// checkServable refuses requests that have crashed their upstreams, and those that the
+// end of this process may cut off. All others it counts as requests of their group, from
+// which the retry budget is computed.
+func (q *request) checkServable(now time.Time) *gatewayResponse {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	suspect := q.blockedSuspect(q.arrived)
@@ -77,16 +78,34 @@
 		q.g.instruments.requestsBlocked.Inc(1)
 		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "request crashed its upstreams", suspect: suspect}
 	}
-	if q.g.stopping.Load() && q.route.Stream && !q.route.Resumable {
-		left := time.Unix(0, q.g.stopDeadline.Load()).Sub(q.arrived)
-		if left < q.maxStreamDuration() {
-			return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "stopping before the stream can end", retryAfter: otherGatewayRetryAfter, closeConnection: true}
-		}
+	if s := q.g.shutdown.Load(); s != nil && s.end.Sub(now) < q.maxDuration(now, s) {
+		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "stopping before the request can end", retryAfter: otherGatewayRetryAfter, closeConnection: true}
 	}
 	q.g.budget.Requested(q.arrived, q.group)
 	return nil
 }
 
+// shutdown is the planned end of the process.
+type shutdown struct {
+	// began is when the gateway was told to stop, and end when the process ends.
+	began, end time.Time
+}
+
+// maxDuration is the longest time that the request is expected to take from now on, while
+// the gateway stops. It never takes longer than until its deadline. A call that may have
+// to end early is accepted only at first, while clients are still sent here; how long it
+// takes at its upstream isn't known. The caller holds the gateway's mu.
+func (q *request) maxDuration(now time.Time, s *shutdown) time.Duration {
+	untilDeadline := q.deadline.Sub(now)
+	if q.route.Stream {
+		return min(untilDeadline, q.maxStreamDuration())
+	}
+	if now.Sub(s.began) < callsAcceptedTime {
+		return min(untilDeadline, q.callStallTimeout())
+	}
+	return untilDeadline
+}
+
 // maxStreamDuration is how long the stream takes if it generates its maximum
 // output. The client's estimate is not used: it is often far off, and cutting a
 // stream off is worse for the client than starting it at another gateway at
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,7 +70,8 @@
 	// eventInterval is the moving average of the time between two events of a
 	// stream; guarded by mu.
 	eventInterval time.Duration
-	stopping      atomic.Bool
+	// shutdown is set once the gateway has been told to stop; nil before.
+	shutdown atomic.Pointer[shutdown]
 	// directoryLoaded is set once the directory of upstreams has been read in
 	// full.
 	directoryLoaded atomic.Bool
@@ -83,9 +84,6 @@
 	// configuredAt is when awaitsCrashes first found a configuration, as the UnixNano
 	// of a time of Options.Now; 0 if it never did.
 	configuredAt atomic.Int64
-	// stopDeadline is when the process ends, as the UnixNano of a time of
-	// Options.Now. It is valid only while stopping is true.
-	stopDeadline atomic.Int64
 	inFlight     atomic.Int64
 	// responses bounds the response bodies that are read whole.
 	responses   *responseBuffer
@@ -166,12 +164,8 @@
 const sampleSize = 256
 
 // Stop makes the response to every request that arrives from now on close its
-// connection. Streams that arrive from now on and can't be resumed are refused
-// if they may run past end.
-func (g *Gateway) Stop(end time.Time) {
-	g.stopDeadline.Store(end.UnixNano())
-	g.stopping.Store(true)
-}
+// connection. Requests that may run past end are refused.
+func (g *Gateway) Stop(now, end time.Time) { g.shutdown.Store(&shutdown{began: now, end: end}) }
 
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
@@ -180,7 +174,7 @@
 // stopping, has read the directory of upstreams and the crashes of requests, and has
 // a configuration that was confirmed recently.
 func (g *Gateway) Ready(now time.Time) bool {
-	if g.awaitsCrashes(now) || g.stopping.Load() || !g.directoryLoaded.Load() || g.Configuration.Current() == nil {
+	if g.awaitsCrashes(now) || g.shutdown.Load() != nil || !g.directoryLoaded.Load() || g.Configuration.Current() == nil {
 		return false
 	}
 	return g.ConfigurationFresh(now)
@@ -206,7 +200,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.stopping.Load() {
+	if g.shutdown.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	newRequest(g, w, r).serve()
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -72,24 +72,46 @@
 // from a client that expects a short one, would be cut off: the gateway must go
 // by the maximum length, not by the client's estimate. The pattern is from
 // deploy/days/gateways-frozen-and-killed.toml (barge, seed 545422956311).
-var _ = DescribeTable("a stopping gateway accepts a stream only if it is resumable or ends in time at its maximum length",
-	func(output, hint currantwood.TokenCount, resumable, want bool) {
-		g := New(Options{
-			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
-		})
-		g.Stop(start.Add(4200 * time.Millisecond))
-		snapshot := &configkeeper.Snapshot{Configuration: currantwood.Configuration{
-			Groups: map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{TokensPerEvent: 4}}},
-		}}
-		q := &request{
-			g: g, arrived: start, group: "g", snapshot: snapshot,
-			route:  &currantwood.Route{Stream: true, Resumable: resumable, Target: 1800 * time.Millisecond},
-			client: currantwood.ClientRequest{LengthHint: hint, Size: currantwood.GenerationSize{Output: output}},
-		}
-		Expect(q.checkServable() == nil).To(Equal(want))
+// Resumable streams and calls that arrived as late were cut off as well.
+var _ = DescribeTable("a stopping gateway accepts a stream only if it ends in time at its maximum length or by its deadline",
+	func(output, hint currantwood.TokenCount, resumable bool, timeout time.Duration, want bool) {
+		q := stoppingRequest(4200 * time.Millisecond)
+		q.route = &currantwood.Route{Stream: true, Resumable: resumable, Target: 1800 * time.Millisecond}
+		q.client = currantwood.ClientRequest{LengthHint: hint, Size: currantwood.GenerationSize{Output: output}}
+		q.deadline = start.Add(timeout)
+		Expect(q.checkServable(start) == nil).To(Equal(want))
 	},
-	Entry("long, with a short estimate", currantwood.TokenCount(2204), currantwood.TokenCount(80), false, false),
-	Entry("long, without an estimate", currantwood.TokenCount(2204), currantwood.TokenCount(0), false, false),
-	Entry("short", currantwood.TokenCount(160), currantwood.TokenCount(0), false, true),
-	Entry("long, but resumable", currantwood.TokenCount(2204), currantwood.TokenCount(0), true, true),
+	Entry("long, with a short estimate", currantwood.TokenCount(2204), currantwood.TokenCount(80), false, 39*time.Second, false),
+	Entry("long, without an estimate", currantwood.TokenCount(2204), currantwood.TokenCount(0), false, 39*time.Second, false),
+	Entry("short", currantwood.TokenCount(160), currantwood.TokenCount(0), false, 39*time.Second, true),
+	Entry("long and resumable", currantwood.TokenCount(2204), currantwood.TokenCount(0), true, 39*time.Second, false),
+	Entry("short and resumable", currantwood.TokenCount(160), currantwood.TokenCount(0), true, 39*time.Second, true),
+	Entry("long, but with a near deadline", currantwood.TokenCount(2204), currantwood.TokenCount(0), true, 4*time.Second, true),
 )
+
+var _ = DescribeTable("a stopping gateway accepts a call if it ends by its deadline or, at first, if it usually ends in time",
+	func(afterStop, left, timeout time.Duration, want bool) {
+		q := stoppingRequest(left)
+		q.g.shutdown.Load().began = start.Add(-afterStop)
+		q.route = &currantwood.Route{Target: 150 * time.Millisecond}
+		q.deadline = start.Add(timeout)
+		Expect(q.checkServable(start) == nil).To(Equal(want))
+	},
+	Entry("at first, with a far deadline", time.Second, 6700*time.Millisecond, 39*time.Second, true),
+	Entry("at first, with less time left than calls may take", time.Second, 500*time.Millisecond, 39*time.Second, false),
+	Entry("later, with a far deadline", 3100*time.Millisecond, 4600*time.Millisecond, 39*time.Second, false),
+	Entry("later, with a near deadline", 3100*time.Millisecond, 4600*time.Millisecond, 2*time.Second, true),
+	Entry("at the end, with a near deadline", 7*time.Second, 700*time.Millisecond, 800*time.Millisecond, false),
+)
+
+// stoppingRequest returns a request without route and deadline at a gateway that ends after
+// left.
+func stoppingRequest(left time.Duration) *request {
+	g := New(Options{
+		Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
+	})
+	g.Stop(start, start.Add(left))
+	return &request{g: g, arrived: start, group: "g", snapshot: &configkeeper.Snapshot{Configuration: currantwood.Configuration{
+		Groups: map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{TokensPerEvent: 4}}},
+	}}}
+}
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -251,7 +251,8 @@
 func (p *Process) Shutdown(ctx context.Context) error {
 	p.options.Logger.Info("stopping", zap.Int64("in-flight", p.gateway.InFlight()))
 	grace := p.options.Settings.Bounds.ShutdownGrace - exitMargin
-	p.gateway.Stop(p.now().Add(grace))
+	now := p.now()
+	p.gateway.Stop(now, now.Add(grace))
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	sleeper.Sleep(ctx, min(loadBalancerLag, grace/2))
@@ -260,6 +261,7 @@
 	p.crashes.SaveAll(context.WithoutCancel(ctx))
 	p.starts.Save(context.WithoutCancel(ctx))
 	p.logCalls()
+	p.gateway.LogCutOff()
 	p.options.Logger.Info("stopped", zap.Int64("cut-off", p.gateway.InFlight()))
 	_ = p.readyServer.Close()
 	_ = p.metricsServer.Close()
