--- a/gateway/move.go
+++ b/gateway/move.go
@@ -113,6 +113,9 @@
 // moveRound tries up to maxEnginesPerRound engines, one after the other, and
 // reports whether the move is over, whatever its outcome.
 func (s *stream) moveRound(ctx context.Context, from *upstreamStream) bool {
+	if s.confirmVersion(from); s.beganAt() == "" {
+		return false
+	}
 	exclude := []currantwood.UpstreamID{from.view.ID}
 	for range maxEnginesPerRound {
 		if !s.mayMove(ctx) {
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -25,9 +25,36 @@
 	return s.version
 }
 
-// noteBegun notes that an upstream has sent the first event of this attempt.
+// noteBegun notes that an upstream has sent the first event of this attempt. The version
+// at which a stream began that the client has taken up is known already.
 func (s *stream) noteBegun(up *upstreamStream) {
-	version := s.g.versionOf(up.view)
+	switch {
+	case s.client.LastEvent >= 0:
+	case !s.isGeneration():
+		// Only engines can be asked.
+		s.setVersion(s.g.versionOf(up.view))
+	case s.route.Resumable:
+		go s.confirmVersion(up)
+	}
+}
+
+// confirmVersion sets the version at which the stream began, at up, if up is still the
+// incarnation that the directory showed: then that one has sent all events so far. It may
+// have started again unseen, with another version. Until it is confirmed the version is
+// unknown, and the stream goes on nowhere else.
+//
+// A stream that can't be resumed is confirmed only before it is moved.
+func (s *stream) confirmVersion(up *upstreamStream) {
+	if s.beganAt() != "" {
+		return
+	}
+	if s.g.runsIncarnation(up.view) {
+		s.setVersion(up.view.Version)
+	}
+}
+
+// setVersion sets the version at which the stream began and tells others of it.
+func (s *stream) setVersion(version currantwood.SoftwareVersion) {
 	s.mu.Lock()
 	s.version = version
 	s.mu.Unlock()
@@ -47,16 +74,14 @@
 }
 
 // forgetVersion notes that the upstream of the stream may not be the one that the
-// directory showed when the stream began, so that its version is unknown.
+// directory showed when the stream began, so that its version is unknown. What an engine
+// has confirmed stays known.
 func (s *stream) forgetVersion() {
-	s.mu.Lock()
-	begun := s.version != ""
-	s.version = ""
-	s.mu.Unlock()
-	if begun {
-		// Replaces what was recorded before.
-		s.recordStart("")
+	if s.isGeneration() || s.beganAt() == "" {
+		return
 	}
+	// Replaces what was recorded before.
+	s.setVersion("")
 	s.log("version of a stream no longer known: its upstream started again")
 }
 
