--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -61,6 +61,9 @@
 	// maxDigestRecords bounds the records in one digest. A record takes about
 	// 200 bytes.
 	maxDigestRecords = 24
+	// maxDigestRecordBytes bounds their values together. A datagram has at most 64 KB. A
+	// longer record isn't kept for peers.
+	maxDigestRecordBytes = 16 << 10
 )
 
 // peerEntry is a known gateway and the state received last from it.
--- a/peerkeeper/keeper_test.go
+++ b/peerkeeper/keeper_test.go
@@ -137,6 +137,26 @@
 		Entry("directory not known", 0, nil, 0, false),
 	)
 
+	// Guards against digests that are too long to be sent, so that gateways miss all that
+	// the collector tells: another writer may leave long records in the directory.
+	It("returns no more records than a datagram holds, and none that is too long", func() {
+		k := New(peer("a"))
+		long := func(offset, bytes int) currantwood.KeyedRecord {
+			return currantwood.KeyedRecord{Offset: currantwood.Offset(offset), Key: "k", Value: make([]byte, bytes)}
+		}
+		k.RetainRecords(atMS(0), 0, 10, 20, []currantwood.KeyedRecord{long(12, 200), long(13, 200<<10), long(14, 10<<10), long(15, 10<<10)})
+		_, _, ok := k.RecordsSince(0, 13)
+		Expect(ok).To(BeFalse(), "a gateway that lacks the longest reads the directory itself")
+		known := currantwood.Offset(14)
+		for _, want := range []currantwood.Offset{15, 20} {
+			records, next, ok := k.RecordsSince(0, known)
+			Expect(ok).To(BeTrue())
+			Expect(records).To(HaveLen(1))
+			Expect(next).To(Equal(want))
+			known = next
+		}
+	})
+
 	// Guards against a next collector that can't read, for which all others would wait.
 	It("ranks gateways that don't reach the store after those that do", func() {
 		k := New(peer("a"))
