--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -58,7 +58,8 @@
 	Header http.Header
 	Body   []byte
 	// ID is the request that the response must name. A response that names none
-	// is accepted if it says that the request was not run.
+	// is accepted if it says that the request was not run and is the first on its
+	// connection.
 	ID currantwood.RequestID
 }
 
@@ -75,6 +76,9 @@
 	Body io.Reader
 	// Framed is whether Body has a length or is chunked.
 	Framed bool
+	// Unrelated is the number of responses to other requests, or to none, that were
+	// skipped before.
+	Unrelated int
 
 	pool    *Pool
 	conn    *conn
@@ -147,21 +151,30 @@
 // connection stays open, at most maxUnrelatedResponses of them. Informational (1xx)
 // responses are skipped. Together with the head that follows them they may have
 // maxHeadBytes.
+//
+// A refusal that names no request belongs to this one only if nothing was sent on the
+// connection before: otherwise it may be additional bytes after an earlier response, and
+// the upstream runs the request. It makes the upstream suspect, see Pool.suspect.
 func (x *Exchange) readHead(call *Call, coder currantwood.HeaderCoder) error {
 	request := &http.Request{Method: call.Method}
-	for unrelated := 0; unrelated <= maxUnrelatedResponses; {
+	for x.Unrelated <= maxUnrelatedResponses {
 		response, err := x.readFinalHead(request)
 		if err != nil {
 			return err
 		}
 		answer := coder.Answer(response.StatusCode, response.Header)
-		if answer.Request == call.ID || (answer.Request == "" && answer.DeclaredNotRun) {
+		unnamedRefusal := answer.Request == "" && answer.DeclaredNotRun
+		if unnamedRefusal {
+			x.pool.suspect(call.Upstream)
+			x.closeAfter = true
+		}
+		if answer.Request == call.ID || unnamedRefusal && !x.conn.used && x.Unrelated == 0 {
 			x.Status, x.Header, x.Answer = response.StatusCode, response.Header, answer
 			x.Body, x.Framed = response.Body, response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-			x.closeAfter = response.Close || unrelated > 0
+			x.closeAfter = x.closeAfter || response.Close
 			return nil
 		}
-		unrelated++
+		x.Unrelated++
 		x.closeAfter = true
 		if response.Close || response.ContentLength < 0 || response.ContentLength > maxUnrelatedBytes {
 			return ErrUnrelatedResponse
--- a/connkeeper/pool.go
+++ b/connkeeper/pool.go
@@ -12,6 +12,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"syscall"
@@ -40,6 +41,8 @@
 	MaxIdlePerAddress = 16
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 2048
+	// suspectTime is how long an upstream stays suspect.
+	suspectTime = 10 * time.Second
 	// userTimeout is how long sent data may stay unacknowledged.
 	userTimeout = 3 * time.Second
 )
@@ -59,6 +62,9 @@
 	// idle holds the unused connections to each address, the least recently
 	// used first; protected by mu.
 	idle map[string][]*conn
+	// suspects holds until when each connection to an upstream is used for one request
+	// only, as it sends refusals that name no request; protected by mu.
+	suspects map[currantwood.UpstreamID]time.Time
 }
 
 // conn is a connection to an upstream. At most one exchange uses it at a time.
@@ -68,6 +74,8 @@
 	// headLimit is the source of reader.
 	headLimit *headLimiter
 	upstream  currantwood.UpstreamID
+	// used is whether a request was sent on the connection before the present one.
+	used bool
 	// usableUntil is when the connection may no longer be used for a new
 	// exchange.
 	usableUntil time.Time
@@ -75,7 +83,7 @@
 
 // New returns an empty pool.
 func New(now func() time.Time) *Pool {
-	p := &Pool{now: now, maxIdle: MaxIdlePerAddress, idle: map[string][]*conn{}}
+	p := &Pool{now: now, maxIdle: MaxIdlePerAddress, idle: map[string][]*conn{}, suspects: map[currantwood.UpstreamID]time.Time{}}
 	p.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: KeepAlive,
@@ -102,7 +110,8 @@
 		if c == nil {
 			break
 		}
-		if c.upstream == upstream && p.now().Before(c.usableUntil) && isReusable(c) {
+		if c.upstream == upstream && p.now().Before(c.usableUntil) && !p.isSuspect(upstream) && isReusable(c) {
+			c.used = true
 			return c, nil
 		}
 		_ = c.Close()
@@ -115,6 +124,22 @@
 	return &conn{Conn: raw, headLimit: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), upstream: upstream}, nil
 }
 
+// suspect notes that an upstream sent a refusal that names no request. On a new connection
+// such a refusal can only belong to the request that was sent; on another one that isn't
+// known. So the connections to the upstream are used once for suspectTime.
+func (p *Pool) suspect(upstream currantwood.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspects[upstream] = p.now().Add(suspectTime)
+}
+
+// isSuspect reports whether an upstream is suspect.
+func (p *Pool) isSuspect(upstream currantwood.UpstreamID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now().Before(p.suspects[upstream])
+}
+
 // popIdle removes and returns the most recently used idle connection; nil if
 // there is none.
 func (p *Pool) popIdle(address string) *conn {
@@ -190,10 +215,12 @@
 	}
 }
 
-// CloseExpired closes the idle connections that may no longer be used.
+// CloseExpired closes the idle connections that may no longer be used, and forgets the
+// upstreams that are no longer suspect.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
 	p.mu.Lock()
+	maps.DeleteFunc(p.suspects, func(_ currantwood.UpstreamID, until time.Time) bool { return !now.Before(until) })
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 type instruments struct {
 	served, refused, failed, clientDisconnects metrics.Counter
 	retries, generationsMoved, generationsLost metrics.Counter
-	movesUnanswered                            metrics.Counter
+	movesUnanswered, unrelatedResponses        metrics.Counter
 	crashesRecorded, crashesLearned            metrics.Counter
 	requestsBlocked, rateLimitChanges          metrics.Counter
 	leavingNotices, pauses, refusedPaused      metrics.Counter
@@ -134,26 +134,27 @@
 	}
 	r := options.Metrics
 	g.instruments = instruments{
-		served:            metrics.NewRegisteredCounter("requests-served", r),
-		refused:           metrics.NewRegisteredCounter("requests-refused", r),
-		failed:            metrics.NewRegisteredCounter("requests-failed", r),
-		clientDisconnects: metrics.NewRegisteredCounter("requests-left-by-client", r),
-		retries:           metrics.NewRegisteredCounter("retries", r),
-		generationsMoved:  metrics.NewRegisteredCounter("generations-moved", r),
-		generationsLost:   metrics.NewRegisteredCounter("generations-lost", r),
-		movesUnanswered:   metrics.NewRegisteredCounter("moves-unanswered", r),
-		crashesRecorded:   metrics.NewRegisteredCounter("crashes-recorded", r),
-		crashesLearned:    metrics.NewRegisteredCounter("crashes-learned", r),
-		requestsBlocked:   metrics.NewRegisteredCounter("requests-blocked", r),
-		rateLimitChanges:  metrics.NewRegisteredCounter("rate-limit-changes", r),
-		startsLearned:     metrics.NewRegisteredCounter("stream-starts-learned", r),
-		startsUnknown:     metrics.NewRegisteredCounter("stream-starts-unknown", r),
-		leavingNotices:    metrics.NewRegisteredCounter("upstream-leaving-notices", r),
-		pauses:            metrics.NewRegisteredCounter("upstream-pauses", r),
-		refusedPaused:     metrics.NewRegisteredCounter("requests-refused-paused", r),
-		rateLimited:       metrics.NewRegisteredCounter("requests-rate-limited", r),
-		responseTime:      metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
-		firstEventTime:    metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
+		served:             metrics.NewRegisteredCounter("requests-served", r),
+		refused:            metrics.NewRegisteredCounter("requests-refused", r),
+		failed:             metrics.NewRegisteredCounter("requests-failed", r),
+		clientDisconnects:  metrics.NewRegisteredCounter("requests-left-by-client", r),
+		retries:            metrics.NewRegisteredCounter("retries", r),
+		generationsMoved:   metrics.NewRegisteredCounter("generations-moved", r),
+		generationsLost:    metrics.NewRegisteredCounter("generations-lost", r),
+		movesUnanswered:    metrics.NewRegisteredCounter("moves-unanswered", r),
+		unrelatedResponses: metrics.NewRegisteredCounter("unrelated-responses", r),
+		crashesRecorded:    metrics.NewRegisteredCounter("crashes-recorded", r),
+		crashesLearned:     metrics.NewRegisteredCounter("crashes-learned", r),
+		requestsBlocked:    metrics.NewRegisteredCounter("requests-blocked", r),
+		rateLimitChanges:   metrics.NewRegisteredCounter("rate-limit-changes", r),
+		startsLearned:      metrics.NewRegisteredCounter("stream-starts-learned", r),
+		startsUnknown:      metrics.NewRegisteredCounter("stream-starts-unknown", r),
+		leavingNotices:     metrics.NewRegisteredCounter("upstream-leaving-notices", r),
+		pauses:             metrics.NewRegisteredCounter("upstream-pauses", r),
+		refusedPaused:      metrics.NewRegisteredCounter("requests-refused-paused", r),
+		rateLimited:        metrics.NewRegisteredCounter("requests-rate-limited", r),
+		responseTime:       metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
+		firstEventTime:     metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
 	}
 	return g
 }
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -14,6 +14,10 @@
 
 // noteResponse notes what a response says of its upstream.
 func (q *request) noteResponse(view upstreamkeeper.View, x *connkeeper.Exchange) {
+	if x.Unrelated > 0 {
+		q.g.instruments.unrelatedResponses.Inc(int64(x.Unrelated))
+		q.log("responses that belong to no request skipped", zap.String("upstream", string(view.ID)), zap.Int("responses", x.Unrelated), zap.Int("status", x.Status))
+	}
 	now := q.g.Now()
 	q.g.mu.Lock()
 	var events []upstreamkeeper.Event
