--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -99,7 +99,7 @@
 // ErrUnsent), the upstream has not received the request; after any other error
 // the upstream may run it. Canceling ctx before Finish closes the connection.
 func (p *Pool) Start(ctx context.Context, call *Call, coder currantwood.HeaderCoder) (*Exchange, error) {
-	c, err := p.acquire(ctx, call.Upstream, call.Address)
+	c, err := p.acquire(ctx, call.Upstream, call.Address, call.ID)
 	if err != nil {
 		return nil, &connectError{upstream: call.Upstream, cause: err}
 	}
@@ -172,6 +172,10 @@
 			x.Status, x.Header, x.Answer = response.StatusCode, response.Header, answer
 			x.Body, x.Framed = response.Body, response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 			x.closeAfter = x.closeAfter || response.Close
+			if answer.DeclaredNotRun {
+				x.conn.refused = append(x.conn.refused, call.ID)
+				x.closeAfter = x.closeAfter || len(x.conn.refused) >= maxRefusedRequests
+			}
 			return nil
 		}
 		x.Unrelated++
--- a/connkeeper/exchange_test.go
+++ b/connkeeper/exchange_test.go
@@ -146,4 +146,20 @@
 			Expect(<-u.arrivals).To(Equal(1))
 		}
 	})
+
+	// Guards against an earlier refusal that the upstream writes once more, when the same
+	// request has come again.
+	It("isn't sent on a connection on which the same request was refused", func() {
+		u := newScriptedUpstream(refusal, success, refusal+success)
+		for _, want := range []struct {
+			id         currantwood.RequestID
+			refused    bool
+			connection int
+		}{{"r1", true, 1}, {"r2", false, 1}, {"r1", true, 2}, {"r3", false, 2}} {
+			_, refused, err := send(u, want.id)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(refused).To(Equal(want.refused), "%+v", want)
+			Expect(<-u.arrivals).To(Equal(want.connection), "%+v", want)
+		}
+	})
 })
--- a/connkeeper/pool.go
+++ b/connkeeper/pool.go
@@ -14,6 +14,7 @@
 	"context"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -43,6 +44,9 @@
 	readBufferBytes = 2048
 	// suspectTime is how long an upstream stays suspect.
 	suspectTime = 10 * time.Second
+	// maxRefusedRequests is how many requests may be refused on a connection before it is
+	// closed.
+	maxRefusedRequests = 16
 	// userTimeout is how long sent data may stay unacknowledged.
 	userTimeout = 3 * time.Second
 )
@@ -76,6 +80,9 @@
 	upstream  currantwood.UpstreamID
 	// used is whether a request was sent on the connection before the present one.
 	used bool
+	// refused holds the requests that were refused on the connection, at most
+	// maxRefusedRequests.
+	refused []currantwood.RequestID
 	// usableUntil is when the connection may no longer be used for a new
 	// exchange.
 	usableUntil time.Time
@@ -102,15 +109,15 @@
 	return errors.WithStack(cmp.Or(err, failed))
 }
 
-// acquire returns a reusable idle connection to an upstream, or opens one. The
-// idle connections that it finds unusable are closed.
-func (p *Pool) acquire(ctx context.Context, upstream currantwood.UpstreamID, address string) (*conn, error) {
+// acquire returns a reusable idle connection to an upstream for a request, or opens one.
+// The idle connections that it finds unusable are closed.
+func (p *Pool) acquire(ctx context.Context, upstream currantwood.UpstreamID, address string, request currantwood.RequestID) (*conn, error) {
 	for {
 		c := p.popIdle(address)
 		if c == nil {
 			break
 		}
-		if c.upstream == upstream && p.now().Before(c.usableUntil) && !p.isSuspect(upstream) && isReusable(c) {
+		if p.mayReuse(c, upstream, request) {
 			c.used = true
 			return c, nil
 		}
@@ -124,6 +131,12 @@
 	return &conn{Conn: raw, headLimit: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), upstream: upstream}, nil
 }
 
+// mayReuse reports whether a connection that was idle may carry a request. It may not if
+// the same request was refused on it: the upstream might repeat that refusal.
+func (p *Pool) mayReuse(c *conn, upstream currantwood.UpstreamID, request currantwood.RequestID) bool {
+	return c.upstream == upstream && p.now().Before(c.usableUntil) && !p.isSuspect(upstream) && !slices.Contains(c.refused, request) && isReusable(c)
+}
+
 // suspect notes that an upstream sent a refusal that names no request. On a new connection
 // such a refusal can only belong to the request that was sent; on another one that isn't
 // known. So the connections to the upstream are used once for suspectTime.
--- a/connkeeper/pool_test.go
+++ b/connkeeper/pool_test.go
@@ -22,7 +22,7 @@
 			p.SetMaxIdle(limit)
 			var used []*conn
 			for range MaxIdlePerAddress + 4 {
-				c, err := p.acquire(context.Background(), "u", address)
+				c, err := p.acquire(context.Background(), "u", address, "r")
 				Expect(err).NotTo(HaveOccurred())
 				used = append(used, c)
 			}
