--- a/eventsplitter/splitter.go
+++ b/eventsplitter/splitter.go
@@ -11,6 +11,9 @@
 	"github.com/pkg/errors"
 )
 
+// readBufferBytes is the size of the read buffer.
+const readBufferBytes = 2048
+
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
@@ -34,15 +37,17 @@
 
 // New returns a Splitter that reads from body.
 func New(body io.Reader) *Splitter {
-	return &Splitter{in: bufio.NewReaderSize(body, 2048)}
+	return &Splitter{in: bufio.NewReaderSize(body, readBufferBytes)}
 }
 
 // Next returns the next complete event. It returns io.EOF if the body ends
 // between two events, io.ErrUnexpectedEOF if it ends within one, and
-// ErrEventTooLong if the event exceeds maxEventBytes. The rest of a line
-// that is longer than the read buffer is examined as a line of its own.
+// ErrEventTooLong if the event exceeds maxEventBytes.
 func (s *Splitter) Next() (Event, error) {
 	event := Event{ID: -1}
+	// A line that is longer than the read buffer is read in parts. It is neither empty nor
+	// an id.
+	partOfLine := false
 	for {
 		line, err := s.in.ReadSlice('\n')
 		event.Text = append(event.Text, line...)
@@ -50,11 +55,16 @@
 			return Event{}, errors.WithStack(ErrEventTooLong)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			partOfLine = true
 			continue
 		}
 		if err != nil {
 			return Event{}, s.endError(event, err)
 		}
+		if partOfLine {
+			partOfLine = false
+			continue
+		}
 		if id, ok := eventID(line); ok {
 			event.ID = id
 		}
--- a/eventsplitter/splitter_test.go
+++ b/eventsplitter/splitter_test.go
@@ -34,6 +34,13 @@
 		Entry("body ends before the empty line", "id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF),
 		Entry("empty body", "", nil, io.EOF),
 		Entry("a line longer than the read buffer", "id: 1\ndata: "+strings.Repeat("x", 9000)+"\n\n", []int64{1}, io.EOF),
+		// Guards against events that are dropped as ones that the client has, or cut in two.
+		Entry("text that looks like an id where the read buffer ends", "id: 5\ndata: "+strings.Repeat("x", readBufferBytes-6)+"id: 3\n\nid: 6\ndata: b\n\n", []int64{5, 6}, io.EOF),
+		Entry("a line that fills the read buffer", "id: 5\ndata: "+strings.Repeat("x", readBufferBytes-6)+"\ndata: more\n\n", []int64{5}, io.EOF),
+		Entry("a CRLF where the read buffer ends", "id: 5\ndata: "+strings.Repeat("x", readBufferBytes-7)+"\r\ndata: more\n\n", []int64{5}, io.EOF),
+		Entry("a line that fills the read buffer by itself", "data: "+strings.Repeat("x", readBufferBytes-6)+"\nid: 5\n\n", []int64{5}, io.EOF),
+		Entry("an id where the read buffer ends by itself", "data: "+strings.Repeat("x", readBufferBytes-6)+"id: 3\nid: 5\n\n", []int64{5}, io.EOF),
+		Entry("an id after a long line and no other", "data: "+strings.Repeat("x", readBufferBytes-6)+"id: 3\n\n", []int64{-1}, io.EOF),
 	)
 
 	DescribeTable("fails on an event that exceeds the size limit", func(text string) {
