--- a/connkeeper/exchange_test.go
+++ b/connkeeper/exchange_test.go
@@ -18,7 +18,7 @@
 // testCoder decodes whether a response is a refusal, and its request.
 type testCoder struct{ currantwood.HeaderCoder }
 
-func (testCoder) Answer(status int, h http.Header) currantwood.UpstreamResponse {
+func (testCoder) Answer(_ int, h http.Header) currantwood.UpstreamResponse {
 	return currantwood.UpstreamResponse{Request: currantwood.RequestID(h.Get("Id")), DeclaredNotRun: h.Get("Not-Run") != ""}
 }
 
