--- a/gateway/move.go
+++ b/gateway/move.go
@@ -12,6 +12,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/sleeper"
+	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
 const (
@@ -36,9 +37,9 @@
 	minEventsLeft = 10
 )
 
-// errOtherIncarnation means that the target of a move isn't known to be the incarnation
-// that the directory shows.
-var errOtherIncarnation = errors.New("the target isn't the incarnation in the directory")
+// errTargetUnusable means that the target of a move isn't known to be the incarnation that
+// the directory shows, or wants no requests.
+var errTargetUnusable = errors.New("the target isn't the incarnation in the directory, is leaving or has asked for a pause")
 
 // moveStreams starts to move streams away from leaving upstreams, those with the
 // most events left first. The moves then run concurrently.
@@ -205,7 +206,7 @@
 	copied, err := s.copyRun(from, choice, false)
 	if err != nil {
 		s.log("copy failed", append(fields, zap.Error(err), zap.Duration("took", s.g.Now().Sub(began)))...)
-		return !errors.Is(err, currantwood.ErrNoRoom) && !errors.Is(err, errOtherIncarnation)
+		return !errors.Is(err, currantwood.ErrNoRoom) && !errors.Is(err, errTargetUnusable)
 	}
 	fields = append(fields, zap.Duration("copy", s.g.Now().Sub(began)))
 	if reason := s.reasonNotToResume(ctx); reason != "" {
@@ -225,15 +226,15 @@
 	}
 }
 
-// copyRun copies the run's memory to an engine, and asks it meanwhile whether it is still
-// the incarnation in the directory; if not, the error is errOtherIncarnation. If stop is
-// set, the source stops the run first. If copyRun fails, it has reported the end of the
-// target's load to the balancer.
+// copyRun copies the run's memory to an engine, and asks it meanwhile whether it may be
+// used still; if not, the error is errTargetUnusable. If stop is set, the source stops the
+// run first. If copyRun fails, it has reported the end of the target's load to the
+// balancer.
 func (s *stream) copyRun(from *upstreamStream, choice balancer.Choice, stop bool) (currantwood.RunCopy, error) {
 	// A target that starts again after the copy has begun loses it, so the answer may be
 	// older than the resume. After the resume it would delay the end of the run here.
 	confirmed := make(chan bool, 1)
-	go func() { confirmed <- s.g.runsIncarnation(choice.View) }()
+	go func() { confirmed <- s.g.acceptsRuns(choice.View) }()
 	order := currantwood.CopyOrder{Request: s.client.ID, From: from.view.Address, To: choice.View.Address, Stop: stop}
 	copied, err := s.g.Mover.Copy(order, copyTimeout)
 	if copied.SourceLeaving {
@@ -243,14 +244,38 @@
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
 		return currantwood.RunCopy{}, err
 	}
-	if !<-confirmed {
-		s.recordEnd(choice.View, s.moveLoad(), balancer.Failed)
+	outcome := balancer.Neutral
+	accepts := <-confirmed
+	if !accepts {
+		outcome = balancer.Failed
+	}
+	if !accepts || !s.g.wantsRequests(s.g.Now(), choice.View) {
+		s.recordEnd(choice.View, s.moveLoad(), outcome)
 		s.freeCopy(copied)
-		return currantwood.RunCopy{}, errOtherIncarnation
+		return currantwood.RunCopy{}, errTargetUnusable
 	}
 	return copied, nil
 }
 
+// acceptsRuns asks an engine whether it is the incarnation that the directory shows and
+// isn't about to shut down. No answer counts as no.
+func (g *Gateway) acceptsRuns(view upstreamkeeper.View) bool {
+	state, confirmed := g.confirmIncarnation(view)
+	if confirmed && state.Leaving {
+		g.noteLeaving(view)
+	}
+	return confirmed && !state.Leaving
+}
+
+// wantsRequests reports whether an upstream, as far as is known, is neither leaving nor has
+// asked for a pause.
+func (g *Gateway) wantsRequests(now time.Time, view upstreamkeeper.View) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, ok := g.upstreams.Get(view.ID)
+	return ok && known.LeavingSince.IsZero() && known.Incarnation == view.Incarnation && !g.notices.IsPaused(now, view.ID, view.Incarnation)
+}
+
 // freeCopy frees a copy that will not be used.
 func (s *stream) freeCopy(copied currantwood.RunCopy) {
 	if err := s.g.Mover.Drop(copied, dropTimeout); err != nil {
--- /dev/null
+++ b/gateway/move_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// Guards against a run that is moved to an engine that was chosen some seconds before.
+var _ = DescribeTable("wantsRequests, of an engine that was chosen before,",
+	func(change func(g *Gateway, record *currantwood.UpstreamRecord), want bool) {
+		record := currantwood.UpstreamRecord{ID: "e1", Group: "g", Address: "10.0.0.1:80", Slots: 4, Sequence: 1, Incarnation: 7}
+		g := New(Options{
+			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
+			Connections: connkeeper.New(func() time.Time { return start }),
+			Decode:      func(string, []byte) (currantwood.UpstreamRecord, error) { return record, nil },
+		})
+		records := []currantwood.KeyedRecord{{Key: "e1", Value: []byte("record")}}
+		g.ReplaceUpstreamRecords(start, records)
+		chosen := upstreamkeeper.View{UpstreamRecord: record}
+		change(g, &record)
+		record.Sequence++
+		g.ApplyUpstreamRecords(start, records)
+		Expect(g.wantsRequests(start, chosen)).To(Equal(want))
+	},
+	Entry("that is as it was", func(*Gateway, *currantwood.UpstreamRecord) {}, true),
+	Entry("that leaves", func(_ *Gateway, r *currantwood.UpstreamRecord) { r.Leaving = true }, false),
+	Entry("that has started again", func(_ *Gateway, r *currantwood.UpstreamRecord) { r.Incarnation++ }, false),
+	Entry("that has asked for a pause", func(g *Gateway, _ *currantwood.UpstreamRecord) {
+		g.notices.Observe(start, "e1", 7, currantwood.UpstreamResponse{DeclaredNotRun: true, Pause: time.Second})
+	}, false),
+)
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -104,10 +104,16 @@
 // directory shows: one that has started again under its id may have another version. No
 // answer counts as no.
 func (g *Gateway) runsIncarnation(view upstreamkeeper.View) bool {
+	_, confirmed := g.confirmIncarnation(view)
+	return confirmed
+}
+
+// confirmIncarnation is runsIncarnation, and returns the state that the upstream reported.
+func (g *Gateway) confirmIncarnation(view upstreamkeeper.View) (currantwood.UpstreamState, bool) {
 	state, err := g.States.State(view.Address, incarnationTimeout)
 	if err == nil && state.Incarnation == view.Incarnation {
-		return true
+		return state, true
 	}
 	g.Logger.Info("incarnation of an upstream not confirmed", zap.String("upstream", string(view.ID)), zap.Int64("incarnation", view.Incarnation), zap.Int64("reported", state.Incarnation), zap.Error(err))
-	return false
+	return state, false
 }
