--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -46,9 +45,6 @@
 	memoryLimitShare = 0.6
 	// tickInterval is the time between two calls of gateway.Tick.
 	tickInterval = 250 * time.Millisecond
-	// loadBalancerLag is how long clients are still sent to a gateway after it
-	// has reported that it isn't ready.
-	loadBalancerLag = 3500 * time.Millisecond
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than clients keep an idle connection open.
@@ -86,9 +82,6 @@
 	startReadPause = 10 * time.Second
 	// callsLogInterval is the time between two lines about the calls to the store.
 	callsLogInterval = 10 * time.Second
-	// exitMargin is how long before the end of the grace period Shutdown stops
-	// waiting for requests.
-	exitMargin = 300 * time.Millisecond
 )
 
 // Decoder decodes records of the store.
@@ -243,44 +236,3 @@
 	})
 	return nil
 }
-
-// Shutdown reports that the gateway isn't ready, serves the requests that still
-// arrive and those in flight, and then stops. It returns an error if requests
-// were still running exitMargin before the end of the grace period or when ctx
-// ended; they are cut off when the process exits.
-func (p *Process) Shutdown(ctx context.Context) error {
-	p.options.Logger.Info("stopping", zap.Int64("in-flight", p.gateway.InFlight()))
-	grace := p.options.Settings.Bounds.ShutdownGrace - exitMargin
-	now := p.now()
-	p.gateway.Stop(now, now.Add(grace))
-	ctx, cancel := context.WithTimeout(ctx, grace)
-	defer cancel()
-	sleeper.Sleep(ctx, min(loadBalancerLag, grace/2))
-	p.arrivals.Wait(ctx, p.now)
-	err := p.clientServer.Shutdown(ctx)
-	p.crashes.SaveAll(context.WithoutCancel(ctx))
-	p.starts.Save(context.WithoutCancel(ctx))
-	p.logCalls()
-	p.gateway.LogCutOff()
-	p.options.Logger.Info("stopped", zap.Int64("cut-off", p.gateway.InFlight()))
-	_ = p.readyServer.Close()
-	_ = p.metricsServer.Close()
-	p.cancel()
-	return errors.Wrap(err, "requests still running at the end of shutdown")
-}
-
-// logCalls logs the calls to the store since the last such line.
-func (p *Process) logCalls() {
-	if fields := p.calls.LogFields(); len(fields) > 0 {
-		collects := zap.Bool("collects", p.peers.Collects(p.now()))
-		p.options.Logger.Info("calls to the store", append(fields, collects)...)
-	}
-}
-
-// Close stops the gateway at once and cuts off the requests in flight.
-func (p *Process) Close() {
-	p.cancel()
-	_ = p.clientServer.Close()
-	_ = p.readyServer.Close()
-	_ = p.metricsServer.Close()
-}
