--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -1,11 +1,12 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/currantwood/currantwood"
 )
 
@@ -181,18 +182,22 @@
 	return parts[len(parts)-1].Group
 }
 
+// readBody reads the body, which is held until the request ends. If all bodies together
+// leave no room for it, the request is refused.
 func (q *request) readBody() *gatewayResponse {
 	limit := q.snapshot.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(q.r.Body, limit+1))
-	if err != nil {
-		return &gatewayResponse{status: http.StatusBadRequest, reason: "body: " + err.Error()}
-	}
-	if int64(len(body)) > limit {
+	body, err := q.g.requests.readAll(q.r.Body, limit)
+	q.body = body
+	switch {
+	case errors.Is(err, errBodyTooLong):
 		return &gatewayResponse{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
+	case errors.Is(err, errBodiesTooLong):
+		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "no memory for the body", retryAfter: upstreamRetryAfter, closeConnection: true}
+	case err != nil:
+		return &gatewayResponse{status: http.StatusBadRequest, reason: "body: " + err.Error()}
 	}
-	q.body = body
 	return nil
 }
--- a/gateway/responsebody_test.go
+++ b/gateway/bodybuffer_test.go
@@ -15,34 +15,34 @@
 
 func (zeros) Read(b []byte) (int, error) { return len(b), nil }
 
-var _ = Describe("responseBuffer", func() {
+var _ = Describe("bodyBuffer", func() {
 	It("returns a body up to the limit whole, and fails on a longer one instead of cutting it", func() {
-		b := newResponseBuffer(1 << 30)
-		body, err := b.readAll(strings.NewReader(strings.Repeat("x", maxResponseBytes)))
+		b := newBodyBuffer(1<<30, maxResponseBytes)
+		body, err := b.readAll(strings.NewReader(strings.Repeat("x", maxResponseBytes)), maxResponseBytes)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(HaveLen(maxResponseBytes))
-		_, err = b.readAll(strings.NewReader(strings.Repeat("x", maxResponseBytes+1)))
-		Expect(err).To(MatchError(errResponseTooLong))
-		_, err = b.readAll(zeros{})
-		Expect(err).To(MatchError(errResponseTooLong))
+		_, err = b.readAll(strings.NewReader(strings.Repeat("x", maxResponseBytes+1)), maxResponseBytes)
+		Expect(err).To(MatchError(errBodyTooLong))
+		_, err = b.readAll(zeros{}, maxResponseBytes)
+		Expect(err).To(MatchError(errBodyTooLong))
 	})
 
 	It("bounds all bodies together, until they are released", func() {
-		b := newResponseBuffer(112e6)
-		first, err := b.readAll(io.LimitReader(zeros{}, maxResponseBytes))
+		b := newBodyBuffer(112e6, maxResponseBytes)
+		first, err := b.readAll(io.LimitReader(zeros{}, maxResponseBytes), maxResponseBytes)
 		Expect(err).NotTo(HaveOccurred())
-		second, err := b.readAll(io.LimitReader(zeros{}, maxResponseBytes))
-		Expect(err).To(MatchError(errResponseTooLong))
+		second, err := b.readAll(io.LimitReader(zeros{}, maxResponseBytes), maxResponseBytes)
+		Expect(err).To(MatchError(errBodiesTooLong))
 		b.release(second)
 		b.release(first)
 		Expect(b.used.Load()).To(BeZero())
-		_, err = b.readAll(io.LimitReader(zeros{}, maxResponseBytes))
+		_, err = b.readAll(io.LimitReader(zeros{}, maxResponseBytes), maxResponseBytes)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
 	It("passes on the error of a body that breaks", func() {
 		broken := errors.New("connection reset")
-		_, err := newResponseBuffer(0).readAll(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(broken)))
+		_, err := newBodyBuffer(0, maxResponseBytes).readAll(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(broken)), maxResponseBytes)
 		Expect(err).To(MatchError(broken))
 	})
 })
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -127,7 +127,7 @@
 		return nil, err
 	}
 	q.possibleRuns++
-	body, err := q.g.responses.readAll(x.Body)
+	body, err := q.g.responses.readAll(x.Body, maxResponseBytes)
 	if err != nil {
 		x.Abort()
 		q.g.responses.release(body)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,9 +85,10 @@
 	// of a time of Options.Now; 0 if it never did.
 	configuredAt atomic.Int64
 	inFlight     atomic.Int64
-	// responses bounds the response bodies that are read whole.
-	responses   *responseBuffer
-	instruments instruments
+	// requests bounds the request bodies that are held, and responses the response bodies
+	// that are read whole.
+	requests, responses *bodyBuffer
+	instruments         instruments
 }
 
 // instruments holds the gateway's counters and histograms. Times are in
@@ -123,7 +124,8 @@
 		abandoned:     abandonkeeper.New(),
 		rates:         rates,
 		notices:       notices,
-		responses:     newResponseBuffer(options.Settings.MemoryBytes),
+		requests:      newBodyBuffer(options.Settings.MemoryBytes, defaultMaxBodyBytes),
+		responses:     newBodyBuffer(options.Settings.MemoryBytes, maxResponseBytes),
 		eventInterval: initialEventInterval,
 		budget: budgeter.New(budgeter.Options{
 			Window:     options.Settings.Bounds.RetryWindow,
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -103,7 +103,7 @@
 // writeWholeResponse passes on a response whose status isn't 200. The header must not
 // have been written for an earlier upstream.
 func (s *stream) writeWholeResponse(up *upstreamStream, choice balancer.Choice) {
-	body, err := s.g.responses.readAll(up.exchange.Body)
+	body, err := s.g.responses.readAll(up.exchange.Body, maxResponseBytes)
 	defer s.g.responses.release(body)
 	if err != nil {
 		up.exchange.Abort()
