--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -154,7 +154,7 @@
 //
 // A refusal that names no request belongs to this one only if nothing was sent on the
 // connection before: otherwise it may be additional bytes after an earlier response, and
-// the upstream runs the request. It makes the upstream suspect, see Pool.suspect.
+// the upstream runs the request. The upstream is doubted for a while, see Pool.doubt.
 func (x *Exchange) readHead(call *Call, coder currantwood.HeaderCoder) error {
 	request := &http.Request{Method: call.Method}
 	for x.Unrelated <= maxUnrelatedResponses {
@@ -165,7 +165,7 @@
 		answer := coder.Answer(response.StatusCode, response.Header)
 		unnamedRefusal := answer.Request == "" && answer.DeclaredNotRun
 		if unnamedRefusal {
-			x.pool.suspect(call.Upstream)
+			x.pool.doubt(call.Upstream)
 			x.closeAfter = true
 		}
 		if answer.Request == call.ID || unnamedRefusal && !x.conn.used && x.Unrelated == 0 {
--- a/connkeeper/pool.go
+++ b/connkeeper/pool.go
@@ -42,8 +42,8 @@
 	MaxIdlePerAddress = 16
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 2048
-	// suspectTime is how long an upstream stays suspect.
-	suspectTime = 10 * time.Second
+	// doubtTime is how long an upstream stays doubted.
+	doubtTime = 10 * time.Second
 	// maxRefusedRequests is how many requests may be refused on a connection before it is
 	// closed.
 	maxRefusedRequests = 16
@@ -66,9 +66,9 @@
 	// idle holds the unused connections to each address, the least recently
 	// used first; protected by mu.
 	idle map[string][]*conn
-	// suspects holds until when each connection to an upstream is used for one request
+	// doubted holds until when each connection to an upstream is used for one request
 	// only, as it sends refusals that name no request; protected by mu.
-	suspects map[currantwood.UpstreamID]time.Time
+	doubted map[currantwood.UpstreamID]time.Time
 }
 
 // conn is a connection to an upstream. At most one exchange uses it at a time.
@@ -90,7 +90,7 @@
 
 // New returns an empty pool.
 func New(now func() time.Time) *Pool {
-	p := &Pool{now: now, maxIdle: MaxIdlePerAddress, idle: map[string][]*conn{}, suspects: map[currantwood.UpstreamID]time.Time{}}
+	p := &Pool{now: now, maxIdle: MaxIdlePerAddress, idle: map[string][]*conn{}, doubted: map[currantwood.UpstreamID]time.Time{}}
 	p.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: KeepAlive,
@@ -134,23 +134,23 @@
 // mayReuse reports whether a connection that was idle may carry a request. It may not if
 // the same request was refused on it: the upstream might repeat that refusal.
 func (p *Pool) mayReuse(c *conn, upstream currantwood.UpstreamID, request currantwood.RequestID) bool {
-	return c.upstream == upstream && p.now().Before(c.usableUntil) && !p.isSuspect(upstream) && !slices.Contains(c.refused, request) && isReusable(c)
+	return c.upstream == upstream && p.now().Before(c.usableUntil) && !p.isDoubted(upstream) && !slices.Contains(c.refused, request) && isReusable(c)
 }
 
-// suspect notes that an upstream sent a refusal that names no request. On a new connection
+// doubt notes that an upstream sent a refusal that names no request. On a new connection
 // such a refusal can only belong to the request that was sent; on another one that isn't
-// known. So the connections to the upstream are used once for suspectTime.
-func (p *Pool) suspect(upstream currantwood.UpstreamID) {
+// known. So the connections to the upstream are used once for doubtTime.
+func (p *Pool) doubt(upstream currantwood.UpstreamID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.suspects[upstream] = p.now().Add(suspectTime)
+	p.doubted[upstream] = p.now().Add(doubtTime)
 }
 
-// isSuspect reports whether an upstream is suspect.
-func (p *Pool) isSuspect(upstream currantwood.UpstreamID) bool {
+// isDoubted reports whether an upstream is doubted.
+func (p *Pool) isDoubted(upstream currantwood.UpstreamID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.now().Before(p.suspects[upstream])
+	return p.now().Before(p.doubted[upstream])
 }
 
 // popIdle removes and returns the most recently used idle connection; nil if
@@ -229,11 +229,11 @@
 }
 
 // CloseExpired closes the idle connections that may no longer be used, and forgets the
-// upstreams that are no longer suspect.
+// upstreams that are no longer doubted.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
 	p.mu.Lock()
-	maps.DeleteFunc(p.suspects, func(_ currantwood.UpstreamID, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(p.doubted, func(_ currantwood.UpstreamID, until time.Time) bool { return !now.Before(until) })
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,10 +166,6 @@
 // sampleSize is the number of values that a histogram's reservoir holds.
 const sampleSize = 256
 
-// Stop makes the response to every request that arrives from now on close its
-// connection. Requests that may run past end are refused.
-func (g *Gateway) Stop(now, end time.Time) { g.shutdown.Store(&shutdown{began: now, end: end}) }
-
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/gateway/streamindex.go
+++ b/gateway/streamindex.go
@@ -1,11 +1,6 @@
 package gateway
 
 import (
-	"maps"
-	"slices"
-
-	"go.uber.org/zap"
-
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 )
@@ -57,20 +52,3 @@
 	}
 	up.lastEventAt = now
 }
-
-// LogCutOff logs the streams that the end of the process cuts off now.
-func (g *Gateway) LogCutOff() {
-	stop := g.shutdown.Load()
-	if stop == nil {
-		return
-	}
-	g.mu.Lock()
-	var streams []*stream
-	for _, at := range g.streams {
-		streams = slices.AppendSeq(streams, maps.Keys(at))
-	}
-	g.mu.Unlock()
-	for _, s := range streams {
-		s.log("stream cut off by the end of the process", zap.Duration("arrived-after-stop", s.arrived.Sub(stop.began)), zap.Int64("last-event", s.lastEvent.Load()))
-	}
-}
