Shutdown: a connection that Accept hasn't returned yet may have a request

Cause: the kernel has given the connection, so that its listener is no longer readable, and the server doesn't know it before Accept returns. In between nothing was unread, the server was shut down, and net/http closes a connection whose first request it reads after that.

Change: nothing must have been unread for 100 ms.

Cost: a planned stop takes 0.1 s longer.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -22,6 +22,9 @@
 	maxQuietWait = 1500 * time.Millisecond
 	// checkInterval is the time between two checks.
 	checkInterval = 25 * time.Millisecond
+	// acceptTime is how long a connection may be known neither to the kernel's queue nor to
+	// the server, since Accept hasn't returned it yet.
+	acceptTime = 100 * time.Millisecond
 )
 
 // Drainer notes when requests arrive and which connections may have unread ones. It is safe
@@ -93,11 +96,19 @@
 	return false
 }
 
-// Wait waits until it is quiet, for maxQuietWait at most, and nothing is unread, or until
-// ctx is done. now reads the clock of NoteRequest.
+// Wait waits until it is quiet, for maxQuietWait at most, and nothing was unread for
+// acceptTime, or until ctx is done. now reads the clock of NoteRequest.
 func (d *Drainer) Wait(ctx context.Context, now func() time.Time) {
-	quietBy := now().Add(maxQuietWait)
-	for d.HasUnread() || !d.IsQuiet(now()) && now().Before(quietBy) {
+	began := now()
+	unreadAt := began
+	for {
+		if d.HasUnread() {
+			unreadAt = now()
+		}
+		quiet := d.IsQuiet(now()) || now().Sub(began) >= maxQuietWait
+		if quiet && now().Sub(unreadAt) >= acceptTime {
+			return
+		}
 		if !sleeper.Sleep(ctx, checkInterval) {
 			return
 		}
--- a/drainer/unread_test.go
+++ b/drainer/unread_test.go
@@ -18,8 +18,10 @@
 type heldListener struct {
 	*net.TCPListener
 	accepts, reads chan struct{}
-	closed         context.Context
-	close          context.CancelFunc
+	// acceptTime is how long a connection stays with Accept once the kernel has given it.
+	acceptTime time.Duration
+	closed     context.Context
+	close      context.CancelFunc
 }
 
 func (l heldListener) Close() error {
@@ -37,6 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
+	time.Sleep(l.acceptTime)
 	return &heldConn{TCPConn: accepted, reads: l.reads, aborts: make(chan struct{}, 1)}, nil
 }
 
@@ -79,7 +82,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		closed, closeListener := context.WithCancel(context.Background())
-		held = heldListener{listener.(*net.TCPListener), make(chan struct{}, 10), make(chan struct{}, 10), closed, closeListener}
+		held = heldListener{listener.(*net.TCPListener), make(chan struct{}, 10), make(chan struct{}, 10), 60 * time.Millisecond, closed, closeListener}
 		drained = New()
 		server = &http.Server{ConnState: drained.NoteState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			drained.NoteRequest(time.Now())
