Regions, warm-up and slowdown are decoded, and requests stay in their regions

Change: a set of regions whose zero value admits none is part of each query of the balancer and of the one check whether a request may be sent. Warm-up rates, warm-up times and how long work takes now are decoded; nothing uses them yet.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -171,7 +171,7 @@
 		if slices.Contains(q.Exclude, id) || !g.prober.Admits(now, id) || !b.inReach(q, u.view.Zone) || !q.admitsVersion(u.view.Version) {
 			continue
 		}
-		if verdict := b.notices.Check(now, id, u.view.Incarnation); !verdict.Admitted() {
+		if verdict := b.notices.Check(now, noticekeeper.TargetOf(u.view.UpstreamRecord), q.Regions); !verdict.Admitted() {
 			refused.lowerRetryAfterNotice(id, verdict)
 			continue
 		}
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -33,7 +33,7 @@
 func newBalancer(engines ...string) *Balancer { return newBalancerWithRates(newRates(), engines...) }
 
 func newBalancerWithRates(rates *ratekeeper.Keeper, engines ...string) *Balancer {
-	return newBalancerWithNotices(noticekeeper.New(rates), engines...)
+	return newBalancerWithNotices(noticekeeper.New(rates, nil), engines...)
 }
 
 func newBalancerWithNotices(notices *noticekeeper.Keeper, engines ...string) *Balancer {
@@ -54,6 +54,9 @@
 // pick returns the ID of the upstream chosen for a query, or "none".
 func pick(b *Balancer, q Query) string {
 	q.Group = "g"
+	if q.Regions.IsEmpty() {
+		q.Regions = currantwood.AnyRegion()
+	}
 	choice, err := b.Pick(start, q)
 	if err != nil {
 		return "none"
@@ -86,7 +89,7 @@
 	It("refuses a prompt that no engine would prefill in time, and says after how long to retry", func() {
 		b := newBalancer("e1@n1")
 		b.SetPeerLoads(start, "p", Loads{"e1": {Requests: 2, MemoryTokens: 2000, PrefillTokens: 10_000}})
-		query := Query{Group: "g", Zone: "n1", RequireCapacity: true, MaxPrefillWait: time.Second, Load: Load{Requests: 1, MemoryTokens: 1000, PrefillTokens: 900}}
+		query := Query{Group: "g", Regions: currantwood.AnyRegion(), Zone: "n1", RequireCapacity: true, MaxPrefillWait: time.Second, Load: Load{Requests: 1, MemoryTokens: 1000, PrefillTokens: 900}}
 		_, err := b.Pick(start, query)
 		var refused *RefusalError
 		Expect(errors.As(err, &refused)).To(BeTrue())
@@ -129,7 +132,7 @@
 		b := newBalancer("e1@n1", "e2@n1", "e3@n1", "e4@n1")
 		count := map[string]int{}
 		for range 8 {
-			choice, err := b.Pick(start, Query{Group: "g", Zone: "n1", Reach: InZone, AvoidPrefill: true, Load: Load{Requests: 1, MemoryTokens: 900, PrefillTokens: 2000}})
+			choice, err := b.Pick(start, Query{Group: "g", Regions: currantwood.AnyRegion(), Zone: "n1", Reach: InZone, AvoidPrefill: true, Load: Load{Requests: 1, MemoryTokens: 900, PrefillTokens: 2000}})
 			Expect(err).NotTo(HaveOccurred())
 			b.Started(start, choice.View, Load{Requests: 1, MemoryTokens: 900, PrefillTokens: 2000}, time.Second)
 			count[string(choice.View.ID)]++
@@ -195,7 +198,7 @@
 		}
 		Expect(pick(b, Query{Zone: "n1"})).To(Equal("e2"))
 		Expect(b.EjectedCount(start, "g")).To(Equal(1))
-		choice, _ := b.Pick(start.Add(3*time.Second), Query{Group: "g", Zone: "n1"})
+		choice, _ := b.Pick(start.Add(3*time.Second), Query{Group: "g", Regions: currantwood.AnyRegion(), Zone: "n1"})
 		Expect(choice.View.ID).To(Equal(currantwood.UpstreamID("e1")))
 	})
 
@@ -213,7 +216,7 @@
 		sent := Load{Requests: 1, MemoryTokens: 1100, PrefillTokens: 900}
 		refused := 0
 		for range 60 {
-			choice, err := b.Pick(start, Query{Group: "g", Zone: "n1", Load: sent, RequireCapacity: true})
+			choice, err := b.Pick(start, Query{Group: "g", Regions: currantwood.AnyRegion(), Zone: "n1", Load: sent, RequireCapacity: true})
 			if err != nil {
 				refused++
 				continue
@@ -258,7 +261,7 @@
 	}
 	all := make([]*Balancer, gateways)
 	for i := range all {
-		all[i] = New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, noticekeeper.New(newRates()), rand.New(rand.NewSource(seed*100+int64(i))))
+		all[i] = New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, noticekeeper.New(newRates(), nil), rand.New(rand.NewSource(seed*100+int64(i))))
 		all[i].SetGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: 10_000}}})
 		all[i].SetUpstreams(views)
 		all[i].SetGatewayCount(gateways)
@@ -271,7 +274,7 @@
 			exchangeLoads(all, now)
 		}
 		b := all[random.Intn(gateways)]
-		choice, _ := b.Pick(now, Query{Group: "g", Zone: "n1", Load: sent})
+		choice, _ := b.Pick(now, Query{Group: "g", Regions: currantwood.AnyRegion(), Zone: "n1", Load: sent})
 		b.Started(now, choice.View, sent, time.Minute)
 	}
 	return totalRequests(all, currantwood.UpstreamID(fmt.Sprintf("e%d", engines)))
@@ -325,7 +328,7 @@
 			sent++
 		}
 		load := Load{Requests: 1, MemoryTokens: 10, PrefillTokens: prompt}
-		choice, err := b.Pick(now, Query{Group: "g", Zone: "n1", RequireCapacity: true, MaxPrefillWait: maxPrefillWait, Load: load})
+		choice, err := b.Pick(now, Query{Group: "g", Regions: currantwood.AnyRegion(), Zone: "n1", RequireCapacity: true, MaxPrefillWait: maxPrefillWait, Load: load})
 		if err != nil {
 			continue
 		}
--- a/balancer/notice_test.go
+++ b/balancer/notice_test.go
@@ -16,11 +16,11 @@
 		return currantwood.UpstreamResponse{Pause: d}
 	}
 	pick := func(b *Balancer, now time.Time) (Choice, error) {
-		return b.Pick(now, Query{Group: "g", Load: Load{Requests: 1}, Zone: "n1"})
+		return b.Pick(now, Query{Group: "g", Regions: currantwood.AnyRegion(), Load: Load{Requests: 1}, Zone: "n1"})
 	}
 
 	It("passes over one that is leaving, even if all of the group are", func() {
-		notices := noticekeeper.New(newRates())
+		notices := noticekeeper.New(newRates(), nil)
 		b := newBalancerWithNotices(notices, "e1@n1")
 		notices.Observe(start, "e1", 1, currantwood.UpstreamResponse{Leaving: true})
 		_, err := pick(b, start)
@@ -30,7 +30,7 @@
 	})
 
 	It("names the earliest end if all of the group pause", func() {
-		notices := noticekeeper.New(newRates())
+		notices := noticekeeper.New(newRates(), nil)
 		b := newBalancerWithNotices(notices, "e1@n1", "e2@n1")
 		notices.Observe(start, "e1", 1, pause(9*time.Second))
 		notices.Observe(start, "e2", 1, pause(3*time.Second))
@@ -47,7 +47,7 @@
 	// Answers the load pattern of a group from whose upstreams one comes back from a
 	// pause without load, while all others are busy.
 	It("brings work back to it bit by bit", func() {
-		notices := noticekeeper.New(newRates())
+		notices := noticekeeper.New(newRates(), nil)
 		b := newBalancerWithNotices(notices, "e1@n1", "e2@n1", "e3@n1")
 		notices.Observe(start, "e1", 1, pause(time.Second))
 		share := func(from time.Time) float64 {
--- a/balancer/query.go
+++ b/balancer/query.go
@@ -15,6 +15,8 @@
 	// Zone is the availability zone to which Reach and the distance penalty of
 	// upstreams relate; its upstreams are preferred.
 	Zone currantwood.ZoneID
+	// Regions are those in which the upstream may be. The zero value admits none.
+	Regions currantwood.RegionSet
 	// Exclude lists the upstreams that must not be chosen.
 	Exclude []currantwood.UpstreamID
 	// RequireCapacity admits an engine only if it has a free slot, and memory for
--- a/balancer/ratelimit_test.go
+++ b/balancer/ratelimit_test.go
@@ -25,7 +25,7 @@
 		for after := time.Duration(0); after < duration; after += interval {
 			now := start.Add(after)
 			rates.SetFleet(now, nil, 1)
-			choice, err := b.Pick(now, Query{Group: "g", Load: Load{Requests: 1}, Zone: "n1"})
+			choice, err := b.Pick(now, Query{Group: "g", Regions: currantwood.AnyRegion(), Load: Load{Requests: 1}, Zone: "n1"})
 			var refusal *RefusalError
 			if errors.As(err, &refusal) {
 				refused = append(refused, refusal)
--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -44,9 +44,11 @@
 }
 
 // lowerRetryAfterNotice is lowerRetryAfter for an upstream that accepts no request now by
-// what it has said. One that is leaving accepts none again.
+// what it has said. One that is leaving accepts none again, and one outside the regions of
+// the request never does.
 func (e *RefusalError) lowerRetryAfterNotice(id currantwood.UpstreamID, verdict noticekeeper.Verdict) {
-	if verdict.Reason == noticekeeper.Leaving || !e.lowerRetryAfter(verdict.Wait) {
+	never := verdict.Reason == noticekeeper.Leaving || verdict.Reason == noticekeeper.OutsideRegions
+	if never || !e.lowerRetryAfter(verdict.Wait) {
 		return
 	}
 	if verdict.Reason == noticekeeper.Paused {
--- a/configuration.go
+++ b/configuration.go
@@ -29,6 +29,8 @@
 	// Priority overrides the route's priority if HasPriority is true.
 	Priority    Priority
 	HasPriority bool
+	// Regions are those in which the customer's requests may be served.
+	Regions RegionSet
 }
 
 // ClientLimits limits the requests and connections of clients. A zero field means
@@ -71,6 +73,8 @@
 	// Split divides the requests among groups. It is never empty, and all weights
 	// are positive.
 	Split []WeightedGroup
+	// Regions are those in which the route's requests may be served.
+	Regions RegionSet
 }
 
 // WeightedGroup is a group and its relative share of a route's requests.
@@ -85,6 +89,11 @@
 	// MaxConnections is the number of connections that one upstream accepts from
 	// all gateways together.
 	MaxConnections int
+	// WarmUpTime is how long an upstream is cold after its start.
+	WarmUpTime time.Duration
+	// WarmUpRate is the number of requests per second that a cold upstream accepts from
+	// all gateways together; 0 means no limit.
+	WarmUpRate float64
 	// Engine is nil for a group of plain services.
 	Engine *EngineProperties
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -47,6 +47,9 @@
 	if refusal := q.authenticate(tooOld); refusal != nil {
 		return refusal
 	}
+	if refusal := q.restrictRegions(); refusal != nil {
+		return refusal
+	}
 	q.group = q.pickGroup()
 	if err := q.readBody(); err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,7 @@
 	requestsBlocked, rateLimitChanges          metrics.Counter
 	leavingNotices, pauses, refusedPaused      metrics.Counter
 	rateLimited, startsLearned, startsUnknown  metrics.Counter
+	refusedRegions                             metrics.Counter
 	responseTime, firstEventTime               metrics.Histogram
 }
 
@@ -109,7 +110,7 @@
 	// The seeds are some of the other gateways.
 	seeds, _ := options.Settings.OtherSeeds()
 	rates := ratekeeper.New(ratekeeper.Options{MinGateways: 1 + len(seeds)}, options.Random)
-	notices := noticekeeper.New(rates)
+	notices := noticekeeper.New(rates, options.Settings.Regions)
 	g := &Gateway{
 		saveCrashes:  func(context.Context) {},
 		streamStarts: streamkeeper.New(),
@@ -155,6 +156,7 @@
 		pauses:             metrics.NewRegisteredCounter("upstream-pauses", r),
 		refusedPaused:      metrics.NewRegisteredCounter("requests-refused-paused", r),
 		rateLimited:        metrics.NewRegisteredCounter("requests-rate-limited", r),
+		refusedRegions:     metrics.NewRegisteredCounter("requests-refused-regions", r),
 		responseTime:       metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
 		firstEventTime:     metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -181,7 +181,7 @@
 	defer s.g.mu.Unlock()
 	now := s.g.Now()
 	for _, scope := range scopes {
-		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true, SameVersion: true, Version: version}
+		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Regions: s.regions(), Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true, SameVersion: true, Version: version}
 		if choice, err := s.g.balancer.Pick(now, query); err == nil {
 			s.g.balancer.Started(now, choice.View, query.Load, s.streamStallTimeout())
 			return choice, true
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -82,6 +82,8 @@
 	customer currantwood.CustomerID
 	priority currantwood.Priority
 	group    currantwood.GroupID
+	// admittedRegions are the regions that snapshot allows; see regions.
+	admittedRegions currantwood.RegionSet
 	// deadline is when the response must be complete, body or stream included.
 	deadline time.Time
 	body     []byte
@@ -183,7 +185,7 @@
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	q.g.syncGroups(q.snapshot)
-	query := balancer.Query{Group: q.group, Load: q.load(), Zone: q.g.Settings.Zone, Exclude: q.attempted}
+	query := balancer.Query{Group: q.group, Load: q.load(), Zone: q.g.Settings.Zone, Regions: q.regions(), Exclude: q.attempted}
 	if q.isGeneration() {
 		query.RequireCapacity, query.MaxPrefillWait = true, q.maxQueueTime()
 	}
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -27,6 +27,9 @@
 	// same on all VMs.
 	PeerPort    int
 	MemoryBytes int64
+	// MaxDescriptors is the number of file descriptors that the process may open; 0 if the
+	// settings don't say.
+	MaxDescriptors int
 	// Cores is the VM's CPU share, in cores.
 	Cores float64
 	// LinkBitsPerSecond is the bandwidth of the VM's network link, in bits per
@@ -70,6 +73,14 @@
 	RetryShare   Share
 	RetryWindow  time.Duration
 	RetryReserve float64
+	// WarmUpOverage and WarmUpSlack bound the requests that a cold upstream gets within
+	// any second, from all gateways together: WarmUpOverage times Group.WarmUpRate, plus
+	// WarmUpSlack requests.
+	WarmUpOverage float64
+	WarmUpSlack   float64
+	// EvacuationTime is how long after the order to evacuate an availability zone its
+	// upstreams may still receive requests.
+	EvacuationTime time.Duration
 }
 
 // Check returns an error if the VM, availability zone, an address for clients or
--- a/noticekeeper/keeper.go
+++ b/noticekeeper/keeper.go
@@ -1,7 +1,7 @@
 // Package noticekeeper holds what upstreams say of themselves in their responses: that
 // they are leaving, that they want no requests for a time, and which rate of requests
 // they accept. It answers whether a request may be sent to an upstream now and, if not,
-// from when on.
+// why and from when on: by these notices, and by the regions that the request may be in.
 //
 // What an upstream says holds for its incarnation and from the response on, whatever the
 // directory shows. A leaving is final. A pause ends by time alone: neither a response
@@ -53,6 +53,19 @@
 	Leaving, Pause, RateLimit bool
 }
 
+// Target is an upstream to which a request may be sent.
+type Target struct {
+	ID          currantwood.UpstreamID
+	Group       currantwood.GroupID
+	Zone        currantwood.ZoneID
+	Incarnation int64
+}
+
+// TargetOf returns the target that an upstream's record describes.
+func TargetOf(r currantwood.UpstreamRecord) Target {
+	return Target{ID: r.ID, Group: r.Group, Zone: r.Zone, Incarnation: r.Incarnation}
+}
+
 // Verdict says whether a request may be sent to an upstream.
 type Verdict struct {
 	Reason Reason
@@ -75,6 +88,9 @@
 	Leaving                   // leaving
 	Paused                    // paused
 	RateLimited               // rate-limited
+	// OutsideRegions means that the upstream is in none of the regions that the request
+	// may be in.
+	OutsideRegions // outside the allowed regions
 )
 
 // entry is what is known of one upstream.
@@ -90,14 +106,16 @@
 
 // Keeper holds notices. It is not safe for concurrent use.
 type Keeper struct {
-	rates   *ratekeeper.Keeper
+	rates *ratekeeper.Keeper
+	// regions maps each availability zone to its region.
+	regions map[currantwood.ZoneID]currantwood.RegionID
 	entries map[currantwood.UpstreamID]*entry
 }
 
 // New returns a keeper without notices that asks rates for the rates that upstreams
-// accept.
-func New(rates *ratekeeper.Keeper) *Keeper {
-	return &Keeper{rates: rates, entries: make(map[currantwood.UpstreamID]*entry)}
+// accept, given the region of each availability zone.
+func New(rates *ratekeeper.Keeper, regions map[currantwood.ZoneID]currantwood.RegionID) *Keeper {
+	return &Keeper{rates: rates, regions: regions, entries: make(map[currantwood.UpstreamID]*entry)}
 }
 
 // Observe notes what a response of an upstream to this gateway says.
@@ -167,15 +185,19 @@
 	return e
 }
 
-// Check reports whether a request may be sent to an incarnation of an upstream.
-func (k *Keeper) Check(now time.Time, id currantwood.UpstreamID, incarnation int64) Verdict {
-	if e := k.get(id, incarnation); e != nil && e.notice.Leaving {
+// Check reports whether a request that may be in some regions may be sent to an upstream
+// now. It is asked before each send, whatever the send is for.
+func (k *Keeper) Check(now time.Time, t Target, regions currantwood.RegionSet) Verdict {
+	if !regions.Admits(k.regions[t.Zone]) {
+		return Verdict{Reason: OutsideRegions}
+	}
+	if e := k.get(t.ID, t.Incarnation); e != nil && e.notice.Leaving {
 		return Verdict{Reason: Leaving}
 	} else if e != nil && e.notice.PausedUntil.After(now) {
 		return Verdict{Reason: Paused, Wait: e.notice.PausedUntil.Sub(now)}
 	}
-	if !k.rates.Admits(now, id, incarnation) {
-		return Verdict{Reason: RateLimited, Wait: max(k.rates.Wait(now, id), time.Nanosecond)}
+	if !k.rates.Admits(now, t.ID, t.Incarnation) {
+		return Verdict{Reason: RateLimited, Wait: max(k.rates.Wait(now, t.ID), time.Nanosecond)}
 	}
 	return Verdict{}
 }
--- a/noticekeeper/keeper_test.go
+++ b/noticekeeper/keeper_test.go
@@ -13,8 +13,15 @@
 
 var start = time.Unix(1000, 0)
 
+var zoneRegions = map[currantwood.ZoneID]currantwood.RegionID{"z1": "north", "z2": "south"}
+
+// upstreamTarget returns an incarnation of the upstream "u" in zone z1.
+func upstreamTarget(incarnation int64) Target {
+	return Target{ID: "u", Group: "g", Zone: "z1", Incarnation: incarnation}
+}
+
 func newKeeper() *Keeper {
-	return New(ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))))
+	return New(ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))), zoneRegions)
 }
 
 // step is one event: a response after some seconds, or, if from is set, what another
@@ -47,11 +54,30 @@
 }
 
 var _ = Describe("Keeper of notices", func() {
+	// Guards against a request that reaches an upstream in a region that its route or its
+	// customer doesn't allow.
+	DescribeTable("admits only upstreams in the allowed regions",
+		func(zone currantwood.ZoneID, regions currantwood.RegionSet, admitted bool) {
+			verdict := newKeeper().Check(start, Target{ID: "u", Zone: zone, Incarnation: 1}, regions)
+			Expect(verdict.Admitted()).To(Equal(admitted))
+			if !admitted {
+				Expect(verdict).To(Equal(Verdict{Reason: OutsideRegions}))
+			}
+		},
+		Entry("any region", currantwood.ZoneID("z1"), currantwood.AnyRegion(), true),
+		Entry("its region", currantwood.ZoneID("z1"), currantwood.Regions("south", "north"), true),
+		Entry("another region", currantwood.ZoneID("z2"), currantwood.Regions("north"), false),
+		Entry("an unknown region", currantwood.ZoneID("z1"), currantwood.Regions("moon"), false),
+		Entry("no region stated", currantwood.ZoneID("z1"), currantwood.RegionSet{}, false),
+		Entry("an unknown zone, any region", currantwood.ZoneID("z9"), currantwood.AnyRegion(), true),
+		Entry("an unknown zone", currantwood.ZoneID("z9"), currantwood.Regions("north"), false),
+	)
+
 	DescribeTable("answers",
 		func(steps []step, after float64, incarnation int64, reason Reason, wait time.Duration) {
 			k := newKeeper()
 			apply(k, steps)
-			Expect(k.Check(at(after), "u", incarnation)).To(Equal(Verdict{Reason: reason, Wait: wait}))
+			Expect(k.Check(at(after), upstreamTarget(incarnation), currantwood.AnyRegion())).To(Equal(Verdict{Reason: reason, Wait: wait}))
 		},
 		Entry("an upstream that said nothing", nil, 0.0, int64(1), Accepts, time.Duration(0)),
 		Entry("a leaving for good", []step{{0, 1, true, 0, false}, {1, 1, false, 0, false}}, 300.0, int64(1), Leaving, time.Duration(0)),
@@ -72,12 +98,12 @@
 
 	It("asks for the rate limit last", func() {
 		rates := ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1)))
-		k := New(rates)
+		k := New(rates, zoneRegions)
 		limited := currantwood.UpstreamResponse{RateLimit: currantwood.RateLimit{Known: true, Limited: true, PerSecond: 0.2}, Pause: time.Second}
 		Expect(k.Observe(start, "u", 1, limited)).To(Equal(Change{Pause: true, RateLimit: true}))
-		Expect(k.Check(start, "u", 1)).To(Equal(Verdict{Reason: Paused, Wait: time.Second}))
+		Expect(k.Check(start, upstreamTarget(1), currantwood.AnyRegion())).To(Equal(Verdict{Reason: Paused, Wait: time.Second}))
 		k.Sent(start, "u")
-		verdict := k.Check(at(1), "u", 1)
+		verdict := k.Check(at(1), upstreamTarget(1), currantwood.AnyRegion())
 		Expect(verdict.Reason).To(Equal(RateLimited))
 		Expect(verdict.Wait).To(BeNumerically(">", 0))
 	})
@@ -117,8 +143,8 @@
 				a.Learn(now, id, Notice{n.Incarnation, n.Leaving, n.PausedUntil.Add(delay)})
 			}
 		}
-		Expect(a.Check(at(3), "u", 1).Admitted()).To(BeTrue())
-		Expect(b.Check(at(3.1), "u", 1).Admitted()).To(BeTrue())
+		Expect(a.Check(at(3), upstreamTarget(1), currantwood.AnyRegion()).Admitted()).To(BeTrue())
+		Expect(b.Check(at(3.1), upstreamTarget(1), currantwood.AnyRegion()).Admitted()).To(BeTrue())
 	})
 
 	It("reports the end of a pause once and forgets what no longer matters", func() {
--- a/noticekeeper/model_test.go
+++ b/noticekeeper/model_test.go
@@ -132,7 +132,7 @@
 // send sends a request if the gateway may.
 func (m *modelDayState) send(g *modelGateway) {
 	record := g.record
-	if !g.keeper.Check(m.now, modelUpstream, record).Admitted() {
+	if !g.keeper.Check(m.now, Target{ID: modelUpstream, Incarnation: record}, currantwood.AnyRegion()).Admitted() {
 		return
 	}
 	g.keeper.Sent(m.now, modelUpstream)
@@ -222,7 +222,7 @@
 			// The end of a pause is told with the delay of messages, and not more.
 			m.upstream = modelUpstreamState{incarnation: m.upstream.incarnation + 1}
 			for _, g := range m.gateways {
-				Expect(g.keeper.Check(m.now, modelUpstream, m.upstream.incarnation).Admitted()).To(BeTrue(), "seed %d", seed)
+				Expect(g.keeper.Check(m.now, Target{ID: modelUpstream, Incarnation: m.upstream.incarnation}, currantwood.AnyRegion()).Admitted()).To(BeTrue(), "seed %d", seed)
 			}
 		}
 	})
--- a/noticekeeper/reason_string.go
+++ b/noticekeeper/reason_string.go
@@ -12,11 +12,12 @@
 	_ = x[Leaving-1]
 	_ = x[Paused-2]
 	_ = x[RateLimited-3]
+	_ = x[OutsideRegions-4]
 }
 
-const _Reason_name = "acceptsleavingpausedrate-limited"
+const _Reason_name = "acceptsleavingpausedrate-limitedoutside the allowed regions"
 
-var _Reason_index = [...]uint8{0, 7, 14, 20, 32}
+var _Reason_index = [...]uint8{0, 7, 14, 20, 32, 59}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/peerkeeper/simulation_test.go
+++ b/peerkeeper/simulation_test.go
@@ -80,7 +80,7 @@
 	regions := map[currantwood.ZoneID]currantwood.RegionID{"z": "r"}
 	group := currantwood.Group{ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: engineMemoryTokens}}
 	for range simGateways {
-		b := balancer.New(regions, noticekeeper.New(ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1)))), rand.New(rand.NewSource(s.random.Int63())))
+		b := balancer.New(regions, noticekeeper.New(ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))), nil), rand.New(rand.NewSource(s.random.Int63())))
 		b.SetGroups(map[currantwood.GroupID]currantwood.Group{"g": group})
 		b.SetGatewayCount(simGateways)
 		s.gateways = append(s.gateways, b)
@@ -132,7 +132,7 @@
 // place chooses an engine for a generation. A refused client retries once.
 func (s *simulation) place(now time.Time, r *simGeneration, retry bool) {
 	r.gateway = s.random.Intn(simGateways)
-	choice, err := s.gateways[r.gateway].Pick(now, balancer.Query{Group: "g", Load: r.load, Zone: "z", RequireCapacity: true, MaxPrefillWait: firstEventTarget / 2})
+	choice, err := s.gateways[r.gateway].Pick(now, balancer.Query{Group: "g", Regions: currantwood.AnyRegion(), Load: r.load, Zone: "z", RequireCapacity: true, MaxPrefillWait: firstEventTarget / 2})
 	var refused *balancer.RefusalError
 	if errors.As(err, &refused) {
 		retryAt := now.Add(max(refused.RetryAfter, minClientRetry))
--- a/routing.go
+++ b/routing.go
@@ -102,6 +102,11 @@
 	// Running and Waiting are the numbers of running and queued requests at the
 	// upstream, Slots the number that it can run. All are 0 if it reports no load.
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes at the upstream now, relative to usual: 1 is as
+	// usual, 2 twice as long. 0 if it doesn't say.
+	Slowdown float64
+	// WarmUp is what the response says of the upstream's warm-up.
+	WarmUp WarmUp
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if
 	// unknown.
 	IdleTimeout time.Duration
@@ -116,6 +121,15 @@
 	OtherInstance bool
 }
 
+// WarmUp is what one response says of the warm-up of its upstream.
+type WarmUp struct {
+	// Known is whether the response says anything of it. One of another instance, or
+	// one whose value can't be decoded, doesn't.
+	Known bool
+	// Left is how much longer the upstream is cold; 0 if it is warm.
+	Left time.Duration
+}
+
 // RateLimit is what one response says of the rate of requests that its upstream
 // accepts from all gateways together.
 type RateLimit struct {
