Evacuation of availability zones: known to every gateway, asked before each send

Change: package placement/evacuationkeeper holds the set of evacuated zones with the position at which it was read; the feed of the configuration reads it, digests carry it, and the one check before a send asks it. A run whose target was picked before is checked again once it is copied. A gateway that doesn't know the orders refuses requests.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -33,7 +33,7 @@
 func newBalancer(engines ...string) *Balancer { return newBalancerWithRates(newRates(), engines...) }
 
 func newBalancerWithRates(rates *ratekeeper.Keeper, engines ...string) *Balancer {
-	return newBalancerWithNotices(noticekeeper.New(rates, nil), engines...)
+	return newBalancerWithNotices(noticekeeper.New(noticekeeper.Options{Rates: rates}), engines...)
 }
 
 func newBalancerWithNotices(notices *noticekeeper.Keeper, engines ...string) *Balancer {
@@ -261,7 +261,7 @@
 	}
 	all := make([]*Balancer, gateways)
 	for i := range all {
-		all[i] = New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, noticekeeper.New(newRates(), nil), rand.New(rand.NewSource(seed*100+int64(i))))
+		all[i] = New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, noticekeeper.New(noticekeeper.Options{Rates: newRates()}), rand.New(rand.NewSource(seed*100+int64(i))))
 		all[i].SetGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: 10_000}}})
 		all[i].SetUpstreams(views)
 		all[i].SetGatewayCount(gateways)
--- a/balancer/notice_test.go
+++ b/balancer/notice_test.go
@@ -20,7 +20,7 @@
 	}
 
 	It("passes over one that is leaving, even if all of the group are", func() {
-		notices := noticekeeper.New(newRates(), nil)
+		notices := noticekeeper.New(noticekeeper.Options{Rates: newRates()})
 		b := newBalancerWithNotices(notices, "e1@n1")
 		notices.Observe(start, "e1", 1, currantwood.UpstreamResponse{Leaving: true})
 		_, err := pick(b, start)
@@ -30,7 +30,7 @@
 	})
 
 	It("names the earliest end if all of the group pause", func() {
-		notices := noticekeeper.New(newRates(), nil)
+		notices := noticekeeper.New(noticekeeper.Options{Rates: newRates()})
 		b := newBalancerWithNotices(notices, "e1@n1", "e2@n1")
 		notices.Observe(start, "e1", 1, pause(9*time.Second))
 		notices.Observe(start, "e2", 1, pause(3*time.Second))
@@ -47,7 +47,7 @@
 	// Answers the load pattern of a group from whose upstreams one comes back from a
 	// pause without load, while all others are busy.
 	It("brings work back to it bit by bit", func() {
-		notices := noticekeeper.New(newRates(), nil)
+		notices := noticekeeper.New(noticekeeper.Options{Rates: newRates()})
 		b := newBalancerWithNotices(notices, "e1@n1", "e2@n1", "e3@n1")
 		notices.Observe(start, "e1", 1, pause(time.Second))
 		share := func(from time.Time) float64 {
--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -44,11 +44,9 @@
 }
 
 // lowerRetryAfterNotice is lowerRetryAfter for an upstream that accepts no request now by
-// what it has said. One that is leaving accepts none again, and one outside the regions of
-// the request never does.
+// what it has said. Without a time until it does, Verdict.Wait, it doesn't count.
 func (e *RefusalError) lowerRetryAfterNotice(id currantwood.UpstreamID, verdict noticekeeper.Verdict) {
-	never := verdict.Reason == noticekeeper.Leaving || verdict.Reason == noticekeeper.OutsideRegions
-	if never || !e.lowerRetryAfter(verdict.Wait) {
+	if verdict.Wait == 0 || !e.lowerRetryAfter(verdict.Wait) {
 		return
 	}
 	if verdict.Reason == noticekeeper.Paused {
--- a/cmd/currantwood/gateway.go
+++ b/cmd/currantwood/gateway.go
@@ -75,19 +75,20 @@
 	upstreams := upstreamclient.New(gatewayTransport(maxIdleToUpstream))
 	store := storeclient.New(settings.StoreAddress, gatewayTransport(maxIdleToStore))
 	gateway, err := gatewaystarter.New(gatewaystarter.Options{
-		Settings:           settings,
-		Logger:             logger,
-		Store:              store,
-		Writer:             store,
-		Coder:              headercoder.Coder{},
-		Mover:              upstreams,
-		States:             upstreams,
-		Decoder:            decoder.Decoder{},
-		ConfigurationTopic: storeclient.ConfigurationTopic,
-		ConfigurationKey:   storeclient.ConfigurationKey,
-		UpstreamTopic:      storeclient.UpstreamTopic,
-		CrashTopic:         storeclient.CrashTopic,
-		StartTopic:         storeclient.StartTopic,
+		Settings:            settings,
+		Logger:              logger,
+		Store:               store,
+		Writer:              store,
+		Coder:               headercoder.Coder{},
+		Mover:               upstreams,
+		States:              upstreams,
+		Decoder:             decoder.Decoder{},
+		ConfigurationTopic:  storeclient.ConfigurationTopic,
+		ConfigurationKey:    storeclient.ConfigurationKey,
+		EvacuationKeyPrefix: storeclient.EvacuationKeyPrefix,
+		UpstreamTopic:       storeclient.UpstreamTopic,
+		CrashTopic:          storeclient.CrashTopic,
+		StartTopic:          storeclient.StartTopic,
 	})
 	if err != nil {
 		return err
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -35,6 +35,9 @@
 	if q.snapshot == nil {
 		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: storeRetryAfter, closeConnection: true}
 	}
+	if !q.g.EvacuationsKnown() {
+		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "evacuations not read yet", retryAfter: storeRetryAfter, closeConnection: true}
+	}
 	if q.g.awaitsCrashes(q.arrived) {
 		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "crashes of requests not read yet", retryAfter: otherGatewayRetryAfter, closeConnection: true}
 	}
--- /dev/null
+++ b/gateway/evacuation.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/placement/evacuationkeeper"
+)
+
+// EvacuationsKnown reports whether the orders to evacuate availability zones are known.
+// Without them a gateway sends nothing.
+func (g *Gateway) EvacuationsKnown() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuations.Known()
+}
+
+// ReplaceEvacuations notes that a read of all orders has found these zones.
+func (g *Gateway) ReplaceEvacuations(now time.Time, zones []currantwood.ZoneID) {
+	g.mu.Lock()
+	change := g.evacuations.Replace(now, zones)
+	g.mu.Unlock()
+	g.logEvacuations(change, "store")
+}
+
+// ApplyEvacuation notes an order for a zone, or that it was taken back.
+func (g *Gateway) ApplyEvacuation(now time.Time, zone currantwood.ZoneID, ordered bool) {
+	g.mu.Lock()
+	change := g.evacuations.Apply(now, zone, ordered)
+	g.mu.Unlock()
+	g.logEvacuations(change, "store")
+}
+
+// EvacuationsReadTo notes the position in the store up to which orders were applied.
+func (g *Gateway) EvacuationsReadTo(era currantwood.StoreEra, next currantwood.Offset) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evacuations.ReadTo(evacuationkeeper.Position{Era: era, Next: next})
+}
+
+// KeepEvacuations keeps the orders for a while that are missing in the store, which has
+// come back from an older copy.
+func (g *Gateway) KeepEvacuations(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evacuations.EraRisen(now)
+}
+
+// LearnEvacuations notes the orders that another gateway knows.
+func (g *Gateway) LearnEvacuations(now time.Time, from currantwood.VMID, set evacuationkeeper.Set) {
+	g.mu.Lock()
+	change := g.evacuations.Learn(now, set)
+	g.mu.Unlock()
+	g.logEvacuations(change, string(from))
+}
+
+// Evacuations returns the orders in force, and false if they aren't known.
+func (g *Gateway) Evacuations(now time.Time) (evacuationkeeper.Set, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuations.Current(now)
+}
+
+// expireEvacuations drops the orders that the store hasn't shown again in time.
+func (g *Gateway) expireEvacuations(now time.Time) {
+	g.mu.Lock()
+	change := g.evacuations.Expire(now)
+	g.mu.Unlock()
+	g.logEvacuations(change, "not written again")
+}
+
+// logEvacuations logs which evacuations began and ended. source is the store, the VM that
+// told of them, or why an order no longer counts.
+func (g *Gateway) logEvacuations(change evacuationkeeper.Change, source string) {
+	for _, zone := range change.Began {
+		g.Logger.Info("evacuation of an availability zone began", zap.String("zone", string(zone)), zap.String("source", source))
+	}
+	for _, zone := range change.Ended {
+		g.Logger.Info("evacuation of an availability zone ended", zap.String("zone", string(zone)), zap.String("source", source))
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
+	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/streamkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
@@ -63,6 +64,8 @@
 	// notices holds what upstreams say of themselves in responses, and asks rates;
 	// guarded by mu.
 	notices *noticekeeper.Keeper
+	// evacuations holds the orders to evacuate availability zones; guarded by mu.
+	evacuations *evacuationkeeper.Keeper
 	// streamStarts holds where streams began; guarded by mu.
 	streamStarts *streamkeeper.Keeper
 	// askStart asks other gateways where a stream began; see SetAskStart.
@@ -110,7 +113,8 @@
 	// The seeds are some of the other gateways.
 	seeds, _ := options.Settings.OtherSeeds()
 	rates := ratekeeper.New(ratekeeper.Options{MinGateways: 1 + len(seeds)}, options.Random)
-	notices := noticekeeper.New(rates, options.Settings.Regions)
+	evacuations := evacuationkeeper.New()
+	notices := noticekeeper.New(noticekeeper.Options{Rates: rates, Evacuations: evacuations, Regions: options.Settings.Regions})
 	g := &Gateway{
 		saveCrashes:  func(context.Context) {},
 		streamStarts: streamkeeper.New(),
@@ -125,6 +129,7 @@
 		abandoned:     abandonkeeper.New(),
 		rates:         rates,
 		notices:       notices,
+		evacuations:   evacuations,
 		requests:      newBodyBuffer(options.Settings.MemoryBytes, defaultMaxBodyBytes),
 		responses:     newBodyBuffer(options.Settings.MemoryBytes, maxResponseBytes),
 		eventInterval: initialEventInterval,
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -11,6 +11,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -38,8 +39,8 @@
 )
 
 // errTargetUnusable means that the target of a move isn't known to be the incarnation that
-// the directory shows, or wants no requests.
-var errTargetUnusable = errors.New("the target isn't the incarnation in the directory, is leaving or has asked for a pause")
+// the directory shows, or that the request may no longer be sent there.
+var errTargetUnusable = errors.New("the target isn't the incarnation in the directory, or may get no requests any more")
 
 // moveStreams starts to move streams away from leaving upstreams, those with the
 // most events left first. The moves then run concurrently.
@@ -249,7 +250,7 @@
 	if !accepts {
 		outcome = balancer.Failed
 	}
-	if !accepts || !s.g.wantsRequests(s.g.Now(), choice.View) {
+	if !accepts || !s.mayBeSent(choice.View) {
 		s.recordEnd(choice.View, s.moveLoad(), outcome)
 		s.freeCopy(copied)
 		return currantwood.RunCopy{}, errTargetUnusable
@@ -267,13 +268,15 @@
 	return confirmed && !state.Leaving
 }
 
-// wantsRequests reports whether an upstream, as far as is known, is neither leaving nor has
-// asked for a pause.
-func (g *Gateway) wantsRequests(now time.Time, view upstreamkeeper.View) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	known, ok := g.upstreams.Get(view.ID)
-	return ok && known.LeavingSince.IsZero() && known.Incarnation == view.Incarnation && !g.notices.IsPaused(now, view.ID, view.Incarnation)
+// mayBeSent reports whether the request may still be sent to an upstream that was picked
+// before, as far as is known.
+func (q *request) mayBeSent(view upstreamkeeper.View) bool {
+	now, regions := q.g.Now(), q.regions()
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	known, ok := q.g.upstreams.Get(view.ID)
+	return ok && known.LeavingSince.IsZero() && known.Incarnation == view.Incarnation &&
+		q.g.notices.CheckPicked(now, noticekeeper.TargetOf(view.UpstreamRecord), regions).Admitted()
 }
 
 // freeCopy frees a copy that will not be used.
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -16,11 +16,12 @@
 )
 
 // Guards against a run that is moved to an engine that was chosen some seconds before.
-var _ = DescribeTable("wantsRequests, of an engine that was chosen before,",
+var _ = DescribeTable("mayBeSent, of an engine that was chosen before,",
 	func(change func(g *Gateway, record *currantwood.UpstreamRecord), want bool) {
-		record := currantwood.UpstreamRecord{ID: "e1", Group: "g", Address: "10.0.0.1:80", Slots: 4, Sequence: 1, Incarnation: 7}
+		record := currantwood.UpstreamRecord{ID: "e1", Group: "g", Address: "10.0.0.1:80", Zone: "n1", Slots: 4, Sequence: 1, Incarnation: 7}
 		g := New(Options{
 			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
+			Settings:    currantwood.GatewaySettings{Regions: map[currantwood.ZoneID]currantwood.RegionID{"n1": "north", "s1": "south"}},
 			Connections: connkeeper.New(func() time.Time { return start }),
 			Decode:      func(string, []byte) (currantwood.UpstreamRecord, error) { return record, nil },
 		})
@@ -30,11 +31,18 @@
 		change(g, &record)
 		record.Sequence++
 		g.ApplyUpstreamRecords(start, records)
-		Expect(g.wantsRequests(start, chosen)).To(Equal(want))
+		q := &request{g: g, admittedRegions: currantwood.Regions("north")}
+		Expect(q.mayBeSent(chosen)).To(Equal(want))
 	},
 	Entry("that is as it was", func(*Gateway, *currantwood.UpstreamRecord) {}, true),
 	Entry("that leaves", func(_ *Gateway, r *currantwood.UpstreamRecord) { r.Leaving = true }, false),
 	Entry("that has started again", func(_ *Gateway, r *currantwood.UpstreamRecord) { r.Incarnation++ }, false),
+	Entry("whose zone is evacuated", func(g *Gateway, _ *currantwood.UpstreamRecord) {
+		g.ApplyEvacuation(start, "n1", true)
+	}, false),
+	Entry("while another zone is evacuated", func(g *Gateway, _ *currantwood.UpstreamRecord) {
+		g.ApplyEvacuation(start, "s1", true)
+	}, true),
 	Entry("that has asked for a pause", func(g *Gateway, _ *currantwood.UpstreamRecord) {
 		g.notices.Observe(start, "e1", 7, currantwood.UpstreamResponse{DeclaredNotRun: true, Pause: time.Second})
 	}, false),
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -114,6 +114,7 @@
 		s.cancelStalled()
 	}
 	g.logEndedPauses(now)
+	g.expireEvacuations(now)
 	g.boundIdleConnections()
 	g.Connections.CloseExpired(now)
 }
--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -1,6 +1,7 @@
 package gatewaystarter
 
 import (
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,24 +14,31 @@
 
 // configurationFeed returns the feed of the topic that holds the configuration.
 func (p *Process) configurationFeed() storewatcher.Feed {
-	applyAll := func(_ time.Time, records []currantwood.KeyedRecord) {
+	applyAll := func(records []currantwood.KeyedRecord) {
 		for _, record := range records {
 			p.applyConfiguration(record)
 		}
 	}
 	feed := p.pace(storewatcher.Feed{
-		Name:    "configuration",
-		Topic:   p.options.ConfigurationTopic,
-		Wait:    configurationReadWait,
-		Replace: applyAll,
+		Name:  "configuration",
+		Topic: p.options.ConfigurationTopic,
+		Wait:  configurationReadWait,
+		Replace: func(now time.Time, records []currantwood.KeyedRecord) {
+			// First: once it has a configuration, a gateway sends requests.
+			p.replaceEvacuations(now, records)
+			applyAll(records)
+		},
 		Apply: func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
-			applyAll(now, records)
+			p.applyEvacuations(now, records)
+			applyAll(records)
 			return nil
 		},
-		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
+		OnRead: func(_ time.Time, era currantwood.StoreEra, _, next currantwood.Offset, _ []currantwood.KeyedRecord) {
+			p.gateway.EvacuationsReadTo(era, next)
 		},
 		OnEraRise: func(now time.Time, era currantwood.StoreEra) {
 			p.countEraRise(now, era)
+			p.gateway.KeepEvacuations(now)
 			p.peers.ForgetConfiguration()
 		},
 		OnCurrentAsOf: p.config.Confirm,
@@ -171,6 +179,33 @@
 	}
 }
 
+// evacuatedZone returns the zone of a record that orders an evacuation; false for other
+// records.
+func (p *Process) evacuatedZone(record currantwood.KeyedRecord) (currantwood.ZoneID, bool) {
+	zone, ok := strings.CutPrefix(record.Key, p.options.EvacuationKeyPrefix)
+	return currantwood.ZoneID(zone), ok
+}
+
+// replaceEvacuations passes on the orders in the newest records of the topic.
+func (p *Process) replaceEvacuations(now time.Time, records []currantwood.KeyedRecord) {
+	var zones []currantwood.ZoneID
+	for _, record := range records {
+		if zone, ok := p.evacuatedZone(record); ok && len(record.Value) > 0 {
+			zones = append(zones, zone)
+		}
+	}
+	p.gateway.ReplaceEvacuations(now, zones)
+}
+
+// applyEvacuations passes on orders and their deletion, which is a record without a value.
+func (p *Process) applyEvacuations(now time.Time, records []currantwood.KeyedRecord) {
+	for _, record := range records {
+		if zone, ok := p.evacuatedZone(record); ok {
+			p.gateway.ApplyEvacuation(now, zone, len(record.Value) > 0)
+		}
+	}
+}
+
 // applyConfiguration decodes a record and makes it the current configuration if
 // it is newer. A record that can't be decoded is logged and ignored. Records of
 // other keys, and the deletion of the configuration, are ignored.
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -106,8 +106,11 @@
 	// requests.
 	ConfigurationTopic string
 	ConfigurationKey   string
-	UpstreamTopic      string
-	CrashTopic         string
+	// EvacuationKeyPrefix is followed by the availability zone in the keys of the records
+	// of ConfigurationTopic that order an evacuation.
+	EvacuationKeyPrefix string
+	UpstreamTopic       string
+	CrashTopic          string
 	// StartTopic locates where streams began.
 	StartTopic string
 }
--- a/noticekeeper/keeper.go
+++ b/noticekeeper/keeper.go
@@ -1,7 +1,8 @@
 // Package noticekeeper holds what upstreams say of themselves in their responses: that
 // they are leaving, that they want no requests for a time, and which rate of requests
 // they accept. It answers whether a request may be sent to an upstream now and, if not,
-// why and from when on: by these notices, and by the regions that the request may be in.
+// why and from when on: by these notices, by the regions that the request may be in and by
+// the operator's orders to evacuate availability zones.
 //
 // What an upstream says holds for its incarnation and from the response on, whatever the
 // directory shows. A leaving is final. A pause ends by time alone: neither a response
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 )
 
@@ -91,6 +93,8 @@
 	// OutsideRegions means that the upstream is in none of the regions that the request
 	// may be in.
 	OutsideRegions // outside the allowed regions
+	// Evacuated means that the upstream's availability zone is evacuated.
+	Evacuated // evacuated
 )
 
 // entry is what is known of one upstream.
@@ -104,18 +108,24 @@
 	endReported bool
 }
 
+// Options are what a Keeper asks, besides the notices.
+type Options struct {
+	Rates *ratekeeper.Keeper
+	// Evacuations may be nil if no zone is ever evacuated.
+	Evacuations *evacuationkeeper.Keeper
+	// Regions maps each availability zone to its region.
+	Regions map[currantwood.ZoneID]currantwood.RegionID
+}
+
 // Keeper holds notices. It is not safe for concurrent use.
 type Keeper struct {
-	rates *ratekeeper.Keeper
-	// regions maps each availability zone to its region.
-	regions map[currantwood.ZoneID]currantwood.RegionID
+	options Options
 	entries map[currantwood.UpstreamID]*entry
 }
 
-// New returns a keeper without notices that asks rates for the rates that upstreams
-// accept, given the region of each availability zone.
-func New(rates *ratekeeper.Keeper, regions map[currantwood.ZoneID]currantwood.RegionID) *Keeper {
-	return &Keeper{rates: rates, regions: regions, entries: make(map[currantwood.UpstreamID]*entry)}
+// New returns a keeper without notices.
+func New(options Options) *Keeper {
+	return &Keeper{options: options, entries: make(map[currantwood.UpstreamID]*entry)}
 }
 
 // Observe notes what a response of an upstream to this gateway says.
@@ -125,7 +135,7 @@
 		notice.PausedUntil = now.Add(min(response.Pause, maxPause))
 	}
 	change := k.note(now, id, notice, true)
-	change.RateLimit = k.rates.Observe(now, id, incarnation, response.RateLimit)
+	change.RateLimit = k.options.Rates.Observe(now, id, incarnation, response.RateLimit)
 	return change
 }
 
@@ -188,17 +198,29 @@
 // Check reports whether a request that may be in some regions may be sent to an upstream
 // now. It is asked before each send, whatever the send is for.
 func (k *Keeper) Check(now time.Time, t Target, regions currantwood.RegionSet) Verdict {
-	if !regions.Admits(k.regions[t.Zone]) {
+	if verdict := k.CheckPicked(now, t, regions); !verdict.Admitted() {
+		return verdict
+	}
+	if !k.options.Rates.Admits(now, t.ID, t.Incarnation) {
+		return Verdict{Reason: RateLimited, Wait: max(k.options.Rates.Wait(now, t.ID), time.Nanosecond)}
+	}
+	return Verdict{}
+}
+
+// CheckPicked is Check for an upstream that was picked a while ago: the request has its
+// share of a rate limit already, but the upstream may have become one that gets none.
+func (k *Keeper) CheckPicked(now time.Time, t Target, regions currantwood.RegionSet) Verdict {
+	if !regions.Admits(k.options.Regions[t.Zone]) {
 		return Verdict{Reason: OutsideRegions}
 	}
+	if k.options.Evacuations != nil && k.options.Evacuations.IsEvacuated(now, t.Zone) {
+		return Verdict{Reason: Evacuated}
+	}
 	if e := k.get(t.ID, t.Incarnation); e != nil && e.notice.Leaving {
 		return Verdict{Reason: Leaving}
 	} else if e != nil && e.notice.PausedUntil.After(now) {
 		return Verdict{Reason: Paused, Wait: e.notice.PausedUntil.Sub(now)}
 	}
-	if !k.rates.Admits(now, t.ID, t.Incarnation) {
-		return Verdict{Reason: RateLimited, Wait: max(k.rates.Wait(now, t.ID), time.Nanosecond)}
-	}
 	return Verdict{}
 }
 
@@ -225,10 +247,10 @@
 }
 
 // Want notes that a request would be sent to one of the upstreams.
-func (k *Keeper) Want(now time.Time, ids []currantwood.UpstreamID) { k.rates.Want(now, ids) }
+func (k *Keeper) Want(now time.Time, ids []currantwood.UpstreamID) { k.options.Rates.Want(now, ids) }
 
 // Sent notes that a request is sent to an upstream.
-func (k *Keeper) Sent(now time.Time, id currantwood.UpstreamID) { k.rates.Sent(now, id) }
+func (k *Keeper) Sent(now time.Time, id currantwood.UpstreamID) { k.options.Rates.Sent(now, id) }
 
 // Heard returns the new notices that responses to this gateway gave, to be told to the
 // collector.
--- a/noticekeeper/keeper_test.go
+++ b/noticekeeper/keeper_test.go
@@ -21,7 +21,7 @@
 }
 
 func newKeeper() *Keeper {
-	return New(ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))), zoneRegions)
+	return New(Options{Rates: ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))), Regions: zoneRegions})
 }
 
 // step is one event: a response after some seconds, or, if from is set, what another
@@ -98,7 +98,7 @@
 
 	It("asks for the rate limit last", func() {
 		rates := ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1)))
-		k := New(rates, zoneRegions)
+		k := New(Options{Rates: rates, Regions: zoneRegions})
 		limited := currantwood.UpstreamResponse{RateLimit: currantwood.RateLimit{Known: true, Limited: true, PerSecond: 0.2}, Pause: time.Second}
 		Expect(k.Observe(start, "u", 1, limited)).To(Equal(Change{Pause: true, RateLimit: true}))
 		Expect(k.Check(start, upstreamTarget(1), currantwood.AnyRegion())).To(Equal(Verdict{Reason: Paused, Wait: time.Second}))
--- a/noticekeeper/reason_string.go
+++ b/noticekeeper/reason_string.go
@@ -13,11 +13,12 @@
 	_ = x[Paused-2]
 	_ = x[RateLimited-3]
 	_ = x[OutsideRegions-4]
+	_ = x[Evacuated-5]
 }
 
-const _Reason_name = "acceptsleavingpausedrate-limitedoutside the allowed regions"
+const _Reason_name = "acceptsleavingpausedrate-limitedoutside the allowed regionsevacuated"
 
-var _Reason_index = [...]uint8{0, 7, 14, 20, 32, 59}
+var _Reason_index = [...]uint8{0, 7, 14, 20, 32, 59, 68}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/peerkeeper/simulation_test.go
+++ b/peerkeeper/simulation_test.go
@@ -80,7 +80,7 @@
 	regions := map[currantwood.ZoneID]currantwood.RegionID{"z": "r"}
 	group := currantwood.Group{ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: engineMemoryTokens}}
 	for range simGateways {
-		b := balancer.New(regions, noticekeeper.New(ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1))), nil), rand.New(rand.NewSource(s.random.Int63())))
+		b := balancer.New(regions, noticekeeper.New(noticekeeper.Options{Rates: ratekeeper.New(ratekeeper.Options{}, rand.New(rand.NewSource(1)))}), rand.New(rand.NewSource(s.random.Int63())))
 		b.SetGroups(map[currantwood.GroupID]currantwood.Group{"g": group})
 		b.SetGatewayCount(simGateways)
 		s.gateways = append(s.gateways, b)
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -32,6 +32,7 @@
 	recent, completed := m.Gateway.RecentCrashes(now)
 	crashes, completions, sum := encodeCrashes(recent), encodeCompletions(completed), m.Gateway.CrashSum(now)
 	notices, allNotices := encodeNotices(now, m.Gateway.KnownNotices(now, false)), encodeNotices(now, m.Gateway.KnownNotices(now, true))
+	evacuations := encodeEvacuations(m.Gateway.Evacuations(now))
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
 		m.mu.Lock()
 		missing := m.missingCrashes(now, recipients[i].VM, sum)
@@ -40,7 +41,7 @@
 		}
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
 		digest.Rank, digest.Successors = uint32(ranks[i]), successors
-		digest.Notices = notices
+		digest.Notices, digest.Evacuations = notices, evacuations
 		if m.peers.HasJustStarted(now, recipients[i].VM) {
 			digest.Notices = allNotices
 		}
--- a/peermessenger/interim.go
+++ b/peermessenger/interim.go
@@ -8,7 +8,8 @@
 	"github.com/currantwood/currantwood/peerwire"
 )
 
-// sendDigest sends a digest. An interim one has nothing of what the store holds.
+// sendDigest sends a digest. An interim one has nothing of what the store holds, but for
+// the last known evacuations, which end only by a newer read.
 func (m *Messenger) sendDigest(address string, d *peerwire.Digest, interim bool) {
 	if !interim {
 		m.send(address, &peerwire.Datagram{Body: &peerwire.Datagram_Digest{Digest: d}})
@@ -17,7 +18,7 @@
 	m.send(address, &peerwire.Datagram{Body: &peerwire.Datagram_InterimDigest{InterimDigest: &peerwire.Digest{
 		Loads: d.GetLoads(), Uses: d.GetUses(), Gateways: d.GetGateways(), Established: d.GetEstablished(),
 		RateLimits: d.GetRateLimits(), SumsRateLimits: d.GetSumsRateLimits(), Notices: d.GetNotices(),
-		Crashes: d.GetCrashes(), Completions: d.GetCompletions(),
+		Crashes: d.GetCrashes(), Completions: d.GetCompletions(), Evacuations: d.GetEvacuations(),
 	}}})
 }
 
@@ -47,4 +48,7 @@
 		m.Gateway.SetFleetRates(now, decodeRates(now, d.GetRateLimits()), int(d.GetGateways()))
 	}
 	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, d.GetNotices()))
+	if set, known := decodeEvacuations(d.GetEvacuations()); known {
+		m.Gateway.LearnEvacuations(now, from.VM, set)
+	}
 }
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -32,6 +32,7 @@
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/peerkeeper"
+	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/streamkeeper"
@@ -72,6 +73,10 @@
 	// KnownNotices those that it knows; all if all is true.
 	HeardNotices(now time.Time) noticekeeper.Notices
 	KnownNotices(now time.Time, all bool) noticekeeper.Notices
+	// Evacuations returns the orders to evacuate availability zones, and false if they
+	// aren't known; LearnEvacuations notes those that another gateway knows.
+	Evacuations(now time.Time) (evacuationkeeper.Set, bool)
+	LearnEvacuations(now time.Time, from currantwood.VMID, set evacuationkeeper.Set)
 	// LearnNotices notes the notices that another gateway sent.
 	LearnNotices(now time.Time, from currantwood.VMID, notices noticekeeper.Notices)
 	// OwnStarts returns up to limit starts of streams at this gateway from a position on,
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -15,6 +15,7 @@
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
+	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/streamkeeper"
 )
@@ -35,9 +36,16 @@
 func (idleGateway) HeardNotices(time.Time) noticekeeper.Notices                    { return nil }
 func (idleGateway) KnownNotices(time.Time, bool) noticekeeper.Notices              { return nil }
 func (idleGateway) LearnNotices(time.Time, currantwood.VMID, noticekeeper.Notices) {}
-func (idleGateway) OwnRates(time.Time) ratekeeper.Rates                            { return nil }
-func (idleGateway) SetFleetRates(time.Time, ratekeeper.Rates, int)                 {}
-func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)                       {}
+
+func (idleGateway) Evacuations(time.Time) (evacuationkeeper.Set, bool) {
+	return evacuationkeeper.Set{}, false
+}
+
+func (idleGateway) LearnEvacuations(time.Time, currantwood.VMID, evacuationkeeper.Set) {}
+
+func (idleGateway) OwnRates(time.Time) ratekeeper.Rates            { return nil }
+func (idleGateway) SetFleetRates(time.Time, ratekeeper.Rates, int) {}
+func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)       {}
 func (idleGateway) RecentCrashes(time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
 	return nil, nil
 }
