Speed of upstreams: learned from their responses by all gateways, used in the choice

Change: package capacity/speedkeeper averages how long work takes at each upstream by the load header's fourth figure; gateways report their sums on the states and digests. The balancer scales load and queued prompts by it, and avoids slow upstreams for long outputs. Groups that report nothing are served as before. A choice allocates nothing.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1,5 +1,8 @@
 // Package balancer chooses the upstream of a group that a request is sent to.
 //
+// Upstreams may report how long work takes there now; one that is slow gets less of it, and
+// generations with a long output go elsewhere if they can.
+//
 // It scores upstreams by the requests that this gateway and its peers have in
 // flight there, not by the load that upstreams report: a report is out of date
 // when it arrives, and all gateways that read the same one would choose the
@@ -14,6 +17,7 @@
 	"time"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/prober"
 	"github.com/currantwood/currantwood/upstreamkeeper"
@@ -36,6 +40,13 @@
 	// resumePenalty is added to the score of an upstream whose pause has just ended, for
 	// fewer and fewer requests.
 	resumePenalty = 0.5
+	// slownessPenalty is added to the score of an upstream at which work takes twice the
+	// usual time, for a request whose output is long. It outweighs regionPenalty: the slow
+	// upstream delays each event, the distance only the first one.
+	slownessPenalty = 0.4
+	// longOutputTokens is the number of output tokens from which on a request takes mostly
+	// as long as its output.
+	longOutputTokens = 256
 	// fullPrefillQueue is the number of queued prompt tokens, those not prefilled
 	// yet, that scores like a full upstream. Their prefill takes a second at 14
 	// tokens per millisecond, and 2.1 s at initialPrefillTimePerToken.
@@ -83,6 +94,8 @@
 	// notices holds what upstreams say of themselves, which decides whether a request may
 	// be sent to them now.
 	notices *noticekeeper.Keeper
+	// speeds estimates how long work takes at each upstream.
+	speeds *speedkeeper.Keeper
 }
 
 // New returns a balancer without upstreams, given the region of each
@@ -91,6 +104,7 @@
 func New(regions map[currantwood.ZoneID]currantwood.RegionID, notices *noticekeeper.Keeper, random *rand.Rand) *Balancer {
 	return &Balancer{
 		notices:      notices,
+		speeds:       speedkeeper.New(),
 		regions:      regions,
 		random:       random,
 		upstreams:    make(map[currantwood.UpstreamID]*upstream),
@@ -132,6 +146,7 @@
 			delete(b.upstreams, id)
 		}
 	}
+	b.speeds.Forget(func(id currantwood.UpstreamID) bool { return known[id] })
 	for _, g := range b.groups {
 		g.prober.SetUpstreams(g.members)
 	}
@@ -159,7 +174,7 @@
 		return Choice{}, &RefusalError{}
 	}
 	best, found := Choice{}, false
-	refused := &RefusalError{}
+	var refused RefusalError
 	b.notices.Want(now, g.members)
 	considered, limit := 0, b.sampleSize(g, q)
 	for i := range g.members {
@@ -179,7 +194,7 @@
 		if q.RequireCapacity && !hasCapacity(g, choice, q) {
 			continue
 		}
-		if excess := g.excessPrefillWait(choice, q); excess > 0 {
+		if excess := g.excessPrefillWait(choice, q, b.speeds.RelativeTime(now, id)); excess > 0 {
 			refused.lowerRetryAfter(excess)
 			continue
 		}
@@ -191,7 +206,9 @@
 		}
 	}
 	if !found {
-		return Choice{}, refused
+		// Copied, so that a choice that succeeds needs no memory.
+		refusal := refused
+		return Choice{}, &refusal
 	}
 	return best, nil
 }
@@ -209,7 +226,8 @@
 }
 
 // evaluate scores an upstream by the requests and memory in use with this
-// request, its queued prompts, its distance, and whether it is warming up or was paused.
+// request, its queued prompts, its speed, its distance, and whether it is warming up or was
+// paused.
 func (b *Balancer) evaluate(now time.Time, g *group, u *upstream, q Query) Choice {
 	load := b.TotalLoad(now, u.view.ID)
 	slots := max(1, u.view.Slots)
@@ -221,6 +239,9 @@
 			score += avoidPrefillWeight * float64(load.PrefillTokens) / fullPrefillQueue
 		}
 	}
+	relativeTime := b.speeds.RelativeTime(now, u.view.ID)
+	score *= relativeTime
+	score += slownessPenalty * (relativeTime - 1) * q.longOutputShare()
 	score += b.distancePenalty(q.Zone, u.view.Zone)
 	if now.Before(u.view.WarmAt) {
 		score += warmUpPenalty
--- a/balancer/group.go
+++ b/balancer/group.go
@@ -26,13 +26,14 @@
 }
 
 // excessPrefillWait returns how much longer than q.MaxPrefillWait the prompt
-// would wait for those queued before it. It is negative if the wait is
-// shorter, and 0 if there is no limit.
-func (g *group) excessPrefillWait(c Choice, q Query) time.Duration {
+// would wait for those queued before it, at an upstream where work takes relativeTime. It
+// is negative if the wait is shorter, and 0 if there is no limit.
+func (g *group) excessPrefillWait(c Choice, q Query, relativeTime float64) time.Duration {
 	if q.MaxPrefillWait <= 0 {
 		return 0
 	}
-	return time.Duration(c.Load.PrefillTokens)*g.prefillTimePerToken() - q.MaxPrefillWait
+	wait := relativeTime * float64(c.Load.PrefillTokens) * float64(g.prefillTimePerToken())
+	return time.Duration(wait) - q.MaxPrefillWait
 }
 
 // hasCapacity reports whether an engine has a free slot, and memory for the
--- a/balancer/query.go
+++ b/balancer/query.go
@@ -12,6 +12,9 @@
 	Group currantwood.GroupID
 	// Load is what the request adds to its upstream.
 	Load Load
+	// OutputTokens is the expected number of tokens that are still to be generated; 0 if
+	// the request isn't a generation.
+	OutputTokens currantwood.TokenCount
 	// Zone is the availability zone to which Reach and the distance penalty of
 	// upstreams relate; its upstreams are preferred.
 	Zone currantwood.ZoneID
@@ -44,6 +47,12 @@
 	return !q.SameVersion || version != "" && version == q.Version
 }
 
+// longOutputShare returns how much the time of the request depends on its output, from 0
+// to 1.
+func (q Query) longOutputShare() float64 {
+	return min(1, max(0, float64(q.OutputTokens))/longOutputTokens)
+}
+
 //go:generate go tool stringer -linecomment -type=Reach,Outcome
 
 // Reach limits a choice to an availability zone or a region.
--- /dev/null
+++ b/capacity/speedkeeper/keeper.go
@@ -0,0 +1,157 @@
+// Package speedkeeper estimates how long work takes at each upstream now, in relation to
+// the usual time: 1 is as usual, 2 twice as long. Upstreams of one group differ in speed,
+// and one that shares its machine with others may slow down for a moment.
+//
+// An upstream states in its responses how long work takes. One gateway gets too few of them
+// to know all upstreams, so gateways report what they have observed to the collector, and
+// its digests return the sums of all. An estimate is the mean of the observations,
+// weighted by their age, and of one that everything is as usual: without observations an
+// upstream counts as usual, so that it is tried again after a while.
+package speedkeeper
+
+import (
+	"math"
+	"time"
+
+	"github.com/currantwood/currantwood"
+)
+
+const (
+	// memoryTime is the time in which the weight of an observation falls to 1/e. It is
+	// long enough to see through slow spells of less than a second.
+	memoryTime = 3 * time.Second
+	// priorWeight is the weight of the assumption that work takes the usual time, in
+	// observations.
+	priorWeight = 0.5
+	// reportMaxAge is how long the report of another gateway counts.
+	reportMaxAge = 2 * time.Second
+	// minReportedWeight is the least weight of a sum that is reported.
+	minReportedWeight = 0.05
+)
+
+// Sum is a sum of observations, weighted by their age.
+type Sum struct {
+	// Weight is the sum of the weights, and Time that of the relative times.
+	Weight, Time float64
+}
+
+// plus returns the sum of the observations of both.
+func (s Sum) plus(other Sum) Sum {
+	return Sum{Weight: s.Weight + other.Weight, Time: s.Time + other.Time}
+}
+
+// agedBy returns the sum as it is after some time.
+func (s Sum) agedBy(age time.Duration) Sum {
+	factor := math.Exp(-age.Seconds() / memoryTime.Seconds())
+	return Sum{Weight: s.Weight * factor, Time: s.Time * factor}
+}
+
+// Sums holds a sum for each observed upstream.
+type Sums map[currantwood.UpstreamID]Sum
+
+// datedSum is a sum as of a time.
+type datedSum struct {
+	Sum
+	at time.Time
+}
+
+// report is what another gateway has told at a time.
+type report struct {
+	at   time.Time
+	sums Sums
+}
+
+// Keeper holds the observations. It is not safe for concurrent use.
+type Keeper struct {
+	own     map[currantwood.UpstreamID]datedSum
+	reports map[currantwood.VMID]report
+	// told is the sum of reports as of toldAt.
+	told   Sums
+	toldAt time.Time
+}
+
+// New returns a keeper without observations.
+func New() *Keeper {
+	return &Keeper{own: make(map[currantwood.UpstreamID]datedSum), reports: make(map[currantwood.VMID]report)}
+}
+
+// Observe notes that an upstream said in a response how long work takes, relative to the
+// usual time. 0 says nothing.
+func (k *Keeper) Observe(now time.Time, id currantwood.UpstreamID, relativeTime float64) {
+	if relativeTime <= 0 {
+		return
+	}
+	known := k.ownSum(now, id)
+	k.own[id] = datedSum{Sum: known.plus(Sum{Weight: 1, Time: relativeTime}), at: now}
+}
+
+func (k *Keeper) ownSum(now time.Time, id currantwood.UpstreamID) Sum {
+	known, ok := k.own[id]
+	if !ok {
+		return Sum{}
+	}
+	return known.agedBy(now.Sub(known.at))
+}
+
+// Learn notes what another gateway has reported, in place of its report before.
+func (k *Keeper) Learn(now time.Time, from currantwood.VMID, sums Sums) {
+	k.reports[from] = report{at: now, sums: sums}
+	k.told, k.toldAt = make(Sums), now
+	for vm, r := range k.reports {
+		age := now.Sub(r.at)
+		if age > reportMaxAge {
+			delete(k.reports, vm)
+			continue
+		}
+		for id, sum := range r.sums {
+			k.told[id] = k.told[id].plus(sum.agedBy(age))
+		}
+	}
+}
+
+// RelativeTime estimates how long work takes at an upstream now.
+func (k *Keeper) RelativeTime(now time.Time, id currantwood.UpstreamID) float64 {
+	all := k.sum(now, id)
+	return (priorWeight + all.Time) / (priorWeight + all.Weight)
+}
+
+// sum returns what this gateway and the others have observed. The collector's digests have
+// this gateway's own observations, too, which therefore count twice.
+func (k *Keeper) sum(now time.Time, id currantwood.UpstreamID) Sum {
+	sum := k.ownSum(now, id)
+	if told, ok := k.told[id]; ok && now.Sub(k.toldAt) <= reportMaxAge {
+		sum = sum.plus(told.agedBy(now.Sub(k.toldAt)))
+	}
+	return sum
+}
+
+// Own returns what this gateway has observed itself, to be reported to the collector.
+func (k *Keeper) Own(now time.Time) Sums {
+	sums := make(Sums)
+	for id := range k.own {
+		if sum := k.ownSum(now, id); sum.Weight >= minReportedWeight {
+			sums[id] = sum
+		}
+	}
+	return sums
+}
+
+// All returns what all gateways have observed, to be told by the collector.
+func (k *Keeper) All(now time.Time) Sums {
+	sums := k.Own(now)
+	for id := range k.told {
+		if sum := k.sum(now, id); sum.Weight >= minReportedWeight {
+			sums[id] = sum
+		}
+	}
+	return sums
+}
+
+// Forget drops the observations of upstreams that are gone.
+func (k *Keeper) Forget(known func(id currantwood.UpstreamID) bool) {
+	for id := range k.own {
+		if !known(id) {
+			delete(k.own, id)
+		}
+	}
+}
--- /dev/null
+++ b/capacity/speedkeeper/keeper_test.go
@@ -0,0 +1,85 @@
+package speedkeeper
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// observation is a response after some seconds.
+type observation struct {
+	after, relativeTime float64
+}
+
+// every returns observations of the same relative time in a span.
+func every(interval, from, to, relativeTime float64) []observation {
+	var all []observation
+	for after := from; after < to; after += interval {
+		all = append(all, observation{after, relativeTime})
+	}
+	return all
+}
+
+var _ = Describe("Keeper", func() {
+	DescribeTable("estimates how long work takes",
+		func(after, low, high float64, parts ...[]observation) {
+			k := New()
+			for _, part := range parts {
+				for _, o := range part {
+					k.Observe(at(o.after), "u", o.relativeTime)
+				}
+			}
+			estimate := k.RelativeTime(at(after), "u")
+			Expect(estimate).To(BeNumerically(">=", low))
+			Expect(estimate).To(BeNumerically("<=", high))
+		},
+		// Guards against groups that are served differently although they report nothing.
+		Entry("as usual without a report", 1.0, 1.0, 1.0),
+		Entry("as usual if responses say nothing", 1.0, 1.0, 1.0, []observation{{0, 0}, {0.5, 0}}),
+		Entry("by the first response", 0.0, 1.4, 1.7, []observation{{0, 1.7}}),
+		Entry("of a slow upstream", 3.0, 1.6, 1.7, every(0.2, 0, 3, 1.7)),
+		Entry("of a fast upstream", 3.0, 0.7, 0.75, every(0.2, 0, 3, 0.7)),
+		// Guards against a choice that follows every slow spell of a shared machine.
+		Entry("little changed by a spell of 600 ms", 3.6, 0.7, 1.2, every(0.2, 0, 3, 0.7), every(0.2, 3, 3.6, 1.75)),
+		// Guards against old knowledge that outlives the change of an upstream.
+		Entry("within two seconds of a lasting change", 5.0, 1.6, 3.0, every(0.1, 0, 3, 0.7), every(0.1, 3, 5, 3)),
+		// Guards against an upstream that is avoided for good.
+		Entry("as usual again once nothing was observed for long", 30.0, 1.0, 1.01, every(0.2, 0, 3, 2.5)),
+	)
+
+	It("knows what other gateways have observed, for a while", func() {
+		a, b := New(), New()
+		for _, o := range every(0.1, 0, 1, 2) {
+			a.Observe(at(o.after), "u", o.relativeTime)
+		}
+		b.Learn(at(1), "a", a.Own(at(1)))
+		Expect(b.RelativeTime(at(1), "u")).To(BeNumerically("~", a.RelativeTime(at(1), "u"), 0.01))
+		Expect(b.Own(at(1))).To(BeEmpty())
+		Expect(b.All(at(1))).To(HaveKey(currantwood.UpstreamID("u")))
+		Expect(b.RelativeTime(at(1).Add(reportMaxAge+time.Second), "u")).To(Equal(1.0))
+	})
+
+	It("replaces the former report of a gateway", func() {
+		k := New()
+		k.Learn(start, "a", Sums{"u": {Weight: 10, Time: 30}})
+		k.Learn(start, "b", Sums{"u": {Weight: 10, Time: 10}})
+		k.Learn(start, "a", Sums{"u": {Weight: 10, Time: 10}})
+		Expect(k.RelativeTime(start, "u")).To(Equal(1.0))
+	})
+
+	It("drops upstreams that are gone", func() {
+		k := New()
+		k.Observe(start, "u", 2)
+		k.Forget(func(currantwood.UpstreamID) bool { return false })
+		Expect(k.Own(start)).To(BeEmpty())
+	})
+})
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -54,11 +54,21 @@
 // eventsLeft is the largest number of events still to come, by the maximum
 // output. It is 0 or less if that is unknown; such a run is never moved.
 func (s *stream) eventsLeft() int64 {
-	perEvent := int64(1)
+	return int64(s.client.Size.Output)/s.tokensPerEvent() - max(0, s.lastEvent.Load())
+}
+
+// tokensPerEvent is the number of tokens in one event of the stream; 1 if unknown.
+func (s *stream) tokensPerEvent() int64 {
 	if e := s.snapshot.Groups[s.group].Engine; e != nil && e.TokensPerEvent > 0 {
-		perEvent = int64(e.TokensPerEvent)
+		return int64(e.TokensPerEvent)
 	}
-	return int64(s.client.Size.Output)/perEvent - max(0, s.lastEvent.Load())
+	return 1
+}
+
+// outputLeft is the expected number of tokens still to come.
+func (s *stream) outputLeft() currantwood.TokenCount {
+	expected := s.client.Size.Expected(s.client.LengthHint) - s.client.Size.Prompt
+	return max(0, expected-currantwood.TokenCount(max(0, s.lastEvent.Load())*s.tokensPerEvent()))
 }
 
 // moveIfLeaving starts to move the stream if its upstream is leaving, gone or
@@ -182,7 +192,7 @@
 	defer s.g.mu.Unlock()
 	now := s.g.Now()
 	for _, scope := range scopes {
-		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Regions: s.regions(), Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true, SameVersion: true, Version: version}
+		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Regions: s.regions(), Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true, OutputTokens: s.outputLeft(), SameVersion: true, Version: version}
 		if choice, err := s.g.balancer.Pick(now, query); err == nil {
 			s.g.balancer.Started(now, choice.View, query.Load, s.streamStallTimeout())
 			return choice, true
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -31,6 +31,9 @@
 	if change.Leaving {
 		events = q.g.markLeaving(now, view.ID, view.Incarnation)
 	}
+	if !x.Answer.OtherInstance {
+		q.g.balancer.ObserveSpeed(now, view.ID, x.Answer.Slowdown)
+	}
 	share := q.g.rates.Share(now, view.ID)
 	q.g.handleEventsAndUnlock(now, events)
 	if change == (noticekeeper.Change{}) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -187,6 +187,7 @@
 	q.g.syncGroups(q.snapshot)
 	query := balancer.Query{Group: q.group, Load: q.load(), Zone: q.g.Settings.Zone, Regions: q.regions(), Exclude: q.attempted}
 	if q.isGeneration() {
+		query.OutputTokens = q.client.Size.Expected(q.client.LengthHint) - q.client.Size.Prompt
 		query.RequireCapacity, query.MaxPrefillWait = true, q.maxQueueTime()
 	}
 	restrict(&query)
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -22,7 +22,12 @@
 		return
 	}
 	recipients := m.peers.DigestRecipients(now)
+	speedsDue := m.speedsDue(now)
 	m.mu.Unlock()
+	var speeds []*peerwire.Speed
+	if speedsDue {
+		speeds = encodeSpeeds(m.Gateway.AllSpeeds(now))
+	}
 	own, usage, ownRates := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now), m.Gateway.OwnRates(now)
 	m.mu.Lock()
 	rates := m.peers.TotalRates(now, ownRates)
@@ -41,7 +46,7 @@
 		}
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
 		digest.Rank, digest.Successors = uint32(ranks[i]), successors
-		digest.Notices, digest.Evacuations = notices, evacuations
+		digest.Notices, digest.Evacuations, digest.Speeds = notices, evacuations, speeds
 		if m.peers.HasJustStarted(now, recipients[i].VM) {
 			digest.Notices = allNotices
 		}
--- a/peermessenger/interim.go
+++ b/peermessenger/interim.go
@@ -18,7 +18,7 @@
 	m.send(address, &peerwire.Datagram{Body: &peerwire.Datagram_InterimDigest{InterimDigest: &peerwire.Digest{
 		Loads: d.GetLoads(), Uses: d.GetUses(), Gateways: d.GetGateways(), Established: d.GetEstablished(),
 		RateLimits: d.GetRateLimits(), SumsRateLimits: d.GetSumsRateLimits(), Notices: d.GetNotices(),
-		Crashes: d.GetCrashes(), Completions: d.GetCompletions(), Evacuations: d.GetEvacuations(),
+		Crashes: d.GetCrashes(), Completions: d.GetCompletions(), Evacuations: d.GetEvacuations(), Speeds: d.GetSpeeds(),
 	}}})
 }
 
@@ -48,6 +48,9 @@
 		m.Gateway.SetFleetRates(now, decodeRates(now, d.GetRateLimits()), int(d.GetGateways()))
 	}
 	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, d.GetNotices()))
+	if len(d.GetSpeeds()) > 0 {
+		m.Gateway.LearnSpeeds(now, from.VM, decodeSpeeds(d.GetSpeeds()))
+	}
 	if set, known := decodeEvacuations(d.GetEvacuations()); known {
 		m.Gateway.LearnEvacuations(now, from.VM, set)
 	}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -28,6 +28,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/configasker"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
@@ -73,6 +74,11 @@
 	// KnownNotices those that it knows; all if all is true.
 	HeardNotices(now time.Time) noticekeeper.Notices
 	KnownNotices(now time.Time, all bool) noticekeeper.Notices
+	// OwnSpeeds returns what this gateway has observed of the upstreams' speed, AllSpeeds
+	// what all gateways have, as far as it has heard. LearnSpeeds notes what another has.
+	OwnSpeeds(now time.Time) speedkeeper.Sums
+	AllSpeeds(now time.Time) speedkeeper.Sums
+	LearnSpeeds(now time.Time, from currantwood.VMID, sums speedkeeper.Sums)
 	// Evacuations returns the orders to evacuate availability zones, and false if they
 	// aren't known; LearnEvacuations notes those that another gateway knows.
 	Evacuations(now time.Time) (evacuationkeeper.Set, bool)
@@ -180,6 +186,8 @@
 	configuration atomic.Pointer[retainedConfiguration]
 	// configurationLimiter bounds the bytes of configurations that are sent.
 	configurationLimiter *rate.Limiter
+	// speedsSentAt is when speeds were sent last.
+	speedsSentAt time.Time
 	// process identifies this process among those of its VM.
 	process uint64
 	// startedAt is when this process created the Messenger.
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -10,6 +10,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
@@ -37,6 +38,12 @@
 func (idleGateway) KnownNotices(time.Time, bool) noticekeeper.Notices              { return nil }
 func (idleGateway) LearnNotices(time.Time, currantwood.VMID, noticekeeper.Notices) {}
 
+func (idleGateway) OwnSpeeds(time.Time) speedkeeper.Sums { return nil }
+
+func (idleGateway) AllSpeeds(time.Time) speedkeeper.Sums { return nil }
+
+func (idleGateway) LearnSpeeds(time.Time, currantwood.VMID, speedkeeper.Sums) {}
+
 func (idleGateway) Evacuations(time.Time) (evacuationkeeper.Set, bool) {
 	return evacuationkeeper.Set{}, false
 }
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -32,7 +32,7 @@
 
 // buildState returns the state of this gateway.
 func (m *Messenger) buildState(now time.Time, storeReachable bool, loads balancer.Loads) *peerwire.State {
-	sum := m.Gateway.CrashSum(now)
+	sum, speeds := m.Gateway.CrashSum(now), m.Gateway.OwnSpeeds(now)
 	recent, completed := m.Gateway.RecentCrashes(now)
 	m.mu.Lock()
 	collector, _ := m.peers.OtherCollector(now)
@@ -52,6 +52,9 @@
 		Notices:     encodeNotices(now, m.Gateway.HeardNotices(now)),
 	}
 	m.mu.Lock()
+	if m.speedsDue(now) {
+		state.Speeds = encodeSpeeds(speeds)
+	}
 	m.addStartsToState(now, collector.VM, state)
 	m.mu.Unlock()
 	return state
@@ -90,6 +93,9 @@
 	m.mu.Unlock()
 	m.receiveStateStarts(now, from.VM, process, s)
 	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, s.GetNotices()))
+	if len(s.GetSpeeds()) > 0 {
+		m.Gateway.LearnSpeeds(now, from.VM, decodeSpeeds(s.GetSpeeds()))
+	}
 	if known && collector.VM != from.VM {
 		m.send(from.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Referral{
 			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Capacity, Established: collector.Established},
