Speed of upstreams: mean speed rather than mean time; pauses in the log

Cause: fast engines looked slow after one slow spell of a shared machine, and long generations went to slow ones; which upstream made a client wait wasn't logged. Change: observations are averaged as speeds, over 4 s; "stream served" has the longest pause and its upstream.

--- a/capacity/speedkeeper/keeper.go
+++ b/capacity/speedkeeper/keeper.go
@@ -6,7 +6,9 @@
 // to know all upstreams, so gateways report what they have observed to the collector, and
 // its digests return the sums of all. An estimate is the mean of the observations,
 // weighted by their age, and of one that everything is as usual: without observations an
-// upstream counts as usual, so that it is tried again after a while.
+// upstream counts as usual, so that it is tried again after a while. The mean is one of
+// speeds, the reciprocals of times, since the work that is done in a span grows with the
+// mean speed: a short slow spell of a fast upstream must not make it look like a slow one.
 package speedkeeper
 
 import (
@@ -18,11 +20,12 @@
 
 const (
 	// memoryTime is the time in which the weight of an observation falls to 1/e. It is
-	// long enough to see through slow spells of less than a second.
-	memoryTime = 3 * time.Second
+	// long enough to see through slow spells of less than a second, and short enough to
+	// follow a lasting change within two.
+	memoryTime = 4 * time.Second
 	// priorWeight is the weight of the assumption that work takes the usual time, in
 	// observations.
-	priorWeight = 0.5
+	priorWeight = 0.4
 	// reportMaxAge is how long the report of another gateway counts.
 	reportMaxAge = 2 * time.Second
 	// minReportedWeight is the least weight of a sum that is reported.
@@ -31,19 +34,20 @@
 
 // Sum is a sum of observations, weighted by their age.
 type Sum struct {
-	// Weight is the sum of the weights, and Time that of the relative times.
-	Weight, Time float64
+	// Weight is the sum of the weights, and Speed that of the speeds, which are the
+	// reciprocals of the relative times.
+	Weight, Speed float64
 }
 
 // plus returns the sum of the observations of both.
 func (s Sum) plus(other Sum) Sum {
-	return Sum{Weight: s.Weight + other.Weight, Time: s.Time + other.Time}
+	return Sum{Weight: s.Weight + other.Weight, Speed: s.Speed + other.Speed}
 }
 
 // agedBy returns the sum as it is after some time.
 func (s Sum) agedBy(age time.Duration) Sum {
 	factor := math.Exp(-age.Seconds() / memoryTime.Seconds())
-	return Sum{Weight: s.Weight * factor, Time: s.Time * factor}
+	return Sum{Weight: s.Weight * factor, Speed: s.Speed * factor}
 }
 
 // Sums holds a sum for each observed upstream.
@@ -82,7 +86,7 @@
 		return
 	}
 	known := k.ownSum(now, id)
-	k.own[id] = datedSum{Sum: known.plus(Sum{Weight: 1, Time: relativeTime}), at: now}
+	k.own[id] = datedSum{Sum: known.plus(Sum{Weight: 1, Speed: 1 / relativeTime}), at: now}
 }
 
 func (k *Keeper) ownSum(now time.Time, id currantwood.UpstreamID) Sum {
@@ -112,7 +116,7 @@
 // RelativeTime estimates how long work takes at an upstream now.
 func (k *Keeper) RelativeTime(now time.Time, id currantwood.UpstreamID) float64 {
 	all := k.sum(now, id)
-	return (priorWeight + all.Time) / (priorWeight + all.Weight)
+	return (priorWeight + all.Weight) / (priorWeight + all.Speed)
 }
 
 // sum returns what this gateway and the others have observed. The collector's digests have
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -53,6 +53,7 @@
 		return errors.Wrap(err, "write to client")
 	}
 	s.pacer.Delivered(s.g.Now())
+	s.notePause(up)
 	if event.ID >= 0 {
 		s.lastEvent.Store(event.ID)
 	}
@@ -64,6 +65,15 @@
 	return nil
 }
 
+// notePause keeps the longest time between two delivered events.
+func (s *stream) notePause(up *upstreamStream) {
+	now := s.g.Now()
+	if pause := now.Sub(s.deliveredAt); !s.deliveredAt.IsZero() && pause > s.longestPause {
+		s.longestPause, s.pausedAt = pause, up.view.ID
+	}
+	s.deliveredAt = now
+}
+
 // writeHeader writes the header of the response.
 func (s *stream) writeHeader(up *upstreamStream) {
 	copyEndToEndHeaders(s.w.Header(), up.exchange.Header)
--- a/peermessenger/speed.go
+++ b/peermessenger/speed.go
@@ -33,7 +33,7 @@
 func encodeSpeeds(sums speedkeeper.Sums) []*peerwire.Speed {
 	out := make([]*peerwire.Speed, 0, len(sums))
 	for id, sum := range sums {
-		out = append(out, &peerwire.Speed{Upstream: string(id), Weight: float32(sum.Weight), Time: float32(sum.Time)})
+		out = append(out, &peerwire.Speed{Upstream: string(id), Weight: float32(sum.Weight), Speed: float32(sum.Speed)})
 	}
 	slices.SortFunc(out, func(a, b *peerwire.Speed) int {
 		return cmp.Or(cmp.Compare(b.GetWeight(), a.GetWeight()), cmp.Compare(a.GetUpstream(), b.GetUpstream()))
@@ -45,8 +45,8 @@
 func decodeSpeeds(speeds []*peerwire.Speed) speedkeeper.Sums {
 	sums := make(speedkeeper.Sums, len(speeds))
 	for _, s := range speeds {
-		sum := speedkeeper.Sum{Weight: float64(s.GetWeight()), Time: float64(s.GetTime())}
-		if sum.Weight > 0 && sum.Time > 0 && !math.IsInf(sum.Weight, 0) && !math.IsInf(sum.Time, 0) {
+		sum := speedkeeper.Sum{Weight: float64(s.GetWeight()), Speed: float64(s.GetSpeed())}
+		if sum.Weight > 0 && sum.Speed > 0 && !math.IsInf(sum.Weight, 0) && !math.IsInf(sum.Speed, 0) {
 			sums[currantwood.UpstreamID(s.GetUpstream())] = sum
 		}
 	}
