--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -242,6 +242,8 @@
 	relativeTime := b.speeds.RelativeTime(now, u.view.ID)
 	score *= relativeTime
 	score += slownessPenalty * (relativeTime - 1) * q.longOutputShare()
+	// The prompt itself takes longer at a slow upstream, too.
+	score += (relativeTime - 1) * float64(q.Load.PrefillTokens) / fullPrefillQueue
 	score += b.distancePenalty(q.Zone, u.view.Zone)
 	if now.Before(u.view.WarmAt) {
 		score += warmUpPenalty
--- a/balancer/speed_test.go
+++ b/balancer/speed_test.go
@@ -43,6 +43,15 @@
 		Entry("nearby, for a short output, if all near ones are a little slow", map[string]float64{"e1": 1.2, "e2": 2, "e3": 0.7}, nil, Query{Zone: "n1", OutputTokens: 8}, "e1"),
 	)
 
+	// Guards against a late first event of a short output, which takes as long as its prompt.
+	It("chooses a faster engine for a long prompt, not for a short one, if it has a little more to do", func() {
+		b := newBalancer("e1@n1", "e2@n1")
+		b.LearnSpeeds(start, "peer", slowAndFast(map[string]float64{"e1": 1.7, "e2": 0.9}))
+		b.SetPeerLoads(start, "p", Loads{"e2": {Requests: 4}})
+		Expect(pick(b, Query{Zone: "n1", Load: Load{PrefillTokens: 3000}})).To(Equal("e2"))
+		Expect(pick(b, Query{Zone: "n1", Load: Load{PrefillTokens: 100}})).To(Equal("e1"))
+	})
+
 	It("expects prompts to wait longer at a slow engine", func() {
 		b := newBalancer("e1@n1")
 		b.SetPeerLoads(start, "p", Loads{"e1": {Requests: 2, MemoryTokens: 2000, PrefillTokens: 5000}})
