Regions and evacuations: orders that were undone, sends that weren't checked again

A peer's record during a read dropped orders of that read, too. - A gateway that heard of a risen era from one that had started after it lost its orders at once; one that was told of a kept order kept it for good. - Nothing asked again before the send: the spare engine of a hand-over got a run half a second after its region was taken away, a suspended gateway what it had picked before. - "allowedRegions":["north",null] admitted upstreams in zones of no known region. - A datagram could state a speed that takes all work or none. - A collector whose digests are as rare as speeds (from 215 gateways on) sent its speeds in its states only. Change: the keeper of evacuations takes each read with its range and position, and asks for a read of the whole topic if records are missing; feeds hear of own reads apart from a peer's records; kept orders are told with the time left; a call asks whether it may be sent once it has a connection. Refusals say how many upstreams were outside regions or evacuated, and are counted. A gateway without the orders isn't ready. Lists of regions that can't be decoded are logged.

--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -18,6 +18,9 @@
 	RateLimited currantwood.UpstreamID
 	// Paused is whether RetryAfter is the end of an upstream's pause.
 	Paused bool
+	// Evacuated counts the upstreams that were ruled out since their availability zone is
+	// evacuated, and OutsideRegions those outside the regions of the request.
+	Evacuated, OutsideRegions int
 }
 
 // Error implements error.
@@ -29,6 +32,10 @@
 		return "all upstreams pause"
 	case e.RetryAfter > 0:
 		return "no upstream reads the prompt in time"
+	case e.Evacuated > 0:
+		return "no upstream outside the evacuated zones"
+	case e.OutsideRegions > 0:
+		return "no upstream in the allowed regions"
 	}
 	return "no upstream"
 }
@@ -46,6 +53,12 @@
 // lowerRetryAfterNotice is lowerRetryAfter for an upstream that accepts no request now by
 // what it has said. Without a time until it does, Verdict.Wait, it doesn't count.
 func (e *RefusalError) lowerRetryAfterNotice(id currantwood.UpstreamID, verdict noticekeeper.Verdict) {
+	switch verdict.Reason {
+	case noticekeeper.Evacuated:
+		e.Evacuated++
+	case noticekeeper.OutsideRegions:
+		e.OutsideRegions++
+	}
 	if verdict.Wait == 0 || !e.lowerRetryAfter(verdict.Wait) {
 		return
 	}
--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -30,6 +30,10 @@
 // ErrUnsent means that no byte of the request was sent.
 var ErrUnsent = errors.New("no byte of the request was sent")
 
+// ErrWithdrawn means that Call.MaySend found that the request may not be sent any more. It
+// is an ErrUnsent, too.
+var ErrWithdrawn = errors.Wrap(ErrUnsent, "the upstream may get no requests any more")
+
 // connectError is an ErrUnsent that keeps why no connection was made.
 type connectError struct {
 	upstream currantwood.UpstreamID
@@ -61,6 +65,9 @@
 	// is accepted if it says that the request was not run and is the first on its
 	// connection.
 	ID currantwood.RequestID
+	// MaySend is asked once there is a connection, just before the first byte is sent: the
+	// process may have been suspended since the upstream was picked. nil permits it.
+	MaySend func() bool
 }
 
 // Exchange is a request whose response head was read. The caller reads Body
@@ -103,6 +110,10 @@
 	if err != nil {
 		return nil, &connectError{upstream: call.Upstream, cause: err}
 	}
+	if call.MaySend != nil && !call.MaySend() {
+		_ = c.Close()
+		return nil, errors.WithStack(ErrWithdrawn)
+	}
 	x := &Exchange{pool: p, conn: c, address: call.Address, bodyWritten: make(chan error, 1)}
 	x.stopCancelHook = context.AfterFunc(ctx, x.closeConn)
 	if err := x.write(call); err != nil {
--- a/connkeeper/exchange_test.go
+++ b/connkeeper/exchange_test.go
@@ -162,4 +162,20 @@
 			Expect(<-u.arrivals).To(Equal(want.connection), "%+v", want)
 		}
 	})
+
+	// Guards against a process that was suspended after it had picked the upstream, and
+	// sends what may not be sent any more.
+	It("isn't sent if it may not be any more once there is a connection", func() {
+		u := newScriptedUpstream(success, success)
+		_, _, err := send(u, "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(<-u.arrivals).To(Equal(1))
+		for _, id := range []currantwood.RequestID{"r2", "r3"} {
+			call := &Call{Upstream: "u", Address: u.address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {string(id)}}, ID: id, MaySend: func() bool { return false }}
+			_, err := p.Start(context.Background(), call, testCoder{})
+			Expect(err).To(MatchError(ErrWithdrawn))
+			Expect(err).To(MatchError(ErrUnsent))
+		}
+		Consistently(u.arrivals, "100ms").ShouldNot(Receive())
+	})
 })
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
 )
@@ -23,6 +24,8 @@
 	closeConnection bool
 	// suspect is set if it decided.
 	suspect *currantwood.Suspect
+	// fields are added to the log line.
+	fields []zap.Field
 }
 
 // admit matches the route, checks the key, picks the group, reads the body and
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -146,7 +146,9 @@
 // returned as an error.
 func (q *request) startExchange(ctx context.Context, choice balancer.Choice, load balancer.Load, parameters currantwood.UpstreamRequest) (*connkeeper.Exchange, error) {
 	sentAt := q.g.Now()
-	x, err := q.g.Connections.Start(ctx, q.upstreamCall(sentAt, choice.View, parameters), q.g.Coder)
+	call := q.upstreamCall(sentAt, choice.View, parameters)
+	call.MaySend = func() bool { return q.mayBeSent(choice.View) }
+	x, err := q.g.Connections.Start(ctx, call, q.g.Coder)
 	if err != nil {
 		q.recordFailedStart(failure{view: choice.View, sentAt: sentAt, broken: ctx.Err() == nil}, load, err)
 		return nil, err
@@ -176,7 +178,7 @@
 			q.recordCrash(f)
 		}
 	}
-	if q.clientDisconnected() {
+	if q.clientDisconnected() || errors.Is(err, connkeeper.ErrWithdrawn) {
 		q.recordEnd(f.view, load, balancer.Neutral)
 		return
 	}
--- a/gateway/endrequest.go
+++ b/gateway/endrequest.go
@@ -34,7 +34,7 @@
 	if f.suspect != nil {
 		fields = append(fields, suspectFields(*f.suspect)...)
 	}
-	q.log("request ended by the gateway", fields...)
+	q.log("request ended by the gateway", append(fields, f.fields...)...)
 }
 
 // addJitter lengthens a duration at random, so that clients that were refused
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -17,27 +17,23 @@
 	return g.evacuations.Known()
 }
 
-// ReplaceEvacuations notes that a read of all orders has found these zones.
-func (g *Gateway) ReplaceEvacuations(now time.Time, zones []currantwood.ZoneID) {
+// ReplaceEvacuations notes that a read of all orders, up to a position in the store, has
+// found these zones.
+func (g *Gateway) ReplaceEvacuations(now time.Time, position evacuationkeeper.Position, zones []currantwood.ZoneID) {
 	g.mu.Lock()
-	change := g.evacuations.Replace(now, zones)
+	change := g.evacuations.Replace(now, position, zones)
 	g.mu.Unlock()
 	g.logEvacuations(change, "store")
 }
 
-// ApplyEvacuation notes an order for a zone, or that it was taken back.
-func (g *Gateway) ApplyEvacuation(now time.Time, zone currantwood.ZoneID, ordered bool) {
+// ApplyEvacuations notes the orders of a read from an offset up to a position in the store.
+// It returns false if orders before the read are missing, so that all must be read.
+func (g *Gateway) ApplyEvacuations(now time.Time, from currantwood.Offset, position evacuationkeeper.Position, orders []evacuationkeeper.Order) bool {
 	g.mu.Lock()
-	change := g.evacuations.Apply(now, zone, ordered)
+	change, complete := g.evacuations.Apply(now, from, position, orders)
 	g.mu.Unlock()
 	g.logEvacuations(change, "store")
-}
-
-// EvacuationsReadTo notes the position in the store up to which orders were applied.
-func (g *Gateway) EvacuationsReadTo(era currantwood.StoreEra, next currantwood.Offset) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.evacuations.ReadTo(evacuationkeeper.Position{Era: era, Next: next})
+	return complete
 }
 
 // KeepEvacuations keeps the orders for a while that are missing in the store, which has
@@ -63,6 +59,13 @@
 	return g.evacuations.Current(now)
 }
 
+// EvacuatedZones returns the number of evacuated zones.
+func (g *Gateway) EvacuatedZones(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuations.Count(now)
+}
+
 // expireEvacuations drops the orders that the store hasn't shown again in time.
 func (g *Gateway) expireEvacuations(now time.Time) {
 	g.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 	requestsBlocked, rateLimitChanges          metrics.Counter
 	leavingNotices, pauses, refusedPaused      metrics.Counter
 	rateLimited, startsLearned, startsUnknown  metrics.Counter
-	refusedRegions                             metrics.Counter
+	refusedRegions, refusedEvacuated           metrics.Counter
 	responseTime, firstEventTime               metrics.Histogram
 }
 
@@ -162,6 +162,7 @@
 		refusedPaused:      metrics.NewRegisteredCounter("requests-refused-paused", r),
 		rateLimited:        metrics.NewRegisteredCounter("requests-rate-limited", r),
 		refusedRegions:     metrics.NewRegisteredCounter("requests-refused-regions", r),
+		refusedEvacuated:   metrics.NewRegisteredCounter("requests-refused-evacuated", r),
 		responseTime:       metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
 		firstEventTime:     metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
 	}
@@ -177,10 +178,10 @@
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
 // Ready reports whether clients should be sent to this gateway: it is not
-// stopping, has read the directory of upstreams and the crashes of requests, and has
-// a configuration that was confirmed recently.
+// stopping, has read the directory of upstreams, the crashes of requests and the orders to
+// evacuate zones, and has a configuration that was confirmed recently.
 func (g *Gateway) Ready(now time.Time) bool {
-	if g.awaitsCrashes(now) || g.shutdown.Load() != nil || !g.directoryLoaded.Load() || g.Configuration.Current() == nil {
+	if !g.EvacuationsKnown() || g.awaitsCrashes(now) || g.shutdown.Load() != nil || !g.directoryLoaded.Load() || g.Configuration.Current() == nil {
 		return false
 	}
 	return g.ConfigurationFresh(now)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -242,6 +242,10 @@
 // run first. If copyRun fails, it has reported the end of the target's load to the
 // balancer.
 func (s *stream) copyRun(from *upstreamStream, choice balancer.Choice, stop bool) (currantwood.RunCopy, error) {
+	if !s.mayBeSent(choice.View) {
+		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
+		return currantwood.RunCopy{}, errTargetUnusable
+	}
 	// A target that starts again after the copy has begun loses it, so the answer may be
 	// older than the resume. After the resume it would delay the end of the run here.
 	confirmed := make(chan bool, 1)
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -12,6 +12,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -38,10 +39,10 @@
 	Entry("that leaves", func(_ *Gateway, r *currantwood.UpstreamRecord) { r.Leaving = true }, false),
 	Entry("that has started again", func(_ *Gateway, r *currantwood.UpstreamRecord) { r.Incarnation++ }, false),
 	Entry("whose zone is evacuated", func(g *Gateway, _ *currantwood.UpstreamRecord) {
-		g.ApplyEvacuation(start, "n1", true)
+		g.ReplaceEvacuations(start, evacuationkeeper.Position{}, []currantwood.ZoneID{"n1"})
 	}, false),
 	Entry("while another zone is evacuated", func(g *Gateway, _ *currantwood.UpstreamRecord) {
-		g.ApplyEvacuation(start, "s1", true)
+		g.ReplaceEvacuations(start, evacuationkeeper.Position{}, []currantwood.ZoneID{"s1"})
 	}, true),
 	Entry("that has asked for a pause", func(g *Gateway, _ *currantwood.UpstreamRecord) {
 		g.notices.Observe(start, "e1", 7, currantwood.UpstreamResponse{DeclaredNotRun: true, Pause: time.Second})
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/configkeeper"
 )
 
@@ -23,6 +24,24 @@
 	return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "no region is allowed"}
 }
 
+// notePlacement counts a refusal for which upstreams were ruled out by the regions of the
+// request or by evacuations, and returns the fields of its log line that say so.
+func (q *request) notePlacement(refused *balancer.RefusalError) []zap.Field {
+	if refused == nil || refused.OutsideRegions+refused.Evacuated == 0 {
+		return nil
+	}
+	if refused.OutsideRegions > 0 {
+		q.g.instruments.refusedRegions.Inc(1)
+	}
+	if refused.Evacuated > 0 {
+		q.g.instruments.refusedEvacuated.Inc(1)
+	}
+	return []zap.Field{
+		zap.Stringer("regions", q.regions()), zap.String("group", string(q.group)),
+		zap.Int("outside-regions", refused.OutsideRegions), zap.Int("evacuated", refused.Evacuated),
+	}
+}
+
 // regions returns the regions in which the request may be served by the newest
 // configuration, which may be newer than the one that admitted it. A route that the newest
 // doesn't hold keeps its former regions.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -227,7 +227,7 @@
 	if refused != nil && refused.RateLimited != "" {
 		q.g.promise(refused.RateLimited)
 	}
-	return &gatewayResponse{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: retryAfter}
+	return &gatewayResponse{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: retryAfter, fields: q.notePlacement(refused)}
 }
 
 // recordEnd reports the end of an attempt to the balancer.
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -39,6 +40,8 @@
 		g.ReplaceUpstreamRecords(start, nil)
 		Expect(g.Ready(start)).To(BeFalse(), "the crashes in the store aren't read")
 		g.SetCrashesLoaded()
+		Expect(g.Ready(start)).To(BeFalse(), "the evacuations aren't read")
+		g.ReplaceEvacuations(start, evacuationkeeper.Position{}, nil)
 		Expect(g.Ready(start)).To(BeTrue())
 		Expect(g.Ready(start.Add(4 * time.Second))).To(BeFalse())
 	})
--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -1,7 +1,7 @@
 package gatewaystarter
 
 import (
-	"strings"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,22 +20,17 @@
 		}
 	}
 	feed := p.pace(storewatcher.Feed{
-		Name:  "configuration",
-		Topic: p.options.ConfigurationTopic,
-		Wait:  configurationReadWait,
-		Replace: func(now time.Time, records []currantwood.KeyedRecord) {
-			// First: once it has a configuration, a gateway sends requests.
-			p.replaceEvacuations(now, records)
-			applyAll(records)
-		},
-		Apply: func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
-			p.applyEvacuations(now, records)
+		Name:    "configuration",
+		Topic:   p.options.ConfigurationTopic,
+		Wait:    configurationReadWait,
+		Replace: func(_ time.Time, records []currantwood.KeyedRecord) { applyAll(records) },
+		Apply: func(_ time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
 			applyAll(records)
 			return nil
 		},
-		OnRead: func(_ time.Time, era currantwood.StoreEra, _, next currantwood.Offset, _ []currantwood.KeyedRecord) {
-			p.gateway.EvacuationsReadTo(era, next)
+		OnRead: func(time.Time, currantwood.StoreEra, currantwood.Offset, currantwood.Offset, []currantwood.KeyedRecord) {
 		},
+		OnOwnRead: p.applyEvacuations,
 		OnEraRise: func(now time.Time, era currantwood.StoreEra) {
 			p.countEraRise(now, era)
 			p.gateway.KeepEvacuations(now)
@@ -179,33 +174,6 @@
 	}
 }
 
-// evacuatedZone returns the zone of a record that orders an evacuation; false for other
-// records.
-func (p *Process) evacuatedZone(record currantwood.KeyedRecord) (currantwood.ZoneID, bool) {
-	zone, ok := strings.CutPrefix(record.Key, p.options.EvacuationKeyPrefix)
-	return currantwood.ZoneID(zone), ok
-}
-
-// replaceEvacuations passes on the orders in the newest records of the topic.
-func (p *Process) replaceEvacuations(now time.Time, records []currantwood.KeyedRecord) {
-	var zones []currantwood.ZoneID
-	for _, record := range records {
-		if zone, ok := p.evacuatedZone(record); ok && len(record.Value) > 0 {
-			zones = append(zones, zone)
-		}
-	}
-	p.gateway.ReplaceEvacuations(now, zones)
-}
-
-// applyEvacuations passes on orders and their deletion, which is a record without a value.
-func (p *Process) applyEvacuations(now time.Time, records []currantwood.KeyedRecord) {
-	for _, record := range records {
-		if zone, ok := p.evacuatedZone(record); ok {
-			p.gateway.ApplyEvacuation(now, zone, len(record.Value) > 0)
-		}
-	}
-}
-
 // applyConfiguration decodes a record and makes it the current configuration if
 // it is newer. A record that can't be decoded is logged and ignored. Records of
 // other keys, and the deletion of the configuration, are ignored.
@@ -220,8 +188,37 @@
 	}
 	if p.config.SetIfNewer(configuration) {
 		p.options.Logger.Info("configuration applied", zap.Uint64("version", uint64(configuration.Version)), zap.Int("routes", len(configuration.Routes)), zap.Bool("requires-keys", configuration.RequiresKeys), zap.Int("keys", len(configuration.Keys)))
+		p.logRegions(configuration)
 	}
 	if configuration.Version == p.config.Version() {
 		p.peers.RetainConfiguration(configuration.Version, record)
 	}
 }
+
+// logRegions logs how many routes and customers a configuration binds to regions, and
+// warns of those without any: their list can't be decoded, so that all their requests are
+// refused.
+func (p *Process) logRegions(configuration currantwood.Configuration) {
+	bound := 0
+	for _, route := range configuration.Routes {
+		if !route.Regions.IsAny() {
+			bound++
+		}
+		if route.Regions.IsEmpty() {
+			p.options.Logger.Warn("regions of a route or customer can't be decoded, its requests are refused", zap.Uint64("version", uint64(configuration.Version)), zap.String("route", route.ID))
+		}
+	}
+	customers := make(map[currantwood.CustomerID]currantwood.RegionSet)
+	for _, holder := range configuration.Keys {
+		customers[holder.Customer] = holder.Regions
+	}
+	maps.DeleteFunc(customers, func(_ currantwood.CustomerID, regions currantwood.RegionSet) bool { return regions.IsAny() })
+	for customer, regions := range customers {
+		if regions.IsEmpty() {
+			p.options.Logger.Warn("regions of a route or customer can't be decoded, its requests are refused", zap.Uint64("version", uint64(configuration.Version)), zap.String("customer", string(customer)))
+		}
+	}
+	if changed := p.boundRoutes.Swap(int64(bound)) != int64(bound); p.boundCustomers.Swap(int64(len(customers))) != int64(len(customers)) || changed {
+		p.options.Logger.Info("routes and customers bound to regions", zap.Uint64("version", uint64(configuration.Version)), zap.Int("routes", bound), zap.Int("customers", len(customers)))
+	}
+}
--- a/gatewaystarter/servers.go
+++ b/gatewaystarter/servers.go
@@ -85,9 +85,7 @@
 			fmt.Fprintf(w, "%s-count %d\n%s-p50 %.0f\n%s-p95 %.0f\n%s-p99 %.0f\n", name, h.Count(), name, percentiles[0], name, percentiles[1], name, percentiles[2])
 		}
 	})
-	if evacuations, known := p.gateway.Evacuations(p.now()); known {
-		fmt.Fprintf(w, "zones-evacuated %d\n", len(evacuations.Zones))
-	}
+	fmt.Fprintf(w, "zones-evacuated %d\n", p.gateway.EvacuatedZones(p.now()))
 	fmt.Fprintf(w, "requests-in-flight %d\n", p.gateway.InFlight())
 	fmt.Fprintf(w, "configuration-age-us %d\n", p.config.Age(p.now()).Microseconds())
 }
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -134,6 +135,8 @@
 	starts                   *streamsaver.Saver
 	metrics                  metrics.Registry
 	eraRises                 metrics.Counter
+	// boundRoutes and boundCustomers count those that the configuration binds to regions.
+	boundRoutes, boundCustomers atomic.Int64
 	// arrivals tells whether requests still arrive during shutdown.
 	arrivals      *drainer.Drainer
 	clientServer  *http.Server
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -22,10 +22,10 @@
 		return
 	}
 	recipients := m.peers.DigestRecipients(now)
-	speedsDue := m.speedsDue(now)
+	due := speedsDue(now, &m.digestSpeedsAt)
 	m.mu.Unlock()
 	var speeds []*peerwire.Speed
-	if speedsDue {
+	if due {
 		speeds = encodeSpeeds(m.Gateway.AllSpeeds(now))
 	}
 	own, usage, ownRates := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now), m.Gateway.OwnRates(now)
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -186,8 +186,10 @@
 	configuration atomic.Pointer[retainedConfiguration]
 	// configurationLimiter bounds the bytes of configurations that are sent.
 	configurationLimiter *rate.Limiter
-	// speedsSentAt is when speeds were sent last.
-	speedsSentAt time.Time
+	// stateSpeedsAt and digestSpeedsAt are when speeds were sent last in a state and in
+	// digests. With one time for both, the states of a collector would leave no turn to its
+	// digests where these are as rare as speeds.
+	stateSpeedsAt, digestSpeedsAt time.Time
 	// process identifies this process among those of its VM.
 	process uint64
 	// startedAt is when this process created the Messenger.
--- a/peermessenger/speed.go
+++ b/peermessenger/speed.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -17,15 +16,21 @@
 	speedInterval = 250 * time.Millisecond
 	// maxSpeeds bounds the speeds in one datagram. One takes about 25 bytes.
 	maxSpeeds = 512
+	// maxRelativeTime is the longest relative time that is believed. Upstreams that state
+	// more are ignored where their responses are decoded, so no mean can be above it.
+	maxRelativeTime = 100
+	// maxSpeedWeight bounds the weight of one sum, which is about the number of responses
+	// within some seconds. A higher one would outvote all other gateways.
+	maxSpeedWeight = 1e6
 )
 
-// speedsDue reports whether speeds are to be sent now, and notes that they are. Called with
-// mu held.
-func (m *Messenger) speedsDue(now time.Time) bool {
-	if now.Sub(m.speedsSentAt) < speedInterval {
+// speedsDue reports whether speeds are to be sent now in messages of one kind, the last of
+// which with speeds was sent at sentAt, and if so notes that in sentAt. Called with mu held.
+func speedsDue(now time.Time, sentAt *time.Time) bool {
+	if now.Sub(*sentAt) < speedInterval {
 		return false
 	}
-	m.speedsSentAt = now
+	*sentAt = now
 	return true
 }
 
@@ -46,7 +51,7 @@
 	sums := make(speedkeeper.Sums, len(speeds))
 	for _, s := range speeds {
 		sum := speedkeeper.Sum{Weight: float64(s.GetWeight()), Time: float64(s.GetTime())}
-		if sum.Weight > 0 && sum.Time > 0 && !math.IsInf(sum.Weight, 0) && !math.IsInf(sum.Time, 0) {
+		if sum.Weight > 0 && sum.Weight <= maxSpeedWeight && sum.Time > 0 && sum.Time <= 1.001*maxRelativeTime*sum.Weight {
 			sums[currantwood.UpstreamID(s.GetUpstream())] = sum
 		}
 	}
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -52,7 +52,7 @@
 		Notices:     encodeNotices(now, m.Gateway.HeardNotices(now)),
 	}
 	m.mu.Lock()
-	if m.speedsDue(now) {
+	if speedsDue(now, &m.stateSpeedsAt) {
 		state.Speeds = encodeSpeeds(speeds)
 	}
 	m.addStartsToState(now, collector.VM, state)
--- a/placement/evacuationkeeper/keeper.go
+++ b/placement/evacuationkeeper/keeper.go
@@ -3,7 +3,8 @@
 //
 // One gateway reads the orders and tells the others the whole set, with the position in
 // the topic up to which it has read. A set replaces one of an earlier position, so that a
-// lost message delays an order and never loses it.
+// lost message delays an order and never loses it. Reads of this gateway are held to the
+// same rule: one that was long on its way doesn't undo a newer set of another gateway.
 package evacuationkeeper
 
 import (
@@ -33,6 +34,18 @@
 type Set struct {
 	Position Position
 	Zones    []currantwood.ZoneID
+	// Kept are zones whose orders are missing at the position, since the store has come
+	// back from an older copy. They stay evacuated for KeptFor.
+	Kept    []currantwood.ZoneID
+	KeptFor time.Duration
+}
+
+// Order is a record that orders the evacuation of a zone or, if Ordered is false, takes the
+// order back.
+type Order struct {
+	Zone    currantwood.ZoneID
+	Offset  currantwood.Offset
+	Ordered bool
 }
 
 // Change lists the zones whose evacuation has begun or ended.
@@ -64,55 +77,80 @@
 	return ordered && (until.IsZero() || now.Before(until))
 }
 
-// Replace notes that a read of the whole topic has found orders for exactly these zones.
-func (k *Keeper) Replace(now time.Time, zones []currantwood.ZoneID) Change {
-	before := k.current(now)
-	kept := make(map[currantwood.ZoneID]time.Time, len(zones))
-	if now.Before(k.restoring) {
-		for _, zone := range before {
-			kept[zone] = k.restoring
-		}
-	}
-	for _, zone := range zones {
-		kept[zone] = time.Time{}
+// Replace notes that a read of the whole topic up to a position has found orders for
+// exactly these zones.
+func (k *Keeper) Replace(now time.Time, position Position, zones []currantwood.ZoneID) Change {
+	if k.known && position.before(k.position) {
+		return Change{}
 	}
-	k.zones, k.known = kept, true
-	return k.changeSince(now, before)
+	return k.replace(now, Set{Position: position, Zones: zones})
 }
 
-// Apply notes the newest record of a zone: an order, or its deletion.
-func (k *Keeper) Apply(now time.Time, zone currantwood.ZoneID, ordered bool) Change {
-	before := k.current(now)
-	if ordered {
-		k.zones[zone] = time.Time{}
-	} else {
-		delete(k.zones, zone)
+// Apply notes the records of a read from an offset up to a position, in the order of the
+// topic. Those that a set of another gateway already contains change nothing. It returns
+// false, and notes nothing, if records before the read are missing: a configuration that
+// was taken from another gateway moves the place from which the topic is read, without the
+// orders before it. The whole topic must be read then.
+func (k *Keeper) Apply(now time.Time, from currantwood.Offset, position Position, orders []Order) (Change, bool) {
+	if k.known && position.before(k.position) {
+		return Change{}, true
 	}
-	return k.changeSince(now, before)
-}
-
-// ReadTo notes that the orders up to a position have been passed to Replace and Apply.
-func (k *Keeper) ReadTo(position Position) {
-	if k.known && k.position.before(position) {
-		k.position = position
+	if !k.known || position.Era != k.position.Era || from > k.position.Next {
+		return Change{}, false
 	}
+	before := k.current(now)
+	for _, order := range orders {
+		if order.Offset < k.position.Next {
+			continue
+		}
+		if order.Ordered {
+			k.zones[order.Zone] = time.Time{}
+		} else {
+			delete(k.zones, order.Zone)
+		}
+	}
+	k.position = position
+	return k.changeSince(now, before), true
 }
 
 // EraRisen notes that the store has come back from an older copy, in which orders may be
 // missing for a while.
 func (k *Keeper) EraRisen(now time.Time) { k.restoring = now.Add(restoreTime) }
 
-// Learn takes the set of another gateway unless it is from an earlier position.
+// Learn takes the set of another gateway unless it is from an earlier position. A set of
+// the same position is taken, too: its sender may have stopped to keep missing orders.
 func (k *Keeper) Learn(now time.Time, set Set) Change {
 	if k.known && set.Position.before(k.position) {
 		return Change{}
 	}
+	if k.known && set.Position.Era > k.position.Era {
+		// The sender may have started after the store came back, and not know the orders
+		// that are missing there.
+		k.EraRisen(now)
+	}
+	return k.replace(now, set)
+}
+
+// replace replaces the orders by those of a set. Orders that it lacks stay in force while
+// the store may be missing them.
+func (k *Keeper) replace(now time.Time, set Set) Change {
 	before := k.current(now)
-	clear(k.zones)
+	zones := make(map[currantwood.ZoneID]time.Time, len(set.Zones)+len(set.Kept))
+	if now.Before(k.restoring) {
+		for _, zone := range before {
+			zones[zone] = k.restoring
+		}
+	}
+	until := now.Add(min(set.KeptFor, restoreTime))
+	for _, zone := range set.Kept {
+		if until.After(zones[zone]) {
+			zones[zone] = until
+		}
+	}
 	for _, zone := range set.Zones {
-		k.zones[zone] = time.Time{}
+		zones[zone] = time.Time{}
 	}
-	k.known, k.position = true, set.Position
+	k.zones, k.known, k.position = zones, true, set.Position
 	return k.changeSince(now, before)
 }
 
@@ -132,9 +170,22 @@
 // Current returns the orders in force, to be told to other gateways; false if they aren't
 // known.
 func (k *Keeper) Current(now time.Time) (Set, bool) {
-	return Set{Position: k.position, Zones: k.current(now)}, k.known
+	set := Set{Position: k.position}
+	for _, zone := range k.current(now) {
+		until := k.zones[zone]
+		if until.IsZero() {
+			set.Zones = append(set.Zones, zone)
+			continue
+		}
+		set.Kept = append(set.Kept, zone)
+		set.KeptFor = max(set.KeptFor, until.Sub(now))
+	}
+	return set, k.known
 }
 
+// Count returns the number of evacuated zones, also of those that the store is missing.
+func (k *Keeper) Count(now time.Time) int { return len(k.current(now)) }
+
 // current returns the evacuated zones, sorted.
 func (k *Keeper) current(now time.Time) []currantwood.ZoneID {
 	zones := slices.Sorted(maps.Keys(k.zones))
--- a/regions.go
+++ b/regions.go
@@ -1,6 +1,7 @@
 package currantwood
 
 import (
+	"math"
 	"slices"
 	"strings"
 )
@@ -17,10 +18,12 @@
 // AnyRegion returns the set of all regions.
 func AnyRegion() RegionSet { return RegionSet{any: true} }
 
-// Regions returns the set of the given regions.
+// Regions returns the set of the given regions. A region without a name is left out: the
+// region of an unknown availability zone has none either.
 func Regions(ids ...RegionID) RegionSet {
 	sorted := slices.Sorted(slices.Values(ids))
-	return RegionSet{regions: slices.Compact(sorted)}
+	named := slices.DeleteFunc(slices.Compact(sorted), func(id RegionID) bool { return id == "" })
+	return RegionSet{regions: named}
 }
 
 // Admits reports whether a region is in the set.
@@ -34,6 +37,18 @@
 // IsAny reports whether the set admits all regions.
 func (s RegionSet) IsAny() bool { return s.any }
 
+// Count returns the number of regions in the set; math.MaxInt for all regions.
+func (s RegionSet) Count() int {
+	if s.any {
+		return math.MaxInt
+	}
+	return len(s.regions)
+}
+
+// Named returns the regions in the set, sorted; none for the set of all regions, which
+// doesn't name any.
+func (s RegionSet) Named() []RegionID { return slices.Clone(s.regions) }
+
 // Intersect returns the regions that are in both sets.
 func (s RegionSet) Intersect(other RegionSet) RegionSet {
 	switch {
--- a/regions_test.go
+++ b/regions_test.go
@@ -18,6 +18,8 @@
 		{"zero value", RegionSet{}, "none", map[RegionID]bool{"north": false, "": false}},
 		{"all regions", AnyRegion(), "any", map[RegionID]bool{"north": true, "": true}},
 		{"two regions", Regions("south", "north", "south"), "north,south", map[RegionID]bool{"north": true, "south": true, "east": false, "": false}},
+		{"a region without a name", Regions("", "north"), "north", map[RegionID]bool{"north": true, "": false}},
+		{"only a region without a name", Regions(""), "none", map[RegionID]bool{"": false}},
 		{"all and one", AnyRegion().Intersect(Regions("north")), "north", map[RegionID]bool{"north": true, "south": false}},
 		{"one and all", Regions("north").Intersect(AnyRegion()), "north", map[RegionID]bool{"north": true, "south": false}},
 		{"overlap", Regions("north", "east").Intersect(Regions("east", "south")), "east", map[RegionID]bool{"north": false, "east": true, "south": false}},
--- a/storewatcher/read.go
+++ b/storewatcher/read.go
@@ -15,12 +15,12 @@
 const failuresBeforePatience = 2
 
 // readOnce reads the topic once and applies the result. It reads the newest
-// record of each key if the position isn't known or the store no longer keeps the
-// records from there on.
+// record of each key if the position isn't known, if ReadAll asked for them or if the store
+// no longer keeps the records from there on.
 func (w *Watcher) readOnce(ctx context.Context) error {
 	sent := w.now()
 	w.mu.Lock()
-	wait, known, from := w.feed.Wait, w.positionKnown, w.next
+	wait, known, from := w.feed.Wait, w.positionKnown && !w.readAll, w.next
 	if w.declaredUnreachable || w.feed.Stale(sent) {
 		// The records held are too old, or may be so after an outage. Only an
 		// answer shows whether they are the newest, so the read must not wait
@@ -70,12 +70,20 @@
 	w.markCurrent(now)
 	start := max(from, w.next)
 	w.next = max(w.next, batch.Next)
+	w.noteOwnRead(now, Read{Era: w.era, From: from, Next: batch.Next, Records: batch.Records})
 	changed := w.feed.Apply(now, newer)
 	next, era := w.next, w.era
 	w.mu.Unlock()
 	w.feed.OnRead(now, era, start, next, changed)
 }
 
+// noteOwnRead calls Feed.OnOwnRead. Called with mu held.
+func (w *Watcher) noteOwnRead(now time.Time, read Read) {
+	if w.feed.OnOwnRead != nil {
+		w.feed.OnOwnRead(now, read)
+	}
+}
+
 // readNewest reads and applies the newest record of each key.
 func (w *Watcher) readNewest(ctx context.Context, sent time.Time) error {
 	batch, err := w.store.Newest(ctx, w.feed.Topic)
@@ -93,7 +101,8 @@
 		w.handleEraRise(now, sent, batch)
 	}
 	w.markCurrent(now)
-	w.next, w.positionKnown, w.era = batch.Next, true, max(w.era, batch.Era)
+	w.next, w.positionKnown, w.readAll, w.era = batch.Next, true, false, max(w.era, batch.Era)
+	w.noteOwnRead(now, Read{Whole: true, Era: w.era, Next: batch.Next, Records: batch.Records})
 	w.feed.Replace(now, batch.Records)
 	era := w.era
 	w.mu.Unlock()
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -55,6 +55,10 @@
 	// offset range [from, next) that caused an event. After a read of the
 	// newest records, from equals next and changed is empty.
 	OnRead func(now time.Time, era currantwood.StoreEra, from, next currantwood.Offset, changed []currantwood.KeyedRecord)
+	// OnOwnRead is called before Replace or Apply takes the records of a read by this
+	// process, and not for records of a peer, which may lack some of those in between. nil
+	// if it isn't needed.
+	OnOwnRead func(now time.Time, read Read)
 	// OnEraRise is called, before the newest records are taken, when the store has come
 	// back from an older copy.
 	OnEraRise func(now time.Time, era currantwood.StoreEra)
@@ -85,6 +89,16 @@
 	Held func() bool
 }
 
+// Read is what a read from the store has found.
+type Read struct {
+	// Whole is whether Records are the newest of each key, rather than all those in the
+	// offset range [From, Next).
+	Whole      bool
+	Era        currantwood.StoreEra
+	From, Next currantwood.Offset
+	Records    []currantwood.KeyedRecord
+}
+
 // Watcher follows one feed.
 type Watcher struct {
 	store  currantwood.KeyedStore
@@ -99,6 +113,8 @@
 	// next is the offset to read from; valid if positionKnown is true.
 	next          currantwood.Offset
 	positionKnown bool
+	// readAll is whether the next read is one of the newest records; see ReadAll.
+	readAll bool
 	// era is that of the store in which next is valid; it never decreases.
 	era currantwood.StoreEra
 	// lastSuccess is when a read last succeeded; at first, when the Watcher was
@@ -217,6 +233,14 @@
 	}
 }
 
+// ReadAll requests a read of the newest record of each key, whatever is known already.
+func (w *Watcher) ReadAll() {
+	w.mu.Lock()
+	w.readAll = true
+	w.mu.Unlock()
+	w.Kick()
+}
+
 // Reachable reports whether this process's latest own read of the store
 // succeeded, however long ago. While a peer reads the topic for this process,
 // only reads requested by Kick change it.
--- a/storewatcher/watcher_test.go
+++ b/storewatcher/watcher_test.go
@@ -154,6 +154,43 @@
 		Eventually(l.all).Should(Equal([]string{"replace a", "apply b"}))
 	})
 
+	// Guards against records that nobody takes: a peer's record of one key moves the position
+	// past records of other keys which this process is about to read.
+	It("passes all records of its own reads on, and none of a peer", func() {
+		l := &callLog{}
+		release := make(chan struct{})
+		slow := func() (currantwood.KeyedRecordBatch, error) {
+			<-release
+			return batch(13, "b", "c", "d"), nil
+		}
+		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(10, "a"), batch(20, "e")}, readResults: []func() (currantwood.KeyedRecordBatch, error){slow}}
+		feed := newFeed(&callLog{}, never)
+		feed.OnOwnRead = func(_ time.Time, read Read) {
+			l.add(fmt.Sprint(read.Whole, " ", read.From, " ", read.Next))
+			for _, r := range read.Records {
+				l.add("read " + r.Key)
+			}
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		w := New(ctx, s, zap.NewNop(), time.Now, feed)
+		Eventually(s.readWaits).ShouldNot(BeEmpty())
+		now := time.Now()
+		Expect(w.ApplyPeerRecords(now, now, 0, 0, 12, batch(12, "c").Records)).To(BeTrue())
+		close(release)
+		Eventually(l.all).Should(Equal([]string{"true 0 10", "read a", "false 10 13", "read b", "read c", "read d"}))
+	})
+
+	It("reads the newest records again if it is asked to", func() {
+		l := &callLog{}
+		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(10, "a"), batch(20, "b")}}
+		w := start(s, l, func() bool { return true })
+		Eventually(l.all).Should(HaveLen(1))
+		w.ReadAll()
+		Eventually(l.all).Should(Equal([]string{"replace a", "replace b"}))
+		Expect(w.Position()).To(Equal(currantwood.Offset(20)))
+	})
+
 	It("applies records that a peer read, once and without gaps", func() {
 		l := &callLog{}
 		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(10, "a")}}
