--- a/peermessenger/speed.go
+++ b/peermessenger/speed.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -17,15 +16,22 @@
 	speedInterval = 250 * time.Millisecond
 	// maxSpeeds bounds the speeds in one datagram. One takes about 25 bytes.
 	maxSpeeds = 512
+	// maxSpeedFactor is by how much a mean speed may be above or below the usual one.
+	// Upstreams that state more are ignored where their responses are decoded; the rest
+	// allows for rounding.
+	maxSpeedFactor = 100.1
+	// maxSpeedWeight bounds the weight of one sum, which is about the number of responses
+	// within some seconds. A higher one would outvote all other gateways.
+	maxSpeedWeight = 1e6
 )
 
-// speedsDue reports whether speeds are to be sent now, and notes that they are. Called with
-// mu held.
-func (m *Messenger) speedsDue(now time.Time) bool {
-	if now.Sub(m.speedsSentAt) < speedInterval {
+// speedsDue reports whether speeds are to be sent now in messages of one kind, the last of
+// which with speeds was sent at sentAt, and if so notes that in sentAt. Called with mu held.
+func speedsDue(now time.Time, sentAt *time.Time) bool {
+	if now.Sub(*sentAt) < speedInterval {
 		return false
 	}
-	m.speedsSentAt = now
+	*sentAt = now
 	return true
 }
 
@@ -46,7 +52,7 @@
 	sums := make(speedkeeper.Sums, len(speeds))
 	for _, s := range speeds {
 		sum := speedkeeper.Sum{Weight: float64(s.GetWeight()), Speed: float64(s.GetSpeed())}
-		if sum.Weight > 0 && sum.Speed > 0 && !math.IsInf(sum.Weight, 0) && !math.IsInf(sum.Speed, 0) {
+		if sum.Weight > 0 && sum.Weight <= maxSpeedWeight && sum.Speed >= sum.Weight/maxSpeedFactor && sum.Speed <= sum.Weight*maxSpeedFactor {
 			sums[currantwood.UpstreamID(s.GetUpstream())] = sum
 		}
 	}
