--- a/regions.go
+++ b/regions.go
@@ -68,3 +68,6 @@
 
 // MarshalText returns String, for logs and golden files.
 func (s RegionSet) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// IDs returns the regions of the set in order; none if it is the set of all regions.
+func (s RegionSet) IDs() []RegionID { return slices.Clone(s.regions) }
