--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -258,5 +258,11 @@
 // budget returns the number of retries that requests and a part of the reserve
 // allow.
 func (b *Budgeter) budget(requests int, reservePart float64) float64 {
-	return float64(b.options.RetryShare)*float64(requests) + reservePart*b.options.Reserve
+	return b.options.Budget(requests, reservePart)
+}
+
+// Budget returns the number of retries within the window that requests and a part of the
+// reserve allow to all gateways together.
+func (o Options) Budget(requests int, reservePart float64) float64 {
+	return float64(o.RetryShare)*float64(requests) + reservePart*o.Reserve
 }
