currantwood check reads gateway configurations

Cause: check read only the product's rules text. Exit codes: 0 no finding, 1 findings, 2 usage or input that can't be read. Differences alone aren't findings: every change has some. A file that can't be opened now ends with 2, for rules files too; all else about rules files is as before.

--- a/cmd/currantwood/rules.go
+++ b/cmd/currantwood/rules.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
@@ -114,30 +115,63 @@
 	return err
 }
 
+// checkFlags holds the flags of check. The first two apply to a rules file, the others to a
+// configuration.
+type checkFlags struct {
+	logAddress, trace string
+
+	settings, against, store string
+	json                     bool
+}
+
 func checkCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("currantwood check", flag.ContinueOnError)
-	logAddress := flags.String("log-service", "", "base `ADDRESS` of the log service, to compare with the head")
-	trace := flags.String("trace", "", "recorded requests in `FILE`, JSON Lines, to show which change rule")
+	var f checkFlags
+	flags.StringVar(&f.logAddress, "log-service", "", "rules: base `ADDRESS` of the log service, to compare with the head")
+	flags.StringVar(&f.trace, "trace", "", "rules: recorded requests in `FILE`, JSON Lines, to show which change rule")
+	flags.StringVar(&f.settings, "settings", "", "configuration: settings `FILE` of a gateway's VM, to check the limits and regions against")
+	flags.StringVar(&f.against, "against", "", "configuration: `FILE` with the configuration in force, to compare with")
+	flags.StringVar(&f.store, "store", "", "configuration: `ADDRESS` of the store, host:port, to compare with the configuration in force")
+	flags.BoolVar(&f.json, "json", false, "configuration: print JSON")
 	return &ffcli.Command{
-		Name:       "check",
-		ShortUsage: "currantwood check [--log-service ADDRESS [--trace FILE]] FILE",
-		ShortHelp:  "read a rules file and show what publishing it would change",
-		FlagSet:    flags,
+		Name: "check",
+		ShortUsage: "currantwood check [--log-service ADDRESS [--trace FILE]] FILE\n" +
+			"  currantwood check [--settings FILE] [--against FILE | --store ADDRESS] [--json] FILE",
+		ShortHelp: "read a rules file or a gateway configuration and show its faults and what sending it would change",
+		LongHelp: "A FILE that begins with a brace is a gateway configuration, any other a rules file.\n" +
+			"Exit codes: 0 no fault (changes aren't faults); 1 faults; 2 usage, or a FILE or the store can't be read.",
+		FlagSet: flags,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 || (*trace != "" && *logAddress == "") {
-				return &exitError{exitUsage, errors.New("check: expected one FILE, and --log-service if --trace is given")}
+			if len(args) != 1 || (f.trace != "" && f.logAddress == "") || (f.against != "" && f.store != "") || (f.forRules() && f.forConfiguration()) {
+				return &exitError{exitUsage, errors.New("check: expected one FILE, --log-service if --trace is given, one of --against and --store, " +
+					"and no flags of rules together with those of configurations")}
 			}
-			return check(ctx, *logAddress, *trace, args[0], os.Stdout)
+			return check(ctx, f, args[0], os.Stdout)
 		},
 	}
 }
 
-func check(ctx context.Context, logAddress, trace, file string, out io.Writer) error {
+func (f checkFlags) forRules() bool { return f.logAddress != "" }
+
+func (f checkFlags) forConfiguration() bool {
+	return f.settings != "" || f.against != "" || f.store != "" || f.json
+}
+
+// check reads a file and checks it as a configuration or as a rules text. No line of a rules
+// text begins with a brace.
+func check(ctx context.Context, f checkFlags, file string, out io.Writer) error {
 	content, err := os.ReadFile(file)
 	if err != nil {
-		return errors.Wrap(err, "check")
+		return &exitError{exitUsage, errors.Wrap(err, "check")}
+	}
+	if f.forConfiguration() || !f.forRules() && bytes.HasPrefix(bytes.TrimSpace(content), []byte("{")) {
+		return checkConfiguration(ctx, f, file, content, out)
 	}
-	_, text, err := formatFile(string(content))
+	return checkRules(ctx, f, file, string(content), out)
+}
+
+func checkRules(ctx context.Context, f checkFlags, file, content string, out io.Writer) error {
+	_, text, err := formatFile(content)
 	if err != nil && !errors.Is(err, stamper.ErrNoStamp) {
 		return errors.Wrapf(err, "check: %s", file)
 	}
@@ -146,10 +180,10 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(out, "%s: %d customers, %d rules\n", file, len(rules.Customers), len(rules.Rules))
-	if logAddress == "" {
+	if f.logAddress == "" {
 		return nil
 	}
-	return compareWithHead(ctx, logAddress, trace, text, out)
+	return compareWithHead(ctx, f.logAddress, f.trace, text, out)
 }
 
 // compareWithHead prints how text differs from the head and, if trace isn't empty,
