Regions: requests that may go elsewhere leave room to those that are bound

Cause: a customer bound to a small region competes there with requests that could be served elsewhere, and that fill it first since it is a little nearer. With 140 generations wanted anywhere and 40 in a region of 48 slots, of 192 in all, 24 of 200 bound requests were refused. Change: the configuration tells the balancer to which regions requests of a group are bound, and how closely. A request that may be in more regions than the most closely bound ones sees an upstream there as fuller, from half full on, up to one upstream's worth. Where nothing is bound, scores are as before. If nothing else has room, the rest of the region is used.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -226,14 +226,16 @@
 }
 
 // evaluate scores an upstream by the requests and memory in use with this
-// request, its queued prompts, its speed, its distance, and whether it is warming up or was
-// paused.
+// request, its queued prompts, its speed, its distance, whether it is warming up or was
+// paused, and whether others need its room more.
 func (b *Balancer) evaluate(now time.Time, g *group, u *upstream, q Query) Choice {
 	load := b.TotalLoad(now, u.view.ID)
 	slots := max(1, u.view.Slots)
 	score := float64(load.Requests+1) / float64(slots)
+	used := score
 	if e := g.config.Engine; e != nil && e.MemoryTokens > 0 {
 		memory := float64(load.MemoryTokens+q.Load.MemoryTokens) / float64(e.MemoryTokens)
+		used = max(used, memory)
 		score = (score+memory)/2 + float64(load.PrefillTokens)/fullPrefillQueue
 		if q.AvoidPrefill {
 			score += avoidPrefillWeight * float64(load.PrefillTokens) / fullPrefillQueue
@@ -243,6 +245,7 @@
 	score *= relativeTime
 	score += slownessPenalty * (relativeTime - 1) * q.longOutputShare()
 	score += b.distancePenalty(q.Zone, u.view.Zone)
+	score += b.roomPenalty(g, q, u.view.Zone, used)
 	if now.Before(u.view.WarmAt) {
 		score += warmUpPenalty
 	}
--- /dev/null
+++ b/balancer/bound.go
@@ -0,0 +1,60 @@
+package balancer
+
+import (
+	"github.com/currantwood/currantwood"
+)
+
+const (
+	// roomFrom is the part of an upstream in use from which on it is short of room.
+	roomFrom = 0.5
+	// roomPenalty is added to the score of a full upstream in a region to which other
+	// requests are bound, and less from roomFrom on. It outweighs what upstreams elsewhere
+	// can be fuller and farther away.
+	roomPenalty = 1.0
+)
+
+// Bindings holds, for each region to which requests of a group are bound, the number of
+// regions that the most closely bound of them may be in.
+type Bindings map[currantwood.RegionID]int
+
+// GroupBindings holds the bindings of the groups that have any.
+type GroupBindings map[currantwood.GroupID]Bindings
+
+// Note notes that requests of a group are bound to regions.
+func (g GroupBindings) Note(id currantwood.GroupID, regions currantwood.RegionSet) {
+	if regions.IsAny() || regions.IsEmpty() {
+		return
+	}
+	if g[id] == nil {
+		g[id] = make(Bindings)
+	}
+	for _, region := range regions.Named() {
+		if known, ok := g[id][region]; !ok || regions.Count() < known {
+			g[id][region] = regions.Count()
+		}
+	}
+}
+
+// SetBindings replaces the regions to which requests are bound.
+func (b *Balancer) SetBindings(bindings GroupBindings) {
+	for id, g := range b.groups {
+		g.bindings = bindings[id]
+	}
+	for id, regions := range bindings {
+		b.group(id).bindings = regions
+	}
+}
+
+// roomPenalty returns what is added to the score of an upstream in a zone, of which a part
+// is in use, so that a request which may be in more regions than others leaves room to
+// those. It is 0 where no request is bound.
+func (b *Balancer) roomPenalty(g *group, q Query, zone currantwood.ZoneID, used float64) float64 {
+	if len(g.bindings) == 0 || used <= roomFrom {
+		return 0
+	}
+	closest, bound := g.bindings[b.regions[zone]]
+	if !bound || q.Regions.Count() <= closest {
+		return 0
+	}
+	return roomPenalty * min(1, (used-roomFrom)/(1-roomFrom))
+}
--- a/balancer/group.go
+++ b/balancer/group.go
@@ -12,6 +12,8 @@
 type group struct {
 	config currantwood.Group
 	prober *prober.Prober
+	// bindings holds the regions to which requests are bound.
+	bindings Bindings
 	// members are in no order; a choice shuffles some of them.
 	members []currantwood.UpstreamID
 	// averageSampleTokens and averageSampleTime are exponential moving averages
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,12 +194,14 @@
 	return g.Configuration.Age(now) < g.maxAgeForReady()
 }
 
-// syncGroups passes the groups of a newer configuration to the balancer. The
+// syncGroups passes the groups of a newer configuration to the balancer, and the regions
+// to which its routes and customers are bound. The
 // caller holds mu.
 func (g *Gateway) syncGroups(snapshot *configkeeper.Snapshot) {
 	if g.groupsVersion < snapshot.Version {
 		g.groupsVersion = snapshot.Version
 		g.balancer.SetGroups(snapshot.Groups)
+		g.balancer.SetBindings(bindingsOf(snapshot))
 	}
 }
 
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -76,3 +76,25 @@
 	}
 	return currantwood.AnyRegion()
 }
+
+// bindingsOf returns the regions to which the routes and customers of a configuration bind
+// the requests of each group.
+func bindingsOf(snapshot *configkeeper.Snapshot) balancer.GroupBindings {
+	// Customers are many, but few differ in their regions.
+	ofCustomers := map[string]currantwood.RegionSet{"": currantwood.AnyRegion()}
+	for _, holder := range snapshot.Keys {
+		if !holder.Regions.IsAny() {
+			ofCustomers[holder.Regions.String()] = holder.Regions
+		}
+	}
+	bindings := make(balancer.GroupBindings)
+	for _, route := range snapshot.Routes {
+		for _, regions := range ofCustomers {
+			both := route.Regions.Intersect(regions)
+			for _, part := range route.Split {
+				bindings.Note(part.Group, both)
+			}
+		}
+	}
+	return bindings
+}
