Regions: a pick in few regions doesn't visit upstreams elsewhere

Cause: a pick for a request that may be at one in 200 of 10,000 upstreams took 124 us, as it drew upstreams of all regions and asked each whether it may be used; 10 us are allowed. It also counted such upstreams in the demand for shared rates. Change: members of a group are kept by region and drawn from the allowed regions alone, each with the same chance. The check that decides is asked as before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -127,7 +127,7 @@
 // gateway, but its health is kept.
 func (b *Balancer) SetUpstreams(views []upstreamkeeper.View) {
 	for _, g := range b.groups {
-		g.members = g.members[:0]
+		g.clearMembers()
 	}
 	known := make(map[currantwood.UpstreamID]bool, len(views))
 	for _, view := range views {
@@ -139,7 +139,7 @@
 		}
 		u.view = view
 		g := b.group(view.Group)
-		g.members = append(g.members, view.ID)
+		g.addMember(view.ID, b.regions[view.Zone])
 	}
 	for id, u := range b.upstreams {
 		if !known[id] && u.own.Requests <= 0 {
@@ -175,13 +175,11 @@
 	}
 	best, found := Choice{}, false
 	var refused RefusalError
-	b.notices.Want(now, g.members)
-	considered, limit := 0, b.sampleSize(g, q)
-	for i := range g.members {
-		// Shuffles only as far as upstreams are considered.
-		j := i + b.random.Intn(len(g.members)-i)
-		g.members[i], g.members[j] = g.members[j], g.members[i]
-		id := g.members[i]
+	remaining, outside := g.startDraw(now, q.Regions, b.notices)
+	refused.OutsideRegions = outside
+	considered, limit := 0, b.sampleSize(remaining, q)
+	for ; remaining > 0; remaining-- {
+		id := g.draw(b.random, remaining)
 		u := b.upstreams[id]
 		if slices.Contains(q.Exclude, id) || !g.prober.Admits(now, id) || !b.inReach(q, u.view.Zone) || !q.admitsVersion(u.view.Version) {
 			continue
@@ -216,13 +214,14 @@
 // sampleSize returns the number of eligible upstreams that a choice compares at
 // most. The loads of peers arrive with a delay, in which all gateways see the
 // same upstream as the least loaded; the more gateways there are, the fewer
-// upstreams each compares, so that they don't all choose that one. For a query
+// upstreams each compares, so that they don't all choose that one. members is the number
+// of upstreams in the regions of the query. For a query
 // with a limited reach it is maxSample.
-func (b *Balancer) sampleSize(g *group, q Query) int {
+func (b *Balancer) sampleSize(members int, q Query) int {
 	if q.Reach != Anywhere {
 		return maxSample
 	}
-	return min(maxSample, max(minSample, len(g.members)/b.gatewayCount+1))
+	return min(maxSample, max(minSample, members/b.gatewayCount+1))
 }
 
 // evaluate scores an upstream by the requests and memory in use with this
--- a/balancer/bound_test.go
+++ b/balancer/bound_test.go
@@ -131,4 +131,39 @@
 			Expect(refusal.OutsideRegions).To(Equal(1))
 		}
 	})
+
+	// Guards against upstreams that are drawn twice or never, now that they are drawn by
+	// region.
+	It("draws each upstream in the allowed regions once", func() {
+		b := newBoundBalancer()
+		g := b.group("g")
+		for _, regions := range []currantwood.RegionSet{anywhere, north, currantwood.Regions("south"), currantwood.Regions("moon"), anywhere} {
+			inside, outside := g.startDraw(start, regions, b.notices)
+			Expect(inside + outside).To(Equal(8))
+			var drawn, want []currantwood.UpstreamID
+			for remaining := inside; remaining > 0; remaining-- {
+				drawn = append(drawn, g.draw(b.random, remaining))
+			}
+			for id, u := range b.upstreams {
+				if regions.Admits(b.regions[u.view.Zone]) {
+					want = append(want, id)
+				}
+			}
+			Expect(drawn).To(ConsistOf(want))
+		}
+	})
+
+	It("draws the first upstream with the same chance from all regions", func() {
+		b := newBoundBalancer()
+		g := b.group("g")
+		counts := make(map[currantwood.UpstreamID]int)
+		for range 8000 {
+			inside, _ := g.startDraw(start, anywhere, b.notices)
+			counts[g.draw(b.random, inside)]++
+		}
+		Expect(counts).To(HaveLen(8))
+		for id, count := range counts {
+			Expect(count).To(BeNumerically("~", 1000, 150), string(id))
+		}
+	})
 })
--- a/balancer/group.go
+++ b/balancer/group.go
@@ -14,8 +14,9 @@
 	prober *prober.Prober
 	// bindings holds the regions to which requests are bound.
 	bindings Bindings
-	// members are in no order; a choice shuffles some of them.
+	// members are all upstreams of the group, and regions the same by region.
 	members []currantwood.UpstreamID
+	regions []regionMembers
 	// averageSampleTokens and averageSampleTime are exponential moving averages
 	// of PrefillSample.Tokens and, in nanoseconds, PrefillSample.Duration.
 	averageSampleTokens, averageSampleTime float64
--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -53,11 +53,8 @@
 // lowerRetryAfterNotice is lowerRetryAfter for an upstream that accepts no request now by
 // what it has said. Without a time until it does, Verdict.Wait, it doesn't count.
 func (e *RefusalError) lowerRetryAfterNotice(id currantwood.UpstreamID, verdict noticekeeper.Verdict) {
-	switch verdict.Reason {
-	case noticekeeper.Evacuated:
+	if verdict.Reason == noticekeeper.Evacuated {
 		e.Evacuated++
-	case noticekeeper.OutsideRegions:
-		e.OutsideRegions++
 	}
 	if verdict.Wait == 0 || !e.lowerRetryAfter(verdict.Wait) {
 		return
--- a/balancer/speed_test.go
+++ b/balancer/speed_test.go
@@ -123,14 +123,26 @@
 
 // BenchmarkPickLarge chooses among 10,000 upstreams of different speed. It must take no
 // memory.
-func BenchmarkPickLarge(b *testing.B) {
+func BenchmarkPickLarge(b *testing.B) { benchmarkPick(b, 1) }
+
+// BenchmarkPickFewAllowed is the same for a request that may be at one in 200 of them.
+func BenchmarkPickFewAllowed(b *testing.B) { benchmarkPick(b, 200) }
+
+// benchmarkPick chooses among 10,000 upstreams, of which one in every few is in the regions
+// of the request.
+func benchmarkPick(b *testing.B, every int) {
 	const upstreams = 10_000
-	balancer := New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, noticekeeper.New(noticekeeper.Options{Rates: newRates(), Regions: map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}}), rand.New(rand.NewSource(1)))
+	zones := map[currantwood.ZoneID]currantwood.RegionID{"n1": "north", "e1": "east"}
+	balancer := New(zones, noticekeeper.New(noticekeeper.Options{Rates: newRates(), Regions: zones}), rand.New(rand.NewSource(1)))
 	balancer.SetGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: 30_000}}})
 	var views []upstreamkeeper.View
 	sums := make(speedkeeper.Sums)
 	for i := range upstreams {
-		v := view(fmt.Sprintf("e%05d", i), "n1")
+		zone := "n1"
+		if i%every != 0 {
+			zone = "e1"
+		}
+		v := view(fmt.Sprintf("e%05d", i), zone)
 		views = append(views, v)
 		sums[v.ID] = speedkeeper.Sum{Weight: 4, Time: 4 + float64(i%8)}
 	}
