--- a/balancer/group.go
+++ b/balancer/group.go
@@ -12,8 +12,13 @@
 type group struct {
 	config currantwood.Group
 	prober *prober.Prober
-	// members are in no order; a choice shuffles some of them.
+	// bindings holds the regions to which requests are bound.
+	bindings Bindings
+	// boundShare is the share of the latest requests that were bound to regions.
+	boundShare float64
+	// members are all upstreams of the group, and regions the same by region.
 	members []currantwood.UpstreamID
+	regions []regionMembers
 	// averageSampleTokens and averageSampleTime are exponential moving averages
 	// of PrefillSample.Tokens and, in nanoseconds, PrefillSample.Duration.
 	averageSampleTokens, averageSampleTime float64
