Cold upstreams: a keeper of this gateway's share of their rate

Cause: a cold upstream accepts a few requests a second from all gateways together and crashes above that; nothing bounds what they send it. Change: package placement/warmupkeeper knows which upstreams are cold, by their records, responses and other gateways, and keeps a gateway to its share of the warm-up rate. Shares come from a second instance of ratekeeper, whose window, spare, burst, average of the demand and ages are options now. Two rules are new there, and off for the rate limits of responses: a higher share is used only after it was due for 2 s, as another gateway may use that part until it is missed; a process that hasn't heard any of the others has no share.

--- /dev/null
+++ b/placement/warmupkeeper/keeper.go
@@ -0,0 +1,397 @@
+// Package warmupkeeper knows which upstreams are cold, and says whether a cold one may be
+// sent a request now.
+//
+// A cold upstream accepts only Group.WarmUpRate requests per second from all gateways
+// together. That it is cold, and for how long, it says in its directory record and in its
+// responses; gateways tell each other what responses said. Each gateway's share of the rate
+// is kept by package ratekeeper, with options for a bound that holds in every second.
+//
+// When statements differ, the one that keeps the upstream cold wins unless the other is
+// certainly newer: a record by its incarnation and sequence, a response if its request was
+// sent after the upstream was known to be cold. A record doesn't end a cold period that a
+// response has stated, as the store may deliver it late.
+package warmupkeeper
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/ratekeeper"
+)
+
+const (
+	// spareShare is the part of what Bounds allow beyond the rate that gateways use
+	// knowingly. The rest is for what they haven't heard of each other yet.
+	spareShare = 0.5
+	// window is the span of the bound.
+	window = time.Second
+	// burstTime is short, so that one gateway with all the demand doesn't save up much of
+	// what the bound allows in a second.
+	burstTime = 100 * time.Millisecond
+	// demandTime is longer than for rate limits: riseTime lets the lowest of the shares that
+	// were due count, so chance in the demand leaves a part of the rate unused.
+	demandTime = 5 * time.Second
+	// fleetMaxAge is a few times the interval of the messages among gateways.
+	fleetMaxAge = 500 * time.Millisecond
+	// riseTime exceeds the time after which a silent gateway no longer counts, 1.5 s, with
+	// the delay of messages.
+	riseTime = 2 * time.Second
+	// gatewayRetention is how long the highest number of gateways counts. It exceeds the
+	// time for which links between regions are usually cut.
+	gatewayRetention = 10 * time.Minute
+	// pickedMaxAge is how long after its pick a request may use the share that it took
+	// then. A process that was frozen in between takes a new share, so that what it had
+	// picked before doesn't add to what others have sent since.
+	pickedMaxAge = 100 * time.Millisecond
+	// sameEnd is the difference up to which two ends of a cold period are one, heard over
+	// ways of different delay. Without it, gateways would lengthen the period by telling
+	// each other.
+	sameEnd = time.Second
+	// shareTime is how long a new statement is sent to the gateways that are heard from.
+	// Datagrams are lost, and it is sent in each of them meanwhile.
+	shareTime = 2 * time.Second
+	// maxUpstreams bounds the upstreams that are known to be cold.
+	maxUpstreams = 1 << 14
+)
+
+//go:generate go tool stringer -linecomment -type=Source
+
+// Source is where a statement about an upstream comes from.
+type Source uint8
+
+// The sources.
+const (
+	Record   Source = iota + 1 // record
+	Response                   // response
+	// Told is a statement that another gateway has read in a response.
+	Told // gateway
+	// Elapsed means that the time which the last statement named is over.
+	Elapsed // time
+)
+
+// Upstream is an incarnation of an upstream.
+type Upstream struct {
+	ID          currantwood.UpstreamID
+	Group       currantwood.GroupID
+	Incarnation int64
+}
+
+// Change is the begin or the end of a cold period.
+type Change struct {
+	Upstream Upstream
+	Source   Source
+	// Cold is whether the period begins; Left is how long it lasts then.
+	Cold bool
+	Left time.Duration
+}
+
+// Period is what gateways tell each other of a cold upstream.
+type Period struct {
+	Upstream Upstream
+	Until    time.Time
+}
+
+// state is what is known of one incarnation of an upstream.
+type state struct {
+	upstream Upstream
+	// recordUntil and saidUntil are the ends of the cold period by the directory record
+	// and by responses; recordAt and saidAt are when these were known.
+	recordUntil, recordAt time.Time
+	saidUntil, saidAt     time.Time
+	// heard is whether a response to this gateway said so, rather than another gateway.
+	heard bool
+	// changedAt is when saidUntil changed by more than the delay of messages.
+	changedAt time.Time
+	// coldSince is when the period began here; zero while the upstream is warm.
+	coldSince time.Time
+}
+
+// until returns when the upstream is warm.
+func (s *state) until() time.Time {
+	if s.saidUntil.After(s.recordUntil) {
+		return s.saidUntil
+	}
+	return s.recordUntil
+}
+
+func (s *state) isCold(now time.Time) bool { return s.until().After(now) }
+
+// Options configures a Keeper.
+type Options struct {
+	// MinGateways is the number of gateways that is assumed until others are heard.
+	MinGateways int
+	// Overage and Slack are Bounds.WarmUpOverage and Bounds.WarmUpSlack.
+	Overage, Slack float64
+}
+
+// Keeper holds the cold upstreams. It is not safe for concurrent use.
+type Keeper struct {
+	states map[currantwood.UpstreamID]*state
+	// limits holds the warm-up rates of the groups that have one.
+	limits map[currantwood.GroupID]float64
+	rates  *ratekeeper.Keeper
+}
+
+// New returns a keeper that knows no cold upstream, given a source of random numbers for
+// the shares.
+func New(options Options, random *rand.Rand) *Keeper {
+	return &Keeper{
+		states: make(map[currantwood.UpstreamID]*state),
+		limits: make(map[currantwood.GroupID]float64),
+		rates: ratekeeper.New(ratekeeper.Options{
+			MinGateways:      options.MinGateways,
+			Window:           window,
+			SpareTime:        time.Duration(spareShare * max(0, options.Overage-1) * float64(window)),
+			SpareRequests:    spareShare * options.Slack,
+			BurstTime:        burstTime,
+			DemandTime:       demandTime,
+			FleetMaxAge:      fleetMaxAge,
+			GatewayRetention: gatewayRetention,
+			RiseTime:         riseTime,
+			SilentUntilHeard: true,
+			LocalLimits:      true,
+		}, random),
+	}
+}
+
+// SetLimit sets the warm-up rate of a group in requests per second; 0 means no limit.
+func (k *Keeper) SetLimit(group currantwood.GroupID, perSecond float64) {
+	if perSecond > 0 {
+		k.limits[group] = perSecond
+		return
+	}
+	delete(k.limits, group)
+}
+
+// ApplyRecord notes the end of the cold period by the newest directory record of an
+// upstream. A time that isn't after now says that it is warm. The caller has sorted out
+// records that are older than known ones.
+func (k *Keeper) ApplyRecord(now time.Time, u Upstream, until time.Time) Change {
+	s := k.get(u, until.After(now))
+	if s == nil {
+		return Change{}
+	}
+	s.recordUntil, s.recordAt = until, now
+	return k.update(now, s, Record)
+}
+
+// Observe notes what a response says to a request that was sent at sentAt.
+func (k *Keeper) Observe(now, sentAt time.Time, u Upstream, warmUp currantwood.WarmUp) Change {
+	if !warmUp.Known {
+		return Change{}
+	}
+	s := k.get(u, warmUp.Left > 0)
+	if s == nil {
+		return Change{}
+	}
+	// The response may be older than other statements if its request was sent before.
+	newest := !sentAt.Before(s.recordAt) && !sentAt.Before(s.saidAt)
+	switch until := now.Add(warmUp.Left); {
+	case warmUp.Left <= 0 && newest:
+		s.recordUntil, s.saidUntil, s.saidAt = time.Time{}, time.Time{}, now
+	case warmUp.Left > 0 && (newest || until.After(s.saidUntil)):
+		s.say(now, until, true)
+	}
+	return k.update(now, s, Response)
+}
+
+// Learn notes the cold period that another gateway tells of. Its end is later than the
+// upstream said by the time that the message took.
+func (k *Keeper) Learn(now time.Time, p Period) Change {
+	if !p.Until.After(now) {
+		return Change{}
+	}
+	s := k.get(p.Upstream, true)
+	if s == nil || !p.Until.After(s.until().Add(sameEnd)) {
+		return Change{}
+	}
+	s.say(now, p.Until, false)
+	return k.update(now, s, Told)
+}
+
+// say sets the end of the cold period by a response.
+func (s *state) say(now, until time.Time, heard bool) {
+	if until.Sub(s.saidUntil).Abs() > sameEnd {
+		s.changedAt, s.heard = now, heard
+	}
+	s.saidUntil, s.saidAt = until, now
+}
+
+// get returns the state of an incarnation, which it adds if add is set. It returns nil if
+// there is none, or if a later incarnation is known.
+func (k *Keeper) get(u Upstream, add bool) *state {
+	s := k.states[u.ID]
+	switch {
+	case s != nil && s.upstream.Incarnation > u.Incarnation:
+		return nil
+	case s != nil && s.upstream.Incarnation == u.Incarnation:
+		if u.Group != "" {
+			s.upstream.Group = u.Group
+		}
+		return s
+	case !add:
+		if s != nil {
+			// A later incarnation that isn't cold ends the period of the former.
+			*s = state{upstream: u, coldSince: s.coldSince}
+		}
+		return s
+	case s == nil && len(k.states) >= maxUpstreams:
+		return nil
+	}
+	s = &state{upstream: u}
+	k.states[u.ID] = s
+	return s
+}
+
+// update notes whether the upstream is cold now and returns what that changes.
+func (k *Keeper) update(now time.Time, s *state, source Source) Change {
+	cold := s.isCold(now)
+	if cold && k.limits[s.upstream.Group] > 0 {
+		// Shares are due from the begin on, also without requests: a share that others
+		// may use must be lower here at that time already.
+		k.limit(now, s.upstream)
+	}
+	if cold != s.coldSince.IsZero() {
+		return Change{}
+	}
+	change := Change{Upstream: s.upstream, Source: source, Cold: cold}
+	s.coldSince = time.Time{}
+	if cold {
+		s.coldSince, change.Left = now, s.until().Sub(now)
+	}
+	return change
+}
+
+// Tick returns the cold periods that have ended by time, and drops what is known of them.
+func (k *Keeper) Tick(now time.Time) []Change {
+	var ended []Change
+	for id, s := range k.states {
+		if s.isCold(now) {
+			continue
+		}
+		if change := k.update(now, s, Elapsed); change != (Change{}) {
+			ended = append(ended, change)
+		}
+		// A record or a response that is under way may be older than what ended the
+		// period.
+		if now.Sub(s.until()) > shareTime && now.Sub(s.saidAt) > shareTime && now.Sub(s.recordAt) > shareTime {
+			delete(k.states, id)
+		}
+		k.rates.Observe(now, id, s.upstream.Incarnation, currantwood.RateLimit{Known: true})
+	}
+	return ended
+}
+
+// IsLimited reports whether an upstream is cold and its group has a warm-up rate. A request
+// that was picked for an earlier incarnation would reach the cold one.
+func (k *Keeper) IsLimited(now time.Time, u Upstream) bool {
+	s := k.states[u.ID]
+	return s != nil && k.limits[u.Group] > 0 && u.Incarnation <= s.upstream.Incarnation && s.isCold(now)
+}
+
+// Admits reports whether a request may be sent to an upstream now.
+func (k *Keeper) Admits(now time.Time, u Upstream) bool {
+	if !k.IsLimited(now, u) {
+		return true
+	}
+	incarnation := k.limit(now, u)
+	return k.rates.Admits(now, u.ID, incarnation)
+}
+
+// limit makes the rate of a cold upstream known to the keeper of the shares. It returns the
+// incarnation that is cold.
+func (k *Keeper) limit(now time.Time, u Upstream) int64 {
+	incarnation := k.states[u.ID].upstream.Incarnation
+	k.rates.Observe(now, u.ID, incarnation, currantwood.RateLimit{Known: true, Limited: true, PerSecond: k.limits[u.Group]})
+	return incarnation
+}
+
+// AdmitsPicked is Admits at the moment of sending, for an upstream that was picked at
+// pickedAt. A request that was picked too long ago, or before the upstream was known to be
+// cold, takes a share now.
+func (k *Keeper) AdmitsPicked(now, pickedAt time.Time, u Upstream) bool {
+	if !k.IsLimited(now, u) {
+		return true
+	}
+	if now.Sub(pickedAt) <= pickedMaxAge && !pickedAt.Before(k.states[u.ID].coldSince) {
+		return true
+	}
+	if !k.Admits(now, u) {
+		return false
+	}
+	k.rates.Sent(now, u.ID)
+	return true
+}
+
+// Want notes that a request would be sent to one of the upstreams.
+func (k *Keeper) Want(now time.Time, ids []currantwood.UpstreamID) { k.rates.Want(now, ids) }
+
+// Sent notes that a request takes a share of a cold upstream. It reports whether the
+// upstream is limited.
+func (k *Keeper) Sent(now time.Time, u Upstream) bool {
+	if !k.IsLimited(now, u) {
+		return false
+	}
+	k.limit(now, u)
+	k.rates.Sent(now, u.ID)
+	return true
+}
+
+// Wait returns the time until a cold upstream admits a request that was refused now.
+func (k *Keeper) Wait(now time.Time, u Upstream) time.Duration {
+	return max(0, min(k.rates.Wait(now, u.ID), k.left(now, u.ID)))
+}
+
+func (k *Keeper) left(now time.Time, id currantwood.UpstreamID) time.Duration {
+	if s := k.states[id]; s != nil {
+		return s.until().Sub(now)
+	}
+	return 0
+}
+
+// Promise notes that a refused request was told to come back after Wait.
+func (k *Keeper) Promise(now time.Time, id currantwood.UpstreamID) { k.rates.Promise(now, id) }
+
+// Share returns the rate at which this gateway may send to a cold upstream.
+func (k *Keeper) Share(now time.Time, id currantwood.UpstreamID) float64 {
+	return k.rates.Share(now, id)
+}
+
+// Own returns the demand of this gateway at the cold upstreams and what it has sent them,
+// to be reported to the others.
+func (k *Keeper) Own(now time.Time) ratekeeper.Rates { return k.rates.Own(now) }
+
+// SetFleet sets the demand of all other gateways and what they have sent. gateways counts
+// those that are heard from, this one included.
+func (k *Keeper) SetFleet(now time.Time, rates ratekeeper.Rates, gateways int) {
+	k.rates.SetFleet(now, rates, gateways)
+}
+
+// Heard returns the cold periods that responses to this gateway stated a moment ago, to be
+// told to the collector.
+func (k *Keeper) Heard(now time.Time) []Period {
+	return k.collect(now, func(s *state) bool { return s.heard && now.Sub(s.changedAt) <= shareTime })
+}
+
+// Known returns the cold periods that responses stated a moment ago, to be told by the
+// collector to all gateways; all periods if all is true, for a gateway that has just
+// started.
+func (k *Keeper) Known(now time.Time, all bool) []Period {
+	return k.collect(now, func(s *state) bool { return all || now.Sub(s.changedAt) <= shareTime })
+}
+
+// collect returns the periods that responses stated and that wanted chooses.
+func (k *Keeper) collect(now time.Time, wanted func(s *state) bool) []Period {
+	var periods []Period
+	for _, s := range k.states {
+		if s.saidUntil.After(now) && wanted(s) {
+			periods = append(periods, Period{Upstream: s.upstream, Until: s.saidUntil})
+		}
+	}
+	return periods
+}
+
+// Forget drops the shares of upstreams that are gone. Their cold periods end by time, since
+// one may be known before the record of its upstream.
+func (k *Keeper) Forget(known func(id currantwood.UpstreamID) bool) { k.rates.Forget(known) }
--- a/ratekeeper/keeper.go
+++ b/ratekeeper/keeper.go
@@ -9,11 +9,15 @@
 // that aren't heard from is left to them for gatewayRetention. A gateway that isn't told
 // the sums uses an even part.
 //
-// A share is paced: it accrues over time, up to one request or burstTime, so that
+// A share is paced: it accrues over time, up to one request or Options.BurstTime, so that
 // requests which gateways have saved up exceed the limit by little.
+//
+// Options.LocalLimits serves limits that each gateway knows by itself, as those of cold
+// upstreams; then gateways tell each other only their demand and what they have sent.
 package ratekeeper
 
 import (
+	"cmp"
 	"math/rand"
 	"time"
 
@@ -21,12 +25,11 @@
 )
 
 const (
-	// demandTime is the time constant of the average that is the demand.
+	// demandTime is the default of Options.DemandTime.
 	demandTime = 2 * time.Second
-	// fleetMaxAge is how long the sums of all gateways are used.
+	// fleetMaxAge is the default of Options.FleetMaxAge.
 	fleetMaxAge = 2 * time.Second
-	// gatewayRetention is the shortest time for which the part of a gateway that is no
-	// longer heard from is left unused; it is at most twice that.
+	// gatewayRetention is the default of Options.GatewayRetention.
 	gatewayRetention = 30 * time.Second
 	// evenPart is the part of a limit that is divided evenly, so that a gateway without
 	// demand has a share for its next request.
@@ -34,18 +37,16 @@
 	// minRate is the lowest rate that is shared, in requests per second. An upstream
 	// that accepts none tells that it does again only in a response.
 	minRate = 0.2
-	// burstTime is the time over which a share may accrue beyond one request.
+	// burstTime is the default of Options.BurstTime.
 	burstTime = 500 * time.Millisecond
 	// lapseTime is how long an accrued request stays if there are so many gateways that
 	// one of each would exceed the limit by too much.
 	lapseTime = time.Second
-	// spareRequests and spareTime limit that excess: to so many requests and what the
-	// limit allows in the time.
+	// spareRequests, spareTime and recentTime are the defaults of Options.SpareRequests,
+	// Options.SpareTime and Options.Window.
 	spareRequests = 2
 	spareTime     = time.Second
-	// recentTime is the time within which all gateways together send no more than the
-	// limit and that excess, as far as they have heard of each other.
-	recentTime = 4 * time.Second
+	recentTime    = 4 * time.Second
 	// endRetention is how long it is reported that a limit has ended.
 	endRetention = 10 * time.Second
 	// promisedPart is the part of a share that refused requests are told to come back
@@ -66,15 +67,56 @@
 	// Demand is the rate of the requests that would be sent to the upstream without a
 	// limit, per second.
 	Demand float64
-	// Recent is the number of requests sent to the upstream within recentTime.
+	// Recent is the number of requests sent to the upstream within Options.Window.
 	Recent int
 }
 
-// Options configures a Keeper.
+// Options configures a Keeper. A field that is 0 has the default for the rate limits that
+// upstreams name.
 type Options struct {
 	// MinGateways is the number of gateways that is assumed until a process has heard
-	// the others for gatewayRetention; at least 1.
+	// the others for GatewayRetention; at least 1.
 	MinGateways int
+	// Window is the time within which all gateways together send no more than the limit
+	// and a spare, as far as they have heard of each other: what the limit allows in
+	// SpareTime, and SpareRequests.
+	Window        time.Duration
+	SpareTime     time.Duration
+	SpareRequests float64
+	// BurstTime is the time over which a share may accrue beyond one request.
+	BurstTime time.Duration
+	// DemandTime is the time constant of the average that is the demand.
+	DemandTime time.Duration
+	// FleetMaxAge is how long the sums of all gateways are used.
+	FleetMaxAge time.Duration
+	// GatewayRetention is the shortest time for which the part of a gateway that is no
+	// longer heard from is left unused; it is at most twice that.
+	GatewayRetention time.Duration
+	// RiseTime is how long a gateway must have been due a higher share before it uses it;
+	// a lower one applies at once. It exceeds the time in which gateways notice that one
+	// is missing, so that none uses a part that another still uses. With 0, a share
+	// changes at once.
+	RiseTime time.Duration
+	// SilentUntilHeard is whether a process that was never told the sums of several
+	// gateways has no share: it can't know how many gateways use the limit. If
+	// MinGateways is at most 1, there are no others. After GatewayRetention it has the
+	// share of one of MinGateways, since the others may be gone for good.
+	SilentUntilHeard bool
+	// LocalLimits is whether the limits that other gateways tell are ignored.
+	LocalLimits bool
+}
+
+// withDefaults returns the options with the defaults in place of zeros.
+func (o Options) withDefaults() Options {
+	o.MinGateways = max(1, o.MinGateways)
+	o.Window = cmp.Or(o.Window, recentTime)
+	o.SpareTime = cmp.Or(o.SpareTime, spareTime)
+	o.SpareRequests = cmp.Or(o.SpareRequests, spareRequests)
+	o.BurstTime = cmp.Or(o.BurstTime, burstTime)
+	o.DemandTime = cmp.Or(o.DemandTime, demandTime)
+	o.FleetMaxAge = cmp.Or(o.FleetMaxAge, fleetMaxAge)
+	o.GatewayRetention = cmp.Or(o.GatewayRetention, gatewayRetention)
+	return o
 }
 
 // Keeper holds the limits. It is not safe for concurrent use.
@@ -90,12 +132,18 @@
 	// and in the time before it.
 	mostGateways, mostBefore int
 	countedFrom              time.Time
+	// silent is whether this process has no share; see Options.SilentUntilHeard.
+	silent bool
 }
 
 // New returns a keeper without limits, which draws from random so that the shares of
 // gateways don't accrue in step.
 func New(options Options, random *rand.Rand) *Keeper {
-	return &Keeper{options: options, random: random, upstreams: make(map[currantwood.UpstreamID]*upstream), mostBefore: max(1, options.MinGateways)}
+	options = options.withDefaults()
+	return &Keeper{
+		options: options, random: random, upstreams: make(map[currantwood.UpstreamID]*upstream),
+		mostBefore: options.MinGateways, silent: options.SilentUntilHeard && options.MinGateways > 1,
+	}
 }
 
 // Observe notes what a response said and reports whether that changes the limit that
@@ -118,12 +166,12 @@
 // before: what was sent meanwhile doesn't count against it.
 func (k *Keeper) restartIfLimited(now time.Time, u *upstream, wasLimited bool) {
 	if !wasLimited && u.isLimited() {
-		u.accrued, u.accruedAt, u.recent = k.random.Float64(), now, nil
+		u.accrued, u.accruedAt, u.recent, u.shares = k.random.Float64(), now, nil, nil
 	}
 }
 
 func (k *Keeper) add(now time.Time, id currantwood.UpstreamID) *upstream {
-	u := &upstream{accruedAt: now, demandAt: now}
+	u := &upstream{options: &k.options, accruedAt: now, demandAt: now}
 	k.upstreams[id] = u
 	return u
 }
@@ -135,7 +183,7 @@
 	k.countGateways(now, gateways)
 	k.gateways, k.fleetAt = max(1, gateways), now
 	for id, r := range rates {
-		if k.upstreams[id] == nil && r.Limit.Limited {
+		if k.upstreams[id] == nil && r.Limit.Limited && !k.options.LocalLimits {
 			k.add(now, id)
 		}
 	}
@@ -143,7 +191,10 @@
 	for id, u := range k.upstreams {
 		k.accrue(now, u)
 		before, wasLimited := u.current().Limit, u.isLimited()
-		u.told = rates[id]
+		u.told, u.summed = rates[id]
+		if k.options.LocalLimits {
+			u.told.Limit = currantwood.RateLimit{}
+		}
 		k.restartIfLimited(now, u, wasLimited)
 		if after := u.current(); after.Limit != before {
 			changed[id] = after
@@ -160,10 +211,12 @@
 	if k.countedFrom.IsZero() {
 		k.countedFrom = now
 	}
-	if now.Sub(k.countedFrom) > gatewayRetention {
+	if now.Sub(k.countedFrom) > k.options.GatewayRetention {
+		k.silent = false
 		k.mostBefore, k.mostGateways, k.countedFrom = k.mostGateways, 0, now
 	}
 	k.mostGateways = max(k.mostGateways, count)
+	k.silent = k.silent && count <= 1
 }
 
 // assumedGateways is the number of gateways that may send requests.
@@ -200,11 +253,11 @@
 }
 
 // fitsRecent reports whether one more request fits what all gateways together may send
-// within recentTime. Without it, the shares of many gateways may by chance accrue at
+// within Options.Window. Without it, the shares of many gateways may by chance accrue at
 // the same time.
 func (k *Keeper) fitsRecent(now time.Time, u *upstream) bool {
 	limit := u.sharedRate()
-	allowed := limit*(recentTime+spareTime).Seconds() + spareRequests
+	allowed := limit*(k.options.Window+k.options.SpareTime).Seconds() + k.options.SpareRequests
 	return float64(u.recentAfter(now)+u.told.Recent+1) <= allowed
 }
 
@@ -225,7 +278,10 @@
 		return 0
 	}
 	k.accrue(now, u)
-	missing := seconds(max(0, 1-u.accrued) / k.share(now, u))
+	var missing time.Duration
+	if u.accrued < 1 {
+		missing = seconds((1 - u.accrued) / k.share(now, u))
+	}
 	if !k.fitsRecent(now, u) {
 		missing = max(missing, seconds(1/u.sharedRate()))
 	}
@@ -234,9 +290,13 @@
 
 // Promise notes that a refused request was told to come back after Wait.
 func (k *Keeper) Promise(now time.Time, id currantwood.UpstreamID) {
-	if u := k.upstreams[id]; u != nil {
-		interval := seconds(1 / (promisedPart * k.share(now, u)))
-		u.promisedUntil = now.Add(k.Wait(now, id) + interval)
+	u := k.upstreams[id]
+	if u == nil {
+		return
+	}
+	// Without a share nothing is promised: the share may begin any time.
+	if share := k.share(now, u); share > 0 {
+		u.promisedUntil = now.Add(k.Wait(now, id) + seconds(1/(promisedPart*share)))
 	}
 }
 
@@ -252,24 +312,52 @@
 
 // share returns the rate at which this gateway may send to an upstream.
 func (k *Keeper) share(now time.Time, u *upstream) float64 {
-	limit := u.sharedRate()
-	all := float64(k.assumedGateways())
-	if k.fleetAt.IsZero() || now.Sub(k.fleetAt) > fleetMaxAge {
-		return limit / all
+	if k.silent {
+		return 0
+	}
+	due := k.dueShare(now, u)
+	if k.options.RiseTime == 0 {
+		return due
+	}
+	first := k.evenShare(u)
+	if !k.hearsFleet(now) {
+		// The others may know the upstream for longer and use what this gateway left.
+		first *= evenPart
+	}
+	return u.lowestShare(now, due, first)
+}
+
+// hearsFleet reports whether the sums of all gateways are recent.
+func (k *Keeper) hearsFleet(now time.Time) bool {
+	return !k.fleetAt.IsZero() && now.Sub(k.fleetAt) <= k.options.FleetMaxAge
+}
+
+// evenShare is the share that every gateway may use whatever the others know.
+func (k *Keeper) evenShare(u *upstream) float64 {
+	return u.sharedRate() / float64(k.assumedGateways())
+}
+
+// dueShare returns the part of the limit that the demand of this gateway has in that of
+// all, by what it knows now.
+func (k *Keeper) dueShare(now time.Time, u *upstream) float64 {
+	if !k.hearsFleet(now) {
+		return k.evenShare(u)
 	}
 	heard := float64(k.gateways)
 	part := 1 / heard
 	own := u.demandAfter(now)
-	if total := own + u.told.Demand; total > 0 {
+	// With local limits, sums without the upstream say nothing of the others' demand: they
+	// may be from before this gateway's own report, or have no room for all upstreams.
+	if total := own + u.told.Demand; total > 0 && (u.summed || !k.options.LocalLimits) {
 		part = evenPart/heard + (1-evenPart)*own/total
 	}
-	return limit * min(1, heard/all) * part
+	return u.sharedRate() * min(1, heard/float64(k.assumedGateways())) * part
 }
 
 // accrue adds what the share has allowed since the last call.
 func (k *Keeper) accrue(now time.Time, u *upstream) {
 	rate := k.share(now, u)
-	lapses := float64(k.assumedGateways()) > u.sharedRate()*spareTime.Seconds()+spareRequests
+	lapses := float64(k.assumedGateways()) > u.sharedRate()*k.options.SpareTime.Seconds()+k.options.SpareRequests
 	u.accrue(now, rate, lapses)
 }
 
--- a/ratekeeper/upstream.go
+++ b/ratekeeper/upstream.go
@@ -9,15 +9,18 @@
 
 // upstream is what is known of the rate of one upstream.
 type upstream struct {
+	options *Options
 	// heard is what the last response to this gateway said. Its Demand is unused.
 	heard Rate
 	// told is what the sums of all gateways say; its Demand and Recent are those of all
 	// others.
 	told Rate
+	// summed is whether the sums have an entry for the upstream.
+	summed bool
 	// demand is the average rate of requests wanted, as of demandAt.
 	demand   float64
 	demandAt time.Time
-	// recent holds the times of the requests sent within recentTime, in order, and may
+	// recent holds the times of the requests sent within Options.Window, in order, and may
 	// hold earlier ones.
 	recent []time.Time
 	// accrued is the number of requests that this gateway may send at accruedAt.
@@ -27,6 +30,16 @@
 	readyAt time.Time
 	// promisedUntil is the latest time that a refused request was told.
 	promisedUntil time.Time
+	// shares holds the shares that were due within Options.RiseTime, in order and each lower
+	// than those after it; sharesAt is when the last one was added.
+	shares   []dueShare
+	sharesAt time.Time
+}
+
+// dueShare is a share that was due at a time.
+type dueShare struct {
+	at   time.Time
+	rate float64
 }
 
 // current returns the newest of what was heard and told. A later incarnation goes
@@ -55,21 +68,39 @@
 	return !u.isLimited() && now.Sub(r.At) > endRetention
 }
 
+// lowestShare adds the share that is due now and returns the lowest within
+// Options.RiseTime. If none was added for Options.FleetMaxAge, first bounds it: this process
+// hasn't known meanwhile what the others do.
+func (u *upstream) lowestShare(now time.Time, due, first float64) float64 {
+	if len(u.shares) == 0 || now.Sub(u.sharesAt) > u.options.FleetMaxAge {
+		due = min(due, first)
+	}
+	u.sharesAt = now
+	for len(u.shares) > 0 && u.shares[len(u.shares)-1].rate >= due {
+		u.shares = u.shares[:len(u.shares)-1]
+	}
+	u.shares = append(u.shares, dueShare{now, due})
+	for now.Sub(u.shares[0].at) > u.options.RiseTime {
+		u.shares = u.shares[1:]
+	}
+	return u.shares[0].rate
+}
+
 // want adds a request to the demand.
 func (u *upstream) want(now time.Time) {
-	u.demand = u.demandAfter(now) + 1/demandTime.Seconds()
+	u.demand = u.demandAfter(now) + 1/u.options.DemandTime.Seconds()
 	u.demandAt = now
 }
 
 // demandAfter returns the demand as it is now.
 func (u *upstream) demandAfter(now time.Time) float64 {
-	return u.demand * math.Exp(-now.Sub(u.demandAt).Seconds()/demandTime.Seconds())
+	return u.demand * math.Exp(-now.Sub(u.demandAt).Seconds()/u.options.DemandTime.Seconds())
 }
 
-// recentAfter returns the number of requests sent within recentTime.
+// recentAfter returns the number of requests sent within Options.Window.
 func (u *upstream) recentAfter(now time.Time) int {
 	expired := 0
-	for expired < len(u.recent) && now.Sub(u.recent[expired]) >= recentTime {
+	for expired < len(u.recent) && now.Sub(u.recent[expired]) >= u.options.Window {
 		expired++
 	}
 	u.recent = u.recent[expired:]
@@ -77,7 +108,7 @@
 }
 
 // accrue adds what a rate has allowed since accruedAt, up to one request or what it
-// allows in burstTime. If lapses is true, a single accrued request is lost after
+// allows in Options.BurstTime. If lapses is true, a single accrued request is lost after
 // lapseTime.
 func (u *upstream) accrue(now time.Time, rate float64, lapses bool) {
 	elapsed := now.Sub(u.accruedAt).Seconds()
@@ -87,7 +118,7 @@
 	if u.accrued < 1 {
 		u.readyAt = u.accruedAt.Add(seconds((1 - u.accrued) / rate))
 	}
-	limit := max(1, rate*burstTime.Seconds())
+	limit := max(1, rate*u.options.BurstTime.Seconds())
 	u.accrued, u.accruedAt = min(limit, u.accrued+rate*elapsed), now
 	if !lapses || limit > 1 || u.accrued < 1 {
 		return
