Cold upstreams: asked before each send, known to every gateway

Cause: nothing used the warm-up rates. A newer directory record couldn't make a running upstream cold, responses that say so were ignored, and a request that was picked before a freeze or a slow connect left without another check. Change: noticekeeper asks warmupkeeper and has the reason "cold". The check is repeated once a connection exists, right before the request is written (connkeeper.Call.MaySend), for all that is checked there: regions, evacuations, leaving, pauses and cold upstreams. Records, responses and other gateways make an upstream cold; states and digests carry the demand at cold upstreams, what was sent there, and cold periods beside other notices. A run whose targets are all cold and have no share left tries again instead of giving up its move. A cold upstream has four times the usual time to make progress before it is ejected, and time-outs there don't count as failures. Groups without a warm-up rate go on as before, but for the repeated check. One log line at the begin and the end of a cold period; counters requests-sent-cold, requests-refused-cold and requests-withheld.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -94,6 +94,8 @@
 	// notices holds what upstreams say of themselves, which decides whether a request may
 	// be sent to them now.
 	notices *noticekeeper.Keeper
+	// slow lists the upstreams that the probers were last told to be slow.
+	slow []currantwood.UpstreamID
 	// speeds estimates how long work takes at each upstream.
 	speeds *speedkeeper.Keeper
 }
@@ -252,7 +254,7 @@
 	// Random noise keeps gateways from all choosing the same one of upstreams with
 	// nearly equal scores.
 	score += b.random.Float64() * 0.01
-	return Choice{View: u.view, Score: score, Load: load}
+	return Choice{View: u.view, Score: score, Load: load, PickedAt: now}
 }
 
 // Started records a request that is sent to an upstream. stallTimeout is how
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -39,6 +39,9 @@
 // EjectStalled ejects the upstreams that hold requests without making progress, and
 // returns those that it has just ejected.
 func (b *Balancer) EjectStalled(now time.Time) []currantwood.UpstreamID {
+	b.setSlow(b.slow, false)
+	b.slow = b.notices.Slow(now)
+	b.setSlow(b.slow, true)
 	var stalled []currantwood.UpstreamID
 	for _, g := range b.groups {
 		stalled = append(stalled, g.prober.EjectStalled(now)...)
@@ -46,6 +49,15 @@
 	return stalled
 }
 
+// setSlow tells the probers whether upstreams may be slow without being faulty.
+func (b *Balancer) setSlow(ids []currantwood.UpstreamID, slow bool) {
+	for _, id := range ids {
+		if u := b.upstreams[id]; u != nil {
+			b.group(u.view.Group).prober.SetSlow(id, slow)
+		}
+	}
+}
+
 // EjectedCount returns the number of upstreams of a group that are ejected.
 func (b *Balancer) EjectedCount(now time.Time, id currantwood.GroupID) int {
 	g := b.groups[id]
--- a/balancer/query.go
+++ b/balancer/query.go
@@ -74,6 +74,8 @@
 	Score float64
 	// Load is what was in flight there before the request.
 	Load Load
+	// PickedAt is when the upstream was chosen.
+	PickedAt time.Time
 }
 
 // inReach reports whether an availability zone is within the reach of a query.
--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -18,6 +18,8 @@
 	RateLimited currantwood.UpstreamID
 	// Paused is whether RetryAfter is the end of an upstream's pause.
 	Paused bool
+	// Cold is the cold upstream whose rate RetryAfter is from; empty if none is.
+	Cold currantwood.UpstreamID
 }
 
 // Error implements error.
@@ -25,6 +27,8 @@
 	switch {
 	case e.RateLimited != "":
 		return "no upstream accepts more requests a second"
+	case e.Cold != "":
+		return "cold upstreams accept no more requests a second"
 	case e.Paused:
 		return "all upstreams pause"
 	case e.RetryAfter > 0:
@@ -39,7 +43,7 @@
 	if e.RetryAfter > 0 && excess >= e.RetryAfter {
 		return false
 	}
-	e.RetryAfter, e.RateLimited, e.Paused = excess, "", false
+	e.RetryAfter, e.RateLimited, e.Paused, e.Cold = excess, "", false, ""
 	return true
 }
 
@@ -49,9 +53,12 @@
 	if verdict.Wait == 0 || !e.lowerRetryAfter(verdict.Wait) {
 		return
 	}
-	if verdict.Reason == noticekeeper.Paused {
+	switch verdict.Reason {
+	case noticekeeper.Paused:
 		e.Paused = true
-		return
+	case noticekeeper.Cold:
+		e.Cold = id
+	default:
+		e.RateLimited = id
 	}
-	e.RateLimited = id
 }
--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -61,6 +61,9 @@
 	// is accepted if it says that the request was not run and is the first on its
 	// connection.
 	ID currantwood.RequestID
+	// MaySend is asked once there is a connection, right before the request is written. An
+	// error withholds the request; Start returns it with ErrUnsent. Nil sends it.
+	MaySend func() error
 }
 
 // Exchange is a request whose response head was read. The caller reads Body
@@ -105,6 +108,10 @@
 	}
 	x := &Exchange{pool: p, conn: c, address: call.Address, bodyWritten: make(chan error, 1)}
 	x.stopCancelHook = context.AfterFunc(ctx, x.closeConn)
+	if err := x.mayBeSent(call); err != nil {
+		x.Abort()
+		return nil, err
+	}
 	if err := x.write(call); err != nil {
 		x.Abort()
 		return nil, errors.Wrapf(err, "send to %s", call.Upstream)
@@ -116,6 +123,17 @@
 	return x, nil
 }
 
+// mayBeSent returns an ErrUnsent if the request is withheld.
+func (x *Exchange) mayBeSent(call *Call) error {
+	if call.MaySend == nil {
+		return nil
+	}
+	if err := call.MaySend(); err != nil {
+		return fmt.Errorf("send to %s: %w: %w", call.Upstream, err, ErrUnsent)
+	}
+	return nil
+}
+
 // write sends the request. A body longer than maxInlineBodyBytes is written in
 // the background while the response is read, as the upstream may answer early.
 func (x *Exchange) write(call *Call) error {
--- a/connkeeper/exchange_test.go
+++ b/connkeeper/exchange_test.go
@@ -105,6 +105,22 @@
 		return x.Status, x.Answer.DeclaredNotRun, nil
 	}
 
+	// Guards against a request that is sent although its process was frozen, or waited for a
+	// connection, so long that it may not be sent any more.
+	It("sends nothing if the request is withheld", func() {
+		u := newScriptedUpstream(success)
+		cold := fmt.Errorf("upstream is cold")
+		call := &Call{Upstream: "u", Address: u.address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "r1", MaySend: func() error { return cold }}
+		_, err := p.Start(context.Background(), call, testCoder{})
+		Expect(err).To(MatchError(ErrUnsent))
+		Expect(err).To(MatchError(cold))
+		Consistently(u.arrivals, "50ms").ShouldNot(Receive())
+		By("and doesn't hinder the next one")
+		status, _, err := send(u, "r2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
 	// Guards against a refusal that belongs to no request and is taken for the response to
 	// one that the upstream runs, so that the request runs again elsewhere.
 	It("isn't refused by a stray refusal without a request ID on a connection that was used before", func() {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		x.Abort()
 		q.g.responses.release(body)
-		q.recordEnd(choice.View, load, balancer.Failed)
+		q.recordEnd(choice.View, load, q.failureOutcome(choice.View, ctx.Err() == nil))
 		q.recordBrokenBody(err, failure{view: choice.View, sentAt: sentAt, broken: ctx.Err() == nil})
 		return nil, errors.Wrap(err, "read response body")
 	}
@@ -146,13 +146,15 @@
 // returned as an error.
 func (q *request) startExchange(ctx context.Context, choice balancer.Choice, load balancer.Load, parameters currantwood.UpstreamRequest) (*connkeeper.Exchange, error) {
 	sentAt := q.g.Now()
-	x, err := q.g.Connections.Start(ctx, q.upstreamCall(sentAt, choice.View, parameters), q.g.Coder)
+	call := q.upstreamCall(sentAt, choice.View, parameters)
+	call.MaySend = func() error { return q.checkSending(ctx, choice, parameters.ResumeFrom != nil) }
+	x, err := q.g.Connections.Start(ctx, call, q.g.Coder)
 	if err != nil {
 		q.recordFailedStart(failure{view: choice.View, sentAt: sentAt, broken: ctx.Err() == nil}, load, err)
 		return nil, err
 	}
 	q.reachedUpstream = true
-	q.noteResponse(choice.View, x)
+	q.noteResponse(choice.View, sentAt, x)
 	if x.Answer.DeclaredNotRun {
 		x.Finish()
 		outcome := balancer.Neutral
@@ -168,6 +170,11 @@
 // recordFailedStart reports a failed start to the balancer and, if the upstream
 // may have received the request, counts a possible run and records a crash.
 func (q *request) recordFailedStart(f failure, load balancer.Load, err error) {
+	var kept *withheldError
+	if errors.As(err, &kept) {
+		q.recordEnd(f.view, load, balancer.Neutral)
+		return
+	}
 	q.g.noteRefusedConnection(q.g.Now(), f.view, err)
 	if !unsent(err) {
 		q.reachedUpstream = true
@@ -180,7 +187,7 @@
 		q.recordEnd(f.view, load, balancer.Neutral)
 		return
 	}
-	q.recordEnd(f.view, load, balancer.Failed)
+	q.recordEnd(f.view, load, q.failureOutcome(f.view, f.broken))
 }
 
 // writeResponse sends a complete upstream response to the client.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/placement/evacuationkeeper"
+	"github.com/currantwood/currantwood/placement/warmupkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 	"github.com/currantwood/currantwood/streamkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
@@ -66,6 +67,9 @@
 	notices *noticekeeper.Keeper
 	// evacuations holds the orders to evacuate availability zones; guarded by mu.
 	evacuations *evacuationkeeper.Keeper
+	// warmUps knows the cold upstreams and this gateway's share of their rates; guarded by
+	// mu.
+	warmUps *warmupkeeper.Keeper
 	// streamStarts holds where streams began; guarded by mu.
 	streamStarts *streamkeeper.Keeper
 	// askStart asks other gateways where a stream began; see SetAskStart.
@@ -105,6 +109,7 @@
 	leavingNotices, pauses, refusedPaused      metrics.Counter
 	rateLimited, startsLearned, startsUnknown  metrics.Counter
 	refusedRegions                             metrics.Counter
+	sentCold, refusedCold, withheld            metrics.Counter
 	responseTime, firstEventTime               metrics.Histogram
 }
 
@@ -114,7 +119,9 @@
 	seeds, _ := options.Settings.OtherSeeds()
 	rates := ratekeeper.New(ratekeeper.Options{MinGateways: 1 + len(seeds)}, options.Random)
 	evacuations := evacuationkeeper.New()
-	notices := noticekeeper.New(noticekeeper.Options{Rates: rates, Evacuations: evacuations, Regions: options.Settings.Regions})
+	bounds := options.Settings.Bounds
+	warmUps := warmupkeeper.New(warmupkeeper.Options{MinGateways: 1 + len(seeds), Overage: bounds.WarmUpOverage, Slack: bounds.WarmUpSlack}, options.Random)
+	notices := noticekeeper.New(noticekeeper.Options{Rates: rates, Evacuations: evacuations, WarmUps: warmUps, Regions: options.Settings.Regions})
 	g := &Gateway{
 		saveCrashes:  func(context.Context) {},
 		streamStarts: streamkeeper.New(),
@@ -130,15 +137,11 @@
 		rates:         rates,
 		notices:       notices,
 		evacuations:   evacuations,
+		warmUps:       warmUps,
 		requests:      newBodyBuffer(options.Settings.MemoryBytes, defaultMaxBodyBytes),
 		responses:     newBodyBuffer(options.Settings.MemoryBytes, maxResponseBytes),
 		eventInterval: initialEventInterval,
-		budget: budgeter.New(budgeter.Options{
-			Window:     options.Settings.Bounds.RetryWindow,
-			RetryShare: options.Settings.Bounds.RetryShare,
-			Reserve:    options.Settings.Bounds.RetryReserve,
-			FirstStart: options.Settings.FirstStart,
-		}, options.Now()),
+		budget:        newBudget(options),
 	}
 	r := options.Metrics
 	g.instruments = instruments{
@@ -162,12 +165,25 @@
 		refusedPaused:      metrics.NewRegisteredCounter("requests-refused-paused", r),
 		rateLimited:        metrics.NewRegisteredCounter("requests-rate-limited", r),
 		refusedRegions:     metrics.NewRegisteredCounter("requests-refused-regions", r),
+		sentCold:           metrics.NewRegisteredCounter("requests-sent-cold", r),
+		refusedCold:        metrics.NewRegisteredCounter("requests-refused-cold", r),
+		withheld:           metrics.NewRegisteredCounter("requests-withheld", r),
 		responseTime:       metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
 		firstEventTime:     metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
 	}
 	return g
 }
 
+func newBudget(options Options) *budgeter.Budgeter {
+	bounds := options.Settings.Bounds
+	return budgeter.New(budgeter.Options{
+		Window:     bounds.RetryWindow,
+		RetryShare: bounds.RetryShare,
+		Reserve:    bounds.RetryReserve,
+		FirstStart: options.Settings.FirstStart,
+	}, options.Now())
+}
+
 func newSample() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, 0.015) }
 
 // sampleSize is the number of values that a histogram's reservoir holds.
@@ -199,6 +215,9 @@
 	if g.groupsVersion < snapshot.Version {
 		g.groupsVersion = snapshot.Version
 		g.balancer.SetGroups(snapshot.Groups)
+		for id, group := range snapshot.Groups {
+			g.warmUps.SetLimit(id, group.WarmUpRate)
+		}
 	}
 }
 
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -85,11 +85,10 @@
 	from.handedOver.Store(true)
 	spare := &spareCopy{ready: make(chan struct{}), done: make(chan struct{})}
 	exclude := []currantwood.UpstreamID{from.view.ID, target}
-	var ok bool
 	if !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
 		spare.err = errBudgetExhausted
-	} else if spare.choice, ok = s.pickMoveTarget(from, exclude); !ok {
-		spare.err = errNoSpare
+	} else {
+		spare.choice, spare.err = s.pickMoveTarget(from, exclude)
 	}
 	if spare.err != nil {
 		from.exchange.Abort()
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -133,12 +133,15 @@
 		if !s.mayMove(ctx) {
 			return true
 		}
-		choice, ok := s.pickMoveTarget(from, exclude)
-		if !ok && len(exclude) == 1 {
+		choice, err := s.pickMoveTarget(from, exclude)
+		if errors.Is(err, errTargetsCold) {
+			return false
+		}
+		if err != nil && len(exclude) == 1 {
 			s.log("no engine to move to", zap.String("from", string(from.view.ID)))
 			return true
 		}
-		if !ok {
+		if err != nil {
 			return false
 		}
 		exclude = append(exclude, choice.View.ID)
@@ -173,8 +176,11 @@
 	return ""
 }
 
-// pickMoveTarget picks the engine that a run is moved to and reports whether
-// there is one. It prefers the availability zone of the current engine to the
+// errTargetsCold means that all engines to which a run could be moved now are cold, and that
+// this gateway has used its share of their rate. It has one again soon.
+var errTargetsCold = errors.New("the engines are cold and accept no more requests a second")
+
+// pickMoveTarget picks the engine that a run is moved to. It prefers the availability zone of the current engine to the
 // rest of its region, and that to other regions. Within the zone and the region
 // it first looks for an engine that has room by the estimates and then for any,
 // as the estimates may be wrong.
@@ -182,7 +188,7 @@
 // A copy to another zone takes longer, and one to another region several times
 // as long; meanwhile it delays all other copies on both links. So other regions
 // are used only if no engine of this one accepts the run.
-func (s *stream) pickMoveTarget(from *upstreamStream, exclude []currantwood.UpstreamID) (balancer.Choice, bool) {
+func (s *stream) pickMoveTarget(from *upstreamStream, exclude []currantwood.UpstreamID) (balancer.Choice, error) {
 	scopes := []struct {
 		reach           balancer.Reach
 		requireCapacity bool
@@ -190,15 +196,19 @@
 	version := s.beganAt()
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	now := s.g.Now()
+	now, none := s.g.Now(), errNoSpare
 	for _, scope := range scopes {
 		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Regions: s.regions(), Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true, OutputTokens: s.outputLeft(), SameVersion: true, Version: version}
-		if choice, err := s.g.balancer.Pick(now, query); err == nil {
+		choice, err := s.g.balancer.Pick(now, query)
+		if err == nil {
 			s.g.balancer.Started(now, choice.View, query.Load, s.streamStallTimeout())
-			return choice, true
+			return choice, nil
+		}
+		if refused := (*balancer.RefusalError)(nil); errors.As(err, &refused) && refused.Cold != "" {
+			none = errTargetsCold
 		}
 	}
-	return balancer.Choice{}, false
+	return balancer.Choice{}, none
 }
 
 // moveLoad is the load that the stream adds to the engine that it is moved to.
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -9,11 +9,13 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
+	"github.com/currantwood/currantwood/placement/warmupkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
-// noteResponse notes what a response says of its upstream.
-func (q *request) noteResponse(view upstreamkeeper.View, x *connkeeper.Exchange) {
+// noteResponse notes what a response to a request that was sent at sentAt says of its
+// upstream.
+func (q *request) noteResponse(view upstreamkeeper.View, sentAt time.Time, x *connkeeper.Exchange) {
 	if x.Unrelated > 0 {
 		q.g.instruments.unrelatedResponses.Inc(int64(x.Unrelated))
 		q.log("responses that belong to no request skipped", zap.String("upstream", string(view.ID)), zap.Int("responses", x.Unrelated), zap.Int("status", x.Status))
@@ -22,6 +24,7 @@
 	q.g.mu.Lock()
 	var events []upstreamkeeper.Event
 	var change noticekeeper.Change
+	var warmUp warmupkeeper.Change
 	if x.Answer.OtherInstance {
 		// The one that answered isn't named. It is at the address of the view.
 		events = q.g.noteAddressLeaving(now, view.Address, x.Answer.Leaving)
@@ -33,9 +36,11 @@
 	}
 	if !x.Answer.OtherInstance {
 		q.g.balancer.ObserveSpeed(now, view.ID, x.Answer.Slowdown)
+		warmUp = q.g.warmUps.Observe(now, sentAt, warmUpUpstream(view), x.Answer.WarmUp)
 	}
 	share := q.g.rates.Share(now, view.ID)
 	q.g.handleEventsAndUnlock(now, events)
+	q.g.logWarmUps("", warmUp)
 	if change == (noticekeeper.Change{}) {
 		return
 	}
@@ -105,14 +110,14 @@
 func (g *Gateway) HeardNotices(now time.Time) noticekeeper.Notices {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.notices.Heard(now)
+	return withWarmUps(g.notices.Heard(now), g.warmUps.Heard(now))
 }
 
 // KnownNotices returns the new notices that are known here; all if all is true.
 func (g *Gateway) KnownNotices(now time.Time, all bool) noticekeeper.Notices {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.notices.Known(now, all)
+	return withWarmUps(g.notices.Known(now, all), g.warmUps.Known(now, all))
 }
 
 // LearnNotices notes the notices that another gateway sent.
@@ -124,7 +129,9 @@
 		if notice.Leaving {
 			events = g.markLeaving(now, id, notice.Incarnation)
 		}
+		warmUp := g.learnWarmUp(now, id, notice)
 		g.handleEventsAndUnlock(now, events)
+		g.logWarmUps(from, warmUp)
 		if change != (noticekeeper.Change{}) {
 			g.Logger.Info("notice of an upstream learned", zap.String("upstream", string(id)), zap.Int64("incarnation", notice.Incarnation),
 				zap.String("from", string(from)), zap.Bool("leaving", notice.Leaving), zap.Duration("pause-left", max(0, notice.PausedUntil.Sub(now))))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -227,6 +227,9 @@
 	if refused != nil && refused.RateLimited != "" {
 		q.g.promise(refused.RateLimited)
 	}
+	if refused != nil && refused.Cold != "" {
+		q.g.promiseCold(refused.Cold)
+	}
 	return &gatewayResponse{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: retryAfter}
 }
 
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -52,7 +52,9 @@
 	g.mu.Lock()
 	events := g.upstreams.Apply(now, records)
 	g.balancer.SetUpstreams(g.upstreams.Available())
+	warmUps := g.noteWarmUps(now, events)
 	g.handleEventsAndUnlock(now, g.markLeavingAgain(now, events))
+	g.logWarmUps("", warmUps...)
 	g.Logger.Info("directory read", zap.Int("records", len(records)), zap.Int("upstreams", len(events)))
 	g.directoryLoaded.Store(true)
 }
@@ -99,6 +101,10 @@
 // idle connections.
 func (g *Gateway) Tick(now time.Time) {
 	g.mu.Lock()
+	if snapshot := g.Configuration.Current(); snapshot != nil {
+		g.syncGroups(snapshot)
+	}
+	warmUps := g.warmUps.Tick(now)
 	stalled := g.balancer.EjectStalled(now)
 	var affected []*stream
 	for _, id := range stalled {
@@ -107,6 +113,7 @@
 	events := g.upstreams.Tick(now)
 	g.abandoned.DeleteExpired(now)
 	g.handleEventsAndUnlock(now, events)
+	g.logWarmUps("", warmUps...)
 	for _, id := range stalled {
 		g.Logger.Warn("upstream makes no progress, excluded from balancing", zap.String("upstream", string(id)))
 	}
@@ -126,8 +133,11 @@
 	events = append(events, g.markLeavingAgain(now, events)...)
 	if len(events) > 0 {
 		g.balancer.SetUpstreams(g.upstreams.Available())
-		g.rates.Forget(func(id currantwood.UpstreamID) bool { _, known := g.upstreams.Get(id); return known })
+		known := func(id currantwood.UpstreamID) bool { _, known := g.upstreams.Get(id); return known }
+		g.rates.Forget(known)
+		g.warmUps.Forget(known)
 	}
+	warmUps := g.noteWarmUps(now, events)
 	var leaving, restarted []*stream
 	var crashed []currantwood.UpstreamRecord
 	for _, e := range events {
@@ -148,6 +158,7 @@
 			g.Connections.CloseIdle(e.Record.Address)
 		}
 	}
+	g.logWarmUps("", warmUps...)
 	for _, record := range crashed {
 		g.recordAbandoned(now, record)
 	}
--- a/noticekeeper/keeper.go
+++ b/noticekeeper/keeper.go
@@ -1,8 +1,9 @@
 // Package noticekeeper holds what upstreams say of themselves in their responses: that
 // they are leaving, that they want no requests for a time, and which rate of requests
 // they accept. It answers whether a request may be sent to an upstream now and, if not,
-// why and from when on: by these notices, by the regions that the request may be in and by
-// the operator's orders to evacuate availability zones.
+// why and from when on: by these notices, by the regions that the request may be in, by
+// the operator's orders to evacuate availability zones and by the rate that cold upstreams
+// accept.
 //
 // What an upstream says holds for its incarnation and from the response on, whatever the
 // directory shows. A leaving is final. A pause ends by time alone: neither a response
@@ -15,6 +16,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/placement/evacuationkeeper"
+	"github.com/currantwood/currantwood/placement/warmupkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
 )
 
@@ -45,6 +47,9 @@
 	Leaving bool
 	// PausedUntil is when it wants requests again; zero if it never asked for a pause.
 	PausedUntil time.Time
+	// ColdUntil is when the upstream is warm, by its responses; zero if none said that it
+	// is cold. Package warmupkeeper keeps it, not this one.
+	ColdUntil time.Time
 }
 
 // Notices holds a notice for each upstream that has given one.
@@ -95,6 +100,9 @@
 	OutsideRegions // outside the allowed regions
 	// Evacuated means that the upstream's availability zone is evacuated.
 	Evacuated // evacuated
+	// Cold means that the upstream is cold, and that this gateway has used its share of the
+	// rate that it accepts.
+	Cold // cold
 )
 
 // entry is what is known of one upstream.
@@ -113,6 +121,8 @@
 	Rates *ratekeeper.Keeper
 	// Evacuations may be nil if no zone is ever evacuated.
 	Evacuations *evacuationkeeper.Keeper
+	// WarmUps may be nil if no upstream is ever cold.
+	WarmUps *warmupkeeper.Keeper
 	// Regions maps each availability zone to its region.
 	Regions map[currantwood.ZoneID]currantwood.RegionID
 }
@@ -201,12 +211,37 @@
 	if verdict := k.CheckPicked(now, t, regions); !verdict.Admitted() {
 		return verdict
 	}
+	if w := k.options.WarmUps; w != nil && !w.Admits(now, t.warmUp()) {
+		return k.refuseCold(now, t)
+	}
 	if !k.options.Rates.Admits(now, t.ID, t.Incarnation) {
 		return Verdict{Reason: RateLimited, Wait: max(k.options.Rates.Wait(now, t.ID), time.Nanosecond)}
 	}
 	return Verdict{}
 }
 
+// CheckSending is Check at the moment of sending, for an upstream that was picked at
+// pickedAt and is sent the request unless this refuses it. A request that has lost its share
+// of the rate of a cold upstream takes another one.
+func (k *Keeper) CheckSending(now, pickedAt time.Time, t Target, regions currantwood.RegionSet) Verdict {
+	if verdict := k.CheckPicked(now, t, regions); !verdict.Admitted() {
+		return verdict
+	}
+	if w := k.options.WarmUps; w != nil && !w.AdmitsPicked(now, pickedAt, t.warmUp()) {
+		return k.refuseCold(now, t)
+	}
+	return Verdict{}
+}
+
+func (k *Keeper) refuseCold(now time.Time, t Target) Verdict {
+	return Verdict{Reason: Cold, Wait: max(k.options.WarmUps.Wait(now, t.warmUp()), time.Nanosecond)}
+}
+
+// warmUp returns the target as package warmupkeeper names it.
+func (t Target) warmUp() warmupkeeper.Upstream {
+	return warmupkeeper.Upstream{ID: t.ID, Group: t.Group, Incarnation: t.Incarnation}
+}
+
 // CheckPicked is Check for an upstream that was picked a while ago: the request has its
 // share of a rate limit already, but the upstream may have become one that gets none.
 func (k *Keeper) CheckPicked(now time.Time, t Target, regions currantwood.RegionSet) Verdict {
@@ -247,10 +282,28 @@
 }
 
 // Want notes that a request would be sent to one of the upstreams.
-func (k *Keeper) Want(now time.Time, ids []currantwood.UpstreamID) { k.options.Rates.Want(now, ids) }
+func (k *Keeper) Want(now time.Time, ids []currantwood.UpstreamID) {
+	k.options.Rates.Want(now, ids)
+	if k.options.WarmUps != nil {
+		k.options.WarmUps.Want(now, ids)
+	}
+}
 
 // Sent notes that a request is sent to an upstream.
-func (k *Keeper) Sent(now time.Time, id currantwood.UpstreamID) { k.options.Rates.Sent(now, id) }
+func (k *Keeper) Sent(now time.Time, id currantwood.UpstreamID) {
+	k.options.Rates.Sent(now, id)
+	if k.options.WarmUps != nil {
+		k.options.WarmUps.Sent(now, id)
+	}
+}
+
+// Slow returns the upstreams that may be slow without being faulty, as they are cold.
+func (k *Keeper) Slow(now time.Time) []currantwood.UpstreamID {
+	if k.options.WarmUps == nil {
+		return nil
+	}
+	return k.options.WarmUps.Limited(now)
+}
 
 // Heard returns the new notices that responses to this gateway gave, to be told to the
 // collector.
--- a/noticekeeper/reason_string.go
+++ b/noticekeeper/reason_string.go
@@ -14,11 +14,12 @@
 	_ = x[RateLimited-3]
 	_ = x[OutsideRegions-4]
 	_ = x[Evacuated-5]
+	_ = x[Cold-6]
 }
 
-const _Reason_name = "acceptsleavingpausedrate-limitedoutside the allowed regionsevacuated"
+const _Reason_name = "acceptsleavingpausedrate-limitedoutside the allowed regionsevacuatedcold"
 
-var _Reason_index = [...]uint8{0, 7, 14, 20, 32, 59, 68}
+var _Reason_index = [...]uint8{0, 7, 14, 20, 32, 59, 68, 72}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/peerkeeper/rates.go
+++ b/peerkeeper/rates.go
@@ -10,10 +10,19 @@
 // TotalRates returns what own and all gateways heard from within peerTimeout know of the
 // rates that upstreams accept, with the sums of their demand and recent requests.
 func (k *Keeper) TotalRates(now time.Time, own ratekeeper.Rates) ratekeeper.Rates {
+	return k.totalRates(now, own, func(s *State) ratekeeper.Rates { return s.Rates })
+}
+
+// TotalWarmUpRates is TotalRates for the rates of cold upstreams.
+func (k *Keeper) TotalWarmUpRates(now time.Time, own ratekeeper.Rates) ratekeeper.Rates {
+	return k.totalRates(now, own, func(s *State) ratekeeper.Rates { return s.WarmUpRates })
+}
+
+func (k *Keeper) totalRates(now time.Time, own ratekeeper.Rates, of func(s *State) ratekeeper.Rates) ratekeeper.Rates {
 	sum := own
 	for _, entry := range k.peers {
-		if now.Sub(entry.lastSeen) <= peerTimeout && len(entry.state.Rates) > 0 {
-			sum = sum.Plus(entry.state.Rates)
+		if rates := of(&entry.state); now.Sub(entry.lastSeen) <= peerTimeout && len(rates) > 0 {
+			sum = sum.Plus(rates)
 		}
 	}
 	return sum
@@ -27,3 +36,12 @@
 	}
 	return sum.Without(entry.state.Rates)
 }
+
+// WarmUpRatesExcept is RatesExcept for the rates of cold upstreams.
+func (k *Keeper) WarmUpRatesExcept(sum ratekeeper.Rates, id currantwood.VMID) ratekeeper.Rates {
+	entry := k.peers[id]
+	if entry == nil || len(sum) == 0 {
+		return sum
+	}
+	return sum.Without(entry.state.WarmUpRates)
+}
--- a/peerkeeper/state.go
+++ b/peerkeeper/state.go
@@ -27,6 +27,8 @@
 	// Rates is what the sender has heard itself of the rates that upstreams accept, with
 	// its demand.
 	Rates ratekeeper.Rates
+	// WarmUpRates is the sender's demand at cold upstreams and what it has sent them.
+	WarmUpRates ratekeeper.Rates
 	// CrashSum is a checksum of the crashes that all gateways must know.
 	CrashSum uint64
 	// Process identifies the sender's process among those of its VM; 0 if unknown.
--- a/peermessenger/codec.go
+++ b/peermessenger/codec.go
@@ -146,7 +146,7 @@
 	out := make([]*peerwire.Notice, 0, len(notices))
 	for id, n := range notices {
 		left := max(0, n.PausedUntil.Sub(now))
-		out = append(out, &peerwire.Notice{Upstream: string(id), Incarnation: n.Incarnation, Leaving: n.Leaving, PauseMs: left.Milliseconds()})
+		out = append(out, &peerwire.Notice{Upstream: string(id), Incarnation: n.Incarnation, Leaving: n.Leaving, PauseMs: left.Milliseconds(), ColdMs: max(0, n.ColdUntil.Sub(now)).Milliseconds()})
 	}
 	slices.SortFunc(out, func(a, b *peerwire.Notice) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
 	return out[:min(len(out), maxNotices)]
@@ -159,6 +159,9 @@
 		if n.GetPauseMs() > 0 {
 			notice.PausedUntil = now.Add(min(time.Duration(n.GetPauseMs()), maxPauseMs) * time.Millisecond)
 		}
+		if n.GetColdMs() > 0 {
+			notice.ColdUntil = now.Add(min(time.Duration(n.GetColdMs()), maxColdMs) * time.Millisecond)
+		}
 		out[currantwood.UpstreamID(n.GetUpstream())] = notice
 	}
 	return out
@@ -167,3 +170,6 @@
 // maxPauseMs is the longest pause, in milliseconds, that is decoded, so that it fits a
 // Duration.
 const maxPauseMs = 24 * 60 * 60 * 1000
+
+// maxColdMs is the longest cold period, in milliseconds, that is decoded: as in a record.
+const maxColdMs = 60 * 60 * 1000
--- /dev/null
+++ b/peermessenger/codec_test.go
@@ -0,0 +1,33 @@
+package peermessenger
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood/noticekeeper"
+	"github.com/currantwood/currantwood/peerwire"
+)
+
+var _ = Describe("Notices in datagrams", func() {
+	// Guards against gateways that don't learn that an upstream is cold, and against one that
+	// takes an absent time for the end of a period.
+	It("keep the time that is left of a cold period", func() {
+		now, later := time.Unix(1000, 0), time.Unix(2000, 0)
+		sent := noticekeeper.Notices{
+			"cold":    {Incarnation: 3, ColdUntil: now.Add(1500 * time.Millisecond)},
+			"leaving": {Incarnation: 4, Leaving: true},
+		}
+		Expect(decodeNotices(later, encodeNotices(now, sent))).To(Equal(noticekeeper.Notices{
+			"cold":    {Incarnation: 3, ColdUntil: later.Add(1500 * time.Millisecond)},
+			"leaving": {Incarnation: 4, Leaving: true},
+		}))
+	})
+
+	It("bound a cold period", func() {
+		now := time.Unix(1000, 0)
+		Expect(decodeNotices(now, []*peerwire.Notice{{Upstream: "u", ColdMs: 1 << 62}})["u"].ColdUntil).To(Equal(now.Add(time.Hour)))
+		Expect(decodeNotices(now, []*peerwire.Notice{{Upstream: "u", ColdMs: -5}})["u"].ColdUntil).To(BeZero())
+	})
+})
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -28,9 +28,9 @@
 	if speedsDue {
 		speeds = encodeSpeeds(m.Gateway.AllSpeeds(now))
 	}
-	own, usage, ownRates := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now), m.Gateway.OwnRates(now)
+	own, usage, ownRates, ownWarmUps := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now), m.Gateway.OwnRates(now), m.Gateway.OwnWarmUpRates(now)
 	m.mu.Lock()
-	rates := m.peers.TotalRates(now, ownRates)
+	rates, warmUps := m.peers.TotalRates(now, ownRates), m.peers.TotalWarmUpRates(now, ownWarmUps)
 	ranks, next := m.peers.Ranks(recipients)
 	m.mu.Unlock()
 	successors := encodeSuccessors(next)
@@ -45,6 +45,7 @@
 			m.addStartsToDigest(now, recipients[i].VM, digest)
 		}
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
+		digest.WarmUpRates, digest.SumsWarmUpRates = encodeRates(now, m.peers.WarmUpRatesExcept(warmUps, recipients[i].VM)), true
 		digest.Rank, digest.Successors = uint32(ranks[i]), successors
 		digest.Notices, digest.Evacuations, digest.Speeds = notices, evacuations, speeds
 		if m.peers.HasJustStarted(now, recipients[i].VM) {
@@ -67,6 +68,7 @@
 	m.Gateway.SetPeerLoads(now, loads)
 	m.Gateway.SetBudgetPeers(now, peers)
 	m.Gateway.SetFleetRates(now, rates, peers.Gateways)
+	m.Gateway.SetFleetWarmUpRates(now, warmUps.Without(ownWarmUps), peers.Gateways)
 }
 
 // maxSuccessors bounds the next collectors that a digest names.
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -70,6 +70,10 @@
 	// SetFleetRates replaces what all gateways have heard, and the demand of all others.
 	// gateways counts all that are heard from, this one included.
 	SetFleetRates(now time.Time, rates ratekeeper.Rates, gateways int)
+	// OwnWarmUpRates and SetFleetWarmUpRates are the same for the rates of cold upstreams.
+	// The limits in them don't count.
+	OwnWarmUpRates(now time.Time) ratekeeper.Rates
+	SetFleetWarmUpRates(now time.Time, rates ratekeeper.Rates, gateways int)
 	// HeardNotices returns the new notices that upstreams gave to this gateway, and
 	// KnownNotices those that it knows; all if all is true.
 	HeardNotices(now time.Time) noticekeeper.Notices
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -52,7 +52,11 @@
 
 func (idleGateway) OwnRates(time.Time) ratekeeper.Rates            { return nil }
 func (idleGateway) SetFleetRates(time.Time, ratekeeper.Rates, int) {}
-func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)       {}
+func (idleGateway) OwnWarmUpRates(time.Time) ratekeeper.Rates {
+	return nil
+}
+func (idleGateway) SetFleetWarmUpRates(time.Time, ratekeeper.Rates, int) {}
+func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)             {}
 func (idleGateway) RecentCrashes(time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
 	return nil, nil
 }
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -50,6 +50,7 @@
 		StoreEra:    uint64(m.directoryTopic.Era()),
 		RateLimits:  encodeRates(now, m.Gateway.OwnRates(now)),
 		Notices:     encodeNotices(now, m.Gateway.HeardNotices(now)),
+		WarmUpRates: encodeRates(now, m.Gateway.OwnWarmUpRates(now)),
 	}
 	m.mu.Lock()
 	if m.speedsDue(now) {
@@ -87,6 +88,7 @@
 		CrashSum:       s.GetCrashSum(),
 		Process:        process,
 		Rates:          decodeRates(now, s.GetRateLimits()),
+		WarmUpRates:    decodeRates(now, s.GetWarmUpRates()),
 		Era:            currantwood.StoreEra(s.GetStoreEra()),
 	})
 	collector, known := m.peers.OtherCollector(now)
--- a/placement/warmupkeeper/keeper.go
+++ b/placement/warmupkeeper/keeper.go
@@ -121,7 +121,8 @@
 type Options struct {
 	// MinGateways is the number of gateways that is assumed until others are heard.
 	MinGateways int
-	// Overage and Slack are Bounds.WarmUpOverage and Bounds.WarmUpSlack.
+	// Overage and Slack are Bounds.WarmUpOverage and Bounds.WarmUpSlack. Without them
+	// nothing is spared but one request, so that the lowest rate is used at all.
 	Overage, Slack float64
 }
 
@@ -142,8 +143,8 @@
 		rates: ratekeeper.New(ratekeeper.Options{
 			MinGateways:      options.MinGateways,
 			Window:           window,
-			SpareTime:        time.Duration(spareShare * max(0, options.Overage-1) * float64(window)),
-			SpareRequests:    spareShare * options.Slack,
+			SpareTime:        max(time.Nanosecond, time.Duration(spareShare*(options.Overage-1)*float64(window))),
+			SpareRequests:    max(1, spareShare*options.Slack),
 			BurstTime:        burstTime,
 			DemandTime:       demandTime,
 			FleetMaxAge:      fleetMaxAge,
@@ -268,6 +269,8 @@
 	var ended []Change
 	for id, s := range k.states {
 		if s.isCold(now) {
+			// The rate may have become known, or have changed.
+			k.update(now, s, Record)
 			continue
 		}
 		if change := k.update(now, s, Elapsed); change != (Change{}) {
@@ -327,15 +330,22 @@
 // Want notes that a request would be sent to one of the upstreams.
 func (k *Keeper) Want(now time.Time, ids []currantwood.UpstreamID) { k.rates.Want(now, ids) }
 
-// Sent notes that a request takes a share of a cold upstream. It reports whether the
-// upstream is limited.
-func (k *Keeper) Sent(now time.Time, u Upstream) bool {
-	if !k.IsLimited(now, u) {
-		return false
+// Sent notes that a request which was admitted takes a share.
+func (k *Keeper) Sent(now time.Time, id currantwood.UpstreamID) {
+	if s := k.states[id]; s != nil && s.isCold(now) {
+		k.rates.Sent(now, id)
 	}
-	k.limit(now, u)
-	k.rates.Sent(now, u.ID)
-	return true
+}
+
+// Limited returns the cold upstreams whose groups have a warm-up rate.
+func (k *Keeper) Limited(now time.Time) []currantwood.UpstreamID {
+	var ids []currantwood.UpstreamID
+	for id, s := range k.states {
+		if k.IsLimited(now, s.upstream) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // Wait returns the time until a cold upstream admits a request that was refused now.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -81,6 +81,8 @@
 	ejections int
 	// maxInFlight limits inFlight after an ejection; 0 means no limit.
 	maxInFlight int
+	// slow is whether the upstream may be slow without being faulty.
+	slow bool
 }
 
 // New returns a prober without upstreams. It draws from random so that ejections
@@ -137,6 +139,27 @@
 	u.inFlight++
 }
 
+// SetSlow sets whether an upstream may be slow without being faulty, as while it is cold.
+// It then has slowFactor times the usual time to make progress, so that one that hangs is
+// still ejected.
+func (p *Prober) SetSlow(id currantwood.UpstreamID, slow bool) {
+	if u := p.upstreams[id]; u != nil {
+		u.slow = slow
+	}
+}
+
+// slowFactor is by how much longer a slow upstream may take.
+const slowFactor = 4
+
+// overdue reports whether the upstream should have made progress by now.
+func (u *upstream) overdue(now time.Time) bool {
+	due := u.progressDue
+	if u.slow {
+		due = due.Add((slowFactor - 1) * u.stallTimeout)
+	}
+	return u.inFlight > 0 && now.After(due)
+}
+
 // Queued records that the upstream's side process has queued a request and
 // expects to start it after wait. It has no effect while other requests are in
 // flight, as these still have to make progress.
@@ -192,7 +215,7 @@
 	var stalled []currantwood.UpstreamID
 	for id, u := range p.upstreams {
 		u.endEjectionIfDue(now)
-		if !u.ejected && u.inFlight > 0 && now.After(u.progressDue) {
+		if !u.ejected && u.overdue(now) {
 			stalled = append(stalled, id)
 		}
 	}
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -109,6 +109,20 @@
 		Expect(p.Admits(at(4200+5001), "upstream-0")).To(BeTrue())
 	})
 
+	// Guards against the ejection of a cold upstream that is only slow, and against one that
+	// hangs and is never ejected.
+	It("leaves a slow upstream more time to make progress, but not without end", func() {
+		p := newProber(4)
+		p.SetSlow("upstream-0", true)
+		p.Started(at(0), "upstream-0", stallTimeout)
+		Expect(p.EjectStalled(at(3900))).To(BeEmpty())
+		Expect(p.EjectStalled(at(4001))).To(HaveLen(1))
+		p.SetSlow("upstream-1", true)
+		p.Started(at(0), "upstream-1", stallTimeout)
+		p.SetSlow("upstream-1", false)
+		Expect(p.Admits(at(1100), "upstream-1")).To(BeTrue())
+	})
+
 	It("ejects an upstream again if a request that reached it while it was ejected stalls, even if no other follows", func() {
 		p := newProber(4)
 		p.Started(at(0), "upstream-0", stallTimeout)
--- a/upstreamkeeper/change_string.go
+++ b/upstreamkeeper/change_string.go
@@ -15,11 +15,13 @@
 	_ = x[Undecodable-5]
 	_ = x[Lapsed-6]
 	_ = x[Returned-7]
+	_ = x[Cooled-8]
+	_ = x[Warmed-9]
 }
 
-const _Change_name = "appearedleavingremovedrebornunusablelapsedreturned"
+const _Change_name = "appearedleavingremovedrebornunusablelapsedreturnedcoldwarm"
 
-var _Change_index = [...]uint8{0, 8, 15, 22, 28, 36, 42, 50}
+var _Change_index = [...]uint8{0, 8, 15, 22, 28, 36, 42, 50, 54, 58}
 
 func (i Change) String() string {
 	idx := int(i) - 1
--- a/upstreamkeeper/event.go
+++ b/upstreamkeeper/event.go
@@ -25,6 +25,10 @@
 	Lapsed // lapsed
 	// Returned means that a lapsed record was written again in time.
 	Returned // returned
+	// Cooled means that a later record of the incarnation states a cold period which was
+	// unknown, or another end of it; Warmed that one states none any more.
+	Cooled // cold
+	Warmed // warm
 )
 
 // Event is one change of one upstream.
--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -3,8 +3,8 @@
 // from a state that an upstream reports itself (ApplyState) or from the passing
 // of time (Tick).
 //
-// Within one incarnation, records can announce the leaving and change Slots,
-// which causes no event. Other changes of their fields are ignored.
+// Within one incarnation, records can announce the leaving, begin and end cold periods and
+// change Slots, which causes no event. Other changes of their fields are ignored.
 package upstreamkeeper
 
 import (
@@ -26,14 +26,20 @@
 // newest records, the next reads may return earlier ones once more.
 const removedRetention = 30 * time.Second
 
+// sameWarmUp is the difference up to which the ends of a cold period that two records state
+// are one. Records take up to seconds through the store.
+const sameWarmUp = 2 * time.Second
+
 // View is an upstream as it is currently known.
 type View struct {
 	// UpstreamRecord is the first record of the incarnation, with the Sequence
 	// and Slots of the newest valid one. Leaving is true once a record or a state
 	// of the incarnation announced it, and while the upstream is removed.
 	currantwood.UpstreamRecord
-	// WarmAt is when the upstream's warm-up ends.
+	// WarmAt is when the upstream's warm-up after its start ends, by the first record.
 	WarmAt time.Time
+	// ColdUntil is when the upstream is warm, by the newest record.
+	ColdUntil time.Time
 	// LeavingSince is when the upstream was first known to leave, by its
 	// announcement or by the removal of its record; zero if it isn't leaving.
 	LeavingSince time.Time
@@ -123,6 +129,12 @@
 	}
 	e.view.Sequence, e.view.Slots = record.Sequence, record.Slots
 	e.lapsedAt = time.Time{}
+	return append(e.noteWarmUp(now, record.WarmUp), k.applyNewer(now, e, record, lapsed)...)
+}
+
+// applyNewer applies what else a newer record of the known incarnation says. lapsed is
+// whether the record was missing before.
+func (k *Keeper) applyNewer(now time.Time, e *entry, record currantwood.UpstreamRecord, lapsed bool) []Event {
 	if !e.removedAt.IsZero() {
 		return k.restore(e, record)
 	}
@@ -141,6 +153,22 @@
 	return nil
 }
 
+// noteWarmUp notes how long the upstream stays cold by a newer record.
+func (e *entry) noteWarmUp(now time.Time, left time.Duration) []Event {
+	until, known := now.Add(left), e.view.ColdUntil
+	change := Cooled
+	switch {
+	case left > 0 && known.After(now) && until.Sub(known).Abs() <= sameWarmUp:
+		return nil
+	case left <= 0 && !known.After(now):
+		return nil
+	case left <= 0:
+		change = Warmed
+	}
+	e.view.ColdUntil = until
+	return []Event{{Change: change, Record: e.view.UpstreamRecord}}
+}
+
 // restore adds a removed upstream again. As it still writes records, its record
 // had only expired. An upstream that announced its leaving isn't restored; it is
 // forgotten after removedRetention.
@@ -177,7 +205,7 @@
 	if old != nil && record.Incarnation < old.view.Incarnation {
 		return nil
 	}
-	view := View{UpstreamRecord: record, WarmAt: now.Add(record.WarmUp)}
+	view := View{UpstreamRecord: record, WarmAt: now.Add(record.WarmUp), ColdUntil: now.Add(record.WarmUp)}
 	if record.Leaving {
 		view.LeavingSince, view.LeaveAnnounced = now, true
 	}
