Cold upstreams: questions for an engine's state say so, too

Cause: upstreams state their warm-up in responses to checks; the answers to the gateways' own questions for an engine's state were not read for it. Change: the state has what the response says of the warm-up. Cold counts, warm doesn't, as a state may be outdated.

--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -92,6 +92,7 @@
 
 // ApplyUpstreamState applies the state that an upstream reported about itself.
 func (g *Gateway) ApplyUpstreamState(now time.Time, id currantwood.UpstreamID, state currantwood.UpstreamState) {
+	g.noteStateWarmUp(now, id, state)
 	g.mu.Lock()
 	g.handleEventsAndUnlock(now, g.upstreams.ApplyState(now, id, state))
 }
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -111,6 +111,9 @@
 // confirmIncarnation is runsIncarnation, and returns the state that the upstream reported.
 func (g *Gateway) confirmIncarnation(view upstreamkeeper.View) (currantwood.UpstreamState, bool) {
 	state, err := g.States.State(view.Address, incarnationTimeout)
+	if err == nil {
+		g.noteStateWarmUp(g.Now(), view.ID, state)
+	}
 	if err == nil && state.Incarnation == view.Incarnation {
 		return state, true
 	}
--- a/gateway/warmup.go
+++ b/gateway/warmup.go
@@ -88,6 +88,23 @@
 	return changes
 }
 
+// noteStateWarmUp notes the cold period that an upstream stated with its state. One that says
+// that it is warm is ignored, as a state may be outdated.
+func (g *Gateway) noteStateWarmUp(now time.Time, id currantwood.UpstreamID, state currantwood.UpstreamState) {
+	if state.WarmUp.Left <= 0 {
+		return
+	}
+	g.mu.Lock()
+	view, ok := g.upstreams.Get(id)
+	var change warmupkeeper.Change
+	if ok {
+		upstream := warmupkeeper.Upstream{ID: id, Group: view.Group, Incarnation: state.Incarnation}
+		change = g.warmUps.Observe(now, time.Time{}, upstream, state.WarmUp)
+	}
+	g.mu.Unlock()
+	g.logWarmUps("", change)
+}
+
 // learnWarmUp notes the cold period that another gateway tells of. The caller holds mu.
 func (g *Gateway) learnWarmUp(now time.Time, id currantwood.UpstreamID, notice noticekeeper.Notice) warmupkeeper.Change {
 	upstream := warmupkeeper.Upstream{ID: id, Incarnation: notice.Incarnation}
--- a/gateway/warmup_test.go
+++ b/gateway/warmup_test.go
@@ -64,6 +64,10 @@
 		Entry("another gateway", func() {
 			g.LearnNotices(now, "vm-2", noticekeeper.Notices{"e1": {Incarnation: 7, ColdUntil: now.Add(3 * time.Second)}})
 		}),
+		Entry("its own state", func() {
+			g.ApplyUpstreamState(now, "e1", currantwood.UpstreamState{Incarnation: 7, WarmUp: currantwood.WarmUp{Known: true, Left: 3 * time.Second}})
+			g.ApplyUpstreamState(now, "e1", currantwood.UpstreamState{Incarnation: 7, WarmUp: currantwood.WarmUp{Known: true}})
+		}),
 		Entry("a response", func() {
 			q := &request{g: g}
 			q.noteResponse(upstreamkeeper.View{UpstreamRecord: record}, now, &connkeeper.Exchange{Answer: currantwood.UpstreamResponse{WarmUp: currantwood.WarmUp{Known: true, Left: 3 * time.Second}}})
--- a/moves.go
+++ b/moves.go
@@ -26,6 +26,8 @@
 	Incarnation int64
 	// Leaving is whether the upstream is about to shut down.
 	Leaving bool
+	// WarmUp is what the response with the state says of the upstream's warm-up.
+	WarmUp WarmUp
 	// Runs are the requests that the upstream works on; empty if it doesn't tell.
 	Runs []RequestID
 }
