Room: generations wait in the gateway for a part of their target time

A generation for which no engine had a free slot, memory or a short queue of prompts was refused at once, with a Retry-After of 400 ms or the excess of the shortest queue. During a burst with a zone evacuated, 241 requests were refused in 14 s with "no upstream" and 50 with "no upstream reads the prompt in time". Clients come back once, into the same burst.

With "pressure" in the settings' contracts (GatewaySettings.QueueRequests), such a request waits in its gateway for up to half of its route's target time if the forecast says that there is room by then, and is refused at once otherwise. capacity/roomkeeper decides the order (priority, clients that come back as told, turns of customers and prompt parts, time to the objective), holds an engine for a large generation that waits, bounds the memory and spreads the gateways' admissions after an update. capacity/forecaster computes Retry-After by Little's law and books what clients were told; broken promises are counted and logged. Without the setting nothing changes.

Not yet measured on real processes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -183,7 +183,7 @@
 		g.members[i], g.members[j] = g.members[j], g.members[i]
 		id := g.members[i]
 		u := b.upstreams[id]
-		if slices.Contains(q.Exclude, id) || !g.prober.Admits(now, id) || !b.inReach(q, u.view.Zone) || !q.admitsVersion(u.view.Version) {
+		if !b.isCandidate(now, g, u, q) {
 			continue
 		}
 		if verdict := b.notices.Check(now, noticekeeper.TargetOf(u.view.UpstreamRecord), q.Regions); !verdict.Admitted() {
@@ -192,9 +192,11 @@
 		}
 		choice := b.evaluate(now, g, u, q)
 		if q.RequireCapacity && !hasCapacity(g, choice, q) {
+			refused.Full = refused.Full || g.fitsEmpty(q)
 			continue
 		}
 		if excess := g.excessPrefillWait(choice, q, b.speeds.RelativeTime(now, id)); excess > 0 {
+			refused.Full = true
 			refused.lowerRetryAfter(excess)
 			continue
 		}
@@ -213,6 +215,16 @@
 	return best, nil
 }
 
+// isCandidate reports whether an upstream may be chosen, apart from what it says of itself
+// and from its load.
+func (b *Balancer) isCandidate(now time.Time, g *group, u *upstream, q Query) bool {
+	id := u.view.ID
+	if q.Only != "" && id != q.Only {
+		return false
+	}
+	return !slices.Contains(q.Exclude, id) && g.prober.Admits(now, id) && b.inReach(q, u.view.Zone) && q.admitsVersion(u.view.Version)
+}
+
 // sampleSize returns the number of eligible upstreams that a choice compares at
 // most. The loads of peers arrive with a delay, in which all gateways see the
 // same upstream as the least loaded; the more gateways there are, the fewer
--- a/balancer/group.go
+++ b/balancer/group.go
@@ -46,6 +46,11 @@
 	return c.Load.MemoryTokens+q.Load.MemoryTokens <= e.MemoryTokens && c.Load.Requests < e.Slots
 }
 
+// fitsEmpty reports whether an engine without any load has memory for the query's.
+func (g *group) fitsEmpty(q Query) bool {
+	return g.config.Engine != nil && g.config.Engine.Slots > 0 && q.Load.MemoryTokens <= g.config.Engine.MemoryTokens
+}
+
 // PrefillSample measures how long an upstream took to prefill a prompt and those
 // queued before it.
 type PrefillSample struct {
--- a/balancer/query.go
+++ b/balancer/query.go
@@ -22,6 +22,8 @@
 	Regions currantwood.RegionSet
 	// Exclude lists the upstreams that must not be chosen.
 	Exclude []currantwood.UpstreamID
+	// Only is the only upstream that may be chosen; empty if any may.
+	Only currantwood.UpstreamID
 	// RequireCapacity admits an engine only if it has a free slot, and memory for
 	// the whole load.
 	RequireCapacity bool
--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -18,6 +18,9 @@
 	RateLimited currantwood.UpstreamID
 	// Paused is whether RetryAfter is the end of an upstream's pause.
 	Paused bool
+	// Full is whether an engine was ruled out only as it lacks a free slot, memory or a
+	// short queue of prompts now, so that waiting may help.
+	Full bool
 }
 
 // Error implements error.
--- a/capacity/doc.go
+++ b/capacity/doc.go
@@ -1,7 +1,11 @@
 // Package capacity groups the packages that decide how much work an upstream takes:
 //
 //   - speedkeeper estimates how long work takes at each upstream now, in relation to the
-//     usual time, from what the upstreams report to all gateways.
+//     usual time, from what the upstreams report to all gateways;
+//   - roomkeeper decides whether a generation that finds no room waits in its gateway or is
+//     refused, and which of those that wait is admitted next;
+//   - forecaster estimates when engines have room again, and books what refused clients
+//     were told.
 //
 // Package balancer uses the estimates when it weighs upstreams. Whether a request may be
 // sent to an upstream at all is decided before that, by package noticekeeper.
--- /dev/null
+++ b/capacity/forecaster/forecaster.go
@@ -0,0 +1,226 @@
+// Package forecaster estimates when engines that are full have room again for a
+// generation, and books what refused clients were told.
+//
+// By Little's law, work leaves the engines at the rate of what is in flight divided by how
+// long it stays. What is in flight at all engines is known from the sums that gateways
+// exchange; how long it stays is measured at the generations of this gateway. A gateway
+// expects the part of the freed capacity that it has of what is in flight.
+//
+// A refused request gets the time at which there is room for it after all that waits here
+// and all that was promised before. It is recognized by a key when it comes back to this
+// gateway; a client that comes back to another gateway is a new one there.
+package forecaster
+
+import (
+	"time"
+
+	"github.com/currantwood/currantwood"
+)
+
+const (
+	// initialStay is the assumed time that a generation stays at its engine until some have
+	// ended.
+	initialStay = 2 * time.Second
+	// stayDivisor is the reciprocal of the weight of each ended generation in the averages.
+	stayDivisor = 32
+	// earlyTolerance is how much earlier than told a client may come back: clients round.
+	earlyTolerance = 50 * time.Millisecond
+	// lateShare is by how much of the told time a client may come back later, which covers
+	// the jitter that lengthens Retry-After by up to a half; lateSlack is added to it.
+	lateShare = 0.6
+	lateSlack = 300 * time.Millisecond
+	// maxPromises bounds the booked promises; 4,096 take about 400 KB. Beyond it a refused
+	// client is told a time, but not recognized.
+	maxPromises = 4096
+	// maxForecast is the longest forecast, also if nothing is known to become free.
+	maxForecast = time.Minute
+)
+
+// Work is an amount of work in flight, waiting or promised.
+type Work struct {
+	Requests int
+	Memory   currantwood.TokenCount
+}
+
+// Add adds o to w.
+func (w *Work) Add(o Work) {
+	w.Requests += o.Requests
+	w.Memory += o.Memory
+}
+
+// Room is what is known of the engines that a request may be sent to.
+type Room struct {
+	// Engines counts them, and Open those that have room for the request now.
+	Engines, Open int
+	// FreeSlots counts the free slots of all.
+	FreeSlots int
+	// Roomiest is the engine with the most free memory, and RoomiestFree that memory; less
+	// than 0 if more is promised there than the engine has.
+	Roomiest     currantwood.UpstreamID
+	RoomiestFree currantwood.TokenCount
+	// Total is what is in flight there, and Own the part of this gateway.
+	Total, Own Work
+	// Gateways is the number of gateways that share them, this one included.
+	Gateways int
+	// PrefillExcess is how much too long the shortest queue of prompts is at an engine with
+	// a free slot and enough memory; 0 if no queue was too long.
+	PrefillExcess time.Duration
+}
+
+// Key identifies a request that comes back: a hash of its customer, target and body.
+type Key uint64
+
+// promise is what a refused request was told.
+type promise struct {
+	group       currantwood.GroupID
+	work        Work
+	at, expires time.Time
+}
+
+// stay is how long generations stay at engines, as exponential moving averages.
+type stay struct {
+	// seconds is the mean over generations. memory and memorySeconds are the means of their
+	// memory and of memory times seconds, whose ratio is the mean over memory.
+	seconds, memory, memorySeconds float64
+}
+
+// Forecaster forecasts room and books promises. It is not safe for concurrent use.
+type Forecaster struct {
+	stays    map[currantwood.GroupID]*stay
+	promises map[Key]promise
+	promised map[currantwood.GroupID]Work
+}
+
+// New returns a forecaster without measurements and promises.
+func New() *Forecaster {
+	return &Forecaster{stays: make(map[currantwood.GroupID]*stay), promises: make(map[Key]promise), promised: make(map[currantwood.GroupID]Work)}
+}
+
+// Ended notes how long a generation was in flight, and with how much memory.
+func (f *Forecaster) Ended(id currantwood.GroupID, duration time.Duration, memory currantwood.TokenCount) {
+	s := f.stays[id]
+	seconds, tokens := duration.Seconds(), max(1, float64(memory))
+	if s == nil {
+		f.stays[id] = &stay{seconds: seconds, memory: tokens, memorySeconds: tokens * seconds}
+		return
+	}
+	s.seconds += (seconds - s.seconds) / stayDivisor
+	s.memory += (tokens - s.memory) / stayDivisor
+	s.memorySeconds += (tokens*seconds - s.memorySeconds) / stayDivisor
+}
+
+// stayTimes returns the mean stay of a generation, and of a token of memory, in seconds.
+func (f *Forecaster) stayTimes(id currantwood.GroupID) (request, memory float64) {
+	s := f.stays[id]
+	if s == nil {
+		return initialStay.Seconds(), initialStay.Seconds()
+	}
+	return max(0.01, s.seconds), max(0.01, s.memorySeconds/s.memory)
+}
+
+// Forecast returns the time until there is room for a request after the work ahead of it.
+func (f *Forecaster) Forecast(id currantwood.GroupID, room Room, own, ahead Work) time.Duration {
+	if room.Engines == 0 {
+		return maxForecast
+	}
+	if room.Open > 0 && ahead.Requests == 0 {
+		return 0
+	}
+	share := gatewayShare(room)
+	byCapacity := f.untilCapacity(id, room, own, ahead, share)
+	if room.PrefillExcess <= 0 {
+		return byCapacity
+	}
+	// The prompts of those ahead, here and at as many at each other gateway, go to the same
+	// engines first.
+	byPrefill := time.Duration(float64(room.PrefillExcess) * (1 + float64(ahead.Requests)/(share*float64(room.Engines))))
+	return min(byCapacity, byPrefill)
+}
+
+// untilCapacity returns the time until slots and memory are free for the request and what
+// is ahead, of which this gateway gets its share, and until one engine has freed enough.
+func (f *Forecaster) untilCapacity(id currantwood.GroupID, room Room, own, ahead Work, share float64) time.Duration {
+	stayRequest, stayMemory := f.stayTimes(id)
+	slotRate := float64(room.Total.Requests) / stayRequest
+	memoryRate := float64(room.Total.Memory) / stayMemory
+	slots := float64(ahead.Requests+own.Requests) - share*float64(room.FreeSlots)
+	tokens := float64(ahead.Memory + own.Memory - max(0, room.RoomiestFree))
+	oneEngine := float64(own.Memory-room.RoomiestFree) * float64(room.Engines)
+	wait := max(ratio(slots, share*slotRate), ratio(tokens, share*memoryRate), ratio(oneEngine, memoryRate))
+	return time.Duration(min(maxForecast.Seconds(), wait) * float64(time.Second))
+}
+
+// ratio returns amount by rate; 0 if there is nothing to wait for.
+func ratio(amount, rate float64) float64 {
+	if amount <= 0 {
+		return 0
+	}
+	if rate <= 0 {
+		return maxForecast.Seconds()
+	}
+	return amount / rate
+}
+
+// gatewayShare returns the share of freed capacity that this gateway expects.
+func gatewayShare(room Room) float64 {
+	even := 1 / float64(max(1, room.Gateways))
+	if room.Total.Requests == 0 {
+		return even
+	}
+	return min(1, max(even, float64(room.Own.Requests)/float64(room.Total.Requests)))
+}
+
+// Promise books that a refused request was told to come back after a time.
+func (f *Forecaster) Promise(now time.Time, key Key, id currantwood.GroupID, work Work, after time.Duration) {
+	f.expire(now)
+	f.drop(key)
+	if len(f.promises) >= maxPromises {
+		return
+	}
+	late := lateSlack + time.Duration(lateShare*float64(after))
+	f.promises[key] = promise{group: id, work: work, at: now.Add(after), expires: now.Add(after + late)}
+	total := f.promised[id]
+	total.Add(work)
+	f.promised[id] = total
+}
+
+// Redeem reports whether the request with a key comes back as it was told. The promise
+// then counts no longer. One that comes back too early keeps it.
+func (f *Forecaster) Redeem(now time.Time, key Key) bool {
+	p, booked := f.promises[key]
+	if !booked || now.Before(p.at.Add(-earlyTolerance)) {
+		return false
+	}
+	f.drop(key)
+	return now.Before(p.expires)
+}
+
+// HasPromises reports whether any promise is booked.
+func (f *Forecaster) HasPromises() bool { return len(f.promises) > 0 }
+
+// Promised returns the work of a group that was promised and may still come back.
+func (f *Forecaster) Promised(now time.Time, id currantwood.GroupID) Work {
+	f.expire(now)
+	return f.promised[id]
+}
+
+// expire drops the promises whose clients didn't come back.
+func (f *Forecaster) expire(now time.Time) {
+	for key, p := range f.promises {
+		if !now.Before(p.expires) {
+			f.drop(key)
+		}
+	}
+}
+
+func (f *Forecaster) drop(key Key) {
+	p, booked := f.promises[key]
+	if !booked {
+		return
+	}
+	delete(f.promises, key)
+	total := f.promised[p.group]
+	total.Requests -= p.work.Requests
+	total.Memory -= p.work.Memory
+	f.promised[p.group] = total
+}
--- /dev/null
+++ b/capacity/forecaster/forecaster_test.go
@@ -0,0 +1,69 @@
+package forecaster
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// full is a group of ten engines whose memory is in use, half of it by this gateway. With a
+// stay of 2 s, 50 requests and 50,000 tokens become free a second.
+var full = Room{Engines: 10, FreeSlots: 20, Gateways: 4, Total: Work{100, 100_000}, Own: Work{50, 50_000}}
+
+var _ = DescribeTable("Forecast of the time until there is room",
+	func(change func(*Room), own, ahead Work, want time.Duration) {
+		room := full
+		change(&room)
+		Expect(New().Forecast("g", room, own, ahead)).To(BeNumerically("~", want, time.Millisecond))
+	},
+	Entry("one that fits now", func(r *Room) { r.Open = 1 }, Work{1, 1000}, Work{}, time.Duration(0)),
+	Entry("until one engine has freed the memory", func(*Room) {}, Work{1, 1000}, Work{}, 200*time.Millisecond),
+	Entry("a part of which is free", func(r *Room) { r.RoomiestFree = 500 }, Work{1, 1000}, Work{}, 100*time.Millisecond),
+	Entry("after those ahead, from half of what becomes free", func(*Room) {}, Work{1, 1000}, Work{24, 24_000}, time.Second),
+	Entry("without free slots", func(r *Room) { r.FreeSlots = 0; r.RoomiestFree = 1000 }, Work{1, 100}, Work{24, 2400}, time.Second),
+	Entry("at an even share for a gateway without requests", func(r *Room) { r.Own = Work{}; r.RoomiestFree = 1000 }, Work{1, 1000}, Work{11, 12_500}, time.Second),
+	Entry("with a queue of prompts that is too long", func(r *Room) { r.PrefillExcess = 100 * time.Millisecond }, Work{1, 1000}, Work{}, 100*time.Millisecond),
+	Entry("nothing runs, so nothing ends", func(r *Room) { r.Total, r.Own = Work{}, Work{} }, Work{1, 1000}, Work{}, maxForecast),
+	Entry("no engine", func(r *Room) { r.Engines = 0 }, Work{1, 1000}, Work{}, maxForecast),
+)
+
+var _ = Describe("Forecaster", func() {
+	It("learns how long generations stay, weighted by their memory", func() {
+		f := New()
+		f.Ended("g", 4*time.Second, 1000)
+		Expect(f.Forecast("g", full, Work{1, 1000}, Work{})).To(BeNumerically("~", 400*time.Millisecond, time.Millisecond))
+		f.Ended("other", time.Second, 1000)
+		Expect(f.Forecast("g", full, Work{1, 1000}, Work{})).To(BeNumerically("~", 400*time.Millisecond, time.Millisecond))
+	})
+
+	It("books a promise until the client comes back", func() {
+		f := New()
+		f.Promise(start, 7, "g", Work{1, 1000}, time.Second)
+		Expect(f.Promised(start, "g")).To(Equal(Work{1, 1000}))
+		Expect(f.Redeem(start.Add(500*time.Millisecond), 7)).To(BeFalse(), "too early")
+		Expect(f.Redeem(start.Add(1200*time.Millisecond), 8)).To(BeFalse(), "another request")
+		Expect(f.Redeem(start.Add(1200*time.Millisecond), 7)).To(BeTrue())
+		Expect(f.Promised(start.Add(1200*time.Millisecond), "g")).To(Equal(Work{}))
+		Expect(f.Redeem(start.Add(1200*time.Millisecond), 7)).To(BeFalse(), "used up")
+	})
+
+	It("drops a promise whose client doesn't come back, and books one request once", func() {
+		f := New()
+		f.Promise(start, 7, "g", Work{1, 1000}, time.Second)
+		f.Promise(start, 7, "g", Work{1, 1000}, 2*time.Second)
+		Expect(f.Promised(start, "g")).To(Equal(Work{1, 1000}))
+		Expect(f.Promised(start.Add(4*time.Second), "g")).To(Equal(Work{}))
+		Expect(f.HasPromises()).To(BeFalse())
+	})
+
+	It("bounds the promises", func() {
+		f := New()
+		for key := range Key(2 * maxPromises) {
+			f.Promise(start, key, "g", Work{1, 1}, time.Second)
+		}
+		Expect(f.Promised(start, "g").Requests).To(Equal(maxPromises))
+	})
+})
--- /dev/null
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -0,0 +1,383 @@
+// Package roomkeeper decides whether a generation that finds no room at any engine waits in
+// its gateway or is refused, and which of those that wait is admitted next.
+//
+// A request waits if the forecast says that there is room for it within its bound, and is
+// refused otherwise with the time after which there is. Those that wait are served by
+// priority; within a priority, each customer has its turn, and so has each part that prompts
+// share, so that neither crowds others out; within a turn the one whose objective is missed
+// first goes first. The first for which no engine has room holds the engine with the most
+// free memory: the smaller ones behind it go elsewhere and don't take the memory that it
+// waits for.
+//
+// All gateways that wait read of the same freed capacity at the same time. Each therefore
+// takes an expected part of it, so that all together take a part of it; what stays free for longer
+// is taken faster. Where a request of the gateway itself has ended, it sends another one at
+// once: the others hear of that room later.
+package roomkeeper
+
+import (
+	"math"
+	"math/rand"
+	"time"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/capacity/forecaster"
+)
+
+const (
+	// overheadBytes is what a waiting request takes besides its body: its head, of at most
+	// 16 KB, the buffers of its connection and its goroutines.
+	overheadBytes = 40 << 10
+	// initialPart is the part of the open engines that all gateways together take with one
+	// update: a send is seen by the others up to two updates later. With 0.5, more waited
+	// for an engine of four than it had room for in the model.
+	initialPart = 0.2
+	// maxLevel bounds how often that part is doubled; 2^12 exceeds the gateways of a fleet.
+	maxLevel = 12
+	// maxMisses bounds the requests without room that one offer looks at.
+	maxMisses = 8
+	// returnFactor is by how much more than forecast a client is told to stay away. The
+	// forecast leaves out those that arrive meanwhile, and a client that comes back to
+	// another gateway isn't recognized. Most clients come back once: with 1, twice as many
+	// were lost in the model as with 2.5, and 2% of the promises were broken with 2.
+	returnFactor = 2.5
+	// claimPart is the part of the engines that all gateways together may claim, for the
+	// request that each of them holds an engine for. With claims on most engines nothing
+	// would be admitted anywhere.
+	claimPart = 0.25
+)
+
+// Ticket identifies a waiting request; 0 is none.
+type Ticket uint64
+
+// Request is a request that finds no room.
+type Request struct {
+	Group    currantwood.GroupID
+	Customer currantwood.CustomerID
+	Priority currantwood.Priority
+	// Part is the part of the prompt that most others may share; empty if there is none.
+	Part currantwood.PartID
+	// MissedAt is when the objective of the request is missed.
+	MissedAt time.Time
+	// Promised is whether the request comes back as it was told. It goes before others of
+	// its priority and isn't refused by the forecast.
+	Promised bool
+	// MustWait is whether the request waits whatever the forecast says: its stream has
+	// begun, so that a refusal would lose it.
+	MustWait bool
+	// MaxWait is how long it may wait.
+	MaxWait time.Duration
+	Work    forecaster.Work
+	// BodyBytes is the length of its body.
+	BodyBytes int64
+}
+
+//go:generate go tool stringer -linecomment -type=Reason
+
+// Reason says why a request doesn't wait.
+type Reason uint8
+
+// Reasons not to wait.
+const (
+	// Waits is for a request that waits.
+	Waits        Reason = iota // waits
+	TooLong                    // no room in time by the forecast
+	QueueFull                  // no memory to wait
+	Overtaken                  // no memory to wait beside more urgent requests
+	NoTimeToWait               // no time left to wait
+)
+
+// Decision is what happens to a request that has arrived.
+type Decision struct {
+	// Reason is Waits if the request waits, with Ticket.
+	Reason Reason
+	Ticket Ticket
+	// Forecast is the time until there is room for it.
+	Forecast time.Duration
+	// Evicted wait no longer, as their memory is needed for this request.
+	Evicted []Ticket
+}
+
+// Choice limits the engines that are asked for room.
+type Choice struct {
+	// Only is the only engine to ask, and Not one that isn't asked; empty if there is none.
+	Only, Not currantwood.UpstreamID
+}
+
+// Placer places requests at engines, by the loads as they are known now.
+type Placer interface {
+	// Fits reports whether an engine among those of the choice has room for the request.
+	Fits(t Ticket, c Choice) bool
+	// Place sends the request to the engine that Fits found.
+	Place(t Ticket)
+	// Room returns what is known of the engines for the request.
+	Room(t Ticket) forecaster.Room
+}
+
+// entry is a waiting request.
+type entry struct {
+	Request
+	ticket Ticket
+	// claims is whether the engine held for it is claimed at the other gateways, too; drawn
+	// once.
+	claims bool
+}
+
+// queue is what waits for the engines of one group.
+type queue struct {
+	entries []*entry
+	// turns and partTurns are the next turns of the customers and of the parts that had one.
+	// turn is the current one.
+	turns     map[currantwood.CustomerID]int
+	partTurns map[currantwood.PartID]int
+	turn      int
+	// level is how often the part taken was doubled, and open the engines that had room
+	// when it was.
+	level, open int
+	// held is the engine held for holder.
+	held   currantwood.UpstreamID
+	holder *entry
+}
+
+// Keeper holds the waiting requests of one gateway. It is not safe for concurrent use.
+type Keeper struct {
+	maxBytes, bytes int64
+	random          *rand.Rand
+	forecaster      *forecaster.Forecaster
+	queues          map[currantwood.GroupID]*queue
+	last            Ticket
+}
+
+// New returns a keeper whose waiting requests take at most maxBytes.
+func New(maxBytes int64, f *forecaster.Forecaster, random *rand.Rand) *Keeper {
+	return &Keeper{maxBytes: maxBytes, forecaster: f, random: random, queues: make(map[currantwood.GroupID]*queue)}
+}
+
+// Arrive decides on a request that finds no room.
+func (k *Keeper) Arrive(now time.Time, r Request, room forecaster.Room) Decision {
+	q := k.queue(r.Group)
+	e := &entry{Request: r}
+	d := Decision{Forecast: k.Forecast(now, r, room)}
+	if r.MaxWait <= 0 {
+		d.Reason = NoTimeToWait
+		return d
+	}
+	// A request that fits an engine now is offered a place at once or with the next update.
+	if room.Open == 0 && d.Forecast > r.MaxWait && !r.Promised && !r.MustWait {
+		d.Reason = TooLong
+		return d
+	}
+	cost := overheadBytes + r.BodyBytes
+	d.Evicted = k.makeSpace(q, e, cost)
+	if k.bytes+cost > k.maxBytes {
+		d.Reason = QueueFull
+		return d
+	}
+	k.last++
+	k.bytes += cost
+	e.ticket = k.last
+	e.claims = k.random.Float64() < claimPart*float64(room.Engines)/float64(max(1, room.Gateways))
+	q.entries = append(q.entries, e)
+	d.Ticket = e.ticket
+	return d
+}
+
+// Forecast returns the time until there is room for a request that doesn't wait, after those
+// that wait before it and those promised; when one comes back as told, the others promised
+// aren't before it.
+func (k *Keeper) Forecast(now time.Time, r Request, room forecaster.Room) time.Duration {
+	q, e := k.queue(r.Group), &entry{Request: r}
+	var ahead forecaster.Work
+	if !e.Promised {
+		ahead = k.forecaster.Promised(now, e.Group)
+	}
+	for _, other := range q.order(e) {
+		if other == e {
+			break
+		}
+		ahead.Add(other.Work)
+	}
+	return k.forecaster.Forecast(e.Group, room, e.Work, ahead)
+}
+
+// RetryAfter returns when a client that is refused should come back, by a forecast.
+func RetryAfter(forecast time.Duration) time.Duration {
+	return time.Duration(returnFactor * float64(forecast))
+}
+
+// makeSpace removes those that go last until there is memory for e, as far as all of them go
+// after e, and returns them.
+func (k *Keeper) makeSpace(q *queue, e *entry, cost int64) []Ticket {
+	if k.bytes+cost <= k.maxBytes {
+		return nil
+	}
+	order := q.order(e)
+	free := k.maxBytes - k.bytes
+	var evicted []Ticket
+	for i := len(order) - 1; order[i] != e && free < cost; i-- {
+		free += overheadBytes + order[i].BodyBytes
+		evicted = append(evicted, order[i].ticket)
+	}
+	if free < cost {
+		return nil
+	}
+	for _, t := range evicted {
+		k.Leave(e.Group, t)
+	}
+	return evicted
+}
+
+// Leave removes a request that waits no longer, and reports whether it waited.
+func (k *Keeper) Leave(id currantwood.GroupID, t Ticket) bool {
+	q := k.queue(id)
+	for i, e := range q.entries {
+		if e.ticket != t {
+			continue
+		}
+		q.entries = append(q.entries[:i], q.entries[i+1:]...)
+		k.bytes -= overheadBytes + e.BodyBytes
+		if q.holder == e {
+			q.holder, q.held = nil, ""
+		}
+		if len(q.entries) == 0 {
+			clear(q.turns)
+			clear(q.partTurns)
+			q.turn, q.level = 0, 0
+		}
+		return true
+	}
+	return false
+}
+
+// Waiting returns the number of requests that wait for engines of a group.
+func (k *Keeper) Waiting(id currantwood.GroupID) int {
+	if q := k.queues[id]; q != nil {
+		return len(q.entries)
+	}
+	return 0
+}
+
+// Total returns the number of all waiting requests and the memory that they take.
+func (k *Keeper) Total() (requests int, bytes int64) {
+	for _, q := range k.queues {
+		requests += len(q.entries)
+	}
+	return requests, k.bytes
+}
+
+// Claim is an engine that a waiting request holds, as the other gateways are told.
+type Claim struct {
+	Upstream currantwood.UpstreamID
+	Work     forecaster.Work
+}
+
+// Claims returns the engines that are claimed.
+func (k *Keeper) Claims() []Claim {
+	var claims []Claim
+	for _, q := range k.queues {
+		if q.holder != nil && q.holder.claims {
+			claims = append(claims, Claim{q.held, q.holder.Work})
+		}
+	}
+	return claims
+}
+
+func (k *Keeper) queue(id currantwood.GroupID) *queue {
+	q := k.queues[id]
+	if q == nil {
+		q = &queue{turns: make(map[currantwood.CustomerID]int), partTurns: make(map[currantwood.PartID]int)}
+		k.queues[id] = q
+	}
+	return q
+}
+
+// OfferFreed places a request at an engine where one of this gateway has ended.
+func (k *Keeper) OfferFreed(id currantwood.GroupID, freed currantwood.UpstreamID, p Placer) {
+	if q := k.queues[id]; q != nil && len(q.entries) > 0 {
+		k.offerAt(q, freed, p)
+	}
+}
+
+// offerAt places the first request that fits at an engine. If the engine is held, that is
+// the one that it is held for.
+func (k *Keeper) offerAt(q *queue, freed currantwood.UpstreamID, p Placer) {
+	misses := 0
+	for _, e := range q.order(nil) {
+		if q.held == freed && q.holder != nil && q.holder != e {
+			continue
+		}
+		if p.Fits(e.ticket, Choice{Only: freed}) {
+			k.place(q, e, p)
+			return
+		}
+		if misses++; misses == maxMisses {
+			return
+		}
+	}
+}
+
+// place sends a request to the engine found for it.
+func (k *Keeper) place(q *queue, e *entry, p Placer) {
+	p.Place(e.ticket)
+	q.took(e)
+	k.Leave(e.Group, e.ticket)
+}
+
+// OfferUpdate places requests after new sums of the other gateways' loads have arrived.
+func (k *Keeper) OfferUpdate(id currantwood.GroupID, p Placer) {
+	q := k.queues[id]
+	if q == nil || len(q.entries) == 0 {
+		return
+	}
+	room := p.Room(q.order(nil)[0].ticket)
+	switch {
+	case room.Open == 0:
+		q.level = 0
+	case room.Open >= q.open:
+		q.level = min(maxLevel, q.level+1)
+	default:
+		q.level = max(0, q.level-1)
+	}
+	q.open = room.Open
+	part := initialPart * math.Exp2(float64(max(0, q.level-1))) * float64(room.Open) / float64(max(1, room.Gateways))
+	limit := int(part)
+	if k.random.Float64() < part-float64(limit) {
+		limit++
+	}
+	k.offer(q, p, limit)
+}
+
+// offer places at most limit requests in their order.
+func (k *Keeper) offer(q *queue, p Placer, limit int) {
+	placed, misses := 0, 0
+	var holder *entry
+	held := currantwood.UpstreamID("")
+	for _, e := range q.order(nil) {
+		if !p.Fits(e.ticket, Choice{Not: held}) {
+			if holder == nil {
+				holder, held = e, q.heldFor(e, p)
+			}
+			if misses++; misses == maxMisses {
+				break
+			}
+			continue
+		}
+		if placed == limit {
+			break
+		}
+		k.place(q, e, p)
+		placed++
+	}
+	if len(q.entries) > 0 {
+		q.holder, q.held = holder, held
+	}
+}
+
+// heldFor returns the engine that is held for a request: the one held already, or the one
+// with the most free memory.
+func (q *queue) heldFor(e *entry, p Placer) currantwood.UpstreamID {
+	if q.holder == e {
+		return q.held
+	}
+	return p.Room(e.ticket).Roomiest
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -47,6 +47,10 @@
 			break
 		}
 		choice, err := q.pickUpstream(now, q.callStallTimeout(), func(*balancer.Query) {})
+		if errors.Is(err, errLeftWaiting) {
+			q.recordLeftWaiting(now)
+			return
+		}
 		if err != nil {
 			final = q.noUpstreamResponse(final, err)
 			break
@@ -206,6 +210,12 @@
 	q.log("request served", zap.Int("status", a.status), zap.String("upstream", string(choice.View.ID)), zap.Int("sends", len(q.attempted)), zap.Float64("score", choice.Score), zap.Int("in-flight", choice.Load.Requests))
 }
 
+// recordLeftWaiting counts a client that has disconnected before an upstream was found.
+func (q *request) recordLeftWaiting(since time.Time) {
+	q.g.instruments.clientDisconnects.Inc(1)
+	q.log("client disconnected while its request waited for room", zap.Duration("waited", q.g.Now().Sub(since)))
+}
+
 func (q *request) recordDisconnect(choice balancer.Choice) {
 	q.g.instruments.clientDisconnects.Inc(1)
 	q.log("client disconnected", zap.String("upstream", string(choice.View.ID)))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,8 @@
 	// that are read whole.
 	requests, responses *bodyBuffer
 	instruments         instruments
+	// room holds the generations that wait for room; guarded by mu.
+	room *roomQueue
 }
 
 // instruments holds the gateway's counters and histograms. Times are in
@@ -105,7 +107,10 @@
 	leavingNotices, pauses, refusedPaused      metrics.Counter
 	rateLimited, startsLearned, startsUnknown  metrics.Counter
 	refusedRegions                             metrics.Counter
-	responseTime, firstEventTime               metrics.Histogram
+	queued, queuedAdmitted, refusedRoom        metrics.Counter
+	promisesGiven, promisesKept                metrics.Counter
+	promisesBroken                             metrics.Counter
+	responseTime, firstEventTime, queueTime    metrics.Histogram
 }
 
 // New returns a gateway that has no configuration and no upstreams yet.
@@ -133,6 +138,7 @@
 		requests:      newBodyBuffer(options.Settings.MemoryBytes, defaultMaxBodyBytes),
 		responses:     newBodyBuffer(options.Settings.MemoryBytes, maxResponseBytes),
 		eventInterval: initialEventInterval,
+		room:          newRoomQueue(options.Settings.MemoryBytes, options.Random),
 		budget: budgeter.New(budgeter.Options{
 			Window:     options.Settings.Bounds.RetryWindow,
 			RetryShare: options.Settings.Bounds.RetryShare,
@@ -140,8 +146,13 @@
 			FirstStart: options.Settings.FirstStart,
 		}, options.Now()),
 	}
-	r := options.Metrics
-	g.instruments = instruments{
+	g.instruments = newInstruments(options.Metrics)
+	return g
+}
+
+// newInstruments registers the counters and histograms of a gateway.
+func newInstruments(r metrics.Registry) instruments {
+	return instruments{
 		served:             metrics.NewRegisteredCounter("requests-served", r),
 		refused:            metrics.NewRegisteredCounter("requests-refused", r),
 		failed:             metrics.NewRegisteredCounter("requests-failed", r),
@@ -163,9 +174,15 @@
 		rateLimited:        metrics.NewRegisteredCounter("requests-rate-limited", r),
 		refusedRegions:     metrics.NewRegisteredCounter("requests-refused-regions", r),
 		responseTime:       metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
+		queued:             metrics.NewRegisteredCounter("requests-queued", r),
+		queuedAdmitted:     metrics.NewRegisteredCounter("requests-queued-admitted", r),
+		refusedRoom:        metrics.NewRegisteredCounter("requests-refused-room", r),
+		promisesGiven:      metrics.NewRegisteredCounter("promises-given", r),
+		promisesKept:       metrics.NewRegisteredCounter("promises-kept", r),
+		promisesBroken:     metrics.NewRegisteredCounter("promises-broken", r),
+		queueTime:          metrics.NewRegisteredHistogram("queue-time-us", r, newSample()),
 		firstEventTime:     metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
 	}
-	return g
 }
 
 func newSample() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, 0.015) }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -17,11 +17,18 @@
 // SetCollects sets whether this gateway is the collector.
 func (g *Gateway) SetCollects(collects bool) { g.collects.Store(collects) }
 
-// OwnLoads returns the load that this gateway has in flight at each upstream.
+// OwnLoads returns the load that this gateway has in flight at each upstream, and what
+// waits for one that it holds.
 func (g *Gateway) OwnLoads() balancer.Loads {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.OwnLoads()
+	loads := g.balancer.OwnLoads()
+	for _, claim := range g.room.keeper.Claims() {
+		load := loads[claim.Upstream]
+		load.Add(balancer.Load{Requests: claim.Work.Requests, MemoryTokens: claim.Work.Memory})
+		loads[claim.Upstream] = load
+	}
+	return loads
 }
 
 // SetPeerLoads sets the summed load of the other gateways at each upstream.
@@ -29,6 +36,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.balancer.SetPeerLoads(now, allPeers, loads)
+	g.offerUpdate(now)
 }
 
 // RetryUsage returns the requests and retries that this gateway has sent to each
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -100,6 +100,12 @@
 	// possibleRuns counts the upstreams that may have run the request. An
 	// upstream to which a move brought the run isn't counted.
 	possibleRuns int
+	// pickedAt is when the last upstream was picked; guarded by the gateway's mu while the
+	// request waits for room.
+	pickedAt time.Time
+	// promised is whether the client has come back as a refusal told it, and promiseNoted
+	// whether it was counted if there was room for it.
+	promised, promiseNoted bool
 }
 
 func newRequest(g *Gateway, w http.ResponseWriter, r *http.Request) *request {
@@ -178,26 +184,48 @@
 // pickUpstream picks an upstream that was not attempted yet and reports the
 // load to the balancer.
 //
-// A generation is refused rather than queued if no engine has enough memory for
-// it or none would prefill its prompt in time. In a queue it would cause other
-// generations to be preempted, or delay later ones. restrict may narrow the choice.
+// A generation isn't queued at an engine if none has enough memory for it or none would
+// prefill its prompt in time. In a queue there it would cause other generations to be
+// preempted, or delay later ones. It is refused or, with QueueRequests, may wait here for
+// room. restrict may narrow the choice.
 func (q *request) pickUpstream(now time.Time, stallTimeout time.Duration, restrict func(q *balancer.Query)) (balancer.Choice, error) {
+	if q.g.Settings.QueueRequests && q.isGeneration() {
+		return q.pickOrWait(now, stallTimeout, restrict)
+	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
+	return q.pickNow(now, stallTimeout, restrict)
+}
+
+// pickNow picks an upstream by the present loads. The caller holds the gateway's mu.
+func (q *request) pickNow(now time.Time, stallTimeout time.Duration, restrict func(q *balancer.Query)) (balancer.Choice, error) {
 	q.g.syncGroups(q.snapshot)
-	query := balancer.Query{Group: q.group, Load: q.load(), Zone: q.g.Settings.Zone, Regions: q.regions(), Exclude: q.attempted}
-	if q.isGeneration() {
-		query.OutputTokens = q.client.Size.Expected(q.client.LengthHint) - q.client.Size.Prompt
-		query.RequireCapacity, query.MaxPrefillWait = true, q.maxQueueTime()
-	}
+	query := q.query(now)
 	restrict(&query)
 	choice, err := q.g.balancer.Pick(now, query)
 	if err == nil {
-		q.g.balancer.Started(now, choice.View, query.Load, stallTimeout)
+		q.started(now, choice, stallTimeout)
 	}
 	return choice, err
 }
 
+// query returns what an upstream is looked for by.
+func (q *request) query(now time.Time) balancer.Query {
+	query := balancer.Query{Group: q.group, Load: q.load(), Zone: q.g.Settings.Zone, Regions: q.regions(), Exclude: q.attempted}
+	if q.isGeneration() {
+		query.OutputTokens = q.client.Size.Expected(q.client.LengthHint) - q.client.Size.Prompt
+		query.RequireCapacity, query.MaxPrefillWait = true, q.maxQueueTimeAfter(now)
+	}
+	return query
+}
+
+// started reports to the balancer that the request is sent to an upstream. The caller holds
+// the gateway's mu.
+func (q *request) started(now time.Time, choice balancer.Choice, stallTimeout time.Duration) {
+	q.pickedAt = now
+	q.g.balancer.Started(now, choice.View, q.load(), stallTimeout)
+}
+
 // maxQueueTime is how long prompts queued at an engine may delay this one. It is
 // shorter for lower priorities, so that under load less urgent requests are
 // refused first.
@@ -207,6 +235,16 @@
 	return time.Duration(share * float64(q.route.Target))
 }
 
+// maxQueueTimeAfter is maxQueueTime for a request that may have waited for room: together
+// they take at most waitAndQueueShare of the target time.
+func (q *request) maxQueueTimeAfter(now time.Time) time.Duration {
+	if !q.g.Settings.QueueRequests || q.possibleRuns > 0 {
+		return q.maxQueueTime()
+	}
+	left := time.Duration(waitAndQueueShare*float64(q.route.Target)) - now.Sub(q.arrived)
+	return max(minQueueTime, min(q.maxQueueTime(), left))
+}
+
 // noUpstreamResponse returns the response to a request for which the balancer
 // picked no upstream: a refusal, or previous if an upstream may have run the
 // request.
@@ -214,6 +252,10 @@
 	if q.possibleRuns > 0 {
 		return previous
 	}
+	var inFull *refusedError
+	if errors.As(err, &inFull) {
+		return inFull.response
+	}
 	retryAfter := upstreamRetryAfter
 	var refused *balancer.RefusalError
 	if errors.As(err, &refused) && refused.RetryAfter > 0 {
@@ -234,7 +276,9 @@
 func (q *request) recordEnd(view upstreamkeeper.View, load balancer.Load, outcome balancer.Outcome) {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	q.g.balancer.Ended(q.g.Now(), view, load, outcome)
+	now := q.g.Now()
+	q.g.balancer.Ended(now, view, load, outcome)
+	q.g.offerFreed(now, q, view.ID, load, outcome)
 }
 
 // upstreamCall builds the call that is sent to an upstream. The caller sets
--- /dev/null
+++ b/gateway/room_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/upstreamkeeper"
+)
+
+// engineView is the only engine of the tests below. It has memory for one generation of
+// newGeneration.
+var engineView = upstreamkeeper.View{UpstreamRecord: currantwood.UpstreamRecord{ID: "e", Group: "g", Zone: "a", Slots: 8, Incarnation: 1}}
+
+// newRoomGateway returns a gateway with one engine, which is known as running.
+func newRoomGateway(queueRequests bool) *Gateway {
+	keeper := configkeeper.New()
+	keeper.SetIfNewer(currantwood.Configuration{Version: 1, Groups: map[currantwood.GroupID]currantwood.Group{
+		"g": {ID: "g", Engine: &currantwood.EngineProperties{Slots: 8, MemoryTokens: 1000}},
+	}})
+	g := New(Options{
+		Configuration: keeper, Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: time.Now,
+		Settings: currantwood.GatewaySettings{QueueRequests: queueRequests, MemoryBytes: 134_000_000, Zone: "a", Regions: map[currantwood.ZoneID]currantwood.RegionID{"a": "r"}},
+		Decode:   func(string, []byte) (currantwood.UpstreamRecord, error) { return engineView.UpstreamRecord, nil },
+	})
+	g.ReplaceUpstreamRecords(time.Now(), []currantwood.KeyedRecord{{Key: "e", Value: []byte("{}")}})
+	return g
+}
+
+// newGeneration returns a request for a generation that needs 600 tokens.
+func newGeneration(ctx context.Context, g *Gateway, id string, target time.Duration) *request {
+	r := httptest.NewRequest(http.MethodPost, "/v1/"+id, nil).WithContext(ctx)
+	now := g.Now()
+	return &request{
+		g: g, r: r, w: httptest.NewRecorder(), arrived: now, deadline: now.Add(time.Minute), snapshot: g.Configuration.Current(), group: "g",
+		route: &currantwood.Route{Stream: true, Target: target, Regions: currantwood.AnyRegion()}, admittedRegions: currantwood.AnyRegion(), body: []byte(id),
+		client: currantwood.ClientRequest{LastEvent: -1, Size: currantwood.GenerationSize{Prompt: 100, Output: 1000}},
+	}
+}
+
+// pickResult is what pickUpstream returned after a while.
+type pickResult struct {
+	choice balancer.Choice
+	Err    error
+}
+
+func pickInBackground(q *request) chan pickResult {
+	result := make(chan pickResult, 1)
+	go func() {
+		choice, err := q.pickUpstream(q.g.Now(), time.Second, func(*balancer.Query) {})
+		result <- pickResult{choice, err}
+	}()
+	return result
+}
+
+func waiting(g *Gateway) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.room.keeper.Waiting("g")
+}
+
+var _ = Describe("A generation that finds no room", func() {
+	var g *Gateway
+	var first *request
+
+	BeforeEach(func() {
+		g = newRoomGateway(true)
+		first = newGeneration(context.Background(), g, "first", 4*time.Second)
+		_, err := first.pickUpstream(g.Now(), time.Second, func(*balancer.Query) {})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("is refused at once without the setting", func() {
+		g.Settings.QueueRequests = false
+		result := pickInBackground(newGeneration(context.Background(), g, "second", 4*time.Second))
+		var refused *balancer.RefusalError
+		Expect(errors.As((<-result).Err, &refused)).To(BeTrue())
+		Expect(refused.Error()).To(Equal("no upstream"))
+	})
+
+	It("is sent when another ends", func() {
+		result := pickInBackground(newGeneration(context.Background(), g, "second", 4*time.Second))
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		first.recordEnd(engineView, first.load(), balancer.Served)
+		Eventually(result).Should(Receive(HaveField("Err", BeNil())))
+		Expect(g.OwnLoads()).To(HaveKeyWithValue(currantwood.UpstreamID("e"), balancer.Load{Requests: 1, MemoryTokens: 600, PrefillTokens: 100}))
+		Expect(g.instruments.queuedAdmitted.Count()).To(Equal(int64(1)))
+	})
+
+	It("is sent when the other gateways' loads show room", func() {
+		first.recordEnd(engineView, first.load(), balancer.Served)
+		g.SetPeerLoads(g.Now(), balancer.Loads{"e": {Requests: 1, MemoryTokens: 600}})
+		result := pickInBackground(newGeneration(context.Background(), g, "second", 4*time.Second))
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		Eventually(func() chan pickResult {
+			g.SetPeerLoads(g.Now(), balancer.Loads{})
+			return result
+		}).Should(Receive(HaveField("Err", BeNil())))
+	})
+
+	It("is refused with a time that its client finds room at", func() {
+		q := newGeneration(context.Background(), g, "second", 200*time.Millisecond)
+		r := <-pickInBackground(q)
+		var refused *refusedError
+		Expect(errors.As(r.Err, &refused)).To(BeTrue())
+		Expect(q.noUpstreamResponse(nil, r.Err).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.response.retryAfter).To(BeNumerically(">=", minRetryAfter))
+		Expect(g.instruments.promisesGiven.Count()).To(Equal(int64(1)))
+		Expect(waiting(g)).To(BeZero())
+
+		first.recordEnd(engineView, first.load(), balancer.Served)
+		again := newGeneration(context.Background(), g, "second", 200*time.Millisecond)
+		_, err := again.pickUpstream(g.Now().Add(refused.response.retryAfter), time.Second, func(*balancer.Query) {})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.instruments.promisesKept.Count()).To(Equal(int64(1)))
+		Expect(g.instruments.promisesBroken.Count()).To(BeZero())
+	})
+
+	It("is dropped when its client disconnects", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		result := pickInBackground(newGeneration(ctx, g, "second", 4*time.Second))
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		cancel()
+		Eventually(result).Should(Receive(HaveField("Err", MatchError(errLeftWaiting))))
+		Expect(waiting(g)).To(BeZero())
+	})
+
+	It("is refused when the gateway stops, and doesn't wait afterwards", func() {
+		result := pickInBackground(newGeneration(context.Background(), g, "second", 4*time.Second))
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		g.Stop(g.Now(), g.Now().Add(time.Second))
+		var r pickResult
+		Eventually(result).Should(Receive(&r))
+		var refused *refusedError
+		Expect(errors.As(r.Err, &refused)).To(BeTrue())
+		Expect(refused.response.closeConnection).To(BeTrue())
+		Eventually(pickInBackground(newGeneration(context.Background(), g, "third", 4*time.Second))).Should(Receive(HaveField("Err", HaveOccurred())))
+	})
+
+	// A request that no engine could run even without load must not wait.
+	It("is refused at once if it is larger than any engine", func() {
+		q := newGeneration(context.Background(), g, "second", 4*time.Second)
+		q.client.Size.Prompt = 5000
+		var refused *balancer.RefusalError
+		Expect(errors.As((<-pickInBackground(q)).Err, &refused)).To(BeTrue())
+		Expect(refused.Full).To(BeFalse())
+	})
+})
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -21,8 +21,12 @@
 }
 
 // Stop makes the response to every request that arrives from now on close its
-// connection. Requests that may run past end are refused.
-func (g *Gateway) Stop(now, end time.Time) { g.shutdown.Store(&shutdown{began: now, end: end}) }
+// connection. Requests that may run past end are refused, and so are those that wait for
+// room.
+func (g *Gateway) Stop(now, end time.Time) {
+	g.shutdown.Store(&shutdown{began: now, end: end})
+	g.refuseWaiting()
+}
 
 // maxDuration is the longest time that the request is expected to take from now on, while
 // the gateway stops. It never takes longer than until its deadline. A call that may have
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -108,6 +108,10 @@
 			break
 		}
 		choice, err := s.pickStreamUpstream(now)
+		if errors.Is(err, errLeftWaiting) {
+			s.recordLeftWaiting(now)
+			return false
+		}
 		if err != nil {
 			final = s.noUpstreamResponse(final, err)
 			break
@@ -127,7 +131,7 @@
 		}
 		if err == nil {
 			s.possibleRuns++
-			opened.sentAt, opened.queuedTokens = now, choice.Load.PrefillTokens
+			opened.sentAt, opened.queuedTokens = s.pickedAt, choice.Load.PrefillTokens
 			s.log("stream opened", zap.String("upstream", string(choice.View.ID)), zap.Float64("score", choice.Score), zap.Int("in-flight", choice.Load.Requests), zap.Int64("tokens-in-flight", int64(choice.Load.MemoryTokens)), zap.Int64("after-event", s.lastEvent.Load()), zap.String("version", string(choice.View.Version)), zap.String("resumes", string(s.client.Resumes)))
 			s.setCurrent(opened)
 			return true
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -95,8 +95,8 @@
 }
 
 // Tick does the work that is due by time alone: it ejects stalled upstreams,
-// removes those whose lapsed records were not written again in time, and closes
-// idle connections.
+// removes those whose lapsed records were not written again in time, offers room to waiting
+// requests, and closes idle connections.
 func (g *Gateway) Tick(now time.Time) {
 	g.mu.Lock()
 	stalled := g.balancer.EjectStalled(now)
@@ -106,6 +106,7 @@
 	}
 	events := g.upstreams.Tick(now)
 	g.abandoned.DeleteExpired(now)
+	g.offerOverdue(now)
 	g.handleEventsAndUnlock(now, events)
 	for _, id := range stalled {
 		g.Logger.Warn("upstream makes no progress, excluded from balancing", zap.String("upstream", string(id)))
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -39,6 +39,9 @@
 	// FirstStart is whether the whole system starts for the first time, so that no
 	// former process of it has done anything.
 	FirstStart bool
+	// QueueRequests is whether generations that find no room wait for it in the gateway for
+	// a part of their route's target time, and are refused by a forecast.
+	QueueRequests bool
 }
 
 // linkBitsPerCore is the link bandwidth, in bits per second, that counts as much
