Retry budget: small fleets use their reserve, and late reports no longer exceed it

Of 94 runs that had to be moved at two gateways, 29 to 32 were lost with "retry budget exhausted". Four gateways were assumed, so that two used half of the reserve at most; a fifth of it was kept for each, and a quarter beyond that. The new model without a network shows a second fault: what was left was divided anew with each report, though reports are 0.4 s late. When all runs had to be moved at once, 4 to 68 gateways sent up to 1.73 times the budget.

Fewer than three other seeds are all other gateways, so their number is the least that is assumed. What is left is divided among those that may retry before they hear of each other, and retries of the last 450 ms count by time, not by reports. Retries count for one step of the window longer than requests. A guaranteed part of the reserve below one retry is left to all. A run that was copied asks for the budget for up to 0.8 s while its engine stays.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -9,28 +9,39 @@
 // gateway's own budget is that of its own requests plus an equal part of the
 // reserve.
 //
+// What is left of the joint budget, by the retries of which all have heard, is divided among
+// the gateways that may retry before they hear of each other. Retries of the last moment are
+// counted by time, not by reports: a report that has just arrived says nothing of them.
+//
 // A process that has just started doesn't know what former processes have spent
 // within the window. Until the window has passed it has no part of the reserve, nor
 // do the others count one for it.
 package budgeter
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/currantwood/currantwood"
 )
 
 const (
-	// bucketCount is the number of buckets that a window is divided into.
+	// bucketCount is the number of buckets that a window is divided into. Retries count for
+	// one bucket longer: the newest one has only begun, so that those in the oldest may be
+	// in the window still.
 	bucketCount = 20
+	ringSize    = bucketCount + 1
 	// guaranteedPart is the part of its own budget that a gateway may use
 	// whatever its peers report. They leave it that much even if they receive no
 	// report from it.
 	guaranteedPart = 0.2
-	// jointPart is the part of the budget that the reported retries of all
-	// gateways together may use up. The rest covers the guaranteed parts and other
-	// retries that haven't been reported yet.
+	// jointPart is the part of what requests add to the budget that the retries of all
+	// gateways together may use up. The rest covers the guaranteed parts, and requests
+	// that leave the window before the retries that they allowed.
 	jointPart = 0.75
+	// reserveMargin is the part of the reserve that stays unused beside what the other
+	// gateways are guaranteed, for reports that are later than reportDelay.
+	reserveMargin = 0.04
 	// failurePart is the part of guaranteedPart and of jointPart that retries of
 	// failed requests may use. The rest is kept for moved runs.
 	failurePart = 0.6
@@ -38,9 +49,14 @@
 	peerUsageMaxAge = time.Second
 	// reportDelay is the time from a retry until other gateways hear of it by the collector,
 	// and burstFactor by how much more than on the average all may serve in that time.
-	reportDelay = 400 * time.Millisecond
+	reportDelay = 450 * time.Millisecond
 	burstFactor = 2
-	// minGateways is the number of gateways assumed until more have reported.
+	// movedShare is the share of the requests in the window whose runs may have to be moved
+	// at once: runs last up to 20 s, and a zone may be lost. With 1/3, 67 retries
+	// were sent for a budget of 66.6 by 68 gateways in the model that moves all runs.
+	movedShare = 1.0 / 2
+	// minGateways is the number of gateways assumed until more have reported, if
+	// Options.MinGateways isn't set.
 	minGateways = 4
 )
 
@@ -77,6 +93,10 @@
 	Reserve float64
 	// FirstStart is whether there were no former processes.
 	FirstStart bool
+	// MinGateways is the least number of gateways that there are, this one included: a
+	// gateway that knows fewer than three seeds knows all others. 0 means that it isn't
+	// known, and 4 are assumed.
+	MinGateways int
 }
 
 // Peers is what is known of the other gateways.
@@ -92,7 +112,7 @@
 
 // windowCounter counts usage in a sliding window, as a ring of buckets.
 type windowCounter struct {
-	buckets [bucketCount]Usage
+	buckets [ringSize]Usage
 	// newestBucket is the number of the newest bucket, counted from the zero of
 	// the clock that the times are read from.
 	newestBucket int64
@@ -110,12 +130,11 @@
 	peers   Peers
 	peersAt time.Time
 	// maxReportingGateways is the highest value of peers.Gateways so far, at
-	// least minGateways. Gateways whose reports no longer arrive may still send
+	// least Options.MinGateways. Gateways whose reports no longer arrive may still send
 	// retries.
 	maxReportingGateways int
-	// retriesSinceReport counts this gateway's retries in each group since the
-	// peers' usage was last set.
-	retriesSinceReport map[currantwood.GroupID]int
+	// recent holds the times of this gateway's retries of which others may not have heard.
+	recent map[currantwood.GroupID][]time.Time
 }
 
 // New returns a budgeter without any usage, for a process that starts now.
@@ -123,7 +142,14 @@
 	if options.Window <= 0 {
 		options.Window = 10 * time.Second
 	}
-	return &Budgeter{options: options, startedAt: now, groups: make(map[currantwood.GroupID]*windowCounter), maxReportingGateways: minGateways, peers: Peers{Gateways: 1}, retriesSinceReport: make(map[currantwood.GroupID]int)}
+	return &Budgeter{
+		options:              options,
+		startedAt:            now,
+		groups:               make(map[currantwood.GroupID]*windowCounter),
+		maxReportingGateways: cmp.Or(options.MinGateways, minGateways),
+		peers:                Peers{Gateways: 1},
+		recent:               make(map[currantwood.GroupID][]time.Time),
+	}
 }
 
 // Established reports whether this process knows all that its VM has spent within
@@ -140,7 +166,7 @@
 // Retried counts a retry.
 func (b *Budgeter) Retried(now time.Time, id currantwood.GroupID) {
 	b.bucket(now, id).Retries++
-	b.retriesSinceReport[id]++
+	b.recent[id] = append(b.unheard(now, id), now)
 }
 
 // bucket returns the current bucket of a group.
@@ -151,21 +177,21 @@
 		b.groups[id] = c
 	}
 	b.advance(now, c)
-	return &c.buckets[c.newestBucket%bucketCount]
+	return &c.buckets[c.newestBucket%ringSize]
 }
 
 // advance moves the window of a counter to now and clears the buckets that it
 // reuses.
 func (b *Budgeter) advance(now time.Time, c *windowCounter) {
 	current := now.UnixNano() / int64(b.options.Window/bucketCount)
-	if current-c.newestBucket >= bucketCount {
-		c.buckets = [bucketCount]Usage{}
+	if current-c.newestBucket >= ringSize {
+		c.buckets = [ringSize]Usage{}
 		c.newestBucket = current
 		return
 	}
 	for c.newestBucket < current {
 		c.newestBucket++
-		c.buckets[c.newestBucket%bucketCount] = Usage{}
+		c.buckets[c.newestBucket%ringSize] = Usage{}
 	}
 }
 
@@ -191,6 +217,7 @@
 		sum.Requests += u.Requests
 		sum.Retries += u.Retries
 	}
+	sum.Requests -= c.buckets[(c.newestBucket+1)%ringSize].Requests
 	return sum
 }
 
@@ -199,7 +226,6 @@
 	peers.Gateways = max(1, peers.Gateways)
 	b.peers, b.peersAt = peers, now
 	b.maxReportingGateways = max(b.maxReportingGateways, peers.Gateways)
-	clear(b.retriesSinceReport)
 }
 
 // Peers returns what SetPeers set last.
@@ -211,50 +237,87 @@
 
 // Allows reports whether a request may be retried.
 func (b *Budgeter) Allows(now time.Time, id currantwood.GroupID, reason RetryReason) bool {
-	part := 1.0
-	if reason == FailedRequest {
-		part = failurePart
-	}
 	own := b.used(now, id)
-	reservePart := 0.0
+	guaranteed := guaranteedPart * b.budget(own.Requests, 0)
 	if b.Established(now) {
-		reservePart = 1 / float64(b.maxReportingGateways)
+		guaranteed += b.guaranteedReserve()
 	}
-	if float64(own.Retries+1) <= part*guaranteedPart*b.budget(own.Requests, reservePart) {
+	if float64(own.Retries+1) <= partOf(reason)*guaranteed {
 		return true
 	}
 	if b.peersAt.IsZero() || now.Sub(b.peersAt) > peerUsageMaxAge {
 		return false
 	}
-	return b.fitsJointBudget(now, own, id, part)
+	return b.fitsJointBudget(now, own, id, reason)
+}
+
+// unheard returns the times of this gateway's retries of which others may not have heard.
+func (b *Budgeter) unheard(now time.Time, id currantwood.GroupID) []time.Time {
+	recent := b.recent[id]
+	for len(recent) > 0 && now.Sub(recent[0]) >= reportDelay {
+		recent = recent[1:]
+	}
+	b.recent[id] = recent
+	return recent
 }
 
 // fitsJointBudget reports whether one more retry fits the budget of all
-// gateways together. What is left of it, before this gateway's retries since
-// the last call of SetPeers are subtracted, is divided equally among the
-// gateways that may retry until the next call; each may use its part.
-// part is the part of the joint budget that is open to this kind of retry:
-// failurePart or 1. The part of the reserve that belongs to gateways whose
+// gateways together. What is left of it, by the retries that all have heard of, is divided
+// equally among the gateways that may retry before they hear of each other; each may use
+// its part. So the parts together never exceed what is left, however the gateways' reports
+// interleave. The part of the reserve that belongs to gateways whose
 // reports don't arrive is left to them, and that of those that aren't established
 // to their former processes.
-func (b *Budgeter) fitsJointBudget(now time.Time, own Usage, id currantwood.GroupID, part float64) bool {
+func (b *Budgeter) fitsJointBudget(now time.Time, own Usage, id currantwood.GroupID, reason RetryReason) bool {
+	part := partOf(reason)
 	all := b.peers.Usage[id]
 	all.Requests += own.Requests
 	all.Retries += own.Retries
-	newRetries := b.retriesSinceReport[id]
-	left := part*jointPart*b.budget(all.Requests, float64(b.peers.Established)/float64(b.maxReportingGateways)) - float64(all.Retries-newRetries)
-	return float64(newRetries+1)*b.contenders(now, all.Requests) <= left
+	recent := len(b.unheard(now, id))
+	left := part*b.jointBudget(all.Requests) - float64(all.Retries-recent)
+	// While reports are late, the others may have used their parts again.
+	late := 1 + now.Sub(b.peersAt).Seconds()/reportDelay.Seconds()
+	return float64(recent+1)*late*b.contenders(now, all.Requests, reason) <= left
 }
 
-// contenders returns how many gateways may retry before this one hears of it. Only those
-// that serve a request meanwhile can: of many gateways, each of which serves few, that are
-// fewer than all.
-func (b *Budgeter) contenders(now time.Time, requests int) float64 {
+// guaranteedReserve returns the part of the reserve that each gateway may use whatever its
+// peers report; 0 if that is less than one retry, so that it isn't kept from all in vain.
+func (b *Budgeter) guaranteedReserve() float64 {
+	part := guaranteedPart * b.options.Reserve / float64(b.maxReportingGateways)
+	if part < 1 {
+		return 0
+	}
+	return part
+}
+
+// jointBudget returns the retries that all gateways together may use, besides the parts that
+// are guaranteed to those that aren't heard of.
+func (b *Budgeter) jointBudget(requests int) float64 {
+	gateways := float64(b.maxReportingGateways)
+	reservePart := float64(b.peers.Established)/gateways - reserveMargin
+	return jointPart*b.budget(requests, 0) + max(0, b.budget(0, reservePart)-(gateways-1)*b.guaranteedReserve())
+}
+
+// contenders returns how many gateways may retry before this one hears of it. Of many
+// gateways, each of which serves few, those are fewer than all: a failed request is one that
+// is served meanwhile, and a run that is moved was a request within about a window.
+func (b *Budgeter) contenders(now time.Time, requests int, reason RetryReason) float64 {
+	if reason == MovedRun {
+		return min(float64(b.peers.Gateways), minGateways+movedShare*float64(requests))
+	}
 	unheard := reportDelay + now.Sub(b.peersAt)
 	served := float64(requests) * unheard.Seconds() / b.options.Window.Seconds()
 	return min(float64(b.peers.Gateways), minGateways+burstFactor*served)
 }
 
+// partOf returns the part of the budget that is open to a kind of retry.
+func partOf(reason RetryReason) float64 {
+	if reason == FailedRequest {
+		return failurePart
+	}
+	return 1
+}
+
 // budget returns the number of retries that requests and a part of the reserve
 // allow.
 func (b *Budgeter) budget(requests int, reservePart float64) float64 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,6 +144,8 @@
 			RetryShare: options.Settings.Bounds.RetryShare,
 			Reserve:    options.Settings.Bounds.RetryReserve,
 			FirstStart: options.Settings.FirstStart,
+			// At most three seeds are given; fewer are all other gateways.
+			MinGateways: 1 + len(seeds),
 		}, options.Now()),
 	}
 	g.instruments = newInstruments(options.Metrics)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -33,6 +33,10 @@
 	// moveRetryPause is the time before the engines that had no room are asked
 	// again.
 	moveRetryPause = 200 * time.Millisecond
+	// maxBudgetChecks is how often a run that was copied asks for the retry budget, with
+	// budgetCheckPause between: for 0.8 s, as engines stay for 1.5 s after their notice.
+	maxBudgetChecks  = 16
+	budgetCheckPause = 50 * time.Millisecond
 	// minEventsLeft is the result of eventsLeft below which a run is left to
 	// finish where it is.
 	minEventsLeft = 10
@@ -167,10 +171,24 @@
 	if !s.mayMove(ctx) {
 		return "run ends soon or has ended"
 	}
-	if !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
-		return "retry budget exhausted"
+	return s.awaitRetryBudget(ctx)
+}
+
+// awaitRetryBudget takes the cost of the move from the retry budget as soon as that allows
+// it. It returns why the run stays where it is, or "". A gateway may use only a part of what
+// is left before the others have heard of its retries, which takes less than half a second;
+// an engine that leaves stays for longer.
+func (s *stream) awaitRetryBudget(ctx context.Context) string {
+	for range maxBudgetChecks {
+		if s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
+			return ""
+		}
+		if !sleeper.Sleep(ctx, budgetCheckPause) || !s.mayMove(ctx) {
+			return "run ends soon or has ended"
+		}
 	}
-	return ""
+	s.log("retry budget exhausted", s.g.budgetFields(s.g.Now(), s.group)...)
+	return "retry budget exhausted"
 }
 
 // pickMoveTarget picks the engine that a run is moved to and reports whether
