Ejection: errors that all upstreams of a group answer alike eject none

An application fails 9% of its requests with status 500 at all of its upstreams. Three in a row ejected an upstream, which mended nothing and took capacity away.

A response with status 500 counts separately from failures of the upstream itself (broken connections, stalls, other statuses from 501 on), which are as before. An upstream is ejected for such responses if as many in a row have a chance of at most 1e-5 by the share of errors at the rest of the group, three at the least; never if that share is a half or more. A call that fails alike at two upstreams so counts as a property of the request.

--- a/balancer/health.go
+++ b/balancer/health.go
@@ -15,6 +15,9 @@
 	Served  Outcome = iota + 1 // served
 	Failed                     // failed
 	Neutral                    // neutral
+	// Errored is the end of a request that the upstream's application answered with an
+	// error.
+	Errored // answered with an error
 )
 
 // Ended records the end of a request. The load is the one that Started was
@@ -33,6 +36,8 @@
 		p.Ended(now, view.ID, false)
 	case Neutral:
 		p.EndedNeutral(view.ID)
+	case Errored:
+		p.EndedInError(now, view.ID)
 	}
 }
 
--- a/balancer/reach_string.go
+++ b/balancer/reach_string.go
@@ -31,11 +31,12 @@
 	_ = x[Served-1]
 	_ = x[Failed-2]
 	_ = x[Neutral-3]
+	_ = x[Errored-4]
 }
 
-const _Outcome_name = "servedfailedneutral"
+const _Outcome_name = "servedfailedneutralanswered with an error"
 
-var _Outcome_index = [...]uint8{0, 6, 12, 19}
+var _Outcome_index = [...]uint8{0, 6, 12, 19, 41}
 
 func (i Outcome) String() string {
 	idx := int(i) - 1
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -148,7 +149,9 @@
 	switch {
 	case x.Answer.Pause > 0:
 		return balancer.Neutral
-	case x.Status >= 500:
+	case x.Status == http.StatusInternalServerError:
+		return balancer.Errored
+	case x.Status > http.StatusInternalServerError:
 		return balancer.Failed
 	}
 	return balancer.Served
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -2,6 +2,9 @@
 // upstreams of one group that fail, or that hold requests without making progress,
 // and ejects them: they get no new requests for some time.
 //
+// Answers with an error of the application count only as far as the other upstreams of the
+// group have fewer: if all have them alike, their requests are the cause.
+//
 // It sends no probes. Health is judged by the progress of real requests, not by
 // active health checks: a side process (the sidecar in front of an engine)
 // still answers those when its engine is stalled. When its ejection ends, an
@@ -60,11 +63,15 @@
 	options   Options
 	random    *rand.Rand
 	upstreams map[currantwood.UpstreamID]*upstream
+	// responses are those of all upstreams of the group, also of former ones.
+	responses responses
 }
 
 // upstream is the health of one upstream.
 type upstream struct {
-	inFlight int
+	// responses are those that tell whether its requests fail in it.
+	responses responses
+	inFlight  int
 	// progressDue is the time by which the upstream must make progress. It has a
 	// meaning only while inFlight > 0.
 	progressDue time.Time
@@ -166,6 +173,7 @@
 	}
 	u.inFlight = max(0, u.inFlight-1)
 	if ok {
+		p.addResponse(now, u, false)
 		p.succeeded(now, u)
 		return
 	}
@@ -175,6 +183,32 @@
 	}
 }
 
+// EndedInError records a request that the upstream has answered with an error of its
+// application. If the other upstreams of the group answer with errors as well, the cause is
+// in the requests or in the application, and more of them in a row are needed to eject one.
+func (p *Prober) EndedInError(now time.Time, id currantwood.UpstreamID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.inFlight = max(0, u.inFlight-1)
+	p.addResponse(now, u, true)
+	u.failures++
+	others := p.responses.minus(u.responses).errorShare()
+	if u.failures >= max(p.options.EjectAfterFailures, errorsInARow(others, maxChance)) ||
+		u.maxInFlight > 0 && u.failures >= errorsInARow(others, maxChanceAfterEjection) {
+		p.eject(now, u)
+	}
+}
+
+func (p *Prober) addResponse(now time.Time, u *upstream, isError bool) {
+	u.responses.add(now, isError)
+	p.responses.add(now, isError)
+	// As of the same moment, so that they can be subtracted.
+	u.responses.age(now)
+	p.responses.age(now)
+}
+
 // EndedNeutral records the end of a request that says nothing about the health
 // of the upstream, for example because its side process refused it or the client
 // gave it up.
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -159,3 +159,72 @@
 		})
 	})
 })
+
+// Answers the load pattern of an application that fails 9% of its requests with status 500 at
+// all upstreams: ejections took capacity away and mended nothing.
+var _ = Describe("Errors of the application", func() {
+	// serve sends requests to 8 upstreams in turn. It returns the ejections of each.
+	serve := func(errorShare func(upstream int) float64) [8]int {
+		random := rand.New(rand.NewSource(1))
+		p := New(Options{BaseEjection: 1500 * time.Millisecond, MaxEjection: 6 * time.Second}, random)
+		ids := []currantwood.UpstreamID{"0", "1", "2", "3", "4", "5", "6", "7"}
+		p.SetUpstreams(ids)
+		now, ejections := time.Unix(1_700_000_000, 0), [8]int{}
+		for range 60_000 {
+			now = now.Add(2 * time.Millisecond)
+			i := random.Intn(len(ids))
+			if !p.Admits(now, ids[i]) {
+				continue
+			}
+			p.Started(now, ids[i], time.Second)
+			if random.Float64() >= errorShare(i) {
+				p.Ended(now, ids[i], true)
+				continue
+			}
+			p.EndedInError(now, ids[i])
+			if p.Ejected(now, ids[i]) {
+				ejections[i]++
+			}
+		}
+		return ejections
+	}
+	sum := func(list [8]int) int {
+		total := 0
+		for _, n := range list {
+			total += n
+		}
+		return total
+	}
+
+	It("hardly eject an upstream while all have them alike", func() {
+		Expect(sum(serve(func(int) float64 { return 0.09 }))).To(BeNumerically("<=", 2), "52 with three in a row")
+	})
+
+	It("eject none while all requests end in them", func() {
+		// The first ones are ejected before it is known that all are alike.
+		Expect(sum(serve(func(int) float64 { return 1 }))).To(BeNumerically("<=", 8))
+	})
+
+	It("eject the upstream that alone has them", func() {
+		ejections := serve(func(upstream int) float64 {
+			if upstream == 3 {
+				return 1
+			}
+			return 0.09
+		})
+		Expect(ejections[3]).To(BeNumerically(">=", 10))
+		Expect(sum(ejections) - ejections[3]).To(BeNumerically("<=", 2))
+	})
+
+	It("eject after three in a row where nothing else is known", func() {
+		p := New(Options{}, rand.New(rand.NewSource(1)))
+		p.SetUpstreams([]currantwood.UpstreamID{"a", "b"})
+		now := time.Unix(1_700_000_000, 0)
+		for range 3 {
+			Expect(p.Ejected(now, "a")).To(BeFalse())
+			p.Started(now, "a", time.Second)
+			p.EndedInError(now, "a")
+		}
+		Expect(p.Ejected(now, "a")).To(BeTrue())
+	})
+})
