Room: requests that fit aren't kept waiting by ones ahead that don't

An update's admissions were counted by the engines open to the first that waits. One that is large, or may go only to a full region, so kept all behind it waiting until a request of the gateway itself ended. They are now counted by the first that fits, up to 64 that don't are passed by, and all that fit are admitted if a third of the engines are open, which are at least half as many as gateways.

--- a/capacity/roomkeeper/model_test.go
+++ b/capacity/roomkeeper/model_test.go
@@ -301,6 +301,7 @@
 		return
 	}
 	g.waiting[d.Ticket] = r
+	g.keeper.OfferArrived("g", g.room(r), g)
 }
 
 func maxWait(r *generation) time.Duration {
--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -34,8 +34,14 @@
 	initialPart = 0.2
 	// maxLevel bounds how often that part is doubled; 2^12 exceeds the gateways of a fleet.
 	maxLevel = 12
-	// maxMisses bounds the requests without room that one offer looks at.
-	maxMisses = 8
+	// maxMisses bounds the requests without room that one offer looks at, which costs some
+	// microseconds for each. It is high as those of one customer may all wait for the
+	// engines of a region that is full.
+	maxMisses = 64
+	// manyOpen is the share of open engines from which on all that fit are admitted, if
+	// these are also at least half as many as gateways, which then hardly choose the same
+	// engine.
+	manyOpen = 1.0 / 3
 	// returnFactor is by how much more than forecast a client is told to stay away. The
 	// forecast leaves out those that arrive meanwhile, and a client that comes back to
 	// another gateway isn't recognized. Most clients come back once: with 1, twice as many
@@ -329,7 +335,10 @@
 	if q == nil || len(q.entries) == 0 {
 		return
 	}
-	room := p.Room(q.order(nil)[0].ticket)
+	var room forecaster.Room
+	if first := q.firstFitting(p); first != nil {
+		room = p.Room(first.ticket)
+	}
 	switch {
 	case room.Open == 0:
 		q.level = 0
@@ -344,9 +353,45 @@
 	if k.random.Float64() < part-float64(limit) {
 		limit++
 	}
+	if isMostlyOpen(room) {
+		limit = len(q.entries)
+	}
 	k.offer(q, p, limit)
 }
 
+// OfferArrived places requests after one has arrived while others wait, if many engines have
+// room for it. Those that wait may be larger or may go to fewer engines.
+func (k *Keeper) OfferArrived(id currantwood.GroupID, room forecaster.Room, p Placer) {
+	if q := k.queues[id]; q != nil && isMostlyOpen(room) {
+		k.offer(q, p, len(q.entries))
+	}
+}
+
+func isMostlyOpen(room forecaster.Room) bool {
+	return room.Open > 0 && 2*room.Open >= room.Gateways && float64(room.Open) >= manyOpen*float64(room.Engines)
+}
+
+// firstFitting returns the first request for which an engine has room; nil if there is none.
+func (q *queue) firstFitting(p Placer) *entry {
+	for i, e := range q.order(nil) {
+		if p.Fits(e.ticket, Choice{Not: q.heldAgainst(e)}) {
+			return e
+		}
+		if i == maxMisses {
+			break
+		}
+	}
+	return nil
+}
+
+// heldAgainst returns the engine that is held for another request.
+func (q *queue) heldAgainst(e *entry) currantwood.UpstreamID {
+	if q.holder == e {
+		return ""
+	}
+	return q.held
+}
+
 // offer places at most limit requests in their order.
 func (k *Keeper) offer(q *queue, p Placer, limit int) {
 	placed, misses := 0, 0
--- a/capacity/roomkeeper/roomkeeper_test.go
+++ b/capacity/roomkeeper/roomkeeper_test.go
@@ -160,6 +160,23 @@
 		Expect(k.Claims()).To(BeEmpty())
 	})
 
+	// Guards against a large request, or one that may go to few engines, that keeps all others
+	// waiting although engines have room for them.
+	It("admits what fits although the first doesn't", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		var large []Ticket
+		for range 20 {
+			large = append(large, arrive(k, e, Request{Customer: "x", MissedAt: start, Work: forecaster.Work{Requests: 1, Memory: 1000}}))
+		}
+		e.free["a"], e.free["b"] = 500, 400
+		k.OfferUpdate("g", e)
+		small := arrive(k, e, Request{Customer: "y", MissedAt: start.Add(time.Second)})
+		k.OfferArrived("g", e.Room(small), e)
+		Expect(e.placed).To(Equal([]Ticket{small}))
+		Expect(e.free["a"]).To(Equal(currantwood.TokenCount(500)), "held for the first")
+		Expect(k.Waiting("g")).To(Equal(len(large)))
+	})
+
 	It("refuses what would wait longer than it may by the forecast", func() {
 		k, e := newKeeper(1<<20), newEngines()
 		e.need[0] = 1000
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -162,7 +162,8 @@
 		}
 	}
 	r := q.roomRequest(now)
-	decision := g.room.keeper.Arrive(now, r, g.balancer.Room(now, w.query(now)))
+	room := g.balancer.Room(now, w.query(now))
+	decision := g.room.keeper.Arrive(now, r, room)
 	for _, t := range decision.Evicted {
 		g.endWait(t, errOvertaken)
 	}
@@ -172,6 +173,7 @@
 	}
 	g.room.waiters[decision.Ticket] = w
 	g.instruments.queued.Inc(1)
+	g.room.keeper.OfferArrived(q.group, room, placer{g, now})
 	g.mu.Unlock()
 	if err := w.wait(decision.Ticket, r.MaxWait); err != nil {
 		return choice, false, err
