--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -23,6 +23,9 @@
 	// Evacuated counts the upstreams that were ruled out since their availability zone is
 	// evacuated, and OutsideRegions those outside the regions of the request.
 	Evacuated, OutsideRegions int
+	// Full is whether an engine was ruled out only as it lacks a free slot, memory or a
+	// short queue of prompts now, so that waiting may help.
+	Full bool
 }
 
 // Error implements error.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,8 @@
 	// that are read whole.
 	requests, responses *bodyBuffer
 	instruments         instruments
+	// room holds the generations that wait for room; guarded by mu.
+	room *roomQueue
 }
 
 // instruments holds the gateway's counters and histograms. Times are in
@@ -110,7 +112,10 @@
 	rateLimited, startsLearned, startsUnknown  metrics.Counter
 	refusedRegions, refusedEvacuated           metrics.Counter
 	sentCold, refusedCold, withheld            metrics.Counter
-	responseTime, firstEventTime               metrics.Histogram
+	queued, queuedAdmitted, refusedRoom        metrics.Counter
+	promisesGiven, promisesKept                metrics.Counter
+	promisesBroken                             metrics.Counter
+	responseTime, firstEventTime, queueTime    metrics.Histogram
 }
 
 // New returns a gateway that has no configuration and no upstreams yet.
@@ -141,10 +146,16 @@
 		requests:      newBodyBuffer(options.Settings.MemoryBytes, defaultMaxBodyBytes),
 		responses:     newBodyBuffer(options.Settings.MemoryBytes, maxResponseBytes),
 		eventInterval: initialEventInterval,
-		budget:        newBudget(options),
+		room:          newRoomQueue(options.Settings.MemoryBytes, options.Random),
+		budget:        newBudget(options, 1+len(seeds)),
 	}
-	r := options.Metrics
-	g.instruments = instruments{
+	g.instruments = newInstruments(options.Metrics)
+	return g
+}
+
+// newInstruments registers the counters and histograms of a gateway.
+func newInstruments(r metrics.Registry) instruments {
+	return instruments{
 		served:             metrics.NewRegisteredCounter("requests-served", r),
 		refused:            metrics.NewRegisteredCounter("requests-refused", r),
 		failed:             metrics.NewRegisteredCounter("requests-failed", r),
@@ -170,18 +181,27 @@
 		refusedCold:        metrics.NewRegisteredCounter("requests-refused-cold", r),
 		withheld:           metrics.NewRegisteredCounter("requests-withheld", r),
 		responseTime:       metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
+		queued:             metrics.NewRegisteredCounter("requests-queued", r),
+		queuedAdmitted:     metrics.NewRegisteredCounter("requests-queued-admitted", r),
+		refusedRoom:        metrics.NewRegisteredCounter("requests-refused-room", r),
+		promisesGiven:      metrics.NewRegisteredCounter("promises-given", r),
+		promisesKept:       metrics.NewRegisteredCounter("promises-kept", r),
+		promisesBroken:     metrics.NewRegisteredCounter("promises-broken", r),
+		queueTime:          metrics.NewRegisteredHistogram("queue-time-us", r, newSample()),
 		firstEventTime:     metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
 	}
-	return g
 }
 
-func newBudget(options Options) *budgeter.Budgeter {
+// newBudget returns the retry budget. At most three seeds are given; fewer are all other
+// gateways.
+func newBudget(options Options, minGateways int) *budgeter.Budgeter {
 	bounds := options.Settings.Bounds
 	return budgeter.New(budgeter.Options{
-		Window:     bounds.RetryWindow,
-		RetryShare: bounds.RetryShare,
-		Reserve:    bounds.RetryReserve,
-		FirstStart: options.Settings.FirstStart,
+		Window:      bounds.RetryWindow,
+		RetryShare:  bounds.RetryShare,
+		Reserve:     bounds.RetryReserve,
+		FirstStart:  options.Settings.FirstStart,
+		MinGateways: minGateways,
 	}, options.Now())
 }
 
