Speed of upstreams: a report costs what it names, not what all have reported

Cause: the collector added up the reports of all gateways anew for each of them: 47 ms a second with 68 gateways and 50 upstreams, and as the square of the number of gateways. Change: the sums are scaled by the time since a base, so that they needn't be aged, and a report replaces only its former share of them. Every 30 s they are added up anew, so that rounding doesn't grow. A test compares the sums with those of the last reports after 20,000 reports.

--- a/capacity/speedkeeper/keeper.go
+++ b/capacity/speedkeeper/keeper.go
@@ -20,7 +20,7 @@
 
 const (
 	// memoryTime is the time in which the weight of an observation falls to 1/e. It is
-	// long enough to see through slow spells of less than a second, and short enough to
+	// long enough to see through slow periods of less than a second, and short enough to
 	// follow a lasting change within two.
 	memoryTime = 4 * time.Second
 	// priorWeight is the weight of the assumption that work takes the usual time, in
@@ -28,6 +28,11 @@
 	priorWeight = 0.4
 	// reportMaxAge is how long the report of another gateway counts.
 	reportMaxAge = 2 * time.Second
+	// sweepInterval is the time between two searches for reports that are too old.
+	sweepInterval = 250 * time.Millisecond
+	// rebaseTime is how long weights are scaled by the same time. They grow by a factor of
+	// 1,800 in it, which leaves enough digits of a float64.
+	rebaseTime = 30 * time.Second
 	// minReportedWeight is the least weight of a sum that is reported.
 	minReportedWeight = 0.05
 )
@@ -59,24 +64,38 @@
 	at time.Time
 }
 
-// report is what another gateway has told at a time.
+// report is what another gateway has reported at a time.
 type report struct {
 	at   time.Time
 	sums Sums
 }
 
+// reportedSum is the sum of the reports about one upstream.
+type reportedSum struct {
+	Sum
+	// reports is the number of reports in it. Without any, rounding may leave a rest.
+	reports int
+}
+
 // Keeper holds the observations. It is not safe for concurrent use.
 type Keeper struct {
 	own     map[currantwood.UpstreamID]datedSum
 	reports map[currantwood.VMID]report
-	// told is the sum of reports as of toldAt.
-	told   Sums
-	toldAt time.Time
+	// reported holds the sums of reports, with weights scaled up by the time since base:
+	// they needn't be aged then, and a new report changes only what it names.
+	reported map[currantwood.UpstreamID]reportedSum
+	base     time.Time
+	// reportedAt is when the last report came, and sweptAt when old ones were last dropped.
+	reportedAt, sweptAt time.Time
 }
 
 // New returns a keeper without observations.
 func New() *Keeper {
-	return &Keeper{own: make(map[currantwood.UpstreamID]datedSum), reports: make(map[currantwood.VMID]report)}
+	return &Keeper{
+		own:      make(map[currantwood.UpstreamID]datedSum),
+		reports:  make(map[currantwood.VMID]report),
+		reported: make(map[currantwood.UpstreamID]reportedSum),
+	}
 }
 
 // Observe notes that an upstream said in a response how long work takes, relative to the
@@ -97,19 +116,61 @@
 	return known.agedBy(now.Sub(known.at))
 }
 
-// Learn notes what another gateway has reported, in place of its report before.
+// Learn notes what another gateway has reported, in place of its report before. It takes
+// time for the upstreams in both, not for those in the reports of all gateways. sums must
+// not be changed afterwards.
 func (k *Keeper) Learn(now time.Time, from currantwood.VMID, sums Sums) {
-	k.reports[from] = report{at: now, sums: sums}
-	k.told, k.toldAt = make(Sums), now
+	if now.Sub(k.base) > rebaseTime {
+		k.rebase(now)
+	}
+	k.drop(from)
+	r := report{at: now, sums: sums}
+	k.reports[from], k.reportedAt = r, now
+	k.add(r)
+	if now.Sub(k.sweptAt) < sweepInterval {
+		return
+	}
+	k.sweptAt = now
 	for vm, r := range k.reports {
-		age := now.Sub(r.at)
-		if age > reportMaxAge {
-			delete(k.reports, vm)
-			continue
+		if now.Sub(r.at) > reportMaxAge {
+			k.drop(vm)
 		}
-		for id, sum := range r.sums {
-			k.told[id] = k.told[id].plus(sum.agedBy(age))
+	}
+}
+
+// rebase scales the weights by a new time.
+func (k *Keeper) rebase(now time.Time) {
+	k.base = now
+	clear(k.reported)
+	for _, r := range k.reports {
+		k.add(r)
+	}
+}
+
+// add adds a report to the sums.
+func (k *Keeper) add(r report) {
+	for id, sum := range r.sums {
+		known := k.reported[id]
+		k.reported[id] = reportedSum{known.plus(sum.agedBy(k.base.Sub(r.at))), known.reports + 1}
+	}
+}
+
+// drop removes the report of a gateway, if there is one, from the sums.
+func (k *Keeper) drop(vm currantwood.VMID) {
+	r, known := k.reports[vm]
+	if !known {
+		return
+	}
+	delete(k.reports, vm)
+	for id, sum := range r.sums {
+		rest := k.reported[id]
+		if rest.reports <= 1 {
+			delete(k.reported, id)
+			continue
 		}
+		scaled := sum.agedBy(k.base.Sub(r.at))
+		rest = reportedSum{Sum{Weight: max(0, rest.Weight-scaled.Weight), Speed: max(0, rest.Speed-scaled.Speed)}, rest.reports - 1}
+		k.reported[id] = rest
 	}
 }
 
@@ -123,8 +184,8 @@
 // this gateway's own observations, too, which therefore count twice.
 func (k *Keeper) sum(now time.Time, id currantwood.UpstreamID) Sum {
 	sum := k.ownSum(now, id)
-	if told, ok := k.told[id]; ok && now.Sub(k.toldAt) <= reportMaxAge {
-		sum = sum.plus(told.agedBy(now.Sub(k.toldAt)))
+	if reported, ok := k.reported[id]; ok && now.Sub(k.reportedAt) <= reportMaxAge {
+		sum = sum.plus(reported.agedBy(now.Sub(k.base)))
 	}
 	return sum
 }
@@ -143,7 +204,7 @@
 // All returns what all gateways have observed, to be told by the collector.
 func (k *Keeper) All(now time.Time) Sums {
 	sums := k.Own(now)
-	for id := range k.told {
+	for id := range k.reported {
 		if sum := k.sum(now, id); sum.Weight >= minReportedWeight {
 			sums[id] = sum
 		}
--- a/capacity/speedkeeper/keeper_test.go
+++ b/capacity/speedkeeper/keeper_test.go
@@ -1,6 +1,8 @@
 package speedkeeper
 
 import (
+	"fmt"
+	"math/rand"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -77,6 +79,44 @@
 		Expect(k.RelativeTime(start, "u")).To(Equal(1.0))
 	})
 
+	// Guards against sums that drift away from the reports as these replace each other.
+	It("has the sums of the reports of the last two seconds after long", func() {
+		k := New()
+		random := rand.New(rand.NewSource(1))
+		type kept struct {
+			at   time.Time
+			sums Sums
+		}
+		reports := make(map[currantwood.VMID]kept)
+		now := start
+		for range 20_000 {
+			now = now.Add(time.Duration(random.Intn(20)) * time.Millisecond)
+			// The last gateways are silent for most of the time.
+			vm := currantwood.VMID(fmt.Sprint(random.Intn(1 + random.Intn(30))))
+			sums := make(Sums)
+			for range 5 {
+				weight := 100 * random.Float64()
+				sums[currantwood.UpstreamID(fmt.Sprint(random.Intn(8)))] = Sum{Weight: weight, Speed: weight * (0.5 + random.Float64())}
+			}
+			k.Learn(now, vm, sums)
+			reports[vm] = kept{now, sums}
+		}
+		// A report of nothing lets go of those that are too old.
+		now = now.Add(sweepInterval)
+		k.Learn(now, "0", nil)
+		delete(reports, "0")
+		for upstream := range 8 {
+			id := currantwood.UpstreamID(fmt.Sprint(upstream))
+			var want Sum
+			for _, r := range reports {
+				if age := now.Sub(r.at); age <= reportMaxAge {
+					want = want.plus(r.sums[id].agedBy(age))
+				}
+			}
+			Expect(k.RelativeTime(now, id)).To(BeNumerically("~", (priorWeight+want.Speed)/(priorWeight+want.Weight), 1e-6))
+		}
+	})
+
 	It("drops upstreams that are gone", func() {
 		k := New()
 		k.Observe(start, "u", 2)
