Speed of upstreams: a fast upstream has no more slots than it says

Cause: the load of an upstream counts by its relative time. One of a group without engines, where nothing else bounds load, took all requests far beyond its slots if it stated a hundredth of the usual time. Change: an upstream that the request would fill beyond its slots doesn't count as fast. Result: the new entry of the table failed before; balancer passes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -256,6 +256,10 @@
 		}
 	}
 	relativeTime := b.speeds.RelativeTime(now, u.view.ID)
+	if used > 1 {
+		// A fast upstream has no more slots than it says.
+		relativeTime = max(1, relativeTime)
+	}
 	score *= relativeTime
 	score += slownessPenalty * (relativeTime - 1) * q.longOutputShare()
 	// The prompt itself takes longer at a slow upstream, too.
--- a/balancer/speed_test.go
+++ b/balancer/speed_test.go
@@ -37,6 +37,10 @@
 		},
 		Entry("that is faster, if loads are equal", map[string]float64{"e1": 1.7, "e2": 0.7, "e3": 1.7}, map[string]Load{"e1": {Requests: 2}, "e2": {Requests: 2}, "e3": {Requests: 2}}, Query{Zone: "n1"}, "e2"),
 		Entry("that is slower, if it has much less to do", map[string]float64{"e1": 1.7, "e2": 0.7, "e3": 1.7}, map[string]Load{"e1": {Requests: 1}, "e2": {Requests: 16}, "e3": {Requests: 9}}, Query{Zone: "n1"}, "e1"),
+		// Guards against an upstream that takes all work, far beyond its slots, since it
+		// states that it is fast.
+		Entry("that has room, if the fast one is full by what it says of itself", map[string]float64{"e1": 0.01, "e2": 1, "e3": 1}, map[string]Load{"e1": {Requests: 24}, "e2": {Requests: 18}, "e3": {Requests: 24}}, Query{Zone: "n1"}, "e2"),
+		Entry("that is fast and almost full", map[string]float64{"e1": 0.01, "e2": 1, "e3": 1}, map[string]Load{"e1": {Requests: 20}, "e2": {Requests: 18}, "e3": {Requests: 24}}, Query{Zone: "n1"}, "e1"),
 		// Guards against pauses in a long stream beside which the distance of its first
 		// event hardly counts.
 		Entry("in another region, for a long output, if all near ones are slow", map[string]float64{"e1": 1.7, "e2": 1.7, "e3": 0.7}, nil, Query{Zone: "n1", OutputTokens: 800}, "e3"),
