--- a/capacity/speedkeeper/keeper_test.go
+++ b/capacity/speedkeeper/keeper_test.go
@@ -113,7 +113,7 @@
 					want = want.plus(r.sums[id].agedBy(age))
 				}
 			}
-			Expect(k.RelativeTime(now, id)).To(BeNumerically("~", (priorWeight+want.Speed)/(priorWeight+want.Weight), 1e-6))
+			Expect(k.RelativeTime(now, id)).To(BeNumerically("~", (priorWeight+want.Weight)/(priorWeight+want.Speed), 1e-6))
 		}
 	})
 
