Room: long generations leave room to those with a tighter target

Cause: generations that may wait were admitted wherever they fitted; short ones with a target of 1.5 s then found no memory or came behind their prompts. Change: where generations may wait, one with more time to its first event leaves a tenth of each engine's memory and a short queue of prompts to those of its group that have less. Cold upstreams that accept no more this second count as having room soon.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -81,6 +81,11 @@
 		Entry("none, if the only one is excluded", []string{"e1@n1"}, nil, Query{Zone: "n1", Exclude: []currantwood.UpstreamID{"e1"}}, "none"),
 		Entry("with memory for the whole load", []string{"e1@n1", "e2@s1"}, map[string]Load{"e1": {Requests: 1, MemoryTokens: 7000}}, Query{Zone: "n1", RequireCapacity: true, Load: Load{MemoryTokens: 4000}}, "e2"),
 		Entry("none, if none has memory for the whole load", []string{"e1@n1"}, map[string]Load{"e1": {Requests: 1, MemoryTokens: 7000}}, Query{Zone: "n1", RequireCapacity: true, Load: Load{MemoryTokens: 4000}}, "none"),
+		// Guards against memory that is left to others and then used, and against a generation
+		// that is refused by empty engines.
+		Entry("that keeps the spare memory", []string{"e1@n1", "e2@s1"}, map[string]Load{"e1": {Requests: 1, MemoryTokens: 5500}, "e2": {Requests: 1, MemoryTokens: 4000}}, Query{Zone: "n1", RequireCapacity: true, SpareMemory: 0.1, Load: Load{MemoryTokens: 4000}}, "e2"),
+		Entry("none, if none keeps the spare memory", []string{"e1@n1"}, map[string]Load{"e1": {Requests: 1, MemoryTokens: 5500}}, Query{Zone: "n1", RequireCapacity: true, SpareMemory: 0.1, Load: Load{MemoryTokens: 4000}}, "none"),
+		Entry("that is empty, for a load that can't keep the spare memory", []string{"e1@n1", "e2@n1"}, map[string]Load{"e1": {Requests: 1}}, Query{Zone: "n1", RequireCapacity: true, SpareMemory: 0.1, Load: Load{MemoryTokens: 9500}}, "e2"),
 		Entry("in the required zone, however full", []string{"e1@n1", "e2@n2"}, map[string]Load{"e1": {Requests: 20}}, Query{Zone: "n1", Reach: InZone}, "e1"),
 		Entry("in the required region", []string{"e1@n2", "e2@s1"}, map[string]Load{"e1": {Requests: 20}}, Query{Zone: "n1", Reach: InRegion}, "e1"),
 		Entry("none, if the required zone has no engines", []string{"e2@n2"}, nil, Query{Zone: "n1", Reach: InZone}, "none"),
--- a/balancer/group.go
+++ b/balancer/group.go
@@ -41,14 +41,19 @@
 	return time.Duration(wait) - q.MaxPrefillWait
 }
 
-// hasCapacity reports whether an engine has a free slot, and memory for the
-// load of the query. An upstream that isn't an engine always has capacity.
+// hasCapacity reports whether an engine has a free slot, and memory for the load of the
+// query and what it must leave free. A generation that is too large to leave that takes an
+// engine without load. An upstream that isn't an engine always has capacity.
 func hasCapacity(g *group, c Choice, q Query) bool {
 	e := g.config.Engine
 	if e == nil {
 		return true
 	}
-	return c.Load.MemoryTokens+q.Load.MemoryTokens <= e.MemoryTokens && c.Load.Requests < e.Slots
+	usable := currantwood.TokenCount(float64(1-q.SpareMemory) * float64(e.MemoryTokens))
+	if c.Load.Requests == 0 {
+		usable = e.MemoryTokens
+	}
+	return c.Load.MemoryTokens+q.Load.MemoryTokens <= usable && c.Load.Requests < e.Slots
 }
 
 // fitsEmpty reports whether an engine without any load has memory for the query's.
--- a/balancer/query.go
+++ b/balancer/query.go
@@ -27,6 +27,9 @@
 	// RequireCapacity admits an engine only if it has a free slot, and memory for
 	// the whole load.
 	RequireCapacity bool
+	// SpareMemory is the share of an engine's memory that must stay free; only with
+	// RequireCapacity.
+	SpareMemory currantwood.Share
 	// MaxPrefillWait is the longest time that the prompt may wait until the
 	// upstream has prefilled those that were sent before it; 0 means no limit.
 	MaxPrefillWait time.Duration
--- a/balancer/refusalerror.go
+++ b/balancer/refusalerror.go
@@ -24,7 +24,8 @@
 	// evacuated, and OutsideRegions those outside the regions of the request.
 	Evacuated, OutsideRegions int
 	// Full is whether an engine was ruled out only as it lacks a free slot, memory or a
-	// short queue of prompts now, so that waiting may help.
+	// short queue of prompts now, or is cold and accepts no more requests this second, so
+	// that waiting may help.
 	Full bool
 }
 
@@ -70,7 +71,7 @@
 	case noticekeeper.Paused:
 		e.Paused = true
 	case noticekeeper.Cold:
-		e.Cold = id
+		e.Cold, e.Full = id, true
 	default:
 		e.RateLimited = id
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,8 @@
 	// that are read whole.
 	requests, responses *bodyBuffer
 	instruments         instruments
+	// objectives are those of the configuration groupsVersion; guarded by mu.
+	objectives objectives
 	// room holds the generations that wait for room; guarded by mu.
 	room *roomQueue
 }
@@ -238,6 +240,7 @@
 		g.groupsVersion = snapshot.Version
 		g.balancer.SetGroups(snapshot.Groups)
 		g.balancer.SetBindings(bindingsOf(snapshot))
+		g.objectives = objectivesOf(snapshot)
 		for id, group := range snapshot.Groups {
 			g.warmUps.SetLimit(id, group.WarmUpRate)
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -215,6 +215,7 @@
 	if q.isGeneration() {
 		query.OutputTokens = q.client.Size.Expected(q.client.LengthHint) - q.client.Size.Prompt
 		query.RequireCapacity, query.MaxPrefillWait = true, q.maxQueueTimeAfter(now)
+		q.leaveRoomForTighter(&query)
 	}
 	return query
 }
@@ -235,6 +236,19 @@
 	return time.Duration(share * float64(q.route.Target))
 }
 
+// leaveRoomForTighter restricts a generation that may wait for room to engines where it
+// doesn't delay requests of its group with a tighter target. The caller holds the gateway's
+// mu.
+func (q *request) leaveRoomForTighter(query *balancer.Query) {
+	if !q.g.Settings.QueueRequests {
+		return
+	}
+	if tighter := q.g.objectives.tighter(q.group, q.route); tighter > 0 {
+		query.MaxPrefillWait = min(query.MaxPrefillWait, time.Duration(tighterQueueShare*float64(tighter)))
+		query.SpareMemory = tighterSpareMemory
+	}
+}
+
 // maxQueueTimeAfter is maxQueueTime for a request that may have waited for room: together
 // they take at most waitAndQueueShare of the target time.
 func (q *request) maxQueueTimeAfter(now time.Time) time.Duration {
