Room: a request that fits isn't delayed by less urgent ones that wait

Cause: whatever arrived while others waited went through the queue, which admits a random part of the open engines per update (0.2 divided by the gateways) unless a third are open. An urgent request that fitted waited some updates behind less urgent ones, and one with no time left to wait was refused although an engine had room for it.

Change: MayPass lets a request be sent at its arrival if no engine has room for any that goes before it. The engine held for a larger one is left out, and its customer's and part's turns advance.

Measured: the two new cases of the gateway timed out after 1 s before and pass now.

--- a/capacity/roomkeeper/model_test.go
+++ b/capacity/roomkeeper/model_test.go
@@ -290,6 +290,9 @@
 		g.refuse(r, tick, fixedRetryAfter)
 		return
 	}
+	if g.pass(r) {
+		return
+	}
 	d := g.keeper.Arrive(g.m.now, g.request(r), g.room(r))
 	for _, t := range d.Evicted {
 		evicted := g.waiting[t]
@@ -304,6 +307,25 @@
 	g.keeper.OfferArrived("g", g.room(r), g)
 }
 
+// pass sends a generation at once although others wait, if none before it has room.
+func (g *modelGateway) pass(r *generation) bool {
+	if g.keeper.Waiting("g") == 0 || g.room(r).Open == 0 {
+		return false
+	}
+	held, may := g.keeper.MayPass(g.request(r), g)
+	if !may {
+		return false
+	}
+	not := -1
+	_, _ = fmt.Sscanf(string(held), "%d", &not)
+	engine, ok := g.find(r, -1, not)
+	if ok {
+		g.start(r, engine)
+		g.keeper.Passed(g.request(r))
+	}
+	return ok
+}
+
 func maxWait(r *generation) time.Duration {
 	if r.promised {
 		return modelPromisedWait
--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -359,6 +359,34 @@
 	k.offer(q, p, limit)
 }
 
+// MayPass reports whether a request that arrives may be sent at once, to any engine but not:
+// no engine has room for any of those that go before it. The parts of offers are for requests
+// that wait and read the same update as other gateways; one that arrives doesn't, and those
+// that go after it mustn't delay it.
+func (k *Keeper) MayPass(r Request, p Placer) (not currantwood.UpstreamID, may bool) {
+	q, e := k.queue(r.Group), &entry{Request: r}
+	for i, other := range q.order(e) {
+		if other == e {
+			return not, true
+		}
+		if i == maxMisses || p.Fits(other.ticket, Choice{Not: not}) {
+			break
+		}
+		if i == 0 {
+			not = q.heldFor(other, p)
+		}
+	}
+	return "", false
+}
+
+// Passed notes that a request was sent as MayPass allowed it, which was the turn of its
+// customer and of its part.
+func (k *Keeper) Passed(r Request) {
+	if q := k.queue(r.Group); len(q.entries) > 0 {
+		q.took(&entry{Request: r})
+	}
+}
+
 // OfferArrived places requests after one has arrived while others wait, if many engines have
 // room for it. Those that wait may be larger or may go to fewer engines.
 func (k *Keeper) OfferArrived(id currantwood.GroupID, room forecaster.Room, p Placer) {
--- a/capacity/roomkeeper/roomkeeper_test.go
+++ b/capacity/roomkeeper/roomkeeper_test.go
@@ -177,6 +177,47 @@
 		Expect(k.Waiting("g")).To(Equal(len(large)))
 	})
 
+	// Guards against less urgent requests that wait and delay a more urgent one that fits.
+	It("lets a request pass those that go after it, and not those before it that fit", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		e.gateways = 21
+		arrive(k, e, Request{Priority: 1, Customer: "x", MissedAt: start})
+		urgent := Request{Group: "g", Priority: 5, Customer: "y", MissedAt: start.Add(time.Second)}
+		e.free["a"] = 100
+		not, may := k.MayPass(urgent, e)
+		Expect(may).To(BeTrue())
+		Expect(not).To(BeEmpty())
+		urgent.Priority = 0
+		_, may = k.MayPass(urgent, e)
+		Expect(may).To(BeFalse())
+	})
+
+	It("lets a request pass those before it that don't fit, but for the engine held", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		arrive(k, e, Request{Priority: 5, MissedAt: start, Work: forecaster.Work{Requests: 1, Memory: 1000}})
+		e.free["a"], e.free["b"] = 500, 400
+		not, may := k.MayPass(Request{Group: "g", Priority: 1, MissedAt: start}, e)
+		Expect(may).To(BeTrue())
+		Expect(not).To(Equal(currantwood.UpstreamID("a")))
+	})
+
+	// Guards against a customer whose requests pass one after the other.
+	It("counts a request that passes as the turn of its customer", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		large := forecaster.Work{Requests: 1, Memory: 1000}
+		arrive(k, e, Request{Customer: "x", MissedAt: start, Work: large})
+		waiting := arrive(k, e, Request{Customer: "one", MissedAt: start.Add(time.Second)})
+		passes := Request{Group: "g", Customer: "many", MissedAt: start}
+		_, may := k.MayPass(passes, e)
+		Expect(may).To(BeTrue())
+		k.Passed(passes)
+		e.free["b"] = 100
+		k.OfferFreed("g", "b", e)
+		Expect(e.placed).To(Equal([]Ticket{waiting}))
+		_, may = k.MayPass(passes, e)
+		Expect(may).To(BeTrue(), "nothing that fits waits any more")
+	})
+
 	It("refuses what would wait longer than it may by the forecast", func() {
 		k, e := newKeeper(1<<20), newEngines()
 		e.need[0] = 1000
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -5,6 +5,7 @@
 	"hash/maphash"
 	"math/rand"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -103,9 +104,7 @@
 	w := p.g.room.waiters[t]
 	query := w.query(p.now)
 	query.Only = c.Only
-	if c.Not != "" {
-		query.Exclude = append(query.Exclude[:len(query.Exclude):len(query.Exclude)], c.Not)
-	}
+	query.Exclude = without(query.Exclude, c.Not)
 	choice, err := p.g.balancer.Pick(p.now, query)
 	w.choice = choice
 	return err == nil
@@ -163,6 +162,11 @@
 	}
 	r := q.roomRequest(now)
 	room := g.balancer.Room(now, w.query(now))
+	if choice, passed := w.pass(now, r, room); passed {
+		g.mu.Unlock()
+		q.notePromise(true)
+		return choice, false, nil
+	}
 	decision := g.room.keeper.Arrive(now, r, room)
 	for _, t := range decision.Evicted {
 		g.endWait(t, errOvertaken)
@@ -181,6 +185,37 @@
 	return w.choice, true, nil
 }
 
+// pass picks an engine at once although others wait, if no engine has room for any that goes
+// before this request. The caller holds mu.
+func (w *waiter) pass(now time.Time, r roomkeeper.Request, room forecaster.Room) (balancer.Choice, bool) {
+	g := w.q.g
+	if room.Open == 0 || g.room.keeper.Waiting(r.Group) == 0 {
+		return balancer.Choice{}, false
+	}
+	not, may := g.room.keeper.MayPass(r, placer{g, now})
+	if !may {
+		return balancer.Choice{}, false
+	}
+	choice, err := w.q.pickNow(now, w.stallTimeout, func(query *balancer.Query) {
+		w.restrict(query)
+		query.Exclude = without(query.Exclude, not)
+	})
+	if err != nil {
+		return balancer.Choice{}, false
+	}
+	g.room.keeper.Passed(r)
+	return choice, true
+}
+
+// without returns the excluded upstreams and another one, which may be empty. It leaves the
+// list as it is, as requests share it.
+func without(excluded []currantwood.UpstreamID, id currantwood.UpstreamID) []currantwood.UpstreamID {
+	if id == "" {
+		return excluded
+	}
+	return append(slices.Clip(excluded), id)
+}
+
 // wait returns nil once the request is placed.
 func (w *waiter) wait(t roomkeeper.Ticket, maxWait time.Duration) error {
 	timer := time.NewTimer(maxWait)
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -109,6 +109,26 @@
 		}).Should(Receive(HaveField("Err", BeNil())))
 	})
 
+	// Guards against less urgent requests that wait for the next update, of which a gateway
+	// among many takes a part only, and delay a more urgent one that fits now; and against a
+	// refusal of one that fits, as it has spent its time to wait.
+	DescribeTable("is sent at once if only less urgent ones wait", func(age time.Duration) {
+		waits := pickInBackground(newGeneration(context.Background(), g, "second", 4*time.Second))
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		g.mu.Lock()
+		g.balancer.SetGatewayCount(21)
+		g.balancer.Ended(g.Now(), engineView, first.load(), balancer.Served)
+		g.mu.Unlock()
+		urgent := newGeneration(context.Background(), g, "urgent", 4*time.Second)
+		urgent.priority, urgent.arrived = 5, g.Now().Add(-age)
+		Eventually(pickInBackground(urgent)).Should(Receive(HaveField("Err", BeNil())))
+		Expect(waits).NotTo(Receive())
+		Expect(waiting(g)).To(Equal(1))
+	},
+		Entry("new", time.Duration(0)),
+		Entry("with no time left to wait", 3*time.Second),
+	)
+
 	It("is refused with a time that its client finds room at", func() {
 		q := newGeneration(context.Background(), g, "second", 200*time.Millisecond)
 		r := <-pickInBackground(q)
