Room: turns don't fall behind a customer that is stuck, and don't pile up

Cause: the current turn was the least of those that wait. While a customer's requests fitted nowhere, as in a region that is full, it stood still: a new customer had all the turns that others had had since, and the next turn of each customer and part ever served stayed in memory, though prompts name ever new parts.

Change: the current turn is at most 4 behind the last one taken; turns that have come are forgotten from 1,024 on.

Measured: two tests that failed pass: after 200 turns of one customer beside a stuck one, a new one's 10 requests no longer all go before its next; 10,240 parts leave at most 1,024 turns.

--- a/capacity/roomkeeper/order.go
+++ b/capacity/roomkeeper/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/currantwood/currantwood"
@@ -106,5 +107,18 @@
 			least = min(least, q.nextTurn(other))
 		}
 	}
-	q.turn = least
+	q.turn = max(least, turn+1-maxTurnLag)
+	forgetTurns(q.turns, q.turn)
+	forgetTurns(q.partTurns, q.turn)
+}
+
+// forgetTurns removes next turns that have come, which count no longer, once there are many.
+func forgetTurns[K comparable](turns map[K]int, current int) {
+	if len(turns) <= maxTurns {
+		return
+	}
+	maps.DeleteFunc(turns, func(_ K, turn int) bool { return turn <= current })
+	if len(turns) > maxTurns/2 {
+		clear(turns)
+	}
 }
--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -53,6 +53,16 @@
 	claimPart = 0.25
 )
 
+const (
+	// maxTurnLag is how many turns the current one may be behind the last that was taken.
+	// Without it, a customer whose requests fit nowhere would keep it back, and a new
+	// customer would go before all others until it had as many turns as they had since.
+	maxTurnLag = 4
+	// maxTurns bounds the customers, and the parts, whose next turns are known. Beyond it
+	// all are forgotten, so that for once some have a turn too many.
+	maxTurns = 1024
+)
+
 // Ticket identifies a waiting request; 0 is none.
 type Ticket uint64
 
--- a/capacity/roomkeeper/roomkeeper_test.go
+++ b/capacity/roomkeeper/roomkeeper_test.go
@@ -1,6 +1,7 @@
 package roomkeeper
 
 import (
+	"fmt"
 	"math/rand"
 	"time"
 
@@ -218,6 +219,46 @@
 		Expect(may).To(BeTrue(), "nothing that fits waits any more")
 	})
 
+	// Guards against a customer whose requests fit nowhere for long: the turns of others then
+	// went on without it, and one that was new had all the turns that they had had.
+	It("gives a new customer no turns of the time before it, though another is stuck", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		arrive(k, e, Request{Customer: "stuck", MissedAt: start, Work: forecaster.Work{Requests: 1, Memory: 1000}})
+		serveOne := func() {
+			e.free["b"] = 100
+			k.OfferFreed("g", "b", e)
+		}
+		for range 200 {
+			arrive(k, e, Request{Customer: "usual", MissedAt: start})
+			serveOne()
+		}
+		usual := arrive(k, e, Request{Customer: "usual", MissedAt: start})
+		e.placed = nil
+		for range 20 {
+			arrive(k, e, Request{Customer: "new", MissedAt: start.Add(time.Second)})
+		}
+		for range 10 {
+			serveOne()
+		}
+		Expect(e.placed).To(ContainElement(usual))
+	})
+
+	// Guards against memory that grows with the prompts ever seen while something waits.
+	It("forgets the turns of parts and customers that don't matter any more", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		arrive(k, e, Request{Customer: "stuck", MissedAt: start, Work: forecaster.Work{Requests: 1, Memory: 1000}})
+		for i := range 10 * maxTurns {
+			name := fmt.Sprint(i)
+			arrive(k, e, Request{Customer: currantwood.CustomerID(name), Part: currantwood.PartID(name), MissedAt: start})
+			e.free["b"] = 100
+			k.OfferFreed("g", "b", e)
+		}
+		Expect(k.Waiting("g")).To(Equal(1))
+		q := k.queues["g"]
+		Expect(len(q.turns)).To(BeNumerically("<=", maxTurns))
+		Expect(len(q.partTurns)).To(BeNumerically("<=", maxTurns))
+	})
+
 	It("refuses what would wait longer than it may by the forecast", func() {
 		k, e := newKeeper(1<<20), newEngines()
 		e.need[0] = 1000
