Room: a waiting request counts once in the demand at limited upstreams

Cause: waiting requests are offered room with each update and each end, and each attempt counted as one more wanted request at all upstreams with a rate limit or a cold period, and in the share of requests bound to regions. A gateway with a few waiting requests claimed nearly the whole share of a cold upstream from gateways with the same demand.

Change: Query.Counted, set for all attempts of a request but the first, leaves both counts as they are.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -177,8 +177,11 @@
 	}
 	best, found := Choice{}, false
 	var refused RefusalError
-	g.noteBound(q.Regions)
-	remaining, outside := g.startDraw(now, q.Regions, b.notices)
+	remaining, outside := g.startDraw(q.Regions)
+	if !q.Counted {
+		g.noteBound(q.Regions)
+		g.noteDemand(now, b.notices)
+	}
 	refused.OutsideRegions = outside
 	considered, limit := 0, b.sampleSize(remaining, q)
 	for ; remaining > 0; remaining-- {
--- a/balancer/bound_test.go
+++ b/balancer/bound_test.go
@@ -159,7 +159,7 @@
 		b := newBoundBalancer()
 		g := b.group("g")
 		for _, regions := range []currantwood.RegionSet{anywhere, north, currantwood.Regions("south"), currantwood.Regions("moon"), anywhere} {
-			inside, outside := g.startDraw(start, regions, b.notices)
+			inside, outside := g.startDraw(regions)
 			Expect(inside + outside).To(Equal(8))
 			var drawn, want []currantwood.UpstreamID
 			for remaining := inside; remaining > 0; remaining-- {
@@ -179,7 +179,7 @@
 		g := b.group("g")
 		counts := make(map[currantwood.UpstreamID]int)
 		for range 8000 {
-			inside, _ := g.startDraw(start, anywhere, b.notices)
+			inside, _ := g.startDraw(anywhere)
 			counts[g.draw(b.random, inside)]++
 		}
 		Expect(counts).To(HaveLen(8))
--- a/balancer/members.go
+++ b/balancer/members.go
@@ -42,7 +42,7 @@
 // startDraw begins to draw the members in some regions, and returns their number and that
 // of all others. Those others aren't visited, so that a choice in a small region doesn't
 // take longer, the more upstreams there are elsewhere.
-func (g *group) startDraw(now time.Time, regions currantwood.RegionSet, notices *noticekeeper.Keeper) (inside, outside int) {
+func (g *group) startDraw(regions currantwood.RegionSet) (inside, outside int) {
 	for i := range g.regions {
 		r := &g.regions[i]
 		r.drawn, r.allowed = 0, regions.Admits(r.region)
@@ -51,11 +51,20 @@
 			continue
 		}
 		inside += len(r.members)
-		notices.Want(now, r.members)
 	}
 	return inside, outside
 }
 
+// noteDemand counts the request of the present choice in the demand at the upstreams in the
+// allowed regions.
+func (g *group) noteDemand(now time.Time, notices *noticekeeper.Keeper) {
+	for i := range g.regions {
+		if r := &g.regions[i]; r.allowed {
+			notices.Want(now, r.members)
+		}
+	}
+}
+
 // draw draws one of the remaining members in the allowed regions, each with the same
 // chance. remaining is their number.
 func (g *group) draw(random *rand.Rand, remaining int) currantwood.UpstreamID {
--- a/balancer/query.go
+++ b/balancer/query.go
@@ -24,6 +24,9 @@
 	Exclude []currantwood.UpstreamID
 	// Only is the only upstream that may be chosen; empty if any may.
 	Only currantwood.UpstreamID
+	// Counted is whether a choice for the request was tried before, so that it is already in
+	// the demand at upstreams and in the share of those bound to regions.
+	Counted bool
 	// RequireCapacity admits an engine only if it has a free slot, and memory for
 	// the whole load.
 	RequireCapacity bool
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -81,6 +81,8 @@
 	since        time.Time
 	// choice is what placer.Fits found last.
 	choice balancer.Choice
+	// counted is whether the balancer has counted the request in the demand.
+	counted bool
 	// result receives nil once the request is placed at choice, or why it waits no longer;
 	// exactly one value, unless the request stops waiting by itself.
 	result chan error
@@ -89,10 +91,26 @@
 // query returns what an engine is looked for by now.
 func (w *waiter) query(now time.Time) balancer.Query {
 	query := w.q.query(now)
-	w.restrict(&query)
+	w.narrow(&query)
 	return query
 }
 
+// narrow completes what the balancer is asked for.
+func (w *waiter) narrow(query *balancer.Query) {
+	w.restrict(query)
+	query.Counted = w.counted
+}
+
+// pickNow makes an attempt by the present loads. The caller holds the gateway's mu.
+func (w *waiter) pickNow(now time.Time, not currantwood.UpstreamID) (balancer.Choice, error) {
+	choice, err := w.q.pickNow(now, w.stallTimeout, func(query *balancer.Query) {
+		w.narrow(query)
+		query.Exclude = without(query.Exclude, not)
+	})
+	w.counted = true
+	return choice, err
+}
+
 // placer implements roomkeeper.Placer. The gateway's mu is held.
 type placer struct {
 	g   *Gateway
@@ -106,7 +124,7 @@
 	query.Only = c.Only
 	query.Exclude = without(query.Exclude, c.Not)
 	choice, err := p.g.balancer.Pick(p.now, query)
-	w.choice = choice
+	w.choice, w.counted = choice, true
 	return err == nil
 }
 
@@ -152,7 +170,7 @@
 	g.mu.Lock()
 	g.syncGroups(q.snapshot)
 	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
-		choice, err := q.pickNow(now, w.stallTimeout, w.restrict)
+		choice, err := w.pickNow(now, "")
 		var refused *balancer.RefusalError
 		if err == nil || !errors.As(err, &refused) || !refused.Full {
 			g.mu.Unlock()
@@ -196,10 +214,7 @@
 	if !may {
 		return balancer.Choice{}, false
 	}
-	choice, err := w.q.pickNow(now, w.stallTimeout, func(query *balancer.Query) {
-		w.restrict(query)
-		query.Exclude = without(query.Exclude, not)
-	})
+	choice, err := w.pickNow(now, not)
 	if err != nil {
 		return balancer.Choice{}, false
 	}
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -129,6 +129,28 @@
 		Entry("with no time left to wait", 3*time.Second),
 	)
 
+	// Guards against a gateway whose waiting requests, offered room with each update, claim
+	// the rate of a limited upstream from gateways that have the same demand.
+	It("counts once in the demand at an upstream that limits its rate", func() {
+		limit := currantwood.RateLimit{Known: true, Limited: true, PerSecond: 10}
+		g.mu.Lock()
+		g.rates.Observe(g.Now().Add(-time.Second), "e", 1, limit)
+		before := g.rates.Own(g.Now())["e"].Demand
+		g.mu.Unlock()
+		pickInBackground(newGeneration(context.Background(), g, "second", 4*time.Second))
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		g.mu.Lock()
+		once := g.rates.Own(g.Now())["e"].Demand - before
+		g.mu.Unlock()
+		Expect(once).To(BeNumerically(">", 0))
+		for range 20 {
+			g.SetPeerLoads(g.Now(), balancer.Loads{})
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		Expect(g.rates.Own(g.Now())["e"].Demand - before).To(BeNumerically("<=", once))
+	})
+
 	It("is refused with a time that its client finds room at", func() {
 		q := newGeneration(context.Background(), g, "second", 200*time.Millisecond)
 		r := <-pickInBackground(q)
