Balancer: a choice of one upstream looks at no other

Cause: where a generation ends, up to 64 waiting requests are asked whether they fit at that engine. Each drew all members of the group at random to find it, under the gateway's lock.

Change: with Query.Only the upstream is looked up.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -72,6 +72,8 @@
 	view upstreamkeeper.View
 	// own is what this gateway has in flight there.
 	own Load
+	// isMember is whether it may be chosen; it stays for its load otherwise.
+	isMember bool
 }
 
 // peerLoad holds the loads that a peer reported at a time.
@@ -144,7 +146,8 @@
 		g.addMember(view.ID, b.regions[view.Zone])
 	}
 	for id, u := range b.upstreams {
-		if !known[id] && u.own.Requests <= 0 {
+		u.isMember = known[id]
+		if !u.isMember && u.own.Requests <= 0 {
 			delete(b.upstreams, id)
 		}
 	}
@@ -184,24 +187,13 @@
 	}
 	refused.OutsideRegions = outside
 	considered, limit := 0, b.sampleSize(remaining, q)
+	if q.Only != "" {
+		best, found = b.consider(now, g, b.upstreams[q.Only], q, &refused)
+		remaining = 0
+	}
 	for ; remaining > 0; remaining-- {
-		id := g.draw(b.random, remaining)
-		u := b.upstreams[id]
-		if !b.isCandidate(now, g, u, q) {
-			continue
-		}
-		if verdict := b.notices.Check(now, noticekeeper.TargetOf(u.view.UpstreamRecord), q.Regions); !verdict.Admitted() {
-			refused.lowerRetryAfterNotice(id, verdict)
-			continue
-		}
-		choice := b.evaluate(now, g, u, q)
-		if q.RequireCapacity && !hasCapacity(g, choice, q) {
-			refused.Full = refused.Full || g.fitsEmpty(q)
-			continue
-		}
-		if excess := g.excessPrefillWait(choice, q, b.speeds.RelativeTime(now, id)); excess > 0 {
-			refused.Full = true
-			refused.lowerRetryAfter(excess)
+		choice, may := b.consider(now, g, b.upstreams[g.draw(b.random, remaining)], q, &refused)
+		if !may {
 			continue
 		}
 		if !found || choice.Score < best.Score {
@@ -219,6 +211,30 @@
 	return best, nil
 }
 
+// consider scores an upstream, which may be nil, and reports whether it may be chosen. It
+// notes in refused why not.
+func (b *Balancer) consider(now time.Time, g *group, u *upstream, q Query, refused *RefusalError) (Choice, bool) {
+	if u == nil || !u.isMember || u.view.Group != q.Group || !b.isCandidate(now, g, u, q) {
+		return Choice{}, false
+	}
+	id := u.view.ID
+	if verdict := b.notices.Check(now, noticekeeper.TargetOf(u.view.UpstreamRecord), q.Regions); !verdict.Admitted() {
+		refused.lowerRetryAfterNotice(id, verdict)
+		return Choice{}, false
+	}
+	choice := b.evaluate(now, g, u, q)
+	if q.RequireCapacity && !hasCapacity(g, choice, q) {
+		refused.Full = refused.Full || g.fitsEmpty(q)
+		return Choice{}, false
+	}
+	if excess := g.excessPrefillWait(choice, q, b.speeds.RelativeTime(now, id)); excess > 0 {
+		refused.Full = true
+		refused.lowerRetryAfter(excess)
+		return Choice{}, false
+	}
+	return choice, true
+}
+
 // isCandidate reports whether an upstream may be chosen, apart from what it says of itself
 // and from its load.
 func (b *Balancer) isCandidate(now time.Time, g *group, u *upstream, q Query) bool {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -353,3 +353,47 @@
 	}
 	return float64(onTime) / float64(sent)
 }
+
+// countingSource counts the random numbers that are drawn.
+type countingSource struct {
+	rand.Source
+	drawn int
+}
+
+func (s *countingSource) Int63() int64 {
+	s.drawn++
+	return s.Source.Int63()
+}
+
+var _ = Describe("Balancer asked for one upstream", func() {
+	// Guards against work at each end of a generation that grows with the upstreams times
+	// the requests that wait.
+	It("looks at no other", func() {
+		source := &countingSource{Source: rand.NewSource(1)}
+		b := New(map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, noticekeeper.New(noticekeeper.Options{Rates: newRates()}), rand.New(source))
+		b.SetGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: 10_000}}})
+		var views []upstreamkeeper.View
+		for i := range 1000 {
+			views = append(views, view(fmt.Sprintf("e%d", i), "n1"))
+		}
+		b.SetUpstreams(views)
+		source.drawn = 0
+		Expect(pick(b, Query{Only: "e7"})).To(Equal("e7"))
+		Expect(source.drawn).To(BeNumerically("<", 10))
+	})
+
+	It("chooses none that is gone, in another group, excluded or outside the regions", func() {
+		b := newBalancer("e1@n1", "e2@s1")
+		Expect(pick(b, Query{Only: "e2"})).To(Equal("e2"))
+		Expect(pick(b, Query{Only: "e3"})).To(Equal("none"))
+		Expect(pick(b, Query{Only: "e1", Exclude: []currantwood.UpstreamID{"e1"}})).To(Equal("none"))
+		Expect(pick(b, Query{Only: "e2", Regions: currantwood.Regions("north")})).To(Equal("none"))
+		b.group("other")
+		_, err := b.Pick(start, Query{Group: "other", Only: "e1", Regions: currantwood.AnyRegion()})
+		Expect(err).To(HaveOccurred())
+		b.Started(start, b.upstreams["e1"].view, Load{Requests: 1}, time.Second)
+		b.SetUpstreams([]upstreamkeeper.View{b.upstreams["e2"].view})
+		Expect(b.upstreams).To(HaveKey(currantwood.UpstreamID("e1")), "it has a request in flight")
+		Expect(pick(b, Query{Only: "e1"})).To(Equal("none"))
+	})
+})
