Room: an engine held for less urgent work is open to more urgent requests

Cause: where a generation ended at an engine that was held, only the request that it was held for was placed, also if a request of higher priority had arrived since. The next update corrected that, up to 50 ms later, when the room was gone.

Change: an engine is held only against requests of the same or a lower priority.

Measured: the new test placed the larger, less urgent request first and now the urgent one. The model, which has one priority, is unchanged.

--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -315,11 +315,11 @@
 }
 
 // offerAt places the first request that fits at an engine. If the engine is held, that is
-// the one that it is held for.
+// the one that it is held for or a more urgent one.
 func (k *Keeper) offerAt(q *queue, freed currantwood.UpstreamID, p Placer) {
 	misses := 0
 	for _, e := range q.order(nil) {
-		if q.held == freed && q.holder != nil && q.holder != e {
+		if q.heldAgainst(e) == freed {
 			continue
 		}
 		if p.Fits(e.ticket, Choice{Only: freed}) {
@@ -422,9 +422,10 @@
 	return nil
 }
 
-// heldAgainst returns the engine that is held for another request.
+// heldAgainst returns the engine that is held for another request, which isn't less urgent;
+// empty if there is none.
 func (q *queue) heldAgainst(e *entry) currantwood.UpstreamID {
-	if q.holder == e {
+	if q.holder == nil || q.holder == e || q.holder.Priority < e.Priority {
 		return ""
 	}
 	return q.held
--- a/capacity/roomkeeper/roomkeeper_test.go
+++ b/capacity/roomkeeper/roomkeeper_test.go
@@ -149,6 +149,24 @@
 		Expect(e.free["a"]).To(BeZero())
 	})
 
+	// Guards against less urgent work that goes first, as an engine was held for it before a
+	// more urgent request arrived.
+	It("gives room at a held engine to a more urgent request first", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		large := arrive(k, e, Request{Priority: 1, MissedAt: start, Work: forecaster.Work{Requests: 1, Memory: 1000}})
+		e.free["a"] = 50
+		k.OfferUpdate("g", e)
+		Expect(k.queues["g"].held).To(Equal(currantwood.UpstreamID("a")))
+		alike := arrive(k, e, Request{Priority: 1, Customer: "x", MissedAt: start.Add(-time.Second)})
+		urgent := arrive(k, e, Request{Priority: 5, MissedAt: start.Add(time.Second)})
+		e.free["a"] = 1000
+		k.OfferFreed("g", "a", e)
+		e.free["a"] = 1000
+		k.OfferFreed("g", "a", e)
+		Expect(e.placed).To(Equal([]Ticket{urgent, large}))
+		Expect(k.Leave("g", alike)).To(BeTrue())
+	})
+
 	It("claims an engine that it holds, so that other gateways leave it the room", func() {
 		k, e := newKeeper(1<<20), newEngines()
 		arrive(k, e, Request{MissedAt: start, Work: forecaster.Work{Requests: 1, Memory: 1000}})
