Room: a stream that has begun isn't evicted from the waiting requests

Cause: when waiting requests had used their memory, one that goes before others took the place of the last, also of one that resumes a stream. Its client loses the stream, while a new request that is refused can come back.

Change: requests that must wait aren't evicted.

Measured: the new test evicted the stream and now the other request. The test of the bound evicts by priority as before; the evicted request there is now one that came back as told, as MustWait had only served to pass the forecast.

--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -222,7 +222,7 @@
 }
 
 // makeSpace removes those that go last until there is memory for e, as far as all of them go
-// after e, and returns them.
+// after e, and returns them. Streams that have begun stay, as a refusal would lose them.
 func (k *Keeper) makeSpace(q *queue, e *entry, cost int64) []Ticket {
 	if k.bytes+cost <= k.maxBytes {
 		return nil
@@ -231,6 +231,9 @@
 	free := k.maxBytes - k.bytes
 	var evicted []Ticket
 	for i := len(order) - 1; order[i] != e && free < cost; i-- {
+		if order[i].MustWait {
+			continue
+		}
 		free += overheadBytes + order[i].BodyBytes
 		evicted = append(evicted, order[i].ticket)
 	}
