--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -53,6 +53,16 @@
 	claimPart = 0.25
 )
 
+const (
+	// maxTurnLag is how many turns the current one may be behind the last that was taken.
+	// Without it, a customer whose requests fit nowhere would keep it back, and a new
+	// customer would go before all others until it had as many turns as they had since.
+	maxTurnLag = 4
+	// maxTurns bounds the customers, and the parts, whose next turns are known. Beyond it
+	// all are forgotten, so that for once some have a turn too many.
+	maxTurns = 1024
+)
+
 // Ticket identifies a waiting request; 0 is none.
 type Ticket uint64
 
@@ -212,7 +222,7 @@
 }
 
 // makeSpace removes those that go last until there is memory for e, as far as all of them go
-// after e, and returns them.
+// after e, and returns them. Streams that have begun stay, as a refusal would lose them.
 func (k *Keeper) makeSpace(q *queue, e *entry, cost int64) []Ticket {
 	if k.bytes+cost <= k.maxBytes {
 		return nil
@@ -221,6 +231,9 @@
 	free := k.maxBytes - k.bytes
 	var evicted []Ticket
 	for i := len(order) - 1; order[i] != e && free < cost; i-- {
+		if order[i].MustWait {
+			continue
+		}
 		free += overheadBytes + order[i].BodyBytes
 		evicted = append(evicted, order[i].ticket)
 	}
@@ -305,11 +318,11 @@
 }
 
 // offerAt places the first request that fits at an engine. If the engine is held, that is
-// the one that it is held for.
+// the one that it is held for or a more urgent one.
 func (k *Keeper) offerAt(q *queue, freed currantwood.UpstreamID, p Placer) {
 	misses := 0
 	for _, e := range q.order(nil) {
-		if q.held == freed && q.holder != nil && q.holder != e {
+		if q.heldAgainst(e) == freed {
 			continue
 		}
 		if p.Fits(e.ticket, Choice{Only: freed}) {
@@ -359,6 +372,34 @@
 	k.offer(q, p, limit)
 }
 
+// MayPass reports whether a request that arrives may be sent at once, to any engine but not:
+// no engine has room for any of those that go before it. The parts of offers are for requests
+// that wait and read the same update as other gateways; one that arrives doesn't, and those
+// that go after it mustn't delay it.
+func (k *Keeper) MayPass(r Request, p Placer) (not currantwood.UpstreamID, may bool) {
+	q, e := k.queue(r.Group), &entry{Request: r}
+	for i, other := range q.order(e) {
+		if other == e {
+			return not, true
+		}
+		if i == maxMisses || p.Fits(other.ticket, Choice{Not: not}) {
+			break
+		}
+		if i == 0 {
+			not = q.heldFor(other, p)
+		}
+	}
+	return "", false
+}
+
+// Passed notes that a request was sent as MayPass allowed it, which was the turn of its
+// customer and of its part.
+func (k *Keeper) Passed(r Request) {
+	if q := k.queue(r.Group); len(q.entries) > 0 {
+		q.took(&entry{Request: r})
+	}
+}
+
 // OfferArrived places requests after one has arrived while others wait, if many engines have
 // room for it. Those that wait may be larger or may go to fewer engines.
 func (k *Keeper) OfferArrived(id currantwood.GroupID, room forecaster.Room, p Placer) {
@@ -384,9 +425,10 @@
 	return nil
 }
 
-// heldAgainst returns the engine that is held for another request.
+// heldAgainst returns the engine that is held for another request, which isn't less urgent;
+// empty if there is none.
 func (q *queue) heldAgainst(e *entry) currantwood.UpstreamID {
-	if q.holder == e {
+	if q.holder == nil || q.holder == e || q.holder.Priority < e.Priority {
 		return ""
 	}
 	return q.held
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -5,6 +5,7 @@
 	"hash/maphash"
 	"math/rand"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -80,6 +81,8 @@
 	since        time.Time
 	// choice is what placer.Fits found last.
 	choice balancer.Choice
+	// counted is whether the balancer has counted the request in the demand.
+	counted bool
 	// result receives nil once the request is placed at choice, or why it waits no longer;
 	// exactly one value, unless the request stops waiting by itself.
 	result chan error
@@ -88,10 +91,26 @@
 // query returns what an engine is looked for by now.
 func (w *waiter) query(now time.Time) balancer.Query {
 	query := w.q.query(now)
-	w.restrict(&query)
+	w.narrow(&query)
 	return query
 }
 
+// narrow completes what the balancer is asked for.
+func (w *waiter) narrow(query *balancer.Query) {
+	w.restrict(query)
+	query.Counted = w.counted
+}
+
+// pickNow makes an attempt by the present loads. The caller holds the gateway's mu.
+func (w *waiter) pickNow(now time.Time, not currantwood.UpstreamID) (balancer.Choice, error) {
+	choice, err := w.q.pickNow(now, w.stallTimeout, func(query *balancer.Query) {
+		w.narrow(query)
+		query.Exclude = without(query.Exclude, not)
+	})
+	w.counted = true
+	return choice, err
+}
+
 // placer implements roomkeeper.Placer. The gateway's mu is held.
 type placer struct {
 	g   *Gateway
@@ -103,11 +122,9 @@
 	w := p.g.room.waiters[t]
 	query := w.query(p.now)
 	query.Only = c.Only
-	if c.Not != "" {
-		query.Exclude = append(query.Exclude[:len(query.Exclude):len(query.Exclude)], c.Not)
-	}
+	query.Exclude = without(query.Exclude, c.Not)
 	choice, err := p.g.balancer.Pick(p.now, query)
-	w.choice = choice
+	w.choice, w.counted = choice, true
 	return err == nil
 }
 
@@ -153,7 +170,7 @@
 	g.mu.Lock()
 	g.syncGroups(q.snapshot)
 	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
-		choice, err := q.pickNow(now, w.stallTimeout, w.restrict)
+		choice, err := w.pickNow(now, "")
 		var refused *balancer.RefusalError
 		if err == nil || !errors.As(err, &refused) || !refused.Full {
 			g.mu.Unlock()
@@ -163,6 +180,11 @@
 	}
 	r := q.roomRequest(now)
 	room := g.balancer.Room(now, w.query(now))
+	if choice, passed := w.pass(now, r, room); passed {
+		g.mu.Unlock()
+		q.notePromise(true)
+		return choice, false, nil
+	}
 	decision := g.room.keeper.Arrive(now, r, room)
 	for _, t := range decision.Evicted {
 		g.endWait(t, errOvertaken)
@@ -181,6 +203,34 @@
 	return w.choice, true, nil
 }
 
+// pass picks an engine at once although others wait, if no engine has room for any that goes
+// before this request. The caller holds mu.
+func (w *waiter) pass(now time.Time, r roomkeeper.Request, room forecaster.Room) (balancer.Choice, bool) {
+	g := w.q.g
+	if room.Open == 0 || g.room.keeper.Waiting(r.Group) == 0 {
+		return balancer.Choice{}, false
+	}
+	not, may := g.room.keeper.MayPass(r, placer{g, now})
+	if !may {
+		return balancer.Choice{}, false
+	}
+	choice, err := w.pickNow(now, not)
+	if err != nil {
+		return balancer.Choice{}, false
+	}
+	g.room.keeper.Passed(r)
+	return choice, true
+}
+
+// without returns the excluded upstreams and another one, which may be empty. It leaves the
+// list as it is, as requests share it.
+func without(excluded []currantwood.UpstreamID, id currantwood.UpstreamID) []currantwood.UpstreamID {
+	if id == "" {
+		return excluded
+	}
+	return append(slices.Clip(excluded), id)
+}
+
 // wait returns nil once the request is placed.
 func (w *waiter) wait(t roomkeeper.Ticket, maxWait time.Duration) error {
 	timer := time.NewTimer(maxWait)
