--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -94,7 +94,7 @@
 	// notices holds what upstreams say of themselves, which decides whether a request may
 	// be sent to them now.
 	notices *noticekeeper.Keeper
-	// slow lists the upstreams that the probers were last told to be slow.
+	// slow lists the upstreams for which the probers currently allow more time.
 	slow []currantwood.UpstreamID
 	// speeds estimates how long work takes at each upstream.
 	speeds *speedkeeper.Keeper
@@ -257,7 +257,8 @@
 	}
 	relativeTime := b.speeds.RelativeTime(now, u.view.ID)
 	if used > 1 {
-		// A fast upstream has no more slots than it says.
+		// An upstream that the request would fill beyond its slots or memory doesn't count
+		// as fast.
 		relativeTime = max(1, relativeTime)
 	}
 	score *= relativeTime
--- a/balancer/bound.go
+++ b/balancer/bound.go
@@ -8,8 +8,8 @@
 	// roomFrom is the part of an upstream in use from which on it is short of room.
 	roomFrom = 0.5
 	// roomPenalty is added to the score of a full upstream in a region to which other
-	// requests are bound, and less from roomFrom on. It outweighs what upstreams elsewhere
-	// can be fuller and farther away.
+	// requests are bound; from roomFrom on it rises from 0. It outweighs the difference in
+	// load and distance to upstreams elsewhere.
 	roomPenalty = 1.0
 	// fullBoundShare is the share of the requests of a group that must be bound to regions
 	// for the whole penalty. Fewer need less room.
@@ -34,7 +34,7 @@
 	if g[id] == nil {
 		g[id] = make(Bindings)
 	}
-	for _, region := range regions.Named() {
+	for _, region := range regions.IDs() {
 		if known, ok := g[id][region]; !ok || regions.Count() < known {
 			g[id][region] = regions.Count()
 		}
--- a/balancer/room.go
+++ b/balancer/room.go
@@ -8,7 +8,8 @@
 )
 
 // Room returns what is known of the engines to which the request of a query may be sent. It
-// is empty if no engine has memory for the request even without any load. Room looks at all members of the group, so it is asked only for requests that find no room.
+// is empty if no engine has memory for the request even without any load. Room visits all
+// members of the group, so it is called only for requests that find no room.
 func (b *Balancer) Room(now time.Time, q Query) forecaster.Room {
 	room := forecaster.Room{Gateways: b.gatewayCount}
 	g := b.groups[q.Group]
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -13,11 +13,11 @@
 	b.speeds.Observe(now, id, relativeTime)
 }
 
-// OwnSpeeds returns what this gateway has observed of the upstreams' speed, and AllSpeeds
-// what all gateways have, as far as it has heard.
+// OwnSpeeds returns what this gateway has observed of the upstreams' speed.
 func (b *Balancer) OwnSpeeds(now time.Time) speedkeeper.Sums { return b.speeds.Own(now) }
 
-// AllSpeeds is described at OwnSpeeds.
+// AllSpeeds returns what all gateways have observed of the upstreams' speed, as far as this
+// one has heard.
 func (b *Balancer) AllSpeeds(now time.Time) speedkeeper.Sums { return b.speeds.All(now) }
 
 // LearnSpeeds notes what another gateway has observed of the upstreams' speed.
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -52,8 +52,8 @@
 	reportDelay = 450 * time.Millisecond
 	burstFactor = 2
 	// movedShare is the share of the requests in the window whose runs may have to be moved
-	// at once: runs last up to 20 s, and a zone may be lost. With 1/3, 67 retries
-	// were sent for a budget of 66.6 by 68 gateways in the model that moves all runs.
+	// at once: runs last up to 20 s, and a zone may be lost. With a smaller share, gateways
+	// that move all runs at once together exceed the budget.
 	movedShare = 1.0 / 2
 	// minGateways is the number of gateways assumed until more have reported, if
 	// Options.MinGateways isn't set.
@@ -281,7 +281,7 @@
 }
 
 // guaranteedReserve returns the part of the reserve that each gateway may use whatever its
-// peers report; 0 if that is less than one retry, so that it isn't kept from all in vain.
+// peers report; 0 if that is less than one retry, since no gateway could use it.
 func (b *Budgeter) guaranteedReserve() float64 {
 	part := guaranteedPart * b.options.Reserve / float64(b.maxReportingGateways)
 	if part < 1 {
--- a/capacity/doc.go
+++ b/capacity/doc.go
@@ -4,8 +4,8 @@
 //     usual time, from what the upstreams report to all gateways;
 //   - roomkeeper decides whether a generation that finds no room waits in its gateway or is
 //     refused, and which of those that wait is admitted next;
-//   - forecaster estimates when engines have room again, and books what refused clients
-//     were told.
+//   - forecaster estimates when engines have room again, and records the promises that
+//     refused clients were given.
 //
 // Package balancer uses the estimates when it weighs upstreams. Whether a request may be
 // sent to an upstream at all is decided before that, by package noticekeeper.
--- a/capacity/forecaster/forecaster.go
+++ b/capacity/forecaster/forecaster.go
@@ -1,14 +1,14 @@
 // Package forecaster estimates when engines that are full have room again for a
-// generation, and books what refused clients were told.
+// generation, and records the promises of room that refused clients were given.
 //
 // By Little's law, work leaves the engines at the rate of what is in flight divided by how
 // long it stays. What is in flight at all engines is known from the sums that gateways
-// exchange; how long it stays is measured at the generations of this gateway. A gateway
-// expects the part of the freed capacity that it has of what is in flight.
+// exchange; how long it stays is an average over the generations of this gateway. A gateway
+// expects a share of the freed capacity that equals its share of the work in flight.
 //
-// A refused request gets the time at which there is room for it after all that waits here
-// and all that was promised before. It is recognized by a key when it comes back to this
-// gateway; a client that comes back to another gateway is a new one there.
+// The forecast for a refused request counts the work that waits here and the work that was
+// promised room before. Its retry is recognized by a key at this gateway; at another gateway
+// it counts as a new request.
 package forecaster
 
 import (
@@ -23,14 +23,16 @@
 	initialStay = 2 * time.Second
 	// stayDivisor is the reciprocal of the weight of each ended generation in the averages.
 	stayDivisor = 32
-	// earlyTolerance is how much earlier than told a client may come back: clients round.
+	// earlyTolerance is how much earlier than promised a retry may arrive, since clients
+	// round the time.
 	earlyTolerance = 50 * time.Millisecond
-	// lateShare is by how much of the told time a client may come back later, which covers
-	// the jitter that lengthens Retry-After by up to a half; lateSlack is added to it.
+	// lateShare is how much later than promised a retry may arrive, as a share of the
+	// promised time. It covers the jitter that lengthens Retry-After by up to a half;
+	// lateSlack is added to it.
 	lateShare = 0.6
 	lateSlack = 300 * time.Millisecond
-	// maxPromises bounds the booked promises; 4,096 take about 400 KB. Beyond it a refused
-	// client is told a time, but not recognized.
+	// maxPromises bounds the recorded promises; 4,096 take about 400 KB. Beyond it a refused
+	// client gets a Retry-After, but its retry isn't recognized.
 	maxPromises = 4096
 	// maxForecast is the longest forecast, also if nothing is known to become free.
 	maxForecast = time.Minute
@@ -67,13 +69,14 @@
 	PrefillExcess time.Duration
 }
 
-// Key identifies a request that comes back: a hash of its customer, target and body.
+// Key identifies the retry of a refused request: a hash of its customer, target and body.
 type Key uint64
 
-// promise is what a refused request was told.
+// promise is the retry time given to a refused request.
 type promise struct {
-	group       currantwood.GroupID
-	work        Work
+	group currantwood.GroupID
+	work  Work
+	// at is the promised time. After expires, a retry isn't recognized.
 	at, expires time.Time
 }
 
@@ -84,7 +87,7 @@
 	seconds, memory, memorySeconds float64
 }
 
-// Forecaster forecasts room and books promises. It is not safe for concurrent use.
+// Forecaster forecasts room and records promises. It is not safe for concurrent use.
 type Forecaster struct {
 	stays    map[currantwood.GroupID]*stay
 	promises map[Key]promise
@@ -131,8 +134,8 @@
 	if room.PrefillExcess <= 0 {
 		return byCapacity
 	}
-	// The prompts of those ahead, here and at as many at each other gateway, go to the same
-	// engines first.
+	// The prompts of the requests ahead, and of as many at each other gateway, are queued at
+	// the same engines first.
 	byPrefill := time.Duration(float64(room.PrefillExcess) * (1 + float64(ahead.Requests)/(share*float64(room.Engines))))
 	return min(byCapacity, byPrefill)
 }
@@ -150,7 +153,8 @@
 	return time.Duration(min(maxForecast.Seconds(), wait) * float64(time.Second))
 }
 
-// ratio returns amount by rate; 0 if there is nothing to wait for.
+// ratio returns the seconds until amount is free if rate becomes free per second: 0 if there
+// is nothing to wait for, maxForecast if nothing becomes free.
 func ratio(amount, rate float64) float64 {
 	if amount <= 0 {
 		return 0
@@ -170,7 +174,7 @@
 	return min(1, max(even, float64(room.Own.Requests)/float64(room.Total.Requests)))
 }
 
-// Promise books that a refused request was told to come back after a time.
+// Promise records that a refused request was told to retry after a time.
 func (f *Forecaster) Promise(now time.Time, key Key, id currantwood.GroupID, work Work, after time.Duration) {
 	f.expire(now)
 	f.drop(key)
@@ -184,8 +188,8 @@
 	f.promised[id] = total
 }
 
-// Redeem reports whether the request with a key comes back as it was told. The promise
-// then counts no longer. One that comes back too early keeps it.
+// Redeem reports whether the request with a key is a retry at its promised time. It removes
+// the promise unless the retry is too early.
 func (f *Forecaster) Redeem(now time.Time, key Key) bool {
 	p, booked := f.promises[key]
 	if !booked || now.Before(p.at.Add(-earlyTolerance)) {
@@ -195,16 +199,16 @@
 	return now.Before(p.expires)
 }
 
-// HasPromises reports whether any promise is booked.
+// HasPromises reports whether any promise is recorded.
 func (f *Forecaster) HasPromises() bool { return len(f.promises) > 0 }
 
-// Promised returns the work of a group that was promised and may still come back.
+// Promised returns the work of a group that was promised room and may still be retried.
 func (f *Forecaster) Promised(now time.Time, id currantwood.GroupID) Work {
 	f.expire(now)
 	return f.promised[id]
 }
 
-// expire drops the promises whose clients didn't come back.
+// expire drops the promises whose clients didn't retry in time.
 func (f *Forecaster) expire(now time.Time) {
 	for key, p := range f.promises {
 		if !now.Before(p.expires) {
--- a/capacity/roomkeeper/order.go
+++ b/capacity/roomkeeper/order.go
@@ -92,9 +92,9 @@
 // part.
 func (q *queue) nextTurn(e *entry) int { return max(q.turn, q.turns[e.Customer], q.partTurns[e.Part]) }
 
-// took notes that a customer and a part had their turn, and goes on to the next turn that a
-// waiting request has.
-func (q *queue) took(e *entry) {
+// endTurn ends the turn of the customer and the part of a request that is placed, and sets
+// the current turn to the earliest one of the other waiting requests.
+func (q *queue) endTurn(e *entry) {
 	turn := q.nextTurn(e)
 	q.turns[e.Customer] = turn + 1
 	if e.Part != "" {
--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -9,10 +9,10 @@
 // free memory: the smaller ones behind it go elsewhere and don't take the memory that it
 // waits for.
 //
-// All gateways that wait read of the same freed capacity at the same time. Each therefore
-// takes an expected part of it, so that all together take a part of it; what stays free for longer
-// is taken faster. Where a request of the gateway itself has ended, it sends another one at
-// once: the others hear of that room later.
+// All gateways learn of the same freed capacity at the same time. Each therefore admits a
+// random number of requests, so that all together are expected to take a part of the
+// capacity; the part grows while the capacity stays free. Where a request of the gateway
+// itself has ended, it sends another one at once, since the others learn of that room later.
 package roomkeeper
 
 import (
@@ -29,8 +29,8 @@
 	// 16 KB, the buffers of its connection and its goroutines.
 	overheadBytes = 40 << 10
 	// initialPart is the part of the open engines that all gateways together take with one
-	// update: a send is seen by the others up to two updates later. With 0.5, more waited
-	// for an engine of four than it had room for in the model.
+	// update. It is small, as the others see a send up to two updates later and may fill the
+	// same engine beyond its room until then.
 	initialPart = 0.2
 	// maxLevel bounds how often that part is doubled; 2^12 exceeds the gateways of a fleet.
 	maxLevel = 12
@@ -38,14 +38,13 @@
 	// microseconds for each. It is high as those of one customer may all wait for the
 	// engines of a region that is full.
 	maxMisses = 64
-	// manyOpen is the share of open engines from which on all that fit are admitted, if
-	// these are also at least half as many as gateways, which then hardly choose the same
-	// engine.
+	// manyOpen is the share of open engines from which on all requests that fit are
+	// admitted, if there are also at least half as many open engines as gateways: then few
+	// gateways choose the same engine.
 	manyOpen = 1.0 / 3
-	// returnFactor is by how much more than forecast a client is told to stay away. The
-	// forecast leaves out those that arrive meanwhile, and a client that comes back to
-	// another gateway isn't recognized. Most clients come back once: with 1, twice as many
-	// were lost in the model as with 2.5, and 2% of the promises were broken with 2.
+	// returnFactor is the Retry-After of a refusal, divided by its forecast. It exceeds 1
+	// since the forecast leaves out the requests that arrive meanwhile, a retry at another
+	// gateway isn't recognized, and most clients retry only once.
 	returnFactor = 2.5
 	// claimPart is the part of the engines that all gateways together may claim, for the
 	// request that each of them holds an engine for. With claims on most engines nothing
@@ -65,8 +64,8 @@
 	Part currantwood.PartID
 	// MissedAt is when the objective of the request is missed.
 	MissedAt time.Time
-	// Promised is whether the request comes back as it was told. It goes before others of
-	// its priority and isn't refused by the forecast.
+	// Promised is whether the request redeems a promise. It goes before others of its
+	// priority and isn't refused by the forecast.
 	Promised bool
 	// MustWait is whether the request waits whatever the forecast says: its stream has
 	// begun, so that a refusal would lose it.
@@ -174,7 +173,7 @@
 		return d
 	}
 	cost := overheadBytes + r.BodyBytes
-	d.Evicted = k.makeSpace(q, e, cost)
+	d.Evicted = k.evictFor(q, e, cost)
 	if k.bytes+cost > k.maxBytes {
 		d.Reason = QueueFull
 		return d
@@ -188,9 +187,9 @@
 	return d
 }
 
-// Forecast returns the time until there is room for a request that doesn't wait, after those
-// that wait before it and those promised; when one comes back as told, the others promised
-// aren't before it.
+// Forecast returns the time until there is room for a request that doesn't wait yet, after
+// the waiting requests that go before it and the promised ones. Promised requests don't go
+// before one that redeems a promise itself.
 func (k *Keeper) Forecast(now time.Time, r Request, room forecaster.Room) time.Duration {
 	q, e := k.queue(r.Group), &entry{Request: r}
 	var ahead forecaster.Work
@@ -211,9 +210,9 @@
 	return time.Duration(returnFactor * float64(forecast))
 }
 
-// makeSpace removes those that go last until there is memory for e, as far as all of them go
-// after e, and returns them.
-func (k *Keeper) makeSpace(q *queue, e *entry, cost int64) []Ticket {
+// evictFor removes and returns the requests that go last, until there is memory for e. It
+// removes none if those that go after e don't free enough.
+func (k *Keeper) evictFor(q *queue, e *entry, cost int64) []Ticket {
 	if k.bytes+cost <= k.maxBytes {
 		return nil
 	}
@@ -271,7 +270,7 @@
 	return requests, k.bytes
 }
 
-// Claim is an engine that a waiting request holds, as the other gateways are told.
+// Claim is an engine that is held for a waiting request, as reported to the other gateways.
 type Claim struct {
 	Upstream currantwood.UpstreamID
 	Work     forecaster.Work
@@ -325,7 +324,7 @@
 // place sends a request to the engine found for it.
 func (k *Keeper) place(q *queue, e *entry, p Placer) {
 	p.Place(e.ticket)
-	q.took(e)
+	q.endTurn(e)
 	k.Leave(e.Group, e.ticket)
 }
 
--- a/capacity/speedkeeper/keeper.go
+++ b/capacity/speedkeeper/keeper.go
@@ -8,7 +8,7 @@
 // weighted by their age, and of one that everything is as usual: without observations an
 // upstream counts as usual, so that it is tried again after a while. The mean is one of
 // speeds, the reciprocals of times, since the work that is done in a span grows with the
-// mean speed: a short slow spell of a fast upstream must not make it look like a slow one.
+// mean speed: a short slow period of a fast upstream must not make it look like a slow one.
 package speedkeeper
 
 import (
@@ -20,8 +20,8 @@
 
 const (
 	// memoryTime is the time in which the weight of an observation falls to 1/e. It is
-	// long enough to see through slow periods of less than a second, and short enough to
-	// follow a lasting change within two.
+	// long enough that slow periods of less than a second change the mean little, and short
+	// enough to follow a lasting change within two seconds.
 	memoryTime = 4 * time.Second
 	// priorWeight is the weight of the assumption that work takes the usual time, in
 	// observations.
@@ -73,7 +73,8 @@
 // reportedSum is the sum of the reports about one upstream.
 type reportedSum struct {
 	Sum
-	// reports is the number of reports in it. Without any, rounding may leave a rest.
+	// reports is the number of reports in it. At 0 the sum is dropped, since rounding may
+	// leave it different from 0.
 	reports int
 }
 
@@ -99,7 +100,7 @@
 }
 
 // Observe notes that an upstream said in a response how long work takes, relative to the
-// usual time. 0 says nothing.
+// usual time. 0 means that the response doesn't say.
 func (k *Keeper) Observe(now time.Time, id currantwood.UpstreamID, relativeTime float64) {
 	if relativeTime <= 0 {
 		return
@@ -201,7 +202,7 @@
 	return sums
 }
 
-// All returns what all gateways have observed, to be told by the collector.
+// All returns what all gateways have observed, for the collector's digests.
 func (k *Keeper) All(now time.Time) Sums {
 	sums := k.Own(now)
 	for id := range k.reported {
--- a/capacity/speedkeeper/keeper_test.go
+++ b/capacity/speedkeeper/keeper_test.go
@@ -50,8 +50,8 @@
 		Entry("by the first response", 0.0, 1.4, 1.7, []observation{{0, 1.7}}),
 		Entry("of a slow upstream", 3.0, 1.6, 1.7, every(0.2, 0, 3, 1.7)),
 		Entry("of a fast upstream", 3.0, 0.7, 0.75, every(0.2, 0, 3, 0.7)),
-		// Guards against a choice that follows every slow spell of a shared machine.
-		Entry("little changed by a spell of 600 ms", 3.6, 0.7, 0.9, every(0.2, 0, 3, 0.7), every(0.2, 3, 3.6, 1.75)),
+		// Guards against a choice that follows every short slow period of a shared machine.
+		Entry("little changed by a slow period of 600 ms", 3.6, 0.7, 0.9, every(0.2, 0, 3, 0.7), every(0.2, 3, 3.6, 1.75)),
 		// Guards against old knowledge that outlives the change of an upstream: 1.14 is the
 		// time at the speed halfway between the old one and the new one.
 		Entry("nearer to a lasting change than to the time before within two seconds", 5.0, 1.14, 3.0, every(0.1, 0, 3, 0.7), every(0.1, 3, 5, 3)),
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -174,8 +174,8 @@
 // recordFailedStart reports a failed start to the balancer and, if the upstream
 // may have received the request, counts a possible run and records a crash.
 func (q *request) recordFailedStart(f failure, load balancer.Load, err error) {
-	var kept *withheldError
-	if errors.As(err, &kept) {
+	var withheld *withheldError
+	if errors.As(err, &withheld) {
 		q.recordEnd(f.view, load, balancer.Neutral)
 		return
 	}
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -36,8 +36,8 @@
 	return complete
 }
 
-// KeepEvacuations keeps the orders for a while that are missing in the store, which has
-// come back from an older copy.
+// KeepEvacuations keeps known orders for a while although they are missing in the store,
+// which has come back from an older copy.
 func (g *Gateway) KeepEvacuations(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -74,8 +74,8 @@
 	g.logEvacuations(change, "not written again")
 }
 
-// logEvacuations logs which evacuations began and ended. source is the store, the VM that
-// told of them, or why an order no longer counts.
+// logEvacuations logs which evacuations began and ended. source is "store", the VM whose
+// message said so, or why an order no longer holds.
 func (g *Gateway) logEvacuations(change evacuationkeeper.Change, source string) {
 	for _, zone := range change.Began {
 		g.Logger.Info("evacuation of an availability zone began", zap.String("zone", string(zone)), zap.String("source", source))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -103,7 +103,7 @@
 	// pickedAt is when the last upstream was picked; guarded by the gateway's mu while the
 	// request waits for room.
 	pickedAt time.Time
-	// promised is whether the client has come back as a refusal told it, and promiseNoted
+	// promised is whether the request redeems a promise of room, and promiseNoted
 	// whether it was counted if there was room for it.
 	promised, promiseNoted bool
 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -20,8 +20,8 @@
 	// waitShare is the share of the target time for which a generation may wait for room.
 	// The rest is for its prompt.
 	waitShare = 0.5
-	// promisedWaitShare replaces it for a client that comes back as it was told: a second
-	// refusal would lose it. With 0.65, over 2% of the promises were broken in the model.
+	// promisedWaitShare replaces it for a request that redeems a promise: most clients don't
+	// retry after a second refusal.
 	promisedWaitShare = 0.75
 	// waitAndQueueShare is the share of the target time that waiting and the prompts queued
 	// at the engine may take together.
@@ -72,7 +72,7 @@
 	}
 }
 
-// waiter is a request for which an engine is looked for.
+// waiter is a request that waits for an engine.
 type waiter struct {
 	q            *request
 	stallTimeout time.Duration
@@ -85,7 +85,7 @@
 	result chan error
 }
 
-// query returns what an engine is looked for by now.
+// query returns the query for an engine as of now.
 func (w *waiter) query(now time.Time) balancer.Query {
 	query := w.q.query(now)
 	w.restrict(&query)
@@ -124,8 +124,8 @@
 	return p.g.balancer.Room(p.now, p.g.room.waiters[t].query(p.now))
 }
 
-// pickOrWait picks an engine as pickNow does, or waits until one has room. Others that wait
-// come first. It refuses the request with a *refusedError if it can't have room in time.
+// pickOrWait picks an engine as pickNow does, or waits until one has room. Requests that wait
+// already go first. It returns a *refusedError if there won't be room in time.
 func (q *request) pickOrWait(now time.Time, stallTimeout time.Duration, restrict func(*balancer.Query)) (balancer.Choice, error) {
 	q.redeemPromise(now)
 	w := &waiter{q: q, stallTimeout: stallTimeout, restrict: restrict, since: now, result: make(chan error, 1)}
@@ -262,8 +262,8 @@
 	}
 }
 
-// refuseRoom returns the refusal of a request that waits no longer, and books what its
-// client is told.
+// refuseRoom returns the refusal of a request that waits no longer, and records the promise
+// to its client.
 func (q *request) refuseRoom(now time.Time, w *waiter, reason string) error {
 	key := q.promiseKey()
 	q.g.mu.Lock()
@@ -283,7 +283,7 @@
 	q.log("no room for a generation", zap.String("reason", reason), zap.Duration("waited", now.Sub(w.since)), zap.Duration("forecast", forecast),
 		zap.Int64("tokens", int64(r.Work.Memory)), zap.Int("engines", room.Engines), zap.Int("open", room.Open), zap.Int("free-slots", room.FreeSlots),
 		zap.Int64("most-free", int64(room.RoomiestFree)), zap.Int("waiting", waiting), zap.Int64("waiting-bytes", bytes),
-		zap.Int("promised", promised.Requests), zap.Int("gateways", room.Gateways), zap.Bool("came-as-told", r.Promised))
+		zap.Int("promised", promised.Requests), zap.Int("gateways", room.Gateways), zap.Bool("redeems-promise", r.Promised))
 	return &refusedError{&gatewayResponse{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}}
 }
 
@@ -300,7 +300,7 @@
 	return forecaster.Key(h.Sum64())
 }
 
-// redeemPromise sets promised if the client comes back as it was told.
+// redeemPromise sets promised if the request is a retry at its promised time.
 func (q *request) redeemPromise(now time.Time) {
 	q.g.mu.Lock()
 	promises := q.g.room.forecaster.HasPromises()
@@ -333,7 +333,7 @@
 	q.g.instruments.queuedAdmitted.Inc(1)
 	q.g.instruments.queueTime.Update(now.Sub(w.since).Microseconds())
 	q.notePromise(true)
-	q.log("generation admitted after waiting for room", zap.String("upstream", string(choice.View.ID)), zap.Duration("waited", now.Sub(w.since)), zap.Bool("came-as-told", q.promised))
+	q.log("generation admitted after waiting for room", zap.String("upstream", string(choice.View.ID)), zap.Duration("waited", now.Sub(w.since)), zap.Bool("redeems-promise", q.promised))
 }
 
 // offerFreed places a waiting request where one of this gateway has ended. The caller holds
@@ -349,7 +349,7 @@
 }
 
 // offerOverdue is offerUpdate if no loads of other gateways arrive: this one is alone or cut
-// off, and engines may have come back meanwhile. The caller holds mu.
+// off, and engines may have become available meanwhile. The caller holds mu.
 func (g *Gateway) offerOverdue(now time.Time) {
 	if now.Sub(g.room.offeredAt) >= maxOfferInterval {
 		g.offerUpdate(now)
--- a/gateway/warmup.go
+++ b/gateway/warmup.go
@@ -60,8 +60,8 @@
 }
 
 // failureOutcome returns what the failure of an exchange means for the health of its
-// upstream. A cold upstream may be slower than this gateway waits; broken is whether the
-// upstream has broken the exchange instead.
+// upstream. A time-out at a cold upstream doesn't count, as it may be slow without a fault;
+// broken is whether the upstream broke the exchange instead.
 func (q *request) failureOutcome(view upstreamkeeper.View, broken bool) balancer.Outcome {
 	now := q.g.Now()
 	q.g.mu.Lock()
--- a/placement/evacuationkeeper/keeper.go
+++ b/placement/evacuationkeeper/keeper.go
@@ -3,8 +3,8 @@
 //
 // One gateway reads the orders and tells the others the whole set, with the position in
 // the topic up to which it has read. A set replaces one of an earlier position, so that a
-// lost message delays an order and never loses it. Reads of this gateway are held to the
-// same rule: one that was long on its way doesn't undo a newer set of another gateway.
+// lost message delays an order and never loses it. The same rule holds for reads of this
+// gateway: a delayed read doesn't undo a newer set of another gateway.
 package evacuationkeeper
 
 import (
@@ -40,8 +40,8 @@
 	KeptFor time.Duration
 }
 
-// Order is a record that orders the evacuation of a zone or, if Ordered is false, takes the
-// order back.
+// Order is a record that orders the evacuation of a zone or, if Ordered is false, withdraws
+// the order.
 type Order struct {
 	Zone    currantwood.ZoneID
 	Offset  currantwood.Offset
@@ -57,7 +57,7 @@
 type Keeper struct {
 	// zones holds until when each evacuated zone is kept; zero if its order was read.
 	zones map[currantwood.ZoneID]time.Time
-	// known is whether the orders were ever read or told, up to position.
+	// known is whether the orders were ever read or received, up to position.
 	known    bool
 	position Position
 	// restoring is until when orders that a read doesn't show are kept.
@@ -167,7 +167,7 @@
 	return Change{Ended: ended}
 }
 
-// Current returns the orders in force, to be told to other gateways; false if they aren't
+// Current returns the orders in force, for messages to other gateways; false if they aren't
 // known.
 func (k *Keeper) Current(now time.Time) (Set, bool) {
 	set := Set{Position: k.position}
--- a/placement/evacuationkeeper/keeper_test.go
+++ b/placement/evacuationkeeper/keeper_test.go
@@ -82,7 +82,7 @@
 		Entry("an order missing in an older copy", []currantwood.ZoneID{"a"}, readAll(1, 30, "a"), eraRises, readAll(2, 20)),
 		Entry("an order missing in an older copy and written again", []currantwood.ZoneID{"a"}, readAll(1, 30, "a"), eraRises, readAll(2, 20), read(2, 21, "a", true), wait(time.Hour)),
 		Entry("an order never written again after an older copy", nil, readAll(1, 30, "a"), eraRises, readAll(2, 20), wait(restoreTime)),
-		// Guards against orders that are undone by what was long on its way.
+		// Guards against orders that are undone by delayed reads and messages.
 		Entry("an older set of the collector just after a read", []currantwood.ZoneID{"a"}, readAll(0, 3), read(0, 4, "a", true), told(0, 3)),
 		Entry("a read that is older than the set of the collector", []currantwood.ZoneID{"a"}, readAll(0, 3), told(0, 10, "a"), readFrom(3, 0, 6, Order{Zone: "a", Offset: 5})),
 		Entry("a read of the whole topic that is older than the set of the collector", []currantwood.ZoneID{"a"}, readAll(0, 3), told(0, 10, "a"), readAll(0, 6)),
--- a/placement/warmupkeeper/keeper.go
+++ b/placement/warmupkeeper/keeper.go
@@ -6,7 +6,7 @@
 // responses; gateways tell each other what responses said. Each gateway's share of the rate
 // is kept by package ratekeeper, with options for a bound that holds in every second.
 //
-// When statements differ, the one that keeps the upstream cold wins unless the other is
+// When statements differ, the one that keeps the upstream cold holds unless the other is
 // certainly newer: a record by its incarnation and sequence, a response if its request was
 // sent after the upstream was known to be cold. A record doesn't end a cold period that a
 // response has stated, as the store may deliver it late.
@@ -21,16 +21,16 @@
 )
 
 const (
-	// spareShare is the part of what Bounds allow beyond the rate that gateways use
-	// knowingly. The rest is for what they haven't heard of each other yet.
+	// spareShare is the part of the allowance beyond the rate, by Bounds, that the shares
+	// may use. The rest covers requests of which gateways haven't heard from each other yet.
 	spareShare = 0.5
 	// window is the span of the bound.
 	window = time.Second
-	// burstTime is short, so that one gateway with all the demand doesn't save up much of
-	// what the bound allows in a second.
+	// burstTime is short, so that one gateway with all the demand accrues only a small part
+	// of what the bound allows in a second.
 	burstTime = 100 * time.Millisecond
-	// demandTime is longer than for rate limits: riseTime lets the lowest of the shares that
-	// were due count, so chance in the demand leaves a part of the rate unused.
+	// demandTime is longer than for rate limits: a gateway uses the lowest share within
+	// riseTime, so that random changes of the demand would leave a part of the rate unused.
 	demandTime = 5 * time.Second
 	// fleetMaxAge is a few times the interval of the messages among gateways.
 	fleetMaxAge = 500 * time.Millisecond
@@ -44,13 +44,13 @@
 	// then. A process that was frozen in between takes a new share, so that what it had
 	// picked before doesn't add to what others have sent since.
 	pickedMaxAge = 100 * time.Millisecond
-	// sameEnd is the difference up to which two ends of a cold period are one, heard over
-	// ways of different delay. Without it, gateways would lengthen the period by telling
-	// each other.
+	// sameEnd is the difference up to which two ends of a cold period are the same one,
+	// received with different delays. Without it, each message between gateways would
+	// lengthen the period.
 	sameEnd = time.Second
-	// shareTime is how long a new statement is sent to the gateways that are heard from.
-	// Datagrams are lost, and it is sent in each of them meanwhile.
-	shareTime = 2 * time.Second
+	// announceTime is how long a new statement is sent to the gateways that are heard from.
+	// Each datagram in that time carries it, since some are lost.
+	announceTime = 2 * time.Second
 	// maxUpstreams bounds the upstreams that are known to be cold.
 	maxUpstreams = 1 << 14
 )
@@ -64,7 +64,7 @@
 const (
 	Record   Source = iota + 1 // record
 	Response                   // response
-	// Told is a statement that another gateway has read in a response.
+	// Told is a statement that another gateway has received in a response.
 	Told // gateway
 	// Elapsed means that the time which the last statement named is over.
 	Elapsed // time
@@ -77,7 +77,7 @@
 	Incarnation int64
 }
 
-// Change is the begin or the end of a cold period.
+// Change is the start or the end of a cold period.
 type Change struct {
 	Upstream Upstream
 	Source   Source
@@ -86,7 +86,7 @@
 	Left time.Duration
 }
 
-// Period is what gateways tell each other of a cold upstream.
+// Period is the cold period of an upstream, as gateways tell it each other.
 type Period struct {
 	Upstream Upstream
 	Until    time.Time
@@ -166,8 +166,8 @@
 }
 
 // ApplyRecord notes the end of the cold period by the newest directory record of an
-// upstream. A time that isn't after now says that it is warm. The caller has sorted out
-// records that are older than known ones.
+// upstream. A time that isn't after now means that it is warm. The caller leaves out records
+// that are older than known ones.
 func (k *Keeper) ApplyRecord(now time.Time, u Upstream, until time.Time) Change {
 	s := k.get(u, until.After(now))
 	if s == nil {
@@ -192,7 +192,7 @@
 	case warmUp.Left <= 0 && newest:
 		s.recordUntil, s.saidUntil, s.saidAt = time.Time{}, time.Time{}, now
 	case warmUp.Left > 0 && (newest || until.After(s.saidUntil)):
-		s.say(now, until, true)
+		s.setSaid(now, until, true)
 	}
 	return k.update(now, s, Response)
 }
@@ -207,12 +207,12 @@
 	if s == nil || !p.Until.After(s.until().Add(sameEnd)) {
 		return Change{}
 	}
-	s.say(now, p.Until, false)
+	s.setSaid(now, p.Until, false)
 	return k.update(now, s, Told)
 }
 
-// say sets the end of the cold period by a response.
-func (s *state) say(now, until time.Time, heard bool) {
+// setSaid sets the end of the cold period by a response.
+func (s *state) setSaid(now, until time.Time, heard bool) {
 	if until.Sub(s.saidUntil).Abs() > sameEnd {
 		s.changedAt, s.heard = now, heard
 	}
@@ -249,8 +249,8 @@
 func (k *Keeper) update(now time.Time, s *state, source Source) Change {
 	cold := s.isCold(now)
 	if cold && k.limits[s.upstream.Group] > 0 {
-		// Shares are due from the begin on, also without requests: a share that others
-		// may use must be lower here at that time already.
+		// The share is computed from the start of the period on, also without requests:
+		// it must have fallen here before other gateways use the difference.
 		k.limit(now, s.upstream)
 	}
 	if cold != s.coldSince.IsZero() {
@@ -276,9 +276,9 @@
 		if change := k.update(now, s, Elapsed); change != (Change{}) {
 			ended = append(ended, change)
 		}
-		// A record or a response that is under way may be older than what ended the
+		// A record or a response that arrives later may be older than what ended the
 		// period.
-		if now.Sub(s.until()) > shareTime && now.Sub(s.saidAt) > shareTime && now.Sub(s.recordAt) > shareTime {
+		if now.Sub(s.until()) > announceTime && now.Sub(s.saidAt) > announceTime && now.Sub(s.recordAt) > announceTime {
 			delete(k.states, id)
 		}
 		k.rates.Observe(now, id, s.upstream.Incarnation, currantwood.RateLimit{Known: true})
@@ -378,17 +378,17 @@
 	k.rates.SetFleet(now, rates, gateways)
 }
 
-// Heard returns the cold periods that responses to this gateway stated a moment ago, to be
-// told to the collector.
+// Heard returns the cold periods that responses to this gateway stated within announceTime,
+// for messages to the collector.
 func (k *Keeper) Heard(now time.Time) []Period {
-	return k.collect(now, func(s *state) bool { return s.heard && now.Sub(s.changedAt) <= shareTime })
+	return k.collect(now, func(s *state) bool { return s.heard && now.Sub(s.changedAt) <= announceTime })
 }
 
-// Known returns the cold periods that responses stated a moment ago, to be told by the
-// collector to all gateways; all periods if all is true, for a gateway that has just
+// Known returns the cold periods that responses stated within announceTime, for messages of
+// the collector to all gateways; all periods if all is true, for a gateway that has just
 // started.
 func (k *Keeper) Known(now time.Time, all bool) []Period {
-	return k.collect(now, func(s *state) bool { return all || now.Sub(s.changedAt) <= shareTime })
+	return k.collect(now, func(s *state) bool { return all || now.Sub(s.changedAt) <= announceTime })
 }
 
 // collect returns the periods that responses stated and that wanted chooses.
--- a/regions.go
+++ b/regions.go
@@ -45,10 +45,6 @@
 	return len(s.regions)
 }
 
-// Named returns the regions in the set, sorted; none for the set of all regions, which
-// doesn't name any.
-func (s RegionSet) Named() []RegionID { return slices.Clone(s.regions) }
-
 // Intersect returns the regions that are in both sets.
 func (s RegionSet) Intersect(other RegionSet) RegionSet {
 	switch {
@@ -84,5 +80,6 @@
 // MarshalText returns String, for logs and golden files.
 func (s RegionSet) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
-// IDs returns the regions of the set in order; none if it is the set of all regions.
+// IDs returns the regions in the set, sorted; none for the set of all regions, which doesn't
+// list any.
 func (s RegionSet) IDs() []RegionID { return slices.Clone(s.regions) }
