--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -16,7 +16,6 @@
 package roomkeeper
 
 import (
-	"math"
 	"math/rand"
 	"time"
 
@@ -103,22 +102,6 @@
 	Evicted []Ticket
 }
 
-// Choice limits the engines that are asked for room.
-type Choice struct {
-	// Only is the only engine to ask, and Not one that isn't asked; empty if there is none.
-	Only, Not currantwood.UpstreamID
-}
-
-// Placer places requests at engines, by the loads as they are known now.
-type Placer interface {
-	// Fits reports whether an engine among those of the choice has room for the request.
-	Fits(t Ticket, c Choice) bool
-	// Place sends the request to the engine that Fits found.
-	Place(t Ticket)
-	// Room returns what is known of the engines for the request.
-	Room(t Ticket) forecaster.Room
-}
-
 // entry is a waiting request.
 type entry struct {
 	Request
@@ -295,133 +278,3 @@
 	}
 	return q
 }
-
-// OfferFreed places a request at an engine where one of this gateway has ended.
-func (k *Keeper) OfferFreed(id currantwood.GroupID, freed currantwood.UpstreamID, p Placer) {
-	if q := k.queues[id]; q != nil && len(q.entries) > 0 {
-		k.offerAt(q, freed, p)
-	}
-}
-
-// offerAt places the first request that fits at an engine. If the engine is held, that is
-// the one that it is held for.
-func (k *Keeper) offerAt(q *queue, freed currantwood.UpstreamID, p Placer) {
-	misses := 0
-	for _, e := range q.order(nil) {
-		if q.held == freed && q.holder != nil && q.holder != e {
-			continue
-		}
-		if p.Fits(e.ticket, Choice{Only: freed}) {
-			k.place(q, e, p)
-			return
-		}
-		if misses++; misses == maxMisses {
-			return
-		}
-	}
-}
-
-// place sends a request to the engine found for it.
-func (k *Keeper) place(q *queue, e *entry, p Placer) {
-	p.Place(e.ticket)
-	q.endTurn(e)
-	k.Leave(e.Group, e.ticket)
-}
-
-// OfferUpdate places requests after new sums of the other gateways' loads have arrived.
-func (k *Keeper) OfferUpdate(id currantwood.GroupID, p Placer) {
-	q := k.queues[id]
-	if q == nil || len(q.entries) == 0 {
-		return
-	}
-	var room forecaster.Room
-	if first := q.firstFitting(p); first != nil {
-		room = p.Room(first.ticket)
-	}
-	switch {
-	case room.Open == 0:
-		q.level = 0
-	case room.Open >= q.open:
-		q.level = min(maxLevel, q.level+1)
-	default:
-		q.level = max(0, q.level-1)
-	}
-	q.open = room.Open
-	part := initialPart * math.Exp2(float64(max(0, q.level-1))) * float64(room.Open) / float64(max(1, room.Gateways))
-	limit := int(part)
-	if k.random.Float64() < part-float64(limit) {
-		limit++
-	}
-	if isMostlyOpen(room) {
-		limit = len(q.entries)
-	}
-	k.offer(q, p, limit)
-}
-
-// OfferArrived places requests after one has arrived while others wait, if many engines have
-// room for it. Those that wait may be larger or may go to fewer engines.
-func (k *Keeper) OfferArrived(id currantwood.GroupID, room forecaster.Room, p Placer) {
-	if q := k.queues[id]; q != nil && isMostlyOpen(room) {
-		k.offer(q, p, len(q.entries))
-	}
-}
-
-func isMostlyOpen(room forecaster.Room) bool {
-	return room.Open > 0 && 2*room.Open >= room.Gateways && float64(room.Open) >= manyOpen*float64(room.Engines)
-}
-
-// firstFitting returns the first request for which an engine has room; nil if there is none.
-func (q *queue) firstFitting(p Placer) *entry {
-	for i, e := range q.order(nil) {
-		if p.Fits(e.ticket, Choice{Not: q.heldAgainst(e)}) {
-			return e
-		}
-		if i == maxMisses {
-			break
-		}
-	}
-	return nil
-}
-
-// heldAgainst returns the engine that is held for another request.
-func (q *queue) heldAgainst(e *entry) currantwood.UpstreamID {
-	if q.holder == e {
-		return ""
-	}
-	return q.held
-}
-
-// offer places at most limit requests in their order.
-func (k *Keeper) offer(q *queue, p Placer, limit int) {
-	placed, misses := 0, 0
-	var holder *entry
-	held := currantwood.UpstreamID("")
-	for _, e := range q.order(nil) {
-		if !p.Fits(e.ticket, Choice{Not: held}) {
-			if holder == nil {
-				holder, held = e, q.heldFor(e, p)
-			}
-			if misses++; misses == maxMisses {
-				break
-			}
-			continue
-		}
-		if placed == limit {
-			break
-		}
-		k.place(q, e, p)
-		placed++
-	}
-	if len(q.entries) > 0 {
-		q.holder, q.held = holder, held
-	}
-}
-
-// heldFor returns the engine that is held for a request: the one held already, or the one
-// with the most free memory.
-func (q *queue) heldFor(e *entry, p Placer) currantwood.UpstreamID {
-	if q.holder == e {
-		return q.held
-	}
-	return p.Room(e.ticket).Roomiest
-}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"encoding/binary"
 	"hash/maphash"
 	"math/rand"
-	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
@@ -38,20 +35,6 @@
 	hashedBytes = 32 << 10
 )
 
-// errStoppedWaiting means that the gateway was told to stop while the request waited.
-var errStoppedWaiting = errors.New("stopping while the request waited for room")
-
-// errLeftWaiting means that the client has disconnected while its request waited.
-var errLeftWaiting = errors.New("client disconnected while its request waited for room")
-
-// errOvertaken means that more urgent requests need the memory of the waiting one.
-var errOvertaken = errors.New(roomkeeper.Overtaken.String())
-
-// refusedError is the refusal of a request for which an upstream was asked.
-type refusedError struct{ response *gatewayResponse }
-
-func (e *refusedError) Error() string { return e.response.reason }
-
 // roomQueue holds the generations that wait for room. The gateway's mu guards it.
 type roomQueue struct {
 	keeper     *roomkeeper.Keeper
@@ -72,26 +55,6 @@
 	}
 }
 
-// waiter is a request that waits for an engine.
-type waiter struct {
-	q            *request
-	stallTimeout time.Duration
-	restrict     func(*balancer.Query)
-	since        time.Time
-	// choice is what placer.Fits found last.
-	choice balancer.Choice
-	// result receives nil once the request is placed at choice, or why it waits no longer;
-	// exactly one value, unless the request stops waiting by itself.
-	result chan error
-}
-
-// query returns the query for an engine as of now.
-func (w *waiter) query(now time.Time) balancer.Query {
-	query := w.q.query(now)
-	w.restrict(&query)
-	return query
-}
-
 // placer implements roomkeeper.Placer. The gateway's mu is held.
 type placer struct {
 	g   *Gateway
@@ -147,76 +110,6 @@
 	}
 }
 
-// pick makes one attempt to find room. waited is true if it was found by waiting.
-func (w *waiter) pick(now time.Time) (choice balancer.Choice, waited bool, err error) {
-	g, q := w.q.g, w.q
-	g.mu.Lock()
-	g.syncGroups(q.snapshot)
-	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
-		choice, err := q.pickNow(now, w.stallTimeout, w.restrict)
-		var refused *balancer.RefusalError
-		if err == nil || !errors.As(err, &refused) || !refused.Full {
-			g.mu.Unlock()
-			q.notePromise(err == nil)
-			return choice, false, err
-		}
-	}
-	r := q.roomRequest(now)
-	room := g.balancer.Room(now, w.query(now))
-	decision := g.room.keeper.Arrive(now, r, room)
-	for _, t := range decision.Evicted {
-		g.endWait(t, errOvertaken)
-	}
-	if decision.Reason != roomkeeper.Waits {
-		g.mu.Unlock()
-		return choice, false, q.refuseRoom(now, w, decision.Reason.String())
-	}
-	g.room.waiters[decision.Ticket] = w
-	g.instruments.queued.Inc(1)
-	g.room.keeper.OfferArrived(q.group, room, placer{g, now})
-	g.mu.Unlock()
-	if err := w.wait(decision.Ticket, r.MaxWait); err != nil {
-		return choice, false, err
-	}
-	return w.choice, true, nil
-}
-
-// wait returns nil once the request is placed.
-func (w *waiter) wait(t roomkeeper.Ticket, maxWait time.Duration) error {
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	select {
-	case err := <-w.result:
-		return w.ended(err)
-	case <-timer.C:
-	case <-w.q.r.Context().Done():
-	}
-	g := w.q.g
-	g.mu.Lock()
-	waits := g.room.keeper.Leave(w.q.group, t)
-	delete(g.room.waiters, t)
-	g.mu.Unlock()
-	if !waits {
-		return w.ended(<-w.result)
-	}
-	if w.q.clientDisconnected() {
-		return errLeftWaiting
-	}
-	return w.q.refuseRoom(g.Now(), w, "no room in time")
-}
-
-// ended returns the error for the result of waiting.
-func (w *waiter) ended(err error) error {
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, errStoppedWaiting):
-		return &refusedError{&gatewayResponse{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: otherGatewayRetryAfter, closeConnection: true}}
-	default:
-		return w.q.refuseRoom(w.q.g.Now(), w, err.Error())
-	}
-}
-
 // endWait ends the wait of a request that the keeper holds no longer. The caller holds mu.
 func (g *Gateway) endWait(t roomkeeper.Ticket, err error) {
 	if w := g.room.waiters[t]; w != nil {
@@ -262,72 +155,6 @@
 	}
 }
 
-// refuseRoom returns the refusal of a request that waits no longer, and records the promise
-// to its client.
-func (q *request) refuseRoom(now time.Time, w *waiter, reason string) error {
-	key := q.promiseKey()
-	q.g.mu.Lock()
-	r := q.roomRequest(now)
-	room := q.g.balancer.Room(now, w.query(now))
-	forecast := q.g.room.keeper.Forecast(now, r, room)
-	waiting, bytes := q.g.room.keeper.Total()
-	promised := q.g.room.forecaster.Promised(now, q.group)
-	retryAfter := min(maxRetryAfter, max(minRetryAfter, roomkeeper.RetryAfter(forecast)))
-	if q.possibleRuns == 0 && forecast <= maxRetryAfter {
-		q.g.room.forecaster.Promise(now, key, q.group, r.Work, retryAfter)
-		q.g.instruments.promisesGiven.Inc(1)
-	}
-	q.g.mu.Unlock()
-	q.g.instruments.refusedRoom.Inc(1)
-	q.notePromise(false)
-	q.log("no room for a generation", zap.String("reason", reason), zap.Duration("waited", now.Sub(w.since)), zap.Duration("forecast", forecast),
-		zap.Int64("tokens", int64(r.Work.Memory)), zap.Int("engines", room.Engines), zap.Int("open", room.Open), zap.Int("free-slots", room.FreeSlots),
-		zap.Int64("most-free", int64(room.RoomiestFree)), zap.Int("waiting", waiting), zap.Int64("waiting-bytes", bytes),
-		zap.Int("promised", promised.Requests), zap.Int("gateways", room.Gateways), zap.Bool("redeems-promise", r.Promised))
-	return &refusedError{&gatewayResponse{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}}
-}
-
-// promiseKey identifies the request when its client sends it again.
-func (q *request) promiseKey() forecaster.Key {
-	var h maphash.Hash
-	h.SetSeed(q.g.room.seed)
-	_, _ = h.WriteString(string(q.customer))
-	_ = h.WriteByte(0)
-	_, _ = h.WriteString(q.requestTarget())
-	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(q.body))))
-	_, _ = h.Write(q.body[:min(hashedBytes, len(q.body))])
-	_, _ = h.Write(q.body[max(0, len(q.body)-hashedBytes):])
-	return forecaster.Key(h.Sum64())
-}
-
-// redeemPromise sets promised if the request is a retry at its promised time.
-func (q *request) redeemPromise(now time.Time) {
-	q.g.mu.Lock()
-	promises := q.g.room.forecaster.HasPromises()
-	q.g.mu.Unlock()
-	if !promises || q.promised || len(q.attempted) > 0 {
-		return
-	}
-	key := q.promiseKey()
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	q.promised = q.g.room.forecaster.Redeem(now, key)
-}
-
-// notePromise counts whether a promise was kept; a broken one is logged with the refusal.
-func (q *request) notePromise(kept bool) {
-	switch {
-	case !q.promised || q.promiseNoted:
-		return
-	case kept:
-		q.g.instruments.promisesKept.Inc(1)
-	default:
-		q.g.instruments.promisesBroken.Inc(1)
-		q.log("promise of room broken", zap.String("customer", string(q.customer)), zap.String("group", string(q.group)))
-	}
-	q.promiseNoted = true
-}
-
 // logAdmitted notes that the request was placed after it had waited.
 func (q *request) logAdmitted(now time.Time, w *waiter, choice balancer.Choice) {
 	q.g.instruments.queuedAdmitted.Inc(1)
--- /dev/null
+++ b/gateway/waiter.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/capacity/roomkeeper"
+)
+
+// errStoppedWaiting means that the gateway was told to stop while the request waited.
+var errStoppedWaiting = errors.New("stopping while the request waited for room")
+
+// errLeftWaiting means that the client has disconnected while its request waited.
+var errLeftWaiting = errors.New("client disconnected while its request waited for room")
+
+// errOvertaken means that more urgent requests need the memory of the waiting one.
+var errOvertaken = errors.New(roomkeeper.Overtaken.String())
+
+// refusedError is the refusal of a request for which an upstream was asked.
+type refusedError struct{ response *gatewayResponse }
+
+func (e *refusedError) Error() string { return e.response.reason }
+
+// waiter is a request that waits for an engine.
+type waiter struct {
+	q            *request
+	stallTimeout time.Duration
+	restrict     func(*balancer.Query)
+	since        time.Time
+	// choice is what placer.Fits found last.
+	choice balancer.Choice
+	// result receives nil once the request is placed at choice, or why it waits no longer;
+	// exactly one value, unless the request stops waiting by itself.
+	result chan error
+}
+
+// query returns the query for an engine as of now.
+func (w *waiter) query(now time.Time) balancer.Query {
+	query := w.q.query(now)
+	w.restrict(&query)
+	return query
+}
+
+// pick makes one attempt to find room. waited is true if it was found by waiting.
+func (w *waiter) pick(now time.Time) (choice balancer.Choice, waited bool, err error) {
+	g, q := w.q.g, w.q
+	g.mu.Lock()
+	g.syncGroups(q.snapshot)
+	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
+		choice, err := q.pickNow(now, w.stallTimeout, w.restrict)
+		var refused *balancer.RefusalError
+		if err == nil || !errors.As(err, &refused) || !refused.Full {
+			g.mu.Unlock()
+			q.notePromise(err == nil)
+			return choice, false, err
+		}
+	}
+	r := q.roomRequest(now)
+	room := g.balancer.Room(now, w.query(now))
+	decision := g.room.keeper.Arrive(now, r, room)
+	for _, t := range decision.Evicted {
+		g.endWait(t, errOvertaken)
+	}
+	if decision.Reason != roomkeeper.Waits {
+		g.mu.Unlock()
+		return choice, false, q.refuseRoom(now, w, decision.Reason.String())
+	}
+	g.room.waiters[decision.Ticket] = w
+	g.instruments.queued.Inc(1)
+	g.room.keeper.OfferArrived(q.group, room, placer{g, now})
+	g.mu.Unlock()
+	if err := w.wait(decision.Ticket, r.MaxWait); err != nil {
+		return choice, false, err
+	}
+	return w.choice, true, nil
+}
+
+// wait returns nil once the request is placed.
+func (w *waiter) wait(t roomkeeper.Ticket, maxWait time.Duration) error {
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	select {
+	case err := <-w.result:
+		return w.ended(err)
+	case <-timer.C:
+	case <-w.q.r.Context().Done():
+	}
+	g := w.q.g
+	g.mu.Lock()
+	waits := g.room.keeper.Leave(w.q.group, t)
+	delete(g.room.waiters, t)
+	g.mu.Unlock()
+	if !waits {
+		return w.ended(<-w.result)
+	}
+	if w.q.clientDisconnected() {
+		return errLeftWaiting
+	}
+	return w.q.refuseRoom(g.Now(), w, "no room in time")
+}
+
+// ended returns the error for the result of waiting.
+func (w *waiter) ended(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errStoppedWaiting):
+		return &refusedError{&gatewayResponse{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: otherGatewayRetryAfter, closeConnection: true}}
+	default:
+		return w.q.refuseRoom(w.q.g.Now(), w, err.Error())
+	}
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -146,27 +146,6 @@
 	u.inFlight++
 }
 
-// SetSlow sets whether an upstream may be slow without being faulty, as while it is cold.
-// It then has slowFactor times the usual time to make progress, so that one that hangs is
-// still ejected.
-func (p *Prober) SetSlow(id currantwood.UpstreamID, slow bool) {
-	if u := p.upstreams[id]; u != nil {
-		u.slow = slow
-	}
-}
-
-// slowFactor is by how much longer a slow upstream may take.
-const slowFactor = 4
-
-// overdue reports whether the upstream should have made progress by now.
-func (u *upstream) overdue(now time.Time) bool {
-	due := u.progressDue
-	if u.slow {
-		due = due.Add((slowFactor - 1) * u.stallTimeout)
-	}
-	return u.inFlight > 0 && now.After(due)
-}
-
 // Queued records that the upstream's side process has queued a request and
 // expects to start it after wait. It has no effect while other requests are in
 // flight, as these still have to make progress.
@@ -206,32 +185,6 @@
 	}
 }
 
-// EndedInError records a request that the upstream has answered with an error of its
-// application. If the other upstreams of the group answer with errors as well, the cause is
-// in the requests or in the application, and more of them in a row are needed to eject one.
-func (p *Prober) EndedInError(now time.Time, id currantwood.UpstreamID) {
-	u := p.upstreams[id]
-	if u == nil {
-		return
-	}
-	u.inFlight = max(0, u.inFlight-1)
-	p.addResponse(now, u, true)
-	u.failures++
-	others := p.responses.minus(u.responses).errorShare()
-	if u.failures >= max(p.options.EjectAfterFailures, errorsInARow(others, maxChance)) ||
-		u.maxInFlight > 0 && u.failures >= errorsInARow(others, maxChanceAfterEjection) {
-		p.eject(now, u)
-	}
-}
-
-func (p *Prober) addResponse(now time.Time, u *upstream, isError bool) {
-	u.responses.add(now, isError)
-	p.responses.add(now, isError)
-	// As of the same moment, so that they can be subtracted.
-	u.responses.age(now)
-	p.responses.age(now)
-}
-
 // EndedNeutral records the end of a request that says nothing about the health
 // of the upstream, for example because its side process refused it or the client
 // gave it up.
--- a/prober/responses.go
+++ b/prober/responses.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/currantwood/currantwood"
 )
 
 const (
@@ -63,3 +65,29 @@
 	}
 	return int(math.Ceil(math.Log(chance) / math.Log(share)))
 }
+
+// EndedInError records a request that the upstream has answered with an error of its
+// application. If the other upstreams of the group answer with errors as well, the cause is
+// in the requests or in the application, and more of them in a row are needed to eject one.
+func (p *Prober) EndedInError(now time.Time, id currantwood.UpstreamID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.inFlight = max(0, u.inFlight-1)
+	p.addResponse(now, u, true)
+	u.failures++
+	others := p.responses.minus(u.responses).errorShare()
+	if u.failures >= max(p.options.EjectAfterFailures, errorsInARow(others, maxChance)) ||
+		u.maxInFlight > 0 && u.failures >= errorsInARow(others, maxChanceAfterEjection) {
+		p.eject(now, u)
+	}
+}
+
+func (p *Prober) addResponse(now time.Time, u *upstream, isError bool) {
+	u.responses.add(now, isError)
+	p.responses.add(now, isError)
+	// As of the same moment, so that they can be subtracted.
+	u.responses.age(now)
+	p.responses.age(now)
+}
--- a/ratekeeper/keeper.go
+++ b/ratekeeper/keeper.go
@@ -17,7 +17,6 @@
 package ratekeeper
 
 import (
-	"cmp"
 	"math/rand"
 	"time"
 
@@ -71,54 +70,6 @@
 	Recent int
 }
 
-// Options configures a Keeper. A field that is 0 has the default for the rate limits that
-// upstreams name.
-type Options struct {
-	// MinGateways is the number of gateways that is assumed until a process has heard
-	// the others for GatewayRetention; at least 1.
-	MinGateways int
-	// Window is the time within which all gateways together send no more than the limit
-	// and a spare, as far as they have heard of each other: what the limit allows in
-	// SpareTime, and SpareRequests.
-	Window        time.Duration
-	SpareTime     time.Duration
-	SpareRequests float64
-	// BurstTime is the time over which a share may accrue beyond one request.
-	BurstTime time.Duration
-	// DemandTime is the time constant of the average that is the demand.
-	DemandTime time.Duration
-	// FleetMaxAge is how long the sums of all gateways are used.
-	FleetMaxAge time.Duration
-	// GatewayRetention is the shortest time for which the part of a gateway that is no
-	// longer heard from is left unused; it is at most twice that.
-	GatewayRetention time.Duration
-	// RiseTime is how long a gateway must have been due a higher share before it uses it;
-	// a lower one applies at once. It exceeds the time in which gateways notice that one
-	// is missing, so that none uses a part that another still uses. With 0, a share
-	// changes at once.
-	RiseTime time.Duration
-	// SilentUntilHeard is whether a process that was never told the sums of several
-	// gateways has no share: it can't know how many gateways use the limit. If
-	// MinGateways is at most 1, there are no others. After GatewayRetention it has the
-	// share of one of MinGateways, since the others may be gone for good.
-	SilentUntilHeard bool
-	// LocalLimits is whether the limits that other gateways tell are ignored.
-	LocalLimits bool
-}
-
-// withDefaults returns the options with the defaults in place of zeros.
-func (o Options) withDefaults() Options {
-	o.MinGateways = max(1, o.MinGateways)
-	o.Window = cmp.Or(o.Window, recentTime)
-	o.SpareTime = cmp.Or(o.SpareTime, spareTime)
-	o.SpareRequests = cmp.Or(o.SpareRequests, spareRequests)
-	o.BurstTime = cmp.Or(o.BurstTime, burstTime)
-	o.DemandTime = cmp.Or(o.DemandTime, demandTime)
-	o.FleetMaxAge = cmp.Or(o.FleetMaxAge, fleetMaxAge)
-	o.GatewayRetention = cmp.Or(o.GatewayRetention, gatewayRetention)
-	return o
-}
-
 // Keeper holds the limits. It is not safe for concurrent use.
 type Keeper struct {
 	options   Options
@@ -300,67 +251,6 @@
 	}
 }
 
-// Share returns the rate at which this gateway may send to an upstream, in requests per
-// second; 0 if it has no limit.
-func (k *Keeper) Share(now time.Time, id currantwood.UpstreamID) float64 {
-	u := k.upstreams[id]
-	if u == nil || !u.isLimited() {
-		return 0
-	}
-	return k.share(now, u)
-}
-
-// share returns the rate at which this gateway may send to an upstream.
-func (k *Keeper) share(now time.Time, u *upstream) float64 {
-	if k.silent {
-		return 0
-	}
-	due := k.dueShare(now, u)
-	if k.options.RiseTime == 0 {
-		return due
-	}
-	first := k.evenShare(u)
-	if !k.hearsFleet(now) {
-		// The others may know the upstream for longer and use what this gateway left.
-		first *= evenPart
-	}
-	return u.lowestShare(now, due, first)
-}
-
-// hearsFleet reports whether the sums of all gateways are recent.
-func (k *Keeper) hearsFleet(now time.Time) bool {
-	return !k.fleetAt.IsZero() && now.Sub(k.fleetAt) <= k.options.FleetMaxAge
-}
-
-// evenShare is the share that every gateway may use whatever the others know.
-func (k *Keeper) evenShare(u *upstream) float64 {
-	return u.sharedRate() / float64(k.assumedGateways())
-}
-
-// dueShare returns the part of the limit that the demand of this gateway has in that of
-// all, by what it knows now.
-func (k *Keeper) dueShare(now time.Time, u *upstream) float64 {
-	if !k.hearsFleet(now) {
-		return k.evenShare(u)
-	}
-	heard := float64(k.gateways)
-	part := 1 / heard
-	own := u.demandAfter(now)
-	// With local limits, sums without the upstream say nothing of the others' demand: they
-	// may be from before this gateway's own report, or have no room for all upstreams.
-	if total := own + u.told.Demand; total > 0 && (u.summed || !k.options.LocalLimits) {
-		part = evenPart/heard + (1-evenPart)*own/total
-	}
-	return u.sharedRate() * min(1, heard/float64(k.assumedGateways())) * part
-}
-
-// accrue adds what the share has allowed since the last call.
-func (k *Keeper) accrue(now time.Time, u *upstream) {
-	rate := k.share(now, u)
-	lapses := float64(k.assumedGateways()) > u.sharedRate()*k.options.SpareTime.Seconds()+k.options.SpareRequests
-	u.accrue(now, rate, lapses)
-}
-
 // Own returns what this gateway has heard itself and its demand, to be reported to the
 // others.
 func (k *Keeper) Own(now time.Time) Rates {
