--- a/budgeter/fleet_test.go
+++ b/budgeter/fleet_test.go
@@ -24,9 +24,9 @@
 	requestsPerSecond float64
 	movedShare        float64
 	spread            int
-	// patience is the number of ticks for which a run that is to be moved waits for the
+	// maxBudgetWait is the number of ticks for which a run that is to be moved waits for the
 	// budget.
-	patience int
+	maxBudgetWait int
 	// delay is the number of ticks until the others hear of a retry.
 	delay int
 	// disturbs restarts gateways and cuts some off.
@@ -103,7 +103,7 @@
 				result.moved++
 				return true
 			}
-			return tick-r.at >= f.patience
+			return tick-r.at >= f.maxBudgetWait
 		})
 		first := max(0, tick-int(f.options.Window/fleetTick)+1)
 		budget := float64(f.options.RetryShare)*float64(sum(requests[first:])) + f.options.Reserve
@@ -158,7 +158,7 @@
 		budget := reserve + 0.2*10*perSecond
 		// Engines are taken away three times in a window.
 		moved := min(1, shareOfBudget*budget/3/(perSecond*runTicks*fleetTick.Seconds()))
-		f := fleet{gateways: gateways, options: newFleetOptions(gateways, reserve), requestsPerSecond: perSecond, movedShare: moved, spread: 8, delay: 4, patience: 16}
+		f := fleet{gateways: gateways, options: newFleetOptions(gateways, reserve), requestsPerSecond: perSecond, movedShare: moved, spread: 8, delay: 4, maxBudgetWait: 16}
 		var total fleetResult
 		for seed := range int64(5) {
 			r := f.run(seed)
@@ -187,7 +187,7 @@
 	func(gateways int, disturbs bool) {
 		for _, reserve := range []float64{54, 176} {
 			for _, perSecond := range []float64{10, 40} {
-				f := fleet{gateways: gateways, options: newFleetOptions(gateways, reserve), requestsPerSecond: perSecond, movedShare: 1, spread: 8, delay: 8, patience: 16, disturbs: disturbs}
+				f := fleet{gateways: gateways, options: newFleetOptions(gateways, reserve), requestsPerSecond: perSecond, movedShare: 1, spread: 8, delay: 8, maxBudgetWait: 16, disturbs: disturbs}
 				for seed := range int64(6) {
 					used := f.run(seed).used
 					GinkgoWriter.Println("reserve", reserve, "a second", perSecond, "most used", used)
--- a/capacity/forecaster/forecaster_test.go
+++ b/capacity/forecaster/forecaster_test.go
@@ -39,7 +39,7 @@
 		Expect(f.Forecast("g", full, Work{1, 1000}, Work{})).To(BeNumerically("~", 400*time.Millisecond, time.Millisecond))
 	})
 
-	It("books a promise until the client comes back", func() {
+	It("records a promise until the client retries", func() {
 		f := New()
 		f.Promise(start, 7, "g", Work{1, 1000}, time.Second)
 		Expect(f.Promised(start, "g")).To(Equal(Work{1, 1000}))
@@ -50,7 +50,7 @@
 		Expect(f.Redeem(start.Add(1200*time.Millisecond), 7)).To(BeFalse(), "used up")
 	})
 
-	It("drops a promise whose client doesn't come back, and books one request once", func() {
+	It("drops a promise whose client doesn't retry, and counts a request once", func() {
 		f := New()
 		f.Promise(start, 7, "g", Work{1, 1000}, time.Second)
 		f.Promise(start, 7, "g", Work{1, 1000}, 2*time.Second)
--- a/capacity/roomkeeper/model_test.go
+++ b/capacity/roomkeeper/model_test.go
@@ -318,7 +318,7 @@
 	}
 }
 
-// refuse lets the client come back once, as told and up to half of that later.
+// refuse lets the client retry once, at the promised time or up to half of it later.
 func (g *modelGateway) refuse(r *generation, tick int64, after time.Duration) {
 	g.m.result.refused++
 	if r.promised {
@@ -497,7 +497,7 @@
 		By("losing fewer than without waiting")
 		Expect(share(waiting.lost, waiting.arrived)).To(BeNumerically("<=", maxLost))
 		Expect(share(waiting.lost, waiting.arrived)).To(BeNumerically("<=", 0.5*share(refusing.lost, refusing.arrived)))
-		By("keeping what refused clients were told")
+		By("keeping the promises to refused clients")
 		Expect(waiting.broken).To(BeNumerically("<=", max(3, waiting.promised/50)), "2%%, of few at most 3")
 		By("serving the largest like the smallest")
 		Expect(share(waiting.largeLost, waiting.largeArrived)).To(BeNumerically("<=", 1.5+1.3*share(waiting.smallLost, waiting.smallArrived)))
--- a/capacity/speedkeeper/keeper_test.go
+++ b/capacity/speedkeeper/keeper_test.go
@@ -101,7 +101,7 @@
 			k.Learn(now, vm, sums)
 			reports[vm] = kept{now, sums}
 		}
-		// A report of nothing lets go of those that are too old.
+		// An empty report evicts those that are too old.
 		now = now.Add(sweepInterval)
 		k.Learn(now, "0", nil)
 		delete(reports, "0")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,8 +192,8 @@
 	}
 }
 
-// newBudget returns the retry budget. At most three seeds are given; fewer are all other
-// gateways.
+// newBudget returns the retry budget. minGateways counts this gateway and the seeds in its
+// settings, of which there are three unless the fleet is smaller.
 func newBudget(options Options, minGateways int) *budgeter.Budgeter {
 	bounds := options.Settings.Bounds
 	return budgeter.New(budgeter.Options{
@@ -230,8 +230,8 @@
 	return g.Configuration.Age(now) < g.maxAgeForReady()
 }
 
-// syncGroups passes the groups of a newer configuration to the balancer, and the regions
-// to which its routes and customers are bound. The
+// syncGroups passes the groups of a newer configuration to the balancer, with the regions to
+// which its routes and customers are bound, and the warm-up rates to their keeper. The
 // caller holds mu.
 func (g *Gateway) syncGroups(snapshot *configkeeper.Snapshot) {
 	if g.groupsVersion < snapshot.Version {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -198,10 +198,11 @@
 // this gateway has used its share of their rate. It has one again soon.
 var errTargetsCold = errors.New("the engines are cold and accept no more requests a second")
 
-// pickMoveTarget picks the engine that a run is moved to. It prefers the availability zone of the current engine to the
-// rest of its region, and that to other regions. Within the zone and the region
-// it first looks for an engine that has room by the estimates and then for any,
-// as the estimates may be wrong.
+// pickMoveTarget picks the engine that a run is moved to; it returns errNoSpare or
+// errTargetsCold if there is none. It prefers the availability zone of the current engine
+// to the rest of its region, and that to other regions. Within the zone and the region it
+// first looks for an engine that has room by the estimates and then for any, as the
+// estimates may be wrong.
 //
 // A copy to another zone takes longer, and one to another region several times
 // as long; meanwhile it delays all other copies on both links. So other regions
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -209,7 +209,7 @@
 	return choice, err
 }
 
-// query returns what an upstream is looked for by.
+// query returns the query for an upstream as of now.
 func (q *request) query(now time.Time) balancer.Query {
 	query := balancer.Query{Group: q.group, Load: q.load(), Zone: q.g.Settings.Zone, Regions: q.regions(), Exclude: q.attempted}
 	if q.isGeneration() {
@@ -252,9 +252,9 @@
 	if q.possibleRuns > 0 {
 		return previous
 	}
-	var inFull *refusedError
-	if errors.As(err, &inFull) {
-		return inFull.response
+	var complete *refusedError
+	if errors.As(err, &complete) {
+		return complete.response
 	}
 	retryAfter := upstreamRetryAfter
 	var refused *balancer.RefusalError
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,11 +68,11 @@
 	// the events.
 	resuming atomic.Bool
 	pacer    *pacer.Pacer
-	// deliveredAt is when the last event was delivered, and longestPause the longest time
-	// between two, before one of the upstream pausedAt. Only relay uses them.
-	deliveredAt  time.Time
-	longestPause time.Duration
-	pausedAt     currantwood.UpstreamID
+	// deliveredAt is when the last event was delivered, and longestGap the longest time
+	// between two events, the second of which came from gapUpstream. Only relay uses them.
+	deliveredAt time.Time
+	longestGap  time.Duration
+	gapUpstream currantwood.UpstreamID
 }
 
 // serveStream serves a request whose response is relayed event by event.
@@ -203,7 +203,7 @@
 			}
 			s.g.instruments.served.Inc(1)
 			s.g.instruments.responseTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
-			s.log("stream served", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns), zap.Duration("longest-pause", s.longestPause), zap.String("paused-at", string(s.pausedAt)))
+			s.log("stream served", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns), zap.Duration("longest-gap", s.longestGap), zap.String("gap-upstream", string(s.gapUpstream)))
 			return nil
 		}
 		if broken && !up.handedOver.Load() {
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -53,7 +53,7 @@
 		return errors.Wrap(err, "write to client")
 	}
 	s.pacer.Delivered(s.g.Now())
-	s.notePause(up)
+	s.noteGap(up)
 	if event.ID >= 0 {
 		s.lastEvent.Store(event.ID)
 	}
@@ -65,11 +65,11 @@
 	return nil
 }
 
-// notePause keeps the longest time between two delivered events.
-func (s *stream) notePause(up *upstreamStream) {
+// noteGap keeps the longest time between two delivered events.
+func (s *stream) noteGap(up *upstreamStream) {
 	now := s.g.Now()
-	if pause := now.Sub(s.deliveredAt); !s.deliveredAt.IsZero() && pause > s.longestPause {
-		s.longestPause, s.pausedAt = pause, up.view.ID
+	if gap := now.Sub(s.deliveredAt); !s.deliveredAt.IsZero() && gap > s.longestGap {
+		s.longestGap, s.gapUpstream = gap, up.view.ID
 	}
 	s.deliveredAt = now
 }
--- a/gateway/waiter.go
+++ b/gateway/waiter.go
@@ -19,7 +19,8 @@
 // errOvertaken means that more urgent requests need the memory of the waiting one.
 var errOvertaken = errors.New(roomkeeper.Overtaken.String())
 
-// refusedError is the refusal of a request for which an upstream was asked.
+// refusedError carries the complete response to a request that is refused while an upstream
+// is picked for it.
 type refusedError struct{ response *gatewayResponse }
 
 func (e *refusedError) Error() string { return e.response.reason }
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -191,8 +191,8 @@
 	// configurationLimiter bounds the bytes of configurations that are sent.
 	configurationLimiter *rate.Limiter
 	// stateSpeedsAt and digestSpeedsAt are when speeds were sent last in a state and in
-	// digests. With one time for both, the states of a collector would leave no turn to its
-	// digests where these are as rare as speeds.
+	// digests. With one time for both, a collector whose digests are as rare as speedInterval
+	// would send speeds only in its states.
 	stateSpeedsAt, digestSpeedsAt time.Time
 	// process identifies this process among those of its VM.
 	process uint64
--- a/peermessenger/speed.go
+++ b/peermessenger/speed.go
@@ -21,7 +21,7 @@
 	// allows for rounding.
 	maxSpeedFactor = 100.1
 	// maxSpeedWeight bounds the weight of one sum, which is about the number of responses
-	// within some seconds. A higher one would outvote all other gateways.
+	// within some seconds. A higher one would outweigh the sums of all other gateways.
 	maxSpeedWeight = 1e6
 )
 
