Peer rates: one function subtracts a gateway's part, as one adds them up

Cause: RatesExcept and WarmUpRatesExcept had the same body. Change: both call ratesExcept, like TotalRates and TotalWarmUpRates. No change of behaviour.

--- a/peerkeeper/rates.go
+++ b/peerkeeper/rates.go
@@ -30,18 +30,18 @@
 
 // RatesExcept returns sum less the demand and the recent requests of the gateway id.
 func (k *Keeper) RatesExcept(sum ratekeeper.Rates, id currantwood.VMID) ratekeeper.Rates {
-	entry := k.peers[id]
-	if entry == nil || len(sum) == 0 {
-		return sum
-	}
-	return sum.Without(entry.state.Rates)
+	return k.ratesExcept(sum, id, func(s *State) ratekeeper.Rates { return s.Rates })
 }
 
 // WarmUpRatesExcept is RatesExcept for the rates of cold upstreams.
 func (k *Keeper) WarmUpRatesExcept(sum ratekeeper.Rates, id currantwood.VMID) ratekeeper.Rates {
+	return k.ratesExcept(sum, id, func(s *State) ratekeeper.Rates { return s.WarmUpRates })
+}
+
+func (k *Keeper) ratesExcept(sum ratekeeper.Rates, id currantwood.VMID, of func(s *State) ratekeeper.Rates) ratekeeper.Rates {
 	entry := k.peers[id]
 	if entry == nil || len(sum) == 0 {
 		return sum
 	}
-	return sum.Without(entry.state.WarmUpRates)
+	return sum.Without(of(&entry.state))
 }
