--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -52,8 +52,8 @@
 	reportDelay = 450 * time.Millisecond
 	burstFactor = 2
 	// movedShare is the share of the requests in the window whose runs may have to be moved
-	// at once: runs last up to 20 s, and a zone may be lost. With 1/3, 67 retries
-	// were sent for a budget of 66.6 by 68 gateways in the model that moves all runs.
+	// at once: runs last up to 20 s, and a zone may be lost. With a smaller share, gateways
+	// that move all runs at once together exceed the budget.
 	movedShare = 1.0 / 2
 	// minGateways is the number of gateways assumed until more have reported, if
 	// Options.MinGateways isn't set.
@@ -110,14 +110,6 @@
 	Established int
 }
 
-// windowCounter counts usage in a sliding window, as a ring of buckets.
-type windowCounter struct {
-	buckets [ringSize]Usage
-	// newestBucket is the number of the newest bucket, counted from the zero of
-	// the clock that the times are read from.
-	newestBucket int64
-}
-
 // Budgeter counts the usage of a gateway and decides on its retries. It is not
 // safe for concurrent use.
 type Budgeter struct {
@@ -169,32 +161,6 @@
 	b.recent[id] = append(b.unheard(now, id), now)
 }
 
-// bucket returns the current bucket of a group.
-func (b *Budgeter) bucket(now time.Time, id currantwood.GroupID) *Usage {
-	c := b.groups[id]
-	if c == nil {
-		c = &windowCounter{}
-		b.groups[id] = c
-	}
-	b.advance(now, c)
-	return &c.buckets[c.newestBucket%ringSize]
-}
-
-// advance moves the window of a counter to now and clears the buckets that it
-// reuses.
-func (b *Budgeter) advance(now time.Time, c *windowCounter) {
-	current := now.UnixNano() / int64(b.options.Window/bucketCount)
-	if current-c.newestBucket >= ringSize {
-		c.buckets = [ringSize]Usage{}
-		c.newestBucket = current
-		return
-	}
-	for c.newestBucket < current {
-		c.newestBucket++
-		c.buckets[c.newestBucket%ringSize] = Usage{}
-	}
-}
-
 // OwnUsage returns this gateway's usage of each group, to be reported to its
 // peers.
 func (b *Budgeter) OwnUsage(now time.Time) GroupUsage {
@@ -205,22 +171,6 @@
 	return used
 }
 
-// used returns this gateway's usage of one group.
-func (b *Budgeter) used(now time.Time, id currantwood.GroupID) Usage {
-	c := b.groups[id]
-	if c == nil {
-		return Usage{}
-	}
-	b.advance(now, c)
-	var sum Usage
-	for _, u := range c.buckets {
-		sum.Requests += u.Requests
-		sum.Retries += u.Retries
-	}
-	sum.Requests -= c.buckets[(c.newestBucket+1)%ringSize].Requests
-	return sum
-}
-
 // SetPeers sets what is known of the other gateways.
 func (b *Budgeter) SetPeers(now time.Time, peers Peers) {
 	peers.Gateways = max(1, peers.Gateways)
@@ -281,7 +231,7 @@
 }
 
 // guaranteedReserve returns the part of the reserve that each gateway may use whatever its
-// peers report; 0 if that is less than one retry, so that it isn't kept from all in vain.
+// peers report; 0 if that is less than one retry, since no gateway could use it.
 func (b *Budgeter) guaranteedReserve() float64 {
 	part := guaranteedPart * b.options.Reserve / float64(b.maxReportingGateways)
 	if part < 1 {
--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -9,14 +9,13 @@
 // free memory: the smaller ones behind it go elsewhere and don't take the memory that it
 // waits for.
 //
-// All gateways that wait read of the same freed capacity at the same time. Each therefore
-// takes an expected part of it, so that all together take a part of it; what stays free for longer
-// is taken faster. Where a request of the gateway itself has ended, it sends another one at
-// once: the others hear of that room later.
+// All gateways learn of the same freed capacity at the same time. Each therefore admits a
+// random number of requests, so that all together are expected to take a part of the
+// capacity; the part grows while the capacity stays free. Where a request of the gateway
+// itself has ended, it sends another one at once, since the others learn of that room later.
 package roomkeeper
 
 import (
-	"math"
 	"math/rand"
 	"time"
 
@@ -29,8 +28,8 @@
 	// 16 KB, the buffers of its connection and its goroutines.
 	overheadBytes = 40 << 10
 	// initialPart is the part of the open engines that all gateways together take with one
-	// update: a send is seen by the others up to two updates later. With 0.5, more waited
-	// for an engine of four than it had room for in the model.
+	// update. It is small, as the others see a send up to two updates later and may fill the
+	// same engine beyond its room until then.
 	initialPart = 0.2
 	// maxLevel bounds how often that part is doubled; 2^12 exceeds the gateways of a fleet.
 	maxLevel = 12
@@ -38,14 +37,13 @@
 	// microseconds for each. It is high as those of one customer may all wait for the
 	// engines of a region that is full.
 	maxMisses = 64
-	// manyOpen is the share of open engines from which on all that fit are admitted, if
-	// these are also at least half as many as gateways, which then hardly choose the same
-	// engine.
+	// manyOpen is the share of open engines from which on all requests that fit are
+	// admitted, if there are also at least half as many open engines as gateways: then few
+	// gateways choose the same engine.
 	manyOpen = 1.0 / 3
-	// returnFactor is by how much more than forecast a client is told to stay away. The
-	// forecast leaves out those that arrive meanwhile, and a client that comes back to
-	// another gateway isn't recognized. Most clients come back once: with 1, twice as many
-	// were lost in the model as with 2.5, and 2% of the promises were broken with 2.
+	// returnFactor is the Retry-After of a refusal, divided by its forecast. It exceeds 1
+	// since the forecast leaves out the requests that arrive meanwhile, a retry at another
+	// gateway isn't recognized, and most clients retry only once.
 	returnFactor = 2.5
 	// claimPart is the part of the engines that all gateways together may claim, for the
 	// request that each of them holds an engine for. With claims on most engines nothing
@@ -75,8 +73,8 @@
 	Part currantwood.PartID
 	// MissedAt is when the objective of the request is missed.
 	MissedAt time.Time
-	// Promised is whether the request comes back as it was told. It goes before others of
-	// its priority and isn't refused by the forecast.
+	// Promised is whether the request redeems a promise. It goes before others of its
+	// priority and isn't refused by the forecast.
 	Promised bool
 	// MustWait is whether the request waits whatever the forecast says: its stream has
 	// begun, so that a refusal would lose it.
@@ -114,22 +112,6 @@
 	Evicted []Ticket
 }
 
-// Choice limits the engines that are asked for room.
-type Choice struct {
-	// Only is the only engine to ask, and Not one that isn't asked; empty if there is none.
-	Only, Not currantwood.UpstreamID
-}
-
-// Placer places requests at engines, by the loads as they are known now.
-type Placer interface {
-	// Fits reports whether an engine among those of the choice has room for the request.
-	Fits(t Ticket, c Choice) bool
-	// Place sends the request to the engine that Fits found.
-	Place(t Ticket)
-	// Room returns what is known of the engines for the request.
-	Room(t Ticket) forecaster.Room
-}
-
 // entry is a waiting request.
 type entry struct {
 	Request
@@ -184,7 +166,7 @@
 		return d
 	}
 	cost := overheadBytes + r.BodyBytes
-	d.Evicted = k.makeSpace(q, e, cost)
+	d.Evicted = k.evictFor(q, e, cost)
 	if k.bytes+cost > k.maxBytes {
 		d.Reason = QueueFull
 		return d
@@ -198,9 +180,9 @@
 	return d
 }
 
-// Forecast returns the time until there is room for a request that doesn't wait, after those
-// that wait before it and those promised; when one comes back as told, the others promised
-// aren't before it.
+// Forecast returns the time until there is room for a request that doesn't wait yet, after
+// the waiting requests that go before it and the promised ones. Promised requests don't go
+// before one that redeems a promise itself.
 func (k *Keeper) Forecast(now time.Time, r Request, room forecaster.Room) time.Duration {
 	q, e := k.queue(r.Group), &entry{Request: r}
 	var ahead forecaster.Work
@@ -221,9 +203,10 @@
 	return time.Duration(returnFactor * float64(forecast))
 }
 
-// makeSpace removes those that go last until there is memory for e, as far as all of them go
-// after e, and returns them. Streams that have begun stay, as a refusal would lose them.
-func (k *Keeper) makeSpace(q *queue, e *entry, cost int64) []Ticket {
+// evictFor removes and returns the requests that go last, until there is memory for e. It
+// removes none if those that go after e don't free enough. Streams that have begun stay, as
+// a refusal would lose them.
+func (k *Keeper) evictFor(q *queue, e *entry, cost int64) []Ticket {
 	if k.bytes+cost <= k.maxBytes {
 		return nil
 	}
@@ -284,7 +267,7 @@
 	return requests, k.bytes
 }
 
-// Claim is an engine that a waiting request holds, as the other gateways are told.
+// Claim is an engine that is held for a waiting request, as reported to the other gateways.
 type Claim struct {
 	Upstream currantwood.UpstreamID
 	Work     forecaster.Work
@@ -309,162 +292,3 @@
 	}
 	return q
 }
-
-// OfferFreed places a request at an engine where one of this gateway has ended.
-func (k *Keeper) OfferFreed(id currantwood.GroupID, freed currantwood.UpstreamID, p Placer) {
-	if q := k.queues[id]; q != nil && len(q.entries) > 0 {
-		k.offerAt(q, freed, p)
-	}
-}
-
-// offerAt places the first request that fits at an engine. If the engine is held, that is
-// the one that it is held for or a more urgent one.
-func (k *Keeper) offerAt(q *queue, freed currantwood.UpstreamID, p Placer) {
-	misses := 0
-	for _, e := range q.order(nil) {
-		if q.heldAgainst(e) == freed {
-			continue
-		}
-		if p.Fits(e.ticket, Choice{Only: freed}) {
-			k.place(q, e, p)
-			return
-		}
-		if misses++; misses == maxMisses {
-			return
-		}
-	}
-}
-
-// place sends a request to the engine found for it.
-func (k *Keeper) place(q *queue, e *entry, p Placer) {
-	p.Place(e.ticket)
-	q.took(e)
-	k.Leave(e.Group, e.ticket)
-}
-
-// OfferUpdate places requests after new sums of the other gateways' loads have arrived.
-func (k *Keeper) OfferUpdate(id currantwood.GroupID, p Placer) {
-	q := k.queues[id]
-	if q == nil || len(q.entries) == 0 {
-		return
-	}
-	var room forecaster.Room
-	if first := q.firstFitting(p); first != nil {
-		room = p.Room(first.ticket)
-	}
-	switch {
-	case room.Open == 0:
-		q.level = 0
-	case room.Open >= q.open:
-		q.level = min(maxLevel, q.level+1)
-	default:
-		q.level = max(0, q.level-1)
-	}
-	q.open = room.Open
-	part := initialPart * math.Exp2(float64(max(0, q.level-1))) * float64(room.Open) / float64(max(1, room.Gateways))
-	limit := int(part)
-	if k.random.Float64() < part-float64(limit) {
-		limit++
-	}
-	if isMostlyOpen(room) {
-		limit = len(q.entries)
-	}
-	k.offer(q, p, limit)
-}
-
-// MayPass reports whether a request that arrives may be sent at once, to any engine but not:
-// no engine has room for any of those that go before it. The parts of offers are for requests
-// that wait and read the same update as other gateways; one that arrives doesn't, and those
-// that go after it mustn't delay it.
-func (k *Keeper) MayPass(r Request, p Placer) (not currantwood.UpstreamID, may bool) {
-	q, e := k.queue(r.Group), &entry{Request: r}
-	for i, other := range q.order(e) {
-		if other == e {
-			return not, true
-		}
-		if i == maxMisses || p.Fits(other.ticket, Choice{Not: not}) {
-			break
-		}
-		if i == 0 {
-			not = q.heldFor(other, p)
-		}
-	}
-	return "", false
-}
-
-// Passed notes that a request was sent as MayPass allowed it, which was the turn of its
-// customer and of its part.
-func (k *Keeper) Passed(r Request) {
-	if q := k.queue(r.Group); len(q.entries) > 0 {
-		q.took(&entry{Request: r})
-	}
-}
-
-// OfferArrived places requests after one has arrived while others wait, if many engines have
-// room for it. Those that wait may be larger or may go to fewer engines.
-func (k *Keeper) OfferArrived(id currantwood.GroupID, room forecaster.Room, p Placer) {
-	if q := k.queues[id]; q != nil && isMostlyOpen(room) {
-		k.offer(q, p, len(q.entries))
-	}
-}
-
-func isMostlyOpen(room forecaster.Room) bool {
-	return room.Open > 0 && 2*room.Open >= room.Gateways && float64(room.Open) >= manyOpen*float64(room.Engines)
-}
-
-// firstFitting returns the first request for which an engine has room; nil if there is none.
-func (q *queue) firstFitting(p Placer) *entry {
-	for i, e := range q.order(nil) {
-		if p.Fits(e.ticket, Choice{Not: q.heldAgainst(e)}) {
-			return e
-		}
-		if i == maxMisses {
-			break
-		}
-	}
-	return nil
-}
-
-// heldAgainst returns the engine that is held for another request, which isn't less urgent;
-// empty if there is none.
-func (q *queue) heldAgainst(e *entry) currantwood.UpstreamID {
-	if q.holder == nil || q.holder == e || q.holder.Priority < e.Priority {
-		return ""
-	}
-	return q.held
-}
-
-// offer places at most limit requests in their order.
-func (k *Keeper) offer(q *queue, p Placer, limit int) {
-	placed, misses := 0, 0
-	var holder *entry
-	held := currantwood.UpstreamID("")
-	for _, e := range q.order(nil) {
-		if !p.Fits(e.ticket, Choice{Not: held}) {
-			if holder == nil {
-				holder, held = e, q.heldFor(e, p)
-			}
-			if misses++; misses == maxMisses {
-				break
-			}
-			continue
-		}
-		if placed == limit {
-			break
-		}
-		k.place(q, e, p)
-		placed++
-	}
-	if len(q.entries) > 0 {
-		q.holder, q.held = holder, held
-	}
-}
-
-// heldFor returns the engine that is held for a request: the one held already, or the one
-// with the most free memory.
-func (q *queue) heldFor(e *entry, p Placer) currantwood.UpstreamID {
-	if q.holder == e {
-		return q.held
-	}
-	return p.Room(e.ticket).Roomiest
-}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -103,7 +103,7 @@
 	// pickedAt is when the last upstream was picked; guarded by the gateway's mu while the
 	// request waits for room.
 	pickedAt time.Time
-	// promised is whether the client has come back as a refusal told it, and promiseNoted
+	// promised is whether the request redeems a promise of room, and promiseNoted
 	// whether it was counted if there was room for it.
 	promised, promiseNoted bool
 }
@@ -209,7 +209,7 @@
 	return choice, err
 }
 
-// query returns what an upstream is looked for by.
+// query returns the query for an upstream as of now.
 func (q *request) query(now time.Time) balancer.Query {
 	query := balancer.Query{Group: q.group, Load: q.load(), Zone: q.g.Settings.Zone, Regions: q.regions(), Exclude: q.attempted}
 	if q.isGeneration() {
@@ -266,9 +266,9 @@
 	if q.possibleRuns > 0 {
 		return previous
 	}
-	var inFull *refusedError
-	if errors.As(err, &inFull) {
-		return inFull.response
+	var complete *refusedError
+	if errors.As(err, &complete) {
+		return complete.response
 	}
 	retryAfter := upstreamRetryAfter
 	var refused *balancer.RefusalError
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -1,14 +1,10 @@
 package gateway
 
 import (
-	"encoding/binary"
 	"hash/maphash"
 	"math/rand"
-	"net/http"
-	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
@@ -21,8 +17,8 @@
 	// waitShare is the share of the target time for which a generation may wait for room.
 	// The rest is for its prompt.
 	waitShare = 0.5
-	// promisedWaitShare replaces it for a client that comes back as it was told: a second
-	// refusal would lose it. With 0.65, over 2% of the promises were broken in the model.
+	// promisedWaitShare replaces it for a request that redeems a promise: most clients don't
+	// retry after a second refusal.
 	promisedWaitShare = 0.75
 	// waitAndQueueShare is the share of the target time that waiting and the prompts queued
 	// at the engine may take together.
@@ -39,20 +35,6 @@
 	hashedBytes = 32 << 10
 )
 
-// errStoppedWaiting means that the gateway was told to stop while the request waited.
-var errStoppedWaiting = errors.New("stopping while the request waited for room")
-
-// errLeftWaiting means that the client has disconnected while its request waited.
-var errLeftWaiting = errors.New("client disconnected while its request waited for room")
-
-// errOvertaken means that more urgent requests need the memory of the waiting one.
-var errOvertaken = errors.New(roomkeeper.Overtaken.String())
-
-// refusedError is the refusal of a request for which an upstream was asked.
-type refusedError struct{ response *gatewayResponse }
-
-func (e *refusedError) Error() string { return e.response.reason }
-
 // roomQueue holds the generations that wait for room. The gateway's mu guards it.
 type roomQueue struct {
 	keeper     *roomkeeper.Keeper
@@ -73,44 +55,6 @@
 	}
 }
 
-// waiter is a request for which an engine is looked for.
-type waiter struct {
-	q            *request
-	stallTimeout time.Duration
-	restrict     func(*balancer.Query)
-	since        time.Time
-	// choice is what placer.Fits found last.
-	choice balancer.Choice
-	// counted is whether the balancer has counted the request in the demand.
-	counted bool
-	// result receives nil once the request is placed at choice, or why it waits no longer;
-	// exactly one value, unless the request stops waiting by itself.
-	result chan error
-}
-
-// query returns what an engine is looked for by now.
-func (w *waiter) query(now time.Time) balancer.Query {
-	query := w.q.query(now)
-	w.narrow(&query)
-	return query
-}
-
-// narrow completes what the balancer is asked for.
-func (w *waiter) narrow(query *balancer.Query) {
-	w.restrict(query)
-	query.Counted = w.counted
-}
-
-// pickNow makes an attempt by the present loads. The caller holds the gateway's mu.
-func (w *waiter) pickNow(now time.Time, not currantwood.UpstreamID) (balancer.Choice, error) {
-	choice, err := w.q.pickNow(now, w.stallTimeout, func(query *balancer.Query) {
-		w.narrow(query)
-		query.Exclude = without(query.Exclude, not)
-	})
-	w.counted = true
-	return choice, err
-}
-
 // placer implements roomkeeper.Placer. The gateway's mu is held.
 type placer struct {
 	g   *Gateway
@@ -141,8 +85,8 @@
 	return p.g.balancer.Room(p.now, p.g.room.waiters[t].query(p.now))
 }
 
-// pickOrWait picks an engine as pickNow does, or waits until one has room. Others that wait
-// come first. It refuses the request with a *refusedError if it can't have room in time.
+// pickOrWait picks an engine as pickNow does, or waits until one has room. Requests that wait
+// already go first. It returns a *refusedError if there won't be room in time.
 func (q *request) pickOrWait(now time.Time, stallTimeout time.Duration, restrict func(*balancer.Query)) (balancer.Choice, error) {
 	q.redeemPromise(now)
 	w := &waiter{q: q, stallTimeout: stallTimeout, restrict: restrict, since: now, result: make(chan error, 1)}
@@ -164,109 +108,6 @@
 	}
 }
 
-// pick makes one attempt to find room. waited is true if it was found by waiting.
-func (w *waiter) pick(now time.Time) (choice balancer.Choice, waited bool, err error) {
-	g, q := w.q.g, w.q
-	g.mu.Lock()
-	g.syncGroups(q.snapshot)
-	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
-		choice, err := w.pickNow(now, "")
-		var refused *balancer.RefusalError
-		if err == nil || !errors.As(err, &refused) || !refused.Full {
-			g.mu.Unlock()
-			q.notePromise(err == nil)
-			return choice, false, err
-		}
-	}
-	r := q.roomRequest(now)
-	room := g.balancer.Room(now, w.query(now))
-	if choice, passed := w.pass(now, r, room); passed {
-		g.mu.Unlock()
-		q.notePromise(true)
-		return choice, false, nil
-	}
-	decision := g.room.keeper.Arrive(now, r, room)
-	for _, t := range decision.Evicted {
-		g.endWait(t, errOvertaken)
-	}
-	if decision.Reason != roomkeeper.Waits {
-		g.mu.Unlock()
-		return choice, false, q.refuseRoom(now, w, decision.Reason.String())
-	}
-	g.room.waiters[decision.Ticket] = w
-	g.instruments.queued.Inc(1)
-	g.room.keeper.OfferArrived(q.group, room, placer{g, now})
-	g.mu.Unlock()
-	if err := w.wait(decision.Ticket, r.MaxWait); err != nil {
-		return choice, false, err
-	}
-	return w.choice, true, nil
-}
-
-// pass picks an engine at once although others wait, if no engine has room for any that goes
-// before this request. The caller holds mu.
-func (w *waiter) pass(now time.Time, r roomkeeper.Request, room forecaster.Room) (balancer.Choice, bool) {
-	g := w.q.g
-	if room.Open == 0 || g.room.keeper.Waiting(r.Group) == 0 {
-		return balancer.Choice{}, false
-	}
-	not, may := g.room.keeper.MayPass(r, placer{g, now})
-	if !may {
-		return balancer.Choice{}, false
-	}
-	choice, err := w.pickNow(now, not)
-	if err != nil {
-		return balancer.Choice{}, false
-	}
-	g.room.keeper.Passed(r)
-	return choice, true
-}
-
-// without returns the excluded upstreams and another one, which may be empty. It leaves the
-// list as it is, as requests share it.
-func without(excluded []currantwood.UpstreamID, id currantwood.UpstreamID) []currantwood.UpstreamID {
-	if id == "" {
-		return excluded
-	}
-	return append(slices.Clip(excluded), id)
-}
-
-// wait returns nil once the request is placed.
-func (w *waiter) wait(t roomkeeper.Ticket, maxWait time.Duration) error {
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	select {
-	case err := <-w.result:
-		return w.ended(err)
-	case <-timer.C:
-	case <-w.q.r.Context().Done():
-	}
-	g := w.q.g
-	g.mu.Lock()
-	waits := g.room.keeper.Leave(w.q.group, t)
-	delete(g.room.waiters, t)
-	g.mu.Unlock()
-	if !waits {
-		return w.ended(<-w.result)
-	}
-	if w.q.clientDisconnected() {
-		return errLeftWaiting
-	}
-	return w.q.refuseRoom(g.Now(), w, "no room in time")
-}
-
-// ended returns the error for the result of waiting.
-func (w *waiter) ended(err error) error {
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, errStoppedWaiting):
-		return &refusedError{&gatewayResponse{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: otherGatewayRetryAfter, closeConnection: true}}
-	default:
-		return w.q.refuseRoom(w.q.g.Now(), w, err.Error())
-	}
-}
-
 // endWait ends the wait of a request that the keeper holds no longer. The caller holds mu.
 func (g *Gateway) endWait(t roomkeeper.Ticket, err error) {
 	if w := g.room.waiters[t]; w != nil {
@@ -312,78 +153,12 @@
 	}
 }
 
-// refuseRoom returns the refusal of a request that waits no longer, and books what its
-// client is told.
-func (q *request) refuseRoom(now time.Time, w *waiter, reason string) error {
-	key := q.promiseKey()
-	q.g.mu.Lock()
-	r := q.roomRequest(now)
-	room := q.g.balancer.Room(now, w.query(now))
-	forecast := q.g.room.keeper.Forecast(now, r, room)
-	waiting, bytes := q.g.room.keeper.Total()
-	promised := q.g.room.forecaster.Promised(now, q.group)
-	retryAfter := min(maxRetryAfter, max(minRetryAfter, roomkeeper.RetryAfter(forecast)))
-	if q.possibleRuns == 0 && forecast <= maxRetryAfter {
-		q.g.room.forecaster.Promise(now, key, q.group, r.Work, retryAfter)
-		q.g.instruments.promisesGiven.Inc(1)
-	}
-	q.g.mu.Unlock()
-	q.g.instruments.refusedRoom.Inc(1)
-	q.notePromise(false)
-	q.log("no room for a generation", zap.String("reason", reason), zap.Duration("waited", now.Sub(w.since)), zap.Duration("forecast", forecast),
-		zap.Int64("tokens", int64(r.Work.Memory)), zap.Int("engines", room.Engines), zap.Int("open", room.Open), zap.Int("free-slots", room.FreeSlots),
-		zap.Int64("most-free", int64(room.RoomiestFree)), zap.Int("waiting", waiting), zap.Int64("waiting-bytes", bytes),
-		zap.Int("promised", promised.Requests), zap.Int("gateways", room.Gateways), zap.Bool("came-as-told", r.Promised))
-	return &refusedError{&gatewayResponse{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}}
-}
-
-// promiseKey identifies the request when its client sends it again.
-func (q *request) promiseKey() forecaster.Key {
-	var h maphash.Hash
-	h.SetSeed(q.g.room.seed)
-	_, _ = h.WriteString(string(q.customer))
-	_ = h.WriteByte(0)
-	_, _ = h.WriteString(q.requestTarget())
-	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(q.body))))
-	_, _ = h.Write(q.body[:min(hashedBytes, len(q.body))])
-	_, _ = h.Write(q.body[max(0, len(q.body)-hashedBytes):])
-	return forecaster.Key(h.Sum64())
-}
-
-// redeemPromise sets promised if the client comes back as it was told.
-func (q *request) redeemPromise(now time.Time) {
-	q.g.mu.Lock()
-	promises := q.g.room.forecaster.HasPromises()
-	q.g.mu.Unlock()
-	if !promises || q.promised || len(q.attempted) > 0 {
-		return
-	}
-	key := q.promiseKey()
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	q.promised = q.g.room.forecaster.Redeem(now, key)
-}
-
-// notePromise counts whether a promise was kept; a broken one is logged with the refusal.
-func (q *request) notePromise(kept bool) {
-	switch {
-	case !q.promised || q.promiseNoted:
-		return
-	case kept:
-		q.g.instruments.promisesKept.Inc(1)
-	default:
-		q.g.instruments.promisesBroken.Inc(1)
-		q.log("promise of room broken", zap.String("customer", string(q.customer)), zap.String("group", string(q.group)))
-	}
-	q.promiseNoted = true
-}
-
 // logAdmitted notes that the request was placed after it had waited.
 func (q *request) logAdmitted(now time.Time, w *waiter, choice balancer.Choice) {
 	q.g.instruments.queuedAdmitted.Inc(1)
 	q.g.instruments.queueTime.Update(now.Sub(w.since).Microseconds())
 	q.notePromise(true)
-	q.log("generation admitted after waiting for room", zap.String("upstream", string(choice.View.ID)), zap.Duration("waited", now.Sub(w.since)), zap.Bool("came-as-told", q.promised))
+	q.log("generation admitted after waiting for room", zap.String("upstream", string(choice.View.ID)), zap.Duration("waited", now.Sub(w.since)), zap.Bool("redeems-promise", q.promised))
 }
 
 // offerFreed places a waiting request where one of this gateway has ended. The caller holds
@@ -399,7 +174,7 @@
 }
 
 // offerOverdue is offerUpdate if no loads of other gateways arrive: this one is alone or cut
-// off, and engines may have come back meanwhile. The caller holds mu.
+// off, and engines may have become available meanwhile. The caller holds mu.
 func (g *Gateway) offerOverdue(now time.Time) {
 	if now.Sub(g.room.offeredAt) >= maxOfferInterval {
 		g.offerUpdate(now)
