Settings: an optional table [client-limits], checked at start

The limits of what clients may take of a process are derived from its memory and descriptors. Tests and operators need to change single ones. The platform doesn't write the table; a missing value or 0 stands for the default, a negative one is refused.

--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -36,6 +36,8 @@
 	// second.
 	LinkBitsPerSecond float64
 	Bounds            Bounds
+	// ConnectionLimits bounds what clients may take.
+	ConnectionLimits ConnectionLimits
 	// FirstStart is whether the whole system starts for the first time, so that no
 	// former process of it has done anything.
 	FirstStart bool
@@ -51,6 +53,42 @@
 	return uint32(1000 * min(s.Cores, s.LinkBitsPerSecond/linkBitsPerCore))
 }
 
+// ConnectionLimits bounds what connections of clients may take of the process, at each of its
+// listeners. A value of 0 stands for the default (package ingress/apportioner).
+type ConnectionLimits struct {
+	// Connections bounds the open connections of clients. It can only lower the bound that
+	// follows from the VM's memory and descriptors.
+	Connections int
+	// HeadBytes and HeadFields bound the head of one request.
+	HeadBytes, HeadFields int
+	// HeadAllowance, BodyAllowance and WriteAllowance are how long a head, a body and a
+	// response may be below BytesPerSecond before the connection is closed.
+	HeadAllowance, BodyAllowance, WriteAllowance time.Duration
+	BytesPerSecond                               int64
+}
+
+// check returns an error if a limit is negative.
+func (l ConnectionLimits) check() error {
+	limits := []struct {
+		name  string
+		value int64
+	}{
+		{"connections", int64(l.Connections)},
+		{"head bytes", int64(l.HeadBytes)},
+		{"head fields", int64(l.HeadFields)},
+		{"head allowance", int64(l.HeadAllowance)},
+		{"body allowance", int64(l.BodyAllowance)},
+		{"write allowance", int64(l.WriteAllowance)},
+		{"bytes per second", l.BytesPerSecond},
+	}
+	for _, limit := range limits {
+		if limit.value < 0 {
+			return errors.Errorf("client limits: %s is negative", limit.name)
+		}
+	}
+	return nil
+}
+
 // Bounds are the limits that the operator sets for the system.
 type Bounds struct {
 	// DrainTime is how long an upstream may still receive new work after it has
@@ -84,8 +122,8 @@
 }
 
 // Check returns an error if the VM, availability zone, an address for clients or
-// readiness, or the store's address is empty, or if FailClosed is set without a
-// RevocationTime. The error names path, the settings file.
+// readiness, or the store's address is empty, if FailClosed is set without a
+// RevocationTime, or if a limit of clients is negative. The error names path, the settings file.
 func (s GatewaySettings) Check(path string) error {
 	required := []struct{ name, value string }{
 		{"VM", string(s.VM)},
@@ -102,7 +140,7 @@
 	if s.Bounds.FailClosed && s.Bounds.RevocationTime <= 0 {
 		return errors.Errorf("settings %s: API keys are refused without the store (fail closed), but the revocation time is missing", path)
 	}
-	return nil
+	return errors.Wrapf(s.ConnectionLimits.check(), "settings %s", path)
 }
 
 // OtherSeeds returns the hosts of Seeds but the VM's own, and the seeds that aren't
