Gateways: limits of clients at every listener

Clients made processes run out of memory with short header fields, stalled bodies, half heads and unread responses, at any path and at the readiness address.

connlimiter wraps the three listeners and handlers and applies the decisions of the packages beside it: a bound on connections by memory and descriptors, bytes and fields of a head counted before net/http parses them, the memory of heads charged until the request ends, least rates for heads, bodies and writes, and the connection with the least progress for its memory closed when a share is used up. bodyBuffer counts the capacity of bodies and not the bytes read; if there is none left, it gives up the body without progress, and refuses the newcomer only if there is none. A Content-Length over the limit is refused unread.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -140,3 +140,6 @@
 	}
 	return n, err
 }
+
+// NetConn returns the connection whose reads are noted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -158,6 +159,9 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if q.r.ContentLength > limit {
+		return &gatewayResponse{status: http.StatusRequestEntityTooLarge, reason: "body too long", closeConnection: true}
+	}
 	body, err := q.g.requests.readAll(q.r.Body, limit)
 	q.body = body
 	switch {
@@ -165,6 +169,8 @@
 		return &gatewayResponse{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
 	case errors.Is(err, errBodiesTooLong):
 		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "no memory for the body", retryAfter: upstreamRetryAfter, closeConnection: true}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &gatewayResponse{status: http.StatusRequestTimeout, reason: "body makes no progress", closeConnection: true}
 	case err != nil:
 		return &gatewayResponse{status: http.StatusBadRequest, reason: "body: " + err.Error()}
 	}
--- a/gateway/bodybuffer.go
+++ b/gateway/bodybuffer.go
@@ -2,8 +2,8 @@
 
 import (
 	"io"
-	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -25,36 +25,50 @@
 	errBodiesTooLong = errors.New("bodies are too long together")
 )
 
+const (
+	// reclaimTime bounds the wait for the memory of bodies that are given up.
+	reclaimTime = time.Second
+	// reclaimInterval is the time between two attempts to reserve memory meanwhile.
+	reclaimInterval = 10 * time.Millisecond
+)
+
 // bodyBuffer bounds the bodies that are held. It is safe for concurrent use.
 type bodyBuffer struct {
-	// limit is the number of bytes that all bodies may have together.
+	// limit is the memory in bytes that all bodies may have together.
 	limit int64
-	// used is the number of bytes read of bodies that aren't released yet.
+	// reclaim gives up the body of another request that makes no progress, whose memory
+	// is released soon. It reports false if there is none. It may be nil.
+	reclaim func() bool
+	// used is the capacity of the bodies that aren't released yet. Memory is allocated
+	// ahead of the bytes that are read, so counting these alone would let many bodies
+	// exceed the limit.
 	used atomic.Int64
 }
 
 // newBodyBuffer returns a buffer for bodies of a VM, at least one of which may have
 // maxBytes.
 func newBodyBuffer(memoryBytes, maxBytes int64) *bodyBuffer {
-	return &bodyBuffer{limit: max(maxBytes, int64(bufferedShare*float64(memoryBytes)))}
+	return &bodyBuffer{limit: max(maxBytes+1, int64(bufferedShare*float64(memoryBytes)))}
 }
 
 // readAll reads a body to its end. It fails with errBodyTooLong before the body
 // exceeds maxBytes, or with errBodiesTooLong before all bodies together exceed the limit.
 // The caller calls release with the returned body, also after an error.
 func (b *bodyBuffer) readAll(body io.Reader, maxBytes int64) ([]byte, error) {
-	data := make([]byte, 0, initialBodyBytes)
+	var data []byte
 	for {
-		data = slices.Grow(data, 1)
+		if len(data) == cap(data) {
+			capacity := nextCapacity(int64(cap(data)), maxBytes)
+			if !b.reserve(capacity - int64(cap(data))) {
+				return data, errBodiesTooLong
+			}
+			data = append(make([]byte, 0, capacity), data...)
+		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
-		used := b.used.Add(int64(n))
 		if int64(len(data)) > maxBytes {
 			return data, errBodyTooLong
 		}
-		if used > b.limit {
-			return data, errBodiesTooLong
-		}
 		if errors.Is(err, io.EOF) {
 			return data, nil
 		}
@@ -64,5 +78,27 @@
 	}
 }
 
+// nextCapacity returns the capacity to which a full buffer grows: up to the limit, and one
+// byte beyond, which shows that a body is too long.
+func nextCapacity(capacity, maxBytes int64) int64 {
+	return min(maxBytes+1, max(initialBodyBytes, capacity+capacity/2))
+}
+
+// reserve reserves memory. If there is none left, it waits for bodies that make no progress
+// to be given up. It reports false if there are none, or if that takes too long.
+func (b *bodyBuffer) reserve(bytes int64) bool {
+	for range int(reclaimTime / reclaimInterval) {
+		if b.used.Add(bytes) <= b.limit {
+			return true
+		}
+		b.used.Add(-bytes)
+		if b.reclaim == nil || !b.reclaim() {
+			return false
+		}
+		time.Sleep(reclaimInterval)
+	}
+	return false
+}
+
 // release notes that a body is no longer needed.
-func (b *bodyBuffer) release(body []byte) { b.used.Add(-int64(len(body))) }
+func (b *bodyBuffer) release(body []byte) { b.used.Add(-int64(cap(body))) }
--- a/gateway/bodybuffer_test.go
+++ b/gateway/bodybuffer_test.go
@@ -40,6 +40,31 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against many bodies that together take more memory than their bytes.
+	It("counts the memory that is allocated ahead of the bytes", func() {
+		b := newBodyBuffer(1<<30, maxResponseBytes)
+		body, err := b.readAll(strings.NewReader(strings.Repeat("x", 100_000)), maxResponseBytes)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.used.Load()).To(BeEquivalentTo(cap(body)))
+		Expect(cap(body)).To(BeNumerically("<", 160_000))
+	})
+
+	It("reads a body for which others give way, and fails if none does", func() {
+		b := newBodyBuffer(0, 1000)
+		held, err := b.readAll(strings.NewReader(strings.Repeat("x", 1000)), 1000)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = b.readAll(strings.NewReader("body"), 1000)
+		Expect(err).To(MatchError(errBodiesTooLong))
+		b.reclaim = func() bool {
+			b.release(held)
+			held = nil
+			return true
+		}
+		body, err := b.readAll(strings.NewReader("body"), 1000)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(BeEquivalentTo("body"))
+	})
+
 	It("passes on the error of a body that breaks", func() {
 		broken := errors.New("connection reset")
 		_, err := newBodyBuffer(0, maxResponseBytes).readAll(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(broken)), maxResponseBytes)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,9 @@
 	Connections   *connkeeper.Pool
 	Decode        upstreamkeeper.DecodeFunc
 	Metrics       metrics.Registry
+	// ReclaimBody gives up the body of a request that makes no progress, so that another
+	// one finds room. It reports false if there is none. It may be nil.
+	ReclaimBody func() bool
 }
 
 // Gateway implements http.Handler. It is safe for concurrent use.
@@ -140,6 +143,7 @@
 			FirstStart: options.Settings.FirstStart,
 		}, options.Now()),
 	}
+	g.requests.reclaim = options.ReclaimBody
 	r := options.Metrics
 	g.instruments = instruments{
 		served:             metrics.NewRegisteredCounter("requests-served", r),
--- a/gatewaystarter/servers.go
+++ b/gatewaystarter/servers.go
@@ -5,10 +5,14 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood/ingress/apportioner"
+	"github.com/currantwood/currantwood/ingress/connlimiter"
 )
 
 // listen opens the listeners and starts to serve them.
@@ -23,23 +27,35 @@
 		return errors.Wrap(err, "listen for readiness")
 	}
 	p.clientServer = &http.Server{
-		Handler:                      http.HandlerFunc(p.serveClient),
+		Handler:                      p.clientLimiter.Handler(http.HandlerFunc(p.serveClient)),
 		ReadHeaderTimeout:            headerTimeout,
 		IdleTimeout:                  idleTimeout,
-		MaxHeaderBytes:               maxHeaderBytes,
+		MaxHeaderBytes:               p.clientLimiter.MaxHeadBytes(),
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     zap.NewStdLog(p.options.Logger.Named("http")),
-		ConnState:                    p.arrivals.NoteState,
+		ConnContext:                  p.clientLimiter.ConnContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			p.arrivals.NoteState(c, state)
+			p.clientLimiter.NoteState(c, state)
+		},
 	}
-	p.readyServer = newSinglePathServer("/readyz", p.serveReady)
-	p.metricsServer = newSinglePathServer("/metrics", p.serveMetrics)
-	clients = p.arrivals.Listen(clients)
+	readyLimiter := p.newLimiter("readiness", p.shares.Side())
+	p.readyServer = newSinglePathServer("/readyz", p.serveReady, readyLimiter)
+	clients = p.arrivals.Listen(p.clientLimiter.Listen(clients))
+	ready = readyLimiter.Listen(ready)
 	go func() { _ = p.clientServer.Serve(clients) }()
 	go func() { _ = p.readyServer.Serve(ready) }()
 	p.listenForMetrics()
 	return nil
 }
 
+// newLimiter returns the limiter of a listener.
+func (p *Process) newLimiter(name string, shares apportioner.Shares) *connlimiter.Limiter {
+	l := connlimiter.New(connlimiter.Options{Name: name, Shares: shares, Now: time.Now, Logger: p.options.Logger, Metrics: p.metrics})
+	p.limiters = append(p.limiters, l)
+	return l
+}
+
 // serveClient serves one client request.
 func (p *Process) serveClient(w http.ResponseWriter, r *http.Request) {
 	p.arrivals.NoteRequest(p.now())
@@ -49,20 +65,29 @@
 // listenForMetrics starts to serve the metrics. If the port can't be opened,
 // the gateway serves clients without them.
 func (p *Process) listenForMetrics() {
+	limiter := p.newLimiter("metrics", p.shares.Side())
+	p.metricsServer = newSinglePathServer("/metrics", p.serveMetrics, limiter)
 	address := net.JoinHostPort(p.options.Settings.IP, strconv.Itoa(MetricsPort))
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		p.options.Logger.Warn("metrics are not served", zap.String("address", address), zap.Error(err))
 		return
 	}
-	go func() { _ = p.metricsServer.Serve(listener) }()
+	go func() { _ = p.metricsServer.Serve(limiter.Listen(listener)) }()
 }
 
 // newSinglePathServer returns a server that handles GET requests for one path.
-func newSinglePathServer(path string, serve http.HandlerFunc) *http.Server {
+func newSinglePathServer(path string, serve http.HandlerFunc, limiter *connlimiter.Limiter) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, serve)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{
+		Handler:           limiter.Handler(mux),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    limiter.MaxHeadBytes(),
+		ConnContext:       limiter.ConnContext,
+		ConnState:         limiter.NoteState,
+	}
 }
 
 // serveReady answers 200 if clients should be sent to this gateway, else 503.
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -20,6 +20,8 @@
 	"github.com/currantwood/currantwood/crashsaver"
 	"github.com/currantwood/currantwood/drainer"
 	"github.com/currantwood/currantwood/gateway"
+	"github.com/currantwood/currantwood/ingress/apportioner"
+	"github.com/currantwood/currantwood/ingress/connlimiter"
 	"github.com/currantwood/currantwood/peermessenger"
 	"github.com/currantwood/currantwood/readpacer"
 	"github.com/currantwood/currantwood/sleeper"
@@ -45,12 +47,11 @@
 	memoryLimitShare = 0.6
 	// tickInterval is the time between two calls of gateway.Tick.
 	tickInterval = 250 * time.Millisecond
-	// headerTimeout bounds the reading of a request's header.
-	headerTimeout = 10 * time.Second
+	// headerTimeout bounds the reading of a request's header, also if it makes the least
+	// progress that package ingress/connlimiter requires.
+	headerTimeout = time.Minute
 	// idleTimeout is longer than clients keep an idle connection open.
 	idleTimeout = 90 * time.Second
-	// maxHeaderBytes bounds the size of a request's header.
-	maxHeaderBytes = 64 << 10
 	// configurationReadWait is how long a read waits for a new configuration.
 	// Each read that the store answers confirms that the current configuration,
 	// and with it its keys, is the newest; this happens about once in this
@@ -135,7 +136,12 @@
 	metrics                  metrics.Registry
 	eraRises                 metrics.Counter
 	// arrivals tells whether requests still arrive during shutdown.
-	arrivals      *drainer.Drainer
+	arrivals *drainer.Drainer
+	// shares divides the VM's memory and descriptors among the listeners, which limiters
+	// limit.
+	shares        apportioner.Apportioner
+	clientLimiter *connlimiter.Limiter
+	limiters      []*connlimiter.Limiter
 	clientServer  *http.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
@@ -152,7 +158,10 @@
 	p.calls = storecounter.New(options.Store, options.Writer, p.metrics)
 	p.options.Store, p.options.Writer = p.calls, p.calls
 	p.eraRises = metrics.NewRegisteredCounter("store-era-rises", p.metrics)
+	p.shares = apportioner.New(options.Settings)
+	p.clientLimiter = p.newLimiter("clients", p.shares.Clients())
 	p.gateway = gateway.New(gateway.Options{
+		ReclaimBody:   p.clientLimiter.ReclaimBody,
 		Settings:      options.Settings,
 		Logger:        options.Logger,
 		Now:           p.now,
@@ -178,6 +187,13 @@
 			p.gateway.Tick(p.now())
 		}
 	}()
+	go func() {
+		for sleeper.Sleep(ctx, tickInterval) {
+			for _, limiter := range p.limiters {
+				limiter.Sweep()
+			}
+		}
+	}()
 	go func() {
 		for sleeper.Sleep(ctx, callsLogInterval) {
 			p.logCalls()
--- a/ingress/apportioner/apportioner.go
+++ b/ingress/apportioner/apportioner.go
@@ -24,9 +24,10 @@
 	unknownMemoryBytes = 128e6
 	// fileDescriptors is how many of the VM's descriptors are for files.
 	fileDescriptors = 200
-	// clientDescriptorShare is the share of the other descriptors that clients may take. A
-	// request may need a connection to an upstream, and peers and the store need some.
-	clientDescriptorShare = 0.5
+	// clientDescriptorShare is the share of the other descriptors that clients may take. Each
+	// request may need a connection to an upstream beside it, and the store, peers and idle
+	// connections to upstreams need the rest.
+	clientDescriptorShare = 0.4
 	// sideDescriptorShare is clientDescriptorShare of a listener for readiness or metrics.
 	sideDescriptorShare = 0.05
 	// maxSideConnections bounds the connections of such a listener, which serves a few
@@ -41,7 +42,7 @@
 const (
 	defaultHeadBytes      = 64 << 10
 	defaultHeadFields     = 6000
-	defaultHeadAllowance  = 6 * time.Second
+	defaultHeadAllowance  = 10 * time.Second
 	defaultBodyAllowance  = 15 * time.Second
 	defaultWriteAllowance = 30 * time.Second
 	defaultBytesPerSecond = 256
--- /dev/null
+++ b/ingress/connlimiter/limiter.go
@@ -0,0 +1,299 @@
+// Package connlimiter applies the limits of clients to the listener and the handler of one
+// HTTP server: it bounds the open connections and the memory of request heads, counts the
+// fields of a head before net/http parses them, and ends connections that make no
+// progress. What is decided, and in which order, is in packages headcounter, progressmeter
+// and victimpicker.
+//
+// A status that it sends itself (431, 408, 503) is sent only for requests that no handler
+// has seen, so they haven't run.
+package connlimiter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood/ingress/apportioner"
+	"github.com/currantwood/currantwood/ingress/headcounter"
+	"github.com/currantwood/currantwood/ingress/victimpicker"
+)
+
+const (
+	// logInterval is the least time between two log lines of a Limiter.
+	logInterval = 10 * time.Second
+	// maxSweepGap is the longest time between two calls of Sweep that counts. A process that
+	// was frozen has left unread what clients have sent meanwhile.
+	maxSweepGap = time.Second
+)
+
+// Options configures a Limiter.
+type Options struct {
+	// Name names the listener in log lines.
+	Name   string
+	Shares apportioner.Shares
+	Now    func() time.Time
+	Logger *zap.Logger
+	// Metrics may be shared by several limiters, whose counts are added up.
+	Metrics metrics.Registry
+}
+
+// Limiter limits the connections of one listener. It is safe for concurrent use.
+type Limiter struct {
+	options    Options
+	headLimits headcounter.Limits
+	instruments
+
+	// mu guards the fields below. It may be taken while conn.mu is held, but not the other
+	// way round.
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// loggedAt is when the last log line was written, and unlogged counts the events since.
+	loggedAt time.Time
+	unlogged events
+	// sweptAt is when Sweep was last called; zero before.
+	sweptAt time.Time
+
+	// headBytes is the estimated memory of the heads that arrive or run.
+	headBytes atomicBytes
+}
+
+// New returns a Limiter without connections.
+func New(options Options) *Limiter {
+	limits := options.Shares.Limits
+	return &Limiter{
+		options:     options,
+		headLimits:  headcounter.Limits{Bytes: limits.HeadBytes, Fields: limits.HeadFields},
+		instruments: newInstruments(options.Metrics),
+		conns:       make(map[*conn]struct{}),
+	}
+}
+
+// Listen returns the listener whose connections are limited.
+func (l *Limiter) Listen(listener net.Listener) net.Listener { return limitedListener{listener, l} }
+
+// MaxHeadBytes is the server's MaxHeaderBytes.
+func (l *Limiter) MaxHeadBytes() int { return l.headLimits.Bytes }
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ConnContext is the server's ConnContext.
+func (*Limiter) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if limited := limitedConn(c); limited != nil {
+		return context.WithValue(ctx, connKey{}, limited)
+	}
+	return ctx
+}
+
+// NoteState is the server's ConnState.
+func (l *Limiter) NoteState(c net.Conn, state http.ConnState) {
+	if limited := limitedConn(c); limited != nil && state == http.StateIdle {
+		limited.becomeIdle(l.options.Now())
+	}
+}
+
+// Handler returns the server's handler, which calls next.
+func (l *Limiter) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, limited := r.Context().Value(connKey{}).(*conn)
+		if !limited {
+			next.ServeHTTP(w, r)
+			return
+		}
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		if !c.beginRequest(l.options.Now(), hasBody) {
+			// The connection was dropped while its head was parsed.
+			panic(http.ErrAbortHandler)
+		}
+		if !l.chargeParsed(c, r.Header) {
+			l.note(l.options.Now(), connectionRefused)
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if hasBody {
+			r.Body = &body{r.Body, c}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// chargeParsed charges for the fields of a parsed head that weren't counted as they
+// arrived, since net/http had read them together with the request before. It reports false
+// if there is no memory for them.
+func (l *Limiter) chargeParsed(c *conn, header http.Header) bool {
+	fields := 0
+	for _, values := range header {
+		fields += len(values)
+	}
+	return l.addHead(l.options.Now(), c.chargeFields(fields))
+}
+
+// ReclaimBody ends the reading of the body that makes the least progress for its memory,
+// so that another one finds room. It reports false if all make progress and none was given
+// up before that is still held.
+func (l *Limiter) ReclaimBody() bool {
+	now := l.options.Now()
+	conns, candidates, aborted := l.candidates(now)
+	picked, found := victimpicker.Picker{}.Body(candidates)
+	if !found {
+		return len(aborted) > 0
+	}
+	if conns[picked].abort(now) {
+		l.note(now, bodyDropped)
+	}
+	return true
+}
+
+// Sweep ends connections that haven't made the least progress. It must be called
+// regularly; each connection ends within the time between two calls after it may.
+func (l *Limiter) Sweep() {
+	now := l.options.Now()
+	gap := l.noteSweep(now)
+	for _, c := range l.connections() {
+		if gap > maxSweepGap {
+			c.extend(gap)
+			continue
+		}
+		if event, expired := c.expire(now); expired {
+			l.note(now, event)
+		}
+	}
+}
+
+// noteSweep returns the time since the last call of Sweep.
+func (l *Limiter) noteSweep(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gap := time.Duration(0)
+	if !l.sweptAt.IsZero() {
+		gap = now.Sub(l.sweptAt)
+	}
+	l.sweptAt = now
+	return gap
+}
+
+// admit makes room for a connection and adds it. It reports false if the connection must
+// be refused.
+func (l *Limiter) admit(c *conn) bool {
+	now := l.options.Now()
+	if l.count() >= l.options.Shares.Connections && !l.dropLeast(now) {
+		l.note(now, connectionRefused)
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return true
+}
+
+func (l *Limiter) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// dropLeast closes a connection to make room: one whose body was given up, else the one
+// with the least progress for its memory. It reports false if no connection may be closed.
+func (l *Limiter) dropLeast(now time.Time) bool {
+	conns, candidates, aborted := l.candidates(now)
+	for _, c := range aborted {
+		if c.drop() {
+			return true
+		}
+	}
+	picked, found := victimpicker.Picker{}.Connection(candidates)
+	if !found || !conns[picked].drop() {
+		return false
+	}
+	l.note(now, connectionDropped)
+	return true
+}
+
+// addHead changes the memory of heads. While that exceeds its share, it closes the
+// connection with the least progress for the memory of its head. It reports false if there
+// is none to close.
+func (l *Limiter) addHead(now time.Time, bytes int64) bool {
+	if bytes == 0 || l.headBytes.Add(bytes) <= l.options.Shares.HeadBytes {
+		return true
+	}
+	for l.headBytes.Load() > l.options.Shares.HeadBytes {
+		if !l.dropHead(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// dropHead closes the connection with the least progress for the memory of its head. It
+// reports false if there is none.
+func (l *Limiter) dropHead(now time.Time) bool {
+	conns, candidates, aborted := l.candidates(now)
+	for _, c := range aborted {
+		if c.drop() {
+			return true
+		}
+	}
+	for i, c := range conns {
+		candidates[i].MemoryBytes = c.chargedBytes()
+	}
+	picked, found := victimpicker.Picker{}.Head(candidates)
+	if !found || !conns[picked].drop() {
+		return false
+	}
+	l.note(now, connectionDropped)
+	return true
+}
+
+// remove forgets a connection that was closed.
+func (l *Limiter) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+func (l *Limiter) connections() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// candidates returns the open connections and their descriptions, and apart from them
+// those whose body was given up.
+func (l *Limiter) candidates(now time.Time) (conns []*conn, candidates []victimpicker.Candidate, aborted []*conn) {
+	for _, c := range l.connections() {
+		candidate, state := c.candidate(now)
+		switch state {
+		case open:
+			conns, candidates = append(conns, c), append(candidates, candidate)
+		case bodyAborted:
+			aborted = append(aborted, c)
+		}
+	}
+	return conns, candidates, aborted
+}
+
+// note counts an event, and logs all events since the last line if that is long enough
+// ago.
+func (l *Limiter) note(now time.Time, e event) {
+	l.counters[e].Inc(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unlogged[e]++
+	if now.Sub(l.loggedAt) < logInterval {
+		return
+	}
+	l.options.Logger.Warn("connections limited", append(l.unlogged.fields(),
+		zap.String("listener", l.options.Name), zap.Int("open", len(l.conns)), zap.Int64("head-bytes", l.headBytes.Load()))...)
+	l.loggedAt, l.unlogged = now, events{}
+}
--- a/ingress/victimpicker/picker.go
+++ b/ingress/victimpicker/picker.go
@@ -8,6 +8,8 @@
 // Phase is what a connection waits for.
 type Phase uint8
 
+//go:generate go tool stringer -type=Phase
+
 // The phases of a connection.
 const (
 	// Head waits for the rest of a request head, or for the first byte of the first one.
