--- a/ingress/headcounter/counter.go
+++ b/ingress/headcounter/counter.go
@@ -3,6 +3,8 @@
 // bytes takes some 150 bytes of memory once it is parsed.
 package headcounter
 
+import "bytes"
+
 // Limits bounds a head.
 type Limits struct {
 	// Bytes includes the request line and the line ends, Fields all lines but the request
@@ -15,30 +17,37 @@
 type Counter struct {
 	// bytes and lines count what has arrived.
 	bytes, lines int
-	// lineBytes counts the bytes of the current line but carriage returns.
-	lineBytes int
+	// lineBegun is whether the current line has bytes other than carriage returns.
+	lineBegun bool
 	// ended is whether the empty line at the end has arrived.
 	ended bool
 }
 
 // Count counts bytes that have arrived. What follows the end of the head isn't counted.
-// It looks at each byte once, whatever the bytes are.
 func (c *Counter) Count(p []byte) {
-	for _, b := range p {
-		if c.ended {
+	for len(p) > 0 && !c.ended {
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			c.bytes += len(p)
+			c.lineBegun = c.lineBegun || hasText(p)
 			return
 		}
-		c.bytes++
-		switch b {
-		case '\n':
-			c.ended = c.lineBytes == 0
-			c.lines++
-			c.lineBytes = 0
-		case '\r':
-		default:
-			c.lineBytes++
+		c.bytes += end + 1
+		c.lines++
+		c.ended = !c.lineBegun && !hasText(p[:end])
+		c.lineBegun = false
+		p = p[end+1:]
+	}
+}
+
+// hasText reports whether p has bytes other than carriage returns.
+func hasText(p []byte) bool {
+	for _, b := range p {
+		if b != '\r' {
+			return true
 		}
 	}
+	return false
 }
 
 // Bytes returns the number of bytes that have arrived.
