Ingress: bodies are given up at most every 5 ms

Each request that waits for room asked for another body every 10 ms, and each question looks at all connections: some hundred waiting requests would take most of a small VM's processor time, and would give up more bodies than they need. Between two bodies 5 ms must pass; a request that asks meanwhile waits.

Measured: the specs of connlimiter pass 10 of 10 runs with -race; a new spec has two stalled bodies, of which one is given up at a time. The processor time is reckoned, not measured.

--- a/ingress/connlimiter/limiter.go
+++ b/ingress/connlimiter/limiter.go
@@ -29,6 +29,9 @@
 	// maxSweepGap is the longest time between two calls of Sweep that counts. A process that
 	// was frozen has left unread what clients have sent meanwhile.
 	maxSweepGap = time.Second
+	// reclaimPause is the least time between two bodies that are given up: the first may
+	// leave enough room, and many requests may ask at once.
+	reclaimPause = 5 * time.Millisecond
 )
 
 // Options configures a Limiter.
@@ -57,6 +60,8 @@
 	unlogged events
 	// sweptAt is when Sweep was last called; zero before.
 	sweptAt time.Time
+	// reclaimedAt is when a body was last given up; zero before.
+	reclaimedAt time.Time
 
 	// headBytes is the estimated memory of the heads that arrive or run.
 	headBytes atomicBytes
@@ -140,17 +145,33 @@
 // up before that is still held.
 func (l *Limiter) ReclaimBody() bool {
 	now := l.options.Now()
+	if l.reclaimedLately(now) {
+		return true
+	}
 	conns, candidates, aborted := l.candidates(now)
 	picked, found := victimpicker.Picker{}.Body(candidates)
 	if !found {
 		return len(aborted) > 0
 	}
 	if conns[picked].abort(now) {
+		l.noteReclaimed(now)
 		l.note(now, bodyDropped)
 	}
 	return true
 }
 
+func (l *Limiter) reclaimedLately(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.reclaimedAt) < reclaimPause
+}
+
+func (l *Limiter) noteReclaimed(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reclaimedAt = now
+}
+
 // Sweep ends connections that haven't made the least progress. It must be called
 // regularly; each connection ends within the time between two calls after it may.
 func (l *Limiter) Sweep() {
--- a/ingress/connlimiter/limiter_test.go
+++ b/ingress/connlimiter/limiter_test.go
@@ -33,6 +33,8 @@
 	address string
 	// ahead is what the clock is ahead of the time of the machine.
 	ahead atomic.Int64
+	// stoppedAt is where that time stands still, as a UnixNano; 0 lets it pass.
+	stoppedAt atomic.Int64
 	// handled counts the requests that reached the handler.
 	handled atomic.Int32
 	// block lets requests for /block wait until it is closed.
@@ -43,7 +45,7 @@
 	s := &limitedServer{block: make(chan struct{})}
 	s.Limiter = New(Options{
 		Name: "test", Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
-		Now: func() time.Time { return time.Now().Add(time.Duration(s.ahead.Load())) },
+		Now: s.now,
 		Shares: apportioner.Shares{Connections: connections, HeadBytes: headBytes, Limits: currantwood.ConnectionLimits{
 			HeadBytes: 4000, HeadFields: 50, HeadAllowance: time.Minute, BodyAllowance: time.Minute, WriteAllowance: time.Minute, BytesPerSecond: 100,
 		}},
@@ -63,6 +65,14 @@
 	return s
 }
 
+func (s *limitedServer) now() time.Time {
+	now := time.Now()
+	if stopped := s.stoppedAt.Load(); stopped > 0 {
+		now = time.Unix(0, stopped)
+	}
+	return now.Add(time.Duration(s.ahead.Load()))
+}
+
 // serve answers with 200, or with 408 if the reading of the body was ended.
 func (s *limitedServer) serve(w http.ResponseWriter, r *http.Request) {
 	s.handled.Add(1)
@@ -250,14 +260,22 @@
 		Eventually(drained.HasUnread).Should(BeTrue())
 	})
 
-	It("gives up a stalled body for another, and none that makes progress", func() {
+	It("gives up a stalled body for another, one at a time, and none that makes progress", func() {
 		s := newLimitedServer(10, 1<<30)
-		c := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf")
-		Eventually(s.handled.Load).Should(BeEquivalentTo(1))
+		// So that reclaimPause doesn't pass.
+		s.stoppedAt.Store(time.Now().UnixNano())
+		const half = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf"
+		first, second := s.dial(half), s.dial(half)
+		Eventually(s.handled.Load).Should(BeEquivalentTo(2))
 		Expect(s.ReclaimBody()).To(BeFalse())
 		s.ahead.Add(int64(5 * time.Second))
 		Expect(s.ReclaimBody()).To(BeTrue())
-		Expect(c.status()).To(Equal(http.StatusRequestTimeout))
+		Expect(s.ReclaimBody()).To(BeTrue())
+		Expect(s.counters[bodyDropped].Count()).To(BeEquivalentTo(1))
+		s.ahead.Add(int64(reclaimPause))
+		Expect(s.ReclaimBody()).To(BeTrue())
+		Expect(first.status()).To(Equal(http.StatusRequestTimeout))
+		Expect(second.status()).To(Equal(http.StatusRequestTimeout))
 	})
 
 	It("ends a response whose client doesn't read, and not one that is read slowly", func() {
