--- a/gateway/move.go
+++ b/gateway/move.go
@@ -11,7 +11,6 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
-	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -311,22 +310,6 @@
 	return confirmed && !state.Leaving
 }
 
-// mayBeSent reports whether the request may still be sent to an upstream that was picked
-// before, as far as is known.
-func (q *request) mayBeSent(view upstreamkeeper.View) bool {
-	now, regions := q.g.Now(), q.regions()
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	return q.g.isCurrent(view) && q.g.notices.CheckPicked(now, noticekeeper.TargetOf(view.UpstreamRecord), regions).Admitted()
-}
-
-// isCurrent reports whether an upstream is still the incarnation that was picked, and isn't
-// known to be leaving. The caller holds mu.
-func (g *Gateway) isCurrent(view upstreamkeeper.View) bool {
-	known, ok := g.upstreams.Get(view.ID)
-	return ok && known.LeavingSince.IsZero() && known.Incarnation == view.Incarnation
-}
-
 // freeCopy frees a copy that will not be used.
 func (s *stream) freeCopy(copied currantwood.RunCopy) {
 	if err := s.g.Mover.Drop(copied, dropTimeout); err != nil {
--- a/placement/evacuationkeeper/model_test.go
+++ b/placement/evacuationkeeper/model_test.go
@@ -64,7 +64,7 @@
 	next   currantwood.Offset
 	// known is whether era and next are, and readAll whether the keeper lacks records.
 	known, readAll bool
-	// reading is whether a read is on its way, and starts counts the starts of the gateway: a
+	// reading is whether a read is in flight, and starts counts the starts of the gateway: a
 	// read that an earlier process sent is lost.
 	reading bool
 	starts  int
@@ -72,13 +72,13 @@
 	last Position
 }
 
-// delivery is a read or a message on its way.
+// delivery is a read or a message in flight.
 type delivery struct {
 	at    time.Time
 	apply func(now time.Time)
 }
 
-// model is a store, gateways and what is on its way between them.
+// model is a store, gateways and the messages in flight between them.
 type model struct {
 	random   *rand.Rand
 	store    *modelStore
--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -26,10 +26,6 @@
 // newest records, the next reads may return earlier ones once more.
 const removedRetention = 30 * time.Second
 
-// sameWarmUp is the difference up to which the ends of a cold period that two records state
-// are one. Records take up to seconds through the store.
-const sameWarmUp = 2 * time.Second
-
 // View is an upstream as it is currently known.
 type View struct {
 	// UpstreamRecord is the first record of the incarnation, with the Sequence
@@ -153,22 +149,6 @@
 	return nil
 }
 
-// noteWarmUp notes how long the upstream stays cold by a newer record.
-func (e *entry) noteWarmUp(now time.Time, left time.Duration) []Event {
-	until, known := now.Add(left), e.view.ColdUntil
-	change := Cooled
-	switch {
-	case left > 0 && known.After(now) && until.Sub(known).Abs() <= sameWarmUp:
-		return nil
-	case left <= 0 && !known.After(now):
-		return nil
-	case left <= 0:
-		change = Warmed
-	}
-	e.view.ColdUntil = until
-	return []Event{{Change: change, Record: e.view.UpstreamRecord}}
-}
-
 // restore adds a removed upstream again. As it still writes records, its record
 // had only expired. An upstream that announced its leaving isn't restored; it is
 // forgotten after removedRetention.
