Regions of a configuration: counting, warning and logging apart

Cause: logRegions counted, warned at two places with one text, and compared the counts in a condition whose two swaps had to run in any case.

Change: countBoundRoutes, countBoundCustomers and warnIfEmpty; the log lines are the same.

Result: gatewaystarter has no unit tests; build, vet and revive pass, and go test ./cmd/currantwood. The specs over sockets were not run.

--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -195,30 +195,46 @@
 	}
 }
 
-// logRegions logs how many routes and customers a configuration binds to regions, and
-// warns of those without any: their list can't be decoded, so that all their requests are
-// refused.
+// logRegions logs how many routes and customers a configuration binds to regions if that
+// has changed.
 func (p *Process) logRegions(configuration currantwood.Configuration) {
-	bound := 0
+	routes, customers := p.countBoundRoutes(configuration), p.countBoundCustomers(configuration)
+	sameRoutes := p.boundRoutes.Swap(routes) == routes
+	sameCustomers := p.boundCustomers.Swap(customers) == customers
+	if sameRoutes && sameCustomers {
+		return
+	}
+	p.options.Logger.Info("routes and customers bound to regions", zap.Uint64("version", uint64(configuration.Version)), zap.Int64("routes", routes), zap.Int64("customers", customers))
+}
+
+func (p *Process) countBoundRoutes(configuration currantwood.Configuration) int64 {
+	bound := int64(0)
 	for _, route := range configuration.Routes {
 		if !route.Regions.IsAny() {
 			bound++
 		}
-		if route.Regions.IsEmpty() {
-			p.options.Logger.Warn("regions of a route or customer can't be decoded, its requests are refused", zap.Uint64("version", uint64(configuration.Version)), zap.String("route", route.ID))
-		}
+		p.warnIfEmpty(configuration.Version, route.Regions, zap.String("route", route.ID))
 	}
+	return bound
+}
+
+// countBoundCustomers counts each customer once, however many keys it has.
+func (p *Process) countBoundCustomers(configuration currantwood.Configuration) int64 {
 	customers := make(map[currantwood.CustomerID]currantwood.RegionSet)
 	for _, holder := range configuration.Keys {
 		customers[holder.Customer] = holder.Regions
 	}
 	maps.DeleteFunc(customers, func(_ currantwood.CustomerID, regions currantwood.RegionSet) bool { return regions.IsAny() })
 	for customer, regions := range customers {
-		if regions.IsEmpty() {
-			p.options.Logger.Warn("regions of a route or customer can't be decoded, its requests are refused", zap.Uint64("version", uint64(configuration.Version)), zap.String("customer", string(customer)))
-		}
+		p.warnIfEmpty(configuration.Version, regions, zap.String("customer", string(customer)))
 	}
-	if changed := p.boundRoutes.Swap(int64(bound)) != int64(bound); p.boundCustomers.Swap(int64(len(customers))) != int64(len(customers)) || changed {
-		p.options.Logger.Info("routes and customers bound to regions", zap.Uint64("version", uint64(configuration.Version)), zap.Int("routes", bound), zap.Int("customers", len(customers)))
+	return int64(len(customers))
+}
+
+// warnIfEmpty warns of a list of regions that can't be decoded and therefore admits none, so
+// that all requests of its route or customer are refused.
+func (p *Process) warnIfEmpty(version currantwood.ConfigurationVersion, regions currantwood.RegionSet, owner zap.Field) {
+	if regions.IsEmpty() {
+		p.options.Logger.Warn("regions of a route or customer can't be decoded, its requests are refused", zap.Uint64("version", uint64(version)), owner)
 	}
 }
