Room: waiting requests aren't sent to an engine that has failed or refuses

Cause: the end of every attempt offered its engine to those that wait, also if the engine had crashed or answered that it didn't run the request. Each waiting request in turn was sent there, spent an attempt and passed the engine on to the next, until the engine was ejected.

Change: a failure or a refusal offers nothing; the next update (50 to 100 ms later) does, if the engine is still thought to have room.

Measured: the new case of a failure got the waiting request sent at once before, and only with the next update now. The case of a refusal covers the new function alone; before, refusals used the same path as the failure.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -165,7 +165,7 @@
 		if x.Answer.OtherInstance {
 			outcome = balancer.Failed
 		}
-		q.recordEnd(choice.View, load, outcome)
+		q.recordRejection(choice.View, load, outcome)
 		return nil, &rejectedError{x.Status}
 	}
 	return x, nil
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -220,6 +220,14 @@
 	q.g.offerFreed(now, q, view.ID, load, outcome)
 }
 
+// recordRejection is recordEnd for an attempt that the upstream has refused. Waiting requests
+// aren't offered its room, as it would refuse them, too.
+func (q *request) recordRejection(view upstreamkeeper.View, load balancer.Load, outcome balancer.Outcome) {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.g.balancer.Ended(q.g.Now(), view, load, outcome)
+}
+
 // upstreamCall builds the call that is sent to an upstream. The caller sets
 // LastEvent and ResumeFrom of the parameters, this method the rest.
 func (q *request) upstreamCall(now time.Time, view upstreamkeeper.View, parameters currantwood.UpstreamRequest) *connkeeper.Call {
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -161,8 +161,9 @@
 	q.log("generation admitted after waiting for room", zap.String("upstream", string(choice.View.ID)), zap.Duration("waited", now.Sub(w.since)), zap.Bool("redeems-promise", q.promised))
 }
 
-// offerFreed places a waiting request where one of this gateway has ended. The caller holds
-// mu.
+// offerFreed places a waiting request where one of this gateway has ended, unless the engine
+// has failed: a crashed one would be sent all that waits before it is ejected. The caller
+// holds mu.
 func (g *Gateway) offerFreed(now time.Time, q *request, freed currantwood.UpstreamID, load balancer.Load, outcome balancer.Outcome) {
 	if !g.Settings.QueueRequests || !q.isGeneration() {
 		return
@@ -170,7 +171,9 @@
 	if outcome == balancer.Served {
 		g.room.forecaster.Ended(q.group, now.Sub(q.pickedAt), load.MemoryTokens)
 	}
-	g.room.keeper.OfferFreed(q.group, freed, placer{g, now})
+	if outcome != balancer.Failed {
+		g.room.keeper.OfferFreed(q.group, freed, placer{g, now})
+	}
 }
 
 // offerOverdue is offerUpdate if no loads of other gateways arrive: this one is alone or cut
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -109,6 +109,21 @@
 		}).Should(Receive(HaveField("Err", BeNil())))
 	})
 
+	// Guards against waiting requests that are sent one after the other to an engine that has
+	// failed or refuses requests, and are refused in their turn.
+	DescribeTable("isn't sent at once to an engine that has shown no room", func(end func()) {
+		result := pickInBackground(newGeneration(context.Background(), g, "second", 4*time.Second))
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		end()
+		Consistently(result, "50ms").ShouldNot(Receive())
+		Expect(g.OwnLoads()["e"].Requests).To(BeZero())
+		g.SetPeerLoads(g.Now(), balancer.Loads{})
+		Eventually(result).Should(Receive(HaveField("Err", BeNil())))
+	},
+		Entry("by a failure", func() { first.recordEnd(engineView, first.load(), balancer.Failed) }),
+		Entry("by a refusal", func() { first.recordRejection(engineView, first.load(), balancer.Neutral) }),
+	)
+
 	// Guards against less urgent requests that wait for the next update, of which a gateway
 	// among many takes a part only, and delay a more urgent one that fits now; and against a
 	// refusal of one that fits, as it has spent its time to wait.
