--- a/configcheck/comparer/routes.go
+++ b/configcheck/comparer/routes.go
@@ -36,7 +36,7 @@
 		return
 	}
 	if !isWithin(before, after) {
-		c.add(RegionsNarrowed, at, "%s are served in fewer regions: %s (before: %s); runs elsewhere are moved or end", requests, after, before)
+		c.add(RegionsNarrowed, at, "%s are served in fewer regions: %s (before: %s); running ones go on where they are", requests, after, before)
 	}
 	if !isWithin(after, before) {
 		c.add(RegionsWidened, at, "%s may be served in more regions: %s (before: %s)", requests, after, before)
