Room: an offer looks for engines once for requests that need alike

Cause: an offer asked up to 129 times whether a waiting request fits, and each answer no looked at all upstreams of the group, under the gateway's lock, with each update.

Change: a request that needs no less, in the same regions, than one that has just found no engine isn't looked for.

Query.Covers has a table of its own.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -402,3 +402,25 @@
 		Expect(pick(b, Query{Only: "e1"})).To(Equal("none"))
 	})
 })
+
+// Guards against a request that is passed over although an engine has room for it.
+var _ = DescribeTable("A query that covers another", func(change func(q *Query), want bool) {
+	query := func() Query {
+		return Query{Group: "g", Regions: currantwood.Regions("north"), Exclude: []currantwood.UpstreamID{"e1"}, Load: Load{MemoryTokens: 500}, RequireCapacity: true, MaxPrefillWait: time.Second}
+	}
+	q := query()
+	change(&q)
+	Expect(q.Covers(query())).To(Equal(want))
+},
+	Entry("the same", func(*Query) {}, true),
+	Entry("smaller", func(q *Query) { q.Load.MemoryTokens = 400 }, true),
+	Entry("larger", func(q *Query) { q.Load.MemoryTokens = 600 }, false),
+	Entry("in all regions", func(q *Query) { q.Regions = currantwood.AnyRegion() }, true),
+	Entry("in other regions", func(q *Query) { q.Regions = currantwood.Regions("south") }, false),
+	Entry("excludes less", func(q *Query) { q.Exclude = nil }, true),
+	Entry("excludes others", func(q *Query) { q.Exclude = []currantwood.UpstreamID{"e2"} }, false),
+	Entry("waits less for prompts", func(q *Query) { q.MaxPrefillWait = time.Millisecond }, false),
+	Entry("of one version", func(q *Query) { q.SameVersion = true }, false),
+	Entry("of one engine", func(q *Query) { q.Only = "e1" }, false),
+	Entry("of another group", func(q *Query) { q.Group = "h" }, false),
+)
--- a/balancer/query.go
+++ b/balancer/query.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantwood/currantwood"
@@ -50,6 +51,16 @@
 	Version     currantwood.SoftwareVersion
 }
 
+// Covers reports whether any upstream that has room for other has room for q, too: q needs
+// no more and may go wherever other may. It may be false although that is so.
+func (q Query) Covers(other Query) bool {
+	return q.Group == other.Group && q.Zone == other.Zone && q.Reach == other.Reach && q.Only == other.Only &&
+		!q.SameVersion && (q.Regions.IsAny() || !other.Regions.IsAny() && slices.Equal(q.Regions.IDs(), other.Regions.IDs())) &&
+		!slices.ContainsFunc(q.Exclude, func(id currantwood.UpstreamID) bool { return !slices.Contains(other.Exclude, id) }) &&
+		q.RequireCapacity == other.RequireCapacity && q.SpareMemory <= other.SpareMemory && q.Load.MemoryTokens <= other.Load.MemoryTokens &&
+		q.MaxPrefillWait >= other.MaxPrefillWait && other.MaxPrefillWait > 0
+}
+
 // admitsVersion reports whether an upstream with a version may be chosen.
 func (q Query) admitsVersion(version currantwood.SoftwareVersion) bool {
 	return !q.SameVersion || version != "" && version == q.Version
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"math/rand"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,25 +56,35 @@
 	}
 }
 
-// placer implements roomkeeper.Placer. The gateway's mu is held.
+// placer implements roomkeeper.Placer for one offer. The gateway's mu is held.
 type placer struct {
 	g   *Gateway
 	now time.Time
+	// missed are queries that found no upstream. An offer only adds load, so that a query
+	// which one of them covers finds none either.
+	missed []balancer.Query
 }
 
 // Fits implements roomkeeper.Placer.
-func (p placer) Fits(t roomkeeper.Ticket, c roomkeeper.Choice) bool {
+func (p *placer) Fits(t roomkeeper.Ticket, c roomkeeper.Choice) bool {
 	w := p.g.room.waiters[t]
 	query := w.query(p.now)
 	query.Only = c.Only
 	query.Exclude = without(query.Exclude, c.Not)
+	covered := slices.ContainsFunc(p.missed, func(missed balancer.Query) bool { return missed.Covers(query) })
+	if covered && w.counted {
+		return false
+	}
 	choice, err := p.g.balancer.Pick(p.now, query)
 	w.choice, w.counted = choice, true
+	if err != nil && !covered {
+		p.missed = append(p.missed, query)
+	}
 	return err == nil
 }
 
 // Place implements roomkeeper.Placer.
-func (p placer) Place(t roomkeeper.Ticket) {
+func (p *placer) Place(t roomkeeper.Ticket) {
 	w := p.g.room.waiters[t]
 	w.q.started(p.now, w.choice, w.stallTimeout)
 	delete(p.g.room.waiters, t)
@@ -81,7 +92,7 @@
 }
 
 // Room implements roomkeeper.Placer.
-func (p placer) Room(t roomkeeper.Ticket) forecaster.Room {
+func (p *placer) Room(t roomkeeper.Ticket) forecaster.Room {
 	return p.g.balancer.Room(p.now, p.g.room.waiters[t].query(p.now))
 }
 
@@ -172,7 +183,7 @@
 		g.room.forecaster.Ended(q.group, now.Sub(q.pickedAt), load.MemoryTokens)
 	}
 	if outcome != balancer.Failed {
-		g.room.keeper.OfferFreed(q.group, freed, placer{g, now})
+		g.room.keeper.OfferFreed(q.group, freed, &placer{g: g, now: now})
 	}
 }
 
@@ -193,6 +204,6 @@
 		groups[w.q.group] = true
 	}
 	for id := range groups {
-		g.room.keeper.OfferUpdate(id, placer{g, now})
+		g.room.keeper.OfferUpdate(id, &placer{g: g, now: now})
 	}
 }
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
+	"github.com/currantwood/currantwood/capacity/roomkeeper"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -64,6 +65,17 @@
 	return result
 }
 
+// countingSource counts the random numbers that are drawn.
+type countingSource struct {
+	rand.Source
+	drawn int
+}
+
+func (s *countingSource) Int63() int64 {
+	s.drawn++
+	return s.Source.Int63()
+}
+
 func waiting(g *Gateway) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -109,6 +121,34 @@
 		}).Should(Receive(HaveField("Err", BeNil())))
 	})
 
+	// Guards against work under the gateway's lock that grows with the requests that wait
+	// times the upstreams.
+	It("isn't looked for an engine if a smaller one has just found none", func() {
+		for range 30 {
+			q := newGeneration(context.Background(), g, "second", 4*time.Second)
+			q.promised = true // The forecast would refuse some.
+			pickInBackground(q)
+		}
+		Eventually(func() int { return waiting(g) }).Should(Equal(30))
+		source := &countingSource{Source: rand.NewSource(1)}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.balancer = balancer.New(g.Settings.Regions, g.notices, rand.New(source))
+		g.balancer.SetGroups(first.snapshot.Groups)
+		g.balancer.SetUpstreams(g.upstreams.Available())
+		g.balancer.Started(g.Now(), engineView, first.load(), time.Second)
+		p := &placer{g: g, now: g.Now()}
+		for ticket, w := range g.room.waiters {
+			w.counted = true
+			Expect(p.Fits(ticket, roomkeeper.Choice{})).To(BeFalse())
+		}
+		Expect(source.drawn).To(BeNumerically("<=", 10), "each choice draws at least one")
+		g.balancer.Ended(g.Now(), engineView, first.load(), balancer.Served)
+		for ticket := range g.room.waiters {
+			Expect((&placer{g: g, now: g.Now()}).Fits(ticket, roomkeeper.Choice{})).To(BeTrue())
+		}
+	})
+
 	// Guards against waiting requests that are sent one after the other to an engine that has
 	// failed or refuses requests, and are refused in their turn.
 	DescribeTable("isn't sent at once to an engine that has shown no room", func(end func()) {
--- a/gateway/waiter.go
+++ b/gateway/waiter.go
@@ -81,7 +81,7 @@
 	}
 	g.room.waiters[decision.Ticket] = w
 	g.instruments.queued.Inc(1)
-	g.room.keeper.OfferArrived(q.group, room, placer{g, now})
+	g.room.keeper.OfferArrived(q.group, room, &placer{g: g, now: now})
 	g.mu.Unlock()
 	if err := w.wait(decision.Ticket, r.MaxWait); err != nil {
 		return choice, false, err
@@ -148,7 +148,7 @@
 	if room.Open == 0 || g.room.keeper.Waiting(r.Group) == 0 {
 		return balancer.Choice{}, false
 	}
-	not, may := g.room.keeper.MayPass(r, placer{g, now})
+	not, may := g.room.keeper.MayPass(r, &placer{g: g, now: now})
 	if !may {
 		return balancer.Choice{}, false
 	}
