Retry budget: gateways that have never heard of others don't use the reserve

Cause: a gateway that knows three seeds assumed a fleet of four until it heard of more, and used a fourth of the guaranteed or joint reserve.

Change: where the number of gateways isn't known, the reserve is used only once another gateway was heard. The part of a gateway's own requests stays, and fleets that name fewer than three other seeds are as before.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -93,9 +93,9 @@
 	Reserve float64
 	// FirstStart is whether there were no former processes.
 	FirstStart bool
-	// MinGateways is the least number of gateways that there are, this one included: a
-	// gateway that knows fewer than three seeds knows all others. 0 means that it isn't
-	// known, and 4 are assumed.
+	// MinGateways is the least number of gateways that there are, this one included. Below
+	// 4 it is all of them. 0 means 4. From 4 on there may be more, and the reserve is used
+	// only once others were heard.
 	MinGateways int
 }
 
@@ -125,6 +125,9 @@
 	// least Options.MinGateways. Gateways whose reports no longer arrive may still send
 	// retries.
 	maxReportingGateways int
+	// countKnown is whether maxReportingGateways is what there are, or were, rather than
+	// assumed: other gateways were heard, or there are fewer seeds than are given at most.
+	countKnown bool
 	// recent holds the times of this gateway's retries of which others may not have heard.
 	recent map[currantwood.GroupID][]time.Time
 }
@@ -139,6 +142,7 @@
 		startedAt:            now,
 		groups:               make(map[currantwood.GroupID]*windowCounter),
 		maxReportingGateways: cmp.Or(options.MinGateways, minGateways),
+		countKnown:           options.MinGateways < minGateways,
 		peers:                Peers{Gateways: 1},
 		recent:               make(map[currantwood.GroupID][]time.Time),
 	}
@@ -176,6 +180,7 @@
 	peers.Gateways = max(1, peers.Gateways)
 	b.peers, b.peersAt = peers, now
 	b.maxReportingGateways = max(b.maxReportingGateways, peers.Gateways)
+	b.countKnown = b.countKnown || peers.Gateways > 1
 }
 
 // Peers returns what SetPeers set last.
@@ -232,7 +237,12 @@
 
 // guaranteedReserve returns the part of the reserve that each gateway may use whatever its
 // peers report; 0 if that is less than one retry, since no gateway could use it.
+// Without a known number of gateways it is 0, too: 68 with a part of one in 4 each would
+// exceed the reserve together.
 func (b *Budgeter) guaranteedReserve() float64 {
+	if !b.countKnown {
+		return 0
+	}
 	part := guaranteedPart * b.options.Reserve / float64(b.maxReportingGateways)
 	if part < 1 {
 		return 0
@@ -244,7 +254,10 @@
 // are guaranteed to those that aren't heard of.
 func (b *Budgeter) jointBudget(requests int) float64 {
 	gateways := float64(b.maxReportingGateways)
-	reservePart := float64(b.peers.Established)/gateways - reserveMargin
+	reservePart := 0.0
+	if b.countKnown {
+		reservePart = float64(b.peers.Established)/gateways - reserveMargin
+	}
 	return jointPart*b.budget(requests, 0) + max(0, b.budget(0, reservePart)-(gateways-1)*b.guaranteedReserve())
 }
 
--- a/budgeter/fleet_test.go
+++ b/budgeter/fleet_test.go
@@ -204,3 +204,23 @@
 	Entry("28 gateways, some just started or cut off", 28, true),
 	Entry("68 gateways, some just started or cut off", 68, true),
 )
+
+var _ = DescribeTable("Gateways that have never heard of each other don't exceed the budget together", func(gateways, heard int) {
+	options, retries := newFleetOptions(gateways, 54), 0
+	for range gateways {
+		b := New(options, start)
+		if heard > 0 {
+			b.SetPeers(start, Peers{Gateways: heard, Established: heard})
+		}
+		for now := start; b.Allows(now, group, MovedRun); now = now.Add(time.Millisecond) {
+			b.Retried(now, group)
+			retries++
+		}
+	}
+	Expect(retries).To(BeNumerically("<=", 54))
+},
+	Entry("68, told nothing", 68, 0),
+	Entry("68, each its own collector", 68, 1),
+	Entry("28, each its own collector", 28, 1),
+	Entry("3, which know how many they are", 3, 0),
+)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,7 @@
 		responses:     newBodyBuffer(options.Settings.MemoryBytes, maxResponseBytes),
 		eventInterval: initialEventInterval,
 		room:          newRoomQueue(options.Settings.MemoryBytes, options.Random),
-		budget:        newBudget(options, 1+len(seeds)),
+		budget:        newBudget(options),
 	}
 	g.requests.reclaim = options.ReclaimBody
 	g.instruments = newInstruments(options.Metrics)
@@ -198,16 +198,14 @@
 	}
 }
 
-// newBudget returns the retry budget. minGateways counts this gateway and the seeds in its
-// settings, of which there are three unless the fleet is smaller.
-func newBudget(options Options, minGateways int) *budgeter.Budgeter {
+func newBudget(options Options) *budgeter.Budgeter {
 	bounds := options.Settings.Bounds
 	return budgeter.New(budgeter.Options{
 		Window:      bounds.RetryWindow,
 		RetryShare:  bounds.RetryShare,
 		Reserve:     bounds.RetryReserve,
 		FirstStart:  options.Settings.FirstStart,
-		MinGateways: minGateways,
+		MinGateways: options.Settings.MinGateways(),
 	}, options.Now())
 }
 
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -146,6 +146,19 @@
 	return errors.Wrapf(s.ConnectionLimits.check(), "settings %s", path)
 }
 
+// maxSeeds is the number of seeds that the settings name at most.
+const maxSeeds = 3
+
+// MinGateways returns the least number of gateways that there are, this one included. Up to
+// maxSeeds it is all of them: a larger fleet has maxSeeds seeds, one of which may be this VM.
+func (s GatewaySettings) MinGateways() int {
+	others, _ := s.OtherSeeds()
+	if len(s.Seeds) >= maxSeeds {
+		return maxSeeds + 1
+	}
+	return 1 + len(others)
+}
+
 // OtherSeeds returns the hosts of Seeds but the VM's own, and the seeds that aren't
 // host:port.
 func (s GatewaySettings) OtherSeeds() (hosts, invalid []string) {
