Configuration check: records of many routes come from platform/

Cause: the linter's test built a configuration record in Go, with names of the wire format outside platform/. Change: new package platform/standin/configuration generates the record; the linter's test and benchmark use it, with the same number of routes, customers and sets of regions. Result: go vet clean; go test ./configcheck/linter passes.

--- a/configcheck/linter/linter_test.go
+++ b/configcheck/linter/linter_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"flag"
-	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -18,6 +16,7 @@
 	"github.com/currantwood/currantwood/gateway"
 	"github.com/currantwood/currantwood/platform/decoder"
 	"github.com/currantwood/currantwood/platform/settingsreader"
+	"github.com/currantwood/currantwood/platform/standin/configuration"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -117,29 +116,12 @@
 	}
 }
 
-// manyRoutes returns a document with a number of routes and half as many customers, in many
-// sets of regions.
-func manyRoutes(routes int) []byte {
-	type object map[string]any
-	var document struct {
-		Version  int      `json:"version"`
-		Routes   []object `json:"routes"`
-		Services []object `json:"services"`
-		Tenants  []object `json:"tenants"`
-	}
-	document.Version = 8
-	document.Services = []object{{"name": "s-1"}}
-	regions := func(i int) []string { return []string{fmt.Sprintf("r%d", i%6), fmt.Sprintf("r%d", (i/6)%6)} }
-	for i := range routes {
-		document.Routes = append(document.Routes, object{"name": fmt.Sprintf("route-%d", i), "host": "a.example", "pathPrefix": fmt.Sprintf("/%d/", i),
-			"kind": "safe", "timeoutMs": 1000, "service": "s-1", "allowedRegions": regions(i)})
-		if i%2 == 0 {
-			document.Tenants = append(document.Tenants, object{"name": fmt.Sprintf("c-%d", i), "apiKeys": []string{fmt.Sprintf("k-%d", i)}, "allowedRegions": regions(i / 2)})
-		}
-	}
-	content, err := json.MarshalIndent(document, "", "  ")
+// manyRoutes returns a record with 5,000 routes and half as many customers, in many sets of
+// regions.
+func manyRoutes(tb testing.TB) []byte {
+	content, err := configuration.Record(configuration.Options{Version: 8, Routes: 5000, Timeout: time.Second, Regions: 6})
 	if err != nil {
-		panic(err)
+		tb.Fatal(err)
 	}
 	return content
 }
@@ -151,7 +133,7 @@
 // TestThousandsOfRoutes guards against a check whose time grows with routes times customers.
 func TestThousandsOfRoutes(t *testing.T) {
 	g := NewWithT(t)
-	content := manyRoutes(5000)
+	content := manyRoutes(t)
 	start := time.Now()
 	document, err := decoder.Decoder{}.Document("many.json", content)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -162,7 +144,7 @@
 }
 
 func BenchmarkLint(b *testing.B) {
-	content := manyRoutes(5000)
+	content := manyRoutes(b)
 	for b.Loop() {
 		document, err := decoder.Decoder{}.Document("many.json", content)
 		if err != nil {
