--- a/configcheck/linter/linter.go
+++ b/configcheck/linter/linter.go
@@ -92,7 +92,7 @@
 		c.add(codesOfReplaced[r.Place.Field], r.Place, "gateways use %s in place of %s", r.By, r.Value)
 	}
 	for _, position := range c.document.Repeated {
-		c.addAt(KeyRepeated, position, "the object has this key already; only the last value counts")
+		c.addAt(KeyRepeated, position, "the object has this key already, maybe in another letter case: the last value counts, but a list or an object takes what it doesn't state from the earlier one")
 	}
 }
 
