Configuration check: no difference between two values that mean no limit

Cause: a limit of clients that changes from 0 to a negative number was reported as raised, from not set to not set. Change: negative limits are compared as 0, which means the same to gateways. Result: TestNegativeLimits fails without the change and passes with it; go test -race ./configcheck/comparer passes.

--- a/configcheck/comparer/comparer_test.go
+++ b/configcheck/comparer/comparer_test.go
@@ -108,3 +108,11 @@
 		g.Expect(comparer.Comparer{}.Compare(read(g, "testdata/in-force.json"), after)).To(BeEmpty(), "%q", prefix)
 	}
 }
+
+// TestNegativeLimits guards against a difference between values that both mean no limit.
+func TestNegativeLimits(t *testing.T) {
+	g := NewWithT(t)
+	before, after := read(g, "testdata/in-force.json"), read(g, "testdata/no-change.json")
+	before.Limits.BodyBytes, after.Limits.BodyBytes = 0, -1
+	g.Expect(comparer.Comparer{}.Compare(before, after)).To(BeEmpty())
+}
--- a/configcheck/comparer/groups.go
+++ b/configcheck/comparer/groups.go
@@ -58,7 +58,7 @@
 	return changes
 }
 
-// limit is a limit of clients before and after; 0 means that there is none.
+// limit is a limit of clients before and after; 0 or less means that there is none.
 type limit struct {
 	field         currantwood.ConfigurationField
 	rule          string
@@ -79,14 +79,15 @@
 }
 
 func (c *comparison) compareLimit(l limit) {
+	l.before, l.after = max(0, l.before), max(0, l.after)
 	text := func(value int64) string {
-		if value <= 0 {
+		if value == 0 {
 			return "not set"
 		}
 		return l.format(value)
 	}
 	code := LimitRaised
-	if l.after > 0 && (l.before <= 0 || l.after < l.before) {
+	if l.after > 0 && (l.before == 0 || l.after < l.before) {
 		code = LimitLowered
 	}
 	if l.before != l.after {
