Check command, digests: conditions and steps with names

Cause: the check of flags was one condition of four terms, and sendDigests built digests and also applied the sums to its own process; some reasons were missing. Behaviour doesn't change.

--- a/cmd/currantwood/rules.go
+++ b/cmd/currantwood/rules.go
@@ -115,11 +115,12 @@
 	return err
 }
 
-// checkFlags holds the flags of check. The first two apply to a rules file, the others to a
-// configuration.
+// checkFlags holds the flags of check.
 type checkFlags struct {
+	// logAddress and trace apply to a rules file.
 	logAddress, trace string
-
+	// The flags below apply to a configuration. against is the file and store the address
+	// from which the configuration in force is read.
 	settings, against, store string
 	json                     bool
 }
@@ -142,7 +143,7 @@
 			"Exit codes: 0 no fault (changes aren't faults); 1 faults; 2 usage, or a FILE or the store can't be read.",
 		FlagSet: flags,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 || (f.trace != "" && f.logAddress == "") || (f.against != "" && f.store != "") || (f.forRules() && f.forConfiguration()) {
+			if len(args) != 1 || !f.areCompatible() {
 				return &exitError{exitUsage, errors.New("check: expected one FILE, --log-service if --trace is given, one of --against and --store, " +
 					"and no flags of rules together with those of configurations")}
 			}
@@ -151,6 +152,13 @@
 	}
 }
 
+// areCompatible reports whether the flags may be given together.
+func (f checkFlags) areCompatible() bool {
+	traceWithoutHead := f.trace != "" && f.logAddress == ""
+	twoInForce := f.against != "" && f.store != ""
+	return !traceWithoutHead && !twoInForce && !(f.forRules() && f.forConfiguration())
+}
+
 func (f checkFlags) forRules() bool { return f.logAddress != "" }
 
 func (f checkFlags) forConfiguration() bool {
--- a/configcheck/linter/customers.go
+++ b/configcheck/linter/customers.go
@@ -8,6 +8,7 @@
 
 // checkCustomers reports the customers and API keys with which no request is accepted.
 func (c *check) checkCustomers() {
+	// Of the customers with one key, the last one counts, as in the decoder.
 	last := make(map[string]int)
 	for i, customer := range c.document.Customers {
 		for _, key := range customer.Keys {
@@ -15,6 +16,7 @@
 		}
 	}
 	for i, customer := range c.document.Customers {
+		// A shared key counts as usable: its own finding says enough.
 		usable := 0
 		for part, key := range customer.Keys {
 			place := currantwood.ConfigurationPlace{Field: currantwood.FieldCustomerKey, Index: i, Part: part}
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -8,6 +8,7 @@
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
+	"github.com/currantwood/currantwood/ratekeeper"
 )
 
 // sendDigests sends a digest to each recipient if this gateway is the
@@ -22,10 +23,10 @@
 		return
 	}
 	recipients := m.peers.DigestRecipients(now)
-	due := speedsDue(now, &m.digestSpeedsAt)
+	speedsAreDue := speedsDue(now, &m.digestSpeedsAt)
 	m.mu.Unlock()
 	var speeds []*peerwire.Speed
-	if due {
+	if speedsAreDue {
 		speeds = encodeSpeeds(m.Gateway.AllSpeeds(now))
 	}
 	own, usage, ownRates, ownWarmUps := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now), m.Gateway.OwnRates(now), m.Gateway.OwnWarmUpRates(now)
@@ -55,9 +56,14 @@
 		digest.Crashes, digest.Completions, digest.CrashSum = append(encodeCrashes(missing), crashes...), completions, sum
 		m.sendDigest(recipients[i].Address, digest, interim)
 	}
+	m.applyCollectedSums(now, rates.Without(ownRates), warmUps.Without(ownWarmUps))
+}
+
+// applyCollectedSums applies to its own process what the collector knows of all other
+// gateways. rates and warmUps are those of the others.
+func (m *Messenger) applyCollectedSums(now time.Time, rates, warmUps ratekeeper.Rates) {
 	m.mu.Lock()
 	loads := m.peers.TotalLoads(now, nil)
-	rates = rates.Without(ownRates)
 	m.peers.SetDigestGateways(m.peers.CountGateways(now))
 	peers := budgeter.Peers{
 		Usage:       m.peers.TotalUsage(now, m.retryWindow(), "", nil),
@@ -68,7 +74,7 @@
 	m.Gateway.SetPeerLoads(now, loads)
 	m.Gateway.SetBudgetPeers(now, peers)
 	m.Gateway.SetFleetRates(now, rates, peers.Gateways)
-	m.Gateway.SetFleetWarmUpRates(now, warmUps.Without(ownWarmUps), peers.Gateways)
+	m.Gateway.SetFleetWarmUpRates(now, warmUps, peers.Gateways)
 }
 
 // maxSuccessors bounds the next collectors that a digest names.
