Configuration check: routes whose host has a port cause no differences

Cause: the comparer asked the matchers for the host of each route. For a host with a port they return the routes of the host without it, so that changes of these were told twice, once for requests that don't exist. Change: a class of requests is compared only if a matched route has its host, too.

--- a/configcheck/comparer/comparer.go
+++ b/configcheck/comparer/comparer.go
@@ -90,15 +90,16 @@
 	}
 }
 
-// isPrefixOf reports whether a route has exactly the prefix.
-func (r requestClass) isPrefixOf(route *currantwood.Route) bool {
-	return route != nil && route.Prefix == r.prefix
+// isOf reports whether a matched route has exactly the host and the prefix. A host with a
+// port matches the routes of the host without it.
+func (r requestClass) isOf(route *currantwood.Route) bool {
+	return route != nil && strings.ToLower(route.Host) == r.host && route.Prefix == r.prefix
 }
 
 func (c *comparison) compareRequests(r requestClass) {
 	before, after := c.before.matcher.Match(r.host, r.prefix), c.after.matcher.Match(r.host, r.prefix)
 	switch {
-	case !strings.HasPrefix(r.prefix, "/") || !r.isPrefixOf(before) && !r.isPrefixOf(after): // no request matches
+	case !strings.HasPrefix(r.prefix, "/") || !r.isOf(before) && !r.isOf(after): // no request matches
 		return
 	case before == nil:
 		c.add(RequestsNew, c.after.routeAt(currantwood.FieldRoute, after), "requests to %s are served by %s through route %q; so far no route matches them", r, groups(after.Split), after.ID)
@@ -108,9 +109,9 @@
 		return
 	}
 	switch {
-	case !r.isPrefixOf(after):
+	case !r.isOf(after):
 		c.add(RouteRemoved, c.before.routeAt(currantwood.FieldRoute, before), "requests to %s fall to route %q: route %q is gone", r, after.ID, before.ID)
-	case !r.isPrefixOf(before):
+	case !r.isOf(before):
 		c.add(RouteNew, c.after.routeAt(currantwood.FieldRoute, after), "requests to %s have a route of their own, %q, in place of route %q", r, after.ID, before.ID)
 	}
 	c.compareService(r, before, after)
--- a/configcheck/comparer/comparer_test.go
+++ b/configcheck/comparer/comparer_test.go
@@ -116,3 +116,16 @@
 	before.Limits.BodyBytes, after.Limits.BodyBytes = 0, -1
 	g.Expect(comparer.Comparer{}.Compare(before, after)).To(BeEmpty())
 }
+
+// TestHostsWithPort guards against differences that are told again for a route whose host has
+// a port: requests are matched without theirs, so none matches that route.
+func TestHostsWithPort(t *testing.T) {
+	g := NewWithT(t)
+	before, after := read(g, "testdata/in-force.json"), read(g, "testdata/timeout-shorter.json")
+	want := comparer.Comparer{}.Compare(before, after)
+	for _, route := range after.Routes {
+		route.Host += ":80"
+		after.Routes = append(after.Routes, route)
+	}
+	g.Expect(comparer.Comparer{}.Compare(before, after)).To(Equal(want))
+}
