Room: a request that only cold engines could take is told when one accepts it

Cause: a cold engine counts as having room soon, but not in the forecast, which is the longest without other engines. A request was refused for 6 s and not counted as refused for cold engines. Change: without other engines, a request that wouldn't wait anyway gets the refusal of the balancer, with the time of the engine's rate.

--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -17,6 +17,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/capacity/roomkeeper"
 	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -245,6 +246,28 @@
 		Eventually(pickInBackground(newGeneration(context.Background(), g, "third", 4*time.Second))).Should(Receive(HaveField("Err", HaveOccurred())))
 	})
 
+	// Guards against a refusal with the longest Retry-After where a cold engine accepts another
+	// request within a second.
+	It("is refused with the time of the cold engine's rate if all engines are cold", func() {
+		first.recordEnd(engineView, first.load(), balancer.Served)
+		g.mu.Lock()
+		g.warmUps.SetLimit("g", 10)
+		g.mu.Unlock()
+		g.LearnNotices(g.Now(), "vm-2", noticekeeper.Notices{"e": {Incarnation: 1, ColdUntil: g.Now().Add(time.Minute)}})
+		var q *request
+		var err error
+		for range 100 {
+			q = newGeneration(context.Background(), g, "second", 4*time.Second)
+			if _, err = q.pickUpstream(g.Now(), time.Second, func(*balancer.Query) {}); err != nil {
+				break
+			}
+			q.recordEnd(engineView, q.load(), balancer.Served)
+		}
+		Expect(err).To(HaveOccurred())
+		Expect(q.noUpstreamResponse(nil, err).retryAfter).To(BeNumerically("<=", time.Second))
+		Expect(g.instruments.refusedCold.Count()).To(Equal(int64(1)))
+	})
+
 	// A request that no engine could run even without load must not wait.
 	It("is refused at once if it is larger than any engine", func() {
 		q := newGeneration(context.Background(), g, "second", 4*time.Second)
--- a/gateway/waiter.go
+++ b/gateway/waiter.go
@@ -55,6 +55,7 @@
 	g, q := w.q.g, w.q
 	g.mu.Lock()
 	g.syncGroups(q.snapshot)
+	var full error
 	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
 		choice, err := w.pickNow(now, "")
 		var refused *balancer.RefusalError
@@ -63,9 +64,16 @@
 			q.notePromise(err == nil)
 			return choice, false, err
 		}
+		full = err
 	}
 	r := q.roomRequest(now)
 	room := g.balancer.Room(now, w.query(now))
+	if full != nil && room.Engines == 0 && !r.Promised && !r.MustWait {
+		// All engines that may have room are cold. The forecast doesn't know them and would
+		// be the longest, but the refusal has the time at which one accepts a request.
+		g.mu.Unlock()
+		return choice, false, full
+	}
 	if choice, passed := w.pass(now, r, room); passed {
 		g.mu.Unlock()
 		q.notePromise(true)
