Room: the forecast leaves out memory that the request must leave to others

Cause: the free memory in Room included the spare memory that long generations leave. Such a request found no open engine, but its forecast was 0 and its Retry-After the shortest. Change: Room and hasCapacity use the same usable memory.

--- a/balancer/group.go
+++ b/balancer/group.go
@@ -41,19 +41,25 @@
 	return time.Duration(wait) - q.MaxPrefillWait
 }
 
-// hasCapacity reports whether an engine has a free slot, and memory for the load of the
-// query and what it must leave free. A generation that is too large to leave that takes an
-// engine without load. An upstream that isn't an engine always has capacity.
+// usableMemory returns how much memory of an engine with a load may be in use after the
+// request of a query: all but q.SpareMemory. An engine without load may be used whole, as a
+// generation that is too large to leave the spare memory would find no engine otherwise.
+func (g *group) usableMemory(load Load, q Query) currantwood.TokenCount {
+	total := g.config.Engine.MemoryTokens
+	if load.Requests == 0 {
+		return total
+	}
+	return currantwood.TokenCount(float64(1-q.SpareMemory) * float64(total))
+}
+
+// hasCapacity reports whether an engine has a free slot, and usable memory for the load of
+// the query. An upstream that isn't an engine always has capacity.
 func hasCapacity(g *group, c Choice, q Query) bool {
 	e := g.config.Engine
 	if e == nil {
 		return true
 	}
-	usable := currantwood.TokenCount(float64(1-q.SpareMemory) * float64(e.MemoryTokens))
-	if c.Load.Requests == 0 {
-		usable = e.MemoryTokens
-	}
-	return c.Load.MemoryTokens+q.Load.MemoryTokens <= usable && c.Load.Requests < e.Slots
+	return c.Load.MemoryTokens+q.Load.MemoryTokens <= g.usableMemory(c.Load, q) && c.Load.Requests < e.Slots
 }
 
 // fitsEmpty reports whether an engine without any load has memory for the query's.
--- a/balancer/room.go
+++ b/balancer/room.go
@@ -30,7 +30,7 @@
 func (b *Balancer) addRoom(now time.Time, room *forecaster.Room, g *group, u *upstream, q Query) {
 	choice := Choice{View: u.view, Load: b.TotalLoad(now, u.view.ID)}
 	freeSlots := max(0, g.config.Engine.Slots-choice.Load.Requests)
-	freeMemory := g.config.Engine.MemoryTokens - choice.Load.MemoryTokens
+	freeMemory := g.usableMemory(choice.Load, q) - choice.Load.MemoryTokens
 	if room.Engines == 0 || freeMemory > room.RoomiestFree {
 		room.Roomiest, room.RoomiestFree = u.view.ID, freeMemory
 	}
--- a/capacity/forecaster/forecaster.go
+++ b/capacity/forecaster/forecaster.go
@@ -56,8 +56,8 @@
 	Engines, Open int
 	// FreeSlots counts the free slots of all.
 	FreeSlots int
-	// Roomiest is the engine with the most free memory, and RoomiestFree that memory; less
-	// than 0 if more is promised there than the engine has.
+	// Roomiest is the engine with the most free memory, and RoomiestFree that memory, without
+	// what the request must leave to others; less than 0 if more is in use.
 	Roomiest     currantwood.UpstreamID
 	RoomiestFree currantwood.TokenCount
 	// Total is what is in flight there, and Own the part of this gateway.
