Room: picks without waiting, and comparisons of queries, in shorter functions

Cause: waiter.pick took all steps of a pick, and Query.Covers was one expression of eleven conditions.

--- a/balancer/query.go
+++ b/balancer/query.go
@@ -52,13 +52,30 @@
 }
 
 // Covers reports whether any upstream that has room for other has room for q, too: q needs
-// no more and may go wherever other may. It may be false although that is so.
+// no more and may go wherever other may. It may be false although that is so, as only
+// differences that are quick to compare are looked at.
 func (q Query) Covers(other Query) bool {
-	return q.Group == other.Group && q.Zone == other.Zone && q.Reach == other.Reach && q.Only == other.Only &&
-		!q.SameVersion && (q.Regions.IsAny() || !other.Regions.IsAny() && slices.Equal(q.Regions.IDs(), other.Regions.IDs())) &&
-		!slices.ContainsFunc(q.Exclude, func(id currantwood.UpstreamID) bool { return !slices.Contains(other.Exclude, id) }) &&
-		q.RequireCapacity == other.RequireCapacity && q.SpareMemory <= other.SpareMemory && q.Load.MemoryTokens <= other.Load.MemoryTokens &&
-		q.MaxPrefillWait >= other.MaxPrefillWait && other.MaxPrefillWait > 0
+	return q.mayGoWherever(other) && q.needsNoMoreThan(other)
+}
+
+// mayGoWherever reports whether q admits each upstream that other admits, apart from loads.
+func (q Query) mayGoWherever(other Query) bool {
+	if q.Group != other.Group || q.Zone != other.Zone || q.Reach != other.Reach || q.Only != other.Only || q.SameVersion {
+		return false
+	}
+	if !q.Regions.IsAny() && (other.Regions.IsAny() || !slices.Equal(q.Regions.IDs(), other.Regions.IDs())) {
+		return false
+	}
+	return !slices.ContainsFunc(q.Exclude, func(id currantwood.UpstreamID) bool { return !slices.Contains(other.Exclude, id) })
+}
+
+// needsNoMoreThan reports whether q fits each engine that other fits, by its load.
+func (q Query) needsNoMoreThan(other Query) bool {
+	if q.RequireCapacity != other.RequireCapacity || q.SpareMemory > other.SpareMemory || q.Load.MemoryTokens > other.Load.MemoryTokens {
+		return false
+	}
+	// A MaxPrefillWait of 0 is no limit.
+	return q.MaxPrefillWait >= other.MaxPrefillWait && other.MaxPrefillWait > 0
 }
 
 // admitsVersion reports whether an upstream with a version may be chosen.
--- a/gateway/waiter.go
+++ b/gateway/waiter.go
@@ -55,46 +55,69 @@
 	g, q := w.q.g, w.q
 	g.mu.Lock()
 	g.syncGroups(q.snapshot)
-	var full error
+	choice, full, err := w.tryNow(now)
+	if full == nil {
+		g.mu.Unlock()
+		q.notePromise(err == nil)
+		return choice, false, err
+	}
+	decision := w.enqueue(now, *full)
+	g.mu.Unlock()
+	if decision.Reason != roomkeeper.Waits {
+		return choice, false, q.refuseRoom(now, w, decision.Reason.String())
+	}
+	if err := w.wait(decision.Ticket, full.request.MaxWait); err != nil {
+		return choice, false, err
+	}
+	return w.choice, true, nil
+}
+
+// fullEngines is what is known when no engine has room for a request now, but one may have
+// soon.
+type fullEngines struct {
+	request roomkeeper.Request
+	room    forecaster.Room
+}
+
+// tryNow picks an engine without waiting. If none has room now, but waiting may help, the
+// second result isn't nil. The caller holds mu.
+func (w *waiter) tryNow(now time.Time) (balancer.Choice, *fullEngines, error) {
+	g, q := w.q.g, w.q
+	var fullError error
 	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
 		choice, err := w.pickNow(now, "")
 		var refused *balancer.RefusalError
 		if err == nil || !errors.As(err, &refused) || !refused.Full {
-			g.mu.Unlock()
-			q.notePromise(err == nil)
-			return choice, false, err
+			return choice, nil, err
 		}
-		full = err
+		fullError = err
 	}
-	r := q.roomRequest(now)
-	room := g.balancer.Room(now, w.query(now))
-	if full != nil && room.Engines == 0 && !r.Promised && !r.MustWait {
+	full := &fullEngines{request: q.roomRequest(now), room: g.balancer.Room(now, w.query(now))}
+	if fullError != nil && full.room.Engines == 0 && !full.request.Promised && !full.request.MustWait {
 		// All engines that may have room are cold. The forecast doesn't know them and would
 		// be the longest, but the refusal has the time at which one accepts a request.
-		g.mu.Unlock()
-		return choice, false, full
+		return balancer.Choice{}, nil, fullError
 	}
-	if choice, passed := w.pass(now, r, room); passed {
-		g.mu.Unlock()
-		q.notePromise(true)
-		return choice, false, nil
+	if choice, passed := w.pass(now, full.request, full.room); passed {
+		return choice, nil, nil
 	}
-	decision := g.room.keeper.Arrive(now, r, room)
+	return balancer.Choice{}, full, nil
+}
+
+// enqueue adds the request to those that wait, unless the keeper refuses it. The caller holds
+// mu.
+func (w *waiter) enqueue(now time.Time, full fullEngines) roomkeeper.Decision {
+	g := w.q.g
+	decision := g.room.keeper.Arrive(now, full.request, full.room)
 	for _, t := range decision.Evicted {
 		g.endWait(t, errOvertaken)
 	}
-	if decision.Reason != roomkeeper.Waits {
-		g.mu.Unlock()
-		return choice, false, q.refuseRoom(now, w, decision.Reason.String())
-	}
-	g.room.waiters[decision.Ticket] = w
-	g.instruments.queued.Inc(1)
-	g.room.keeper.OfferArrived(q.group, room, &placer{g: g, now: now})
-	g.mu.Unlock()
-	if err := w.wait(decision.Ticket, r.MaxWait); err != nil {
-		return choice, false, err
+	if decision.Reason == roomkeeper.Waits {
+		g.room.waiters[decision.Ticket] = w
+		g.instruments.queued.Inc(1)
+		g.room.keeper.OfferArrived(full.request.Group, full.room, &placer{g: g, now: now})
 	}
-	return w.choice, true, nil
+	return decision
 }
 
 // wait returns nil once the request is placed.
