Room: a large generation holds another engine once the one held has gone

Cause: the engine held for a waiting generation stayed the same until that generation was placed, also if the engine had left or its zone was evacuated. Nothing was held then, and small ones went first. Change: an engine that may get no requests any more, apart from rates, isn't held; the roomiest one is held instead.

--- a/capacity/roomkeeper/model_test.go
+++ b/capacity/roomkeeper/model_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand"
 	"slices"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -432,6 +433,11 @@
 // Room implements Placer.
 func (g *modelGateway) Room(t Ticket) forecaster.Room { return g.room(g.waiting[t]) }
 
+func (g *modelGateway) Admits(_ Ticket, id currantwood.UpstreamID) bool {
+	e, err := strconv.Atoi(string(id))
+	return err == nil && !g.m.isAway(e, g.m.elapsed())
+}
+
 func (g *modelGateway) room(r *generation) forecaster.Room {
 	room := forecaster.Room{Gateways: g.m.gateways}
 	for e := range g.m.engines {
--- a/capacity/roomkeeper/offer.go
+++ b/capacity/roomkeeper/offer.go
@@ -21,6 +21,9 @@
 	Place(t Ticket)
 	// Room returns what is known of the engines for the request.
 	Room(t Ticket) forecaster.Room
+	// Admits reports whether the request may be sent to an engine once it has room there, as
+	// the engine isn't leaving, paused or evacuated.
+	Admits(t Ticket, engine currantwood.UpstreamID) bool
 }
 
 // OfferFreed places a request at an engine where one of this gateway has ended.
@@ -145,10 +148,10 @@
 	}
 }
 
-// heldFor returns the engine that is held for a request: the one held already, or the one
-// with the most free memory.
+// heldFor returns the engine that is held for a request: the one held already unless it has
+// gone, or the one with the most free memory.
 func (q *queue) heldFor(e *entry, p Placer) currantwood.UpstreamID {
-	if q.holder == e {
+	if q.holder == e && p.Admits(e.ticket, q.held) {
 		return q.held
 	}
 	return p.Room(e.ticket).Roomiest
--- a/capacity/roomkeeper/roomkeeper_test.go
+++ b/capacity/roomkeeper/roomkeeper_test.go
@@ -19,13 +19,15 @@
 	free     map[currantwood.UpstreamID]currantwood.TokenCount
 	need     map[Ticket]currantwood.TokenCount
 	gateways int
-	found    currantwood.UpstreamID
-	placed   []Ticket
+	// gone is an engine that is sent nothing any more.
+	gone   currantwood.UpstreamID
+	found  currantwood.UpstreamID
+	placed []Ticket
 }
 
 func (e *engines) Fits(t Ticket, c Choice) bool {
 	for _, id := range []currantwood.UpstreamID{"a", "b"} {
-		if id != c.Not && (c.Only == "" || id == c.Only) && e.free[id] >= e.need[t] {
+		if id != e.gone && id != c.Not && (c.Only == "" || id == c.Only) && e.free[id] >= e.need[t] {
 			e.found = id
 			return true
 		}
@@ -41,6 +43,9 @@
 func (e *engines) Room(t Ticket) forecaster.Room {
 	room := forecaster.Room{Engines: 2, Gateways: max(1, e.gateways), Total: forecaster.Work{Requests: 40, Memory: 40_000}, Own: forecaster.Work{Requests: 40, Memory: 40_000}}
 	for _, id := range []currantwood.UpstreamID{"a", "b"} {
+		if id == e.gone {
+			continue
+		}
 		if room.Roomiest == "" || e.free[id] > room.RoomiestFree {
 			room.Roomiest, room.RoomiestFree = id, e.free[id]
 		}
@@ -51,6 +56,8 @@
 	return room
 }
 
+func (e *engines) Admits(_ Ticket, id currantwood.UpstreamID) bool { return id != e.gone }
+
 func newEngines() *engines {
 	return &engines{free: map[currantwood.UpstreamID]currantwood.TokenCount{}, need: map[Ticket]currantwood.TokenCount{}}
 }
@@ -149,6 +156,25 @@
 		Expect(e.free["a"]).To(BeZero())
 	})
 
+	// Guards against a large generation that holds nothing any more and is overtaken by small
+	// ones until its time is over.
+	It("holds another engine once the one held has gone", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		large := arrive(k, e, Request{Customer: "x", MissedAt: start, Work: forecaster.Work{Requests: 1, Memory: 1000}})
+		arrive(k, e, Request{Customer: "y", MissedAt: start.Add(time.Second), Work: forecaster.Work{Requests: 1, Memory: 800}})
+		e.free["a"], e.free["b"] = 500, 400
+		k.OfferUpdate("g", e)
+		Expect(k.queues["g"].held).To(Equal(currantwood.UpstreamID("a")))
+		e.gone = "a"
+		k.OfferUpdate("g", e)
+		e.free["b"] = 900
+		k.OfferFreed("g", "b", e)
+		Expect(e.placed).To(BeEmpty())
+		e.free["b"] = 1000
+		k.OfferFreed("g", "b", e)
+		Expect(e.placed).To(Equal([]Ticket{large}))
+	})
+
 	// Guards against less urgent work that goes first, as an engine was held for it before a
 	// more urgent request arrived.
 	It("gives room at a held engine to a more urgent request first", func() {
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -96,6 +96,12 @@
 	return p.g.balancer.Room(p.now, p.g.room.waiters[t].query(p.now))
 }
 
+// Admits implements roomkeeper.Placer.
+func (p *placer) Admits(t roomkeeper.Ticket, engine currantwood.UpstreamID) bool {
+	view, known := p.g.upstreams.Get(engine)
+	return known && p.g.admitsPicked(p.now, view, p.g.room.waiters[t].q.regions())
+}
+
 // pickOrWait picks an engine as pickNow does, or waits until one has room. Requests that wait
 // already go first. It returns a *refusedError if there won't be room in time.
 func (q *request) pickOrWait(now time.Time, stallTimeout time.Duration, restrict func(*balancer.Query)) (balancer.Choice, error) {
--- a/gateway/sendcheck.go
+++ b/gateway/sendcheck.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/sleeper"
@@ -60,7 +61,13 @@
 	now, regions := q.g.Now(), q.regions()
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	return q.g.isCurrent(view) && q.g.notices.CheckPicked(now, noticekeeper.TargetOf(view.UpstreamRecord), regions).Admitted()
+	return q.g.admitsPicked(now, view, regions)
+}
+
+// admitsPicked reports whether an upstream that was picked or held may still be sent requests
+// that may be in some regions, apart from rates. The caller holds mu.
+func (g *Gateway) admitsPicked(now time.Time, view upstreamkeeper.View, regions currantwood.RegionSet) bool {
+	return g.isCurrent(view) && g.notices.CheckPicked(now, noticekeeper.TargetOf(view.UpstreamRecord), regions).Admitted()
 }
 
 // isCurrent reports whether an upstream is still the incarnation that was picked, and isn't
