Room, retry budget, balancer: reasons in comments, a function for the random part

Cause: readers met formulas without their reason, a constant with a second use that wasn't stated, and a doc comment on MinGateways that differed from what 0 does.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1,14 +1,15 @@
 // Package balancer chooses the upstream of a group that a request is sent to.
 //
-// Upstreams may report how long work takes there now; one that is slow gets less of it, and
-// generations with a long output go elsewhere if they can.
-//
 // It scores upstreams by the requests that this gateway and its peers have in
 // flight there, not by the load that upstreams report: a report is out of date
 // when it arrives, and all gateways that read the same one would choose the
 // same upstream. An engine prefills a prompt (computes its key-value cache)
 // before it generates the first token, which arrives as the first event of the
 // response; prompts that it has not prefilled yet delay those that come later.
+//
+// Upstreams may also report how long work takes there now, relative to the usual time. This
+// is averaged over seconds and all gateways: one that is slow gets less work, and generations with a long
+// output go elsewhere if they can.
 package balancer
 
 import (
--- a/balancer/bound.go
+++ b/balancer/bound.go
@@ -26,7 +26,8 @@
 // GroupBindings holds the bindings of the groups that have any.
 type GroupBindings map[currantwood.GroupID]Bindings
 
-// Note notes that requests of a group are bound to regions.
+// Note adds that requests of a group are bound to regions. A set of all regions or of none
+// binds nothing.
 func (g GroupBindings) Note(id currantwood.GroupID, regions currantwood.RegionSet) {
 	if regions.IsAny() || regions.IsEmpty() {
 		return
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -55,8 +55,8 @@
 	// at once: runs last up to 20 s, and a zone may be lost. With a smaller share, gateways
 	// that move all runs at once together exceed the budget.
 	movedShare = 1.0 / 2
-	// minGateways is the number of gateways assumed until more have reported, if
-	// Options.MinGateways isn't set.
+	// minGateways is the number of gateways of the smallest fleet whose settings don't name
+	// all others: they name three seeds at most. It is also the least number of contenders.
 	minGateways = 4
 )
 
@@ -94,8 +94,9 @@
 	// FirstStart is whether there were no former processes.
 	FirstStart bool
 	// MinGateways is the least number of gateways that there are, this one included. Below
-	// 4 it is all of them. 0 means 4. From 4 on there may be more, and the reserve is used
-	// only once others were heard.
+	// minGateways it is all of them; from there on there may be more, and the reserve is used
+	// only once others were heard. 0 means that there are minGateways, and no more unless
+	// others were heard.
 	MinGateways int
 }
 
@@ -121,12 +122,12 @@
 	// least 1.
 	peers   Peers
 	peersAt time.Time
-	// maxReportingGateways is the highest value of peers.Gateways so far, at
-	// least Options.MinGateways. Gateways whose reports no longer arrive may still send
-	// retries.
+	// maxReportingGateways is the highest value of peers.Gateways so far, at least
+	// Options.MinGateways. It doesn't fall, as gateways whose reports no longer arrive may
+	// still send retries.
 	maxReportingGateways int
-	// countKnown is whether maxReportingGateways is what there are, or were, rather than
-	// assumed: other gateways were heard, or there are fewer seeds than are given at most.
+	// countKnown is whether maxReportingGateways is a count and not an assumption: other
+	// gateways were heard, or the settings name all of them.
 	countKnown bool
 	// recent holds the times of this gateway's retries of which others may not have heard.
 	recent map[currantwood.GroupID][]time.Time
@@ -229,6 +230,7 @@
 	all.Requests += own.Requests
 	all.Retries += own.Retries
 	recent := len(b.unheard(now, id))
+	// Other gateways haven't heard of the recent ones either, and divide the same amount.
 	left := part*b.jointBudget(all.Requests) - float64(all.Retries-recent)
 	// While reports are late, the others may have used their parts again.
 	late := 1 + now.Sub(b.peersAt).Seconds()/reportDelay.Seconds()
--- a/budgeter/window.go
+++ b/budgeter/window.go
@@ -52,6 +52,7 @@
 		sum.Requests += u.Requests
 		sum.Retries += u.Retries
 	}
+	// The oldest bucket counts for retries only; see bucketCount.
 	sum.Requests -= c.buckets[(c.newestBucket+1)%ringSize].Requests
 	return sum
 }
--- a/capacity/forecaster/forecaster.go
+++ b/capacity/forecaster/forecaster.go
@@ -146,6 +146,9 @@
 	stayRequest, stayMemory := f.stayTimes(id)
 	slotRate := float64(room.Total.Requests) / stayRequest
 	memoryRate := float64(room.Total.Memory) / stayMemory
+	// What is missing before the request fits: slots and memory at all engines, of which this
+	// gateway gets its share, and memory at one engine, to which an even part of all that is
+	// freed belongs.
 	slots := float64(ahead.Requests+own.Requests) - share*float64(room.FreeSlots)
 	tokens := float64(ahead.Memory + own.Memory - max(0, room.RoomiestFree))
 	oneEngine := float64(own.Memory-room.RoomiestFree) * float64(room.Engines)
--- a/capacity/roomkeeper/offer.go
+++ b/capacity/roomkeeper/offer.go
@@ -77,17 +77,24 @@
 		q.level = max(0, q.level-1)
 	}
 	q.open = room.Open
-	part := initialPart * math.Exp2(float64(max(0, q.level-1))) * float64(room.Open) / float64(max(1, room.Gateways))
-	limit := int(part)
-	if k.random.Float64() < part-float64(limit) {
-		limit++
-	}
+	limit := k.drawLimit(q.level, room)
 	if isMostlyOpen(room) {
 		limit = len(q.entries)
 	}
 	k.offer(q, p, limit)
 }
 
+// drawLimit returns how many requests this gateway may place with an update: its even part of
+// what all may take at a level, rounded up or down at random so that the mean is exact.
+func (k *Keeper) drawLimit(level int, room forecaster.Room) int {
+	part := initialPart * math.Exp2(float64(max(0, level-1))) * float64(room.Open) / float64(max(1, room.Gateways))
+	limit := int(part)
+	if k.random.Float64() < part-float64(limit) {
+		limit++
+	}
+	return limit
+}
+
 // OfferArrived places requests after one has arrived while others wait, if many engines have
 // room for it. Those that wait may be larger or may go to fewer engines.
 func (k *Keeper) OfferArrived(id currantwood.GroupID, room forecaster.Room, p Placer) {
@@ -96,6 +103,8 @@
 	}
 }
 
+// isMostlyOpen reports whether so many engines have room that gateways which send at once
+// seldom choose the same one; see manyOpen.
 func isMostlyOpen(room forecaster.Room) bool {
 	return room.Open > 0 && 2*room.Open >= room.Gateways && float64(room.Open) >= manyOpen*float64(room.Engines)
 }
@@ -171,6 +180,7 @@
 			break
 		}
 		if i == 0 {
+			// As in offer, the first without room holds an engine.
 			not = q.heldFor(other, p)
 		}
 	}
