Room: test that an engine is held only while it may be sent requests

Change: the test learns that the engine leaves; the test gateway has a connection pool, which that needs.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,8 +8,8 @@
 // response; prompts that it has not prefilled yet delay those that come later.
 //
 // Upstreams may also report how long work takes there now, relative to the usual time. This
-// is averaged over seconds and all gateways: one that is slow gets less work, and generations with a long
-// output go elsewhere if they can.
+// is averaged over some seconds and all gateways. One that is slow gets less work, and
+// generations with a long output go elsewhere if they can.
 package balancer
 
 import (
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -17,6 +17,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/capacity/roomkeeper"
 	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -33,8 +34,9 @@
 	}})
 	g := New(Options{
 		Configuration: keeper, Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: time.Now,
-		Settings: currantwood.GatewaySettings{QueueRequests: queueRequests, MemoryBytes: 134_000_000, Zone: "a", Regions: map[currantwood.ZoneID]currantwood.RegionID{"a": "r"}},
-		Decode:   func(string, []byte) (currantwood.UpstreamRecord, error) { return engineView.UpstreamRecord, nil },
+		Settings:    currantwood.GatewaySettings{QueueRequests: queueRequests, MemoryBytes: 134_000_000, Zone: "a", Regions: map[currantwood.ZoneID]currantwood.RegionID{"a": "r"}},
+		Connections: connkeeper.New(time.Now),
+		Decode:      func(string, []byte) (currantwood.UpstreamRecord, error) { return engineView.UpstreamRecord, nil },
 	})
 	g.ReplaceUpstreamRecords(time.Now(), []currantwood.KeyedRecord{{Key: "e", Value: []byte("{}")}})
 	return g
@@ -268,6 +270,20 @@
 		Expect(g.instruments.refusedCold.Count()).To(Equal(int64(1)))
 	})
 
+	// Guards against an engine that stays held after it has gone.
+	It("may hold an engine only while that may be sent requests", func() {
+		pickInBackground(newGeneration(context.Background(), g, "second", 4*time.Second))
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		admits := func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return (&placer{g: g, now: g.Now()}).Admits(1, "e")
+		}
+		Expect(admits()).To(BeTrue())
+		g.LearnNotices(g.Now(), "vm-2", noticekeeper.Notices{"e": {Incarnation: 1, Leaving: true}})
+		Expect(admits()).To(BeFalse())
+	})
+
 	// A request that no engine could run even without load must not wait.
 	It("is refused at once if it is larger than any engine", func() {
 		q := newGeneration(context.Background(), g, "second", 4*time.Second)
