Moves: split the file by concern

Cause: gateway/move.go had 318 lines, with the choice of a target and the copying of a run beside the course of a move. Change: pickMoveTarget and the target's load are in movetarget.go, copyRun and the freeing of copies in movecopy.go; the code is moved only.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -12,23 +12,14 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/sleeper"
-	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
 const (
-	// copyTimeout bounds the copying of one run's memory. Few upstreams stay
-	// longer than that after announcing that they leave.
-	copyTimeout = 2500 * time.Millisecond
-	// dropTimeout bounds the freeing of an unused copy.
-	dropTimeout = time.Second
 	// maxEnginesPerRound bounds the engines that are asked one after the other,
 	// and maxMoveRounds how often that is repeated. All rounds together last
 	// longer than most upstreams stay.
 	maxEnginesPerRound = 4
 	maxMoveRounds      = 10
-	// movePrefillTokens is the nominal number of prompt tokens that a move adds
-	// to the load of its target until the run continues there. See moveLoad.
-	movePrefillTokens = 2000
 	// moveRetryPause is the time before the engines that had no room are asked
 	// again.
 	moveRetryPause = 200 * time.Millisecond
@@ -41,10 +32,6 @@
 	minEventsLeft = 10
 )
 
-// errTargetUnusable means that the target of a move isn't known to be the incarnation that
-// the directory shows, or that the request may no longer be sent there.
-var errTargetUnusable = errors.New("the target isn't the incarnation in the directory, or may get no requests any more")
-
 // moveStreams starts to move streams away from leaving upstreams, those with the
 // most events left first. The moves then run concurrently.
 func (g *Gateway) moveStreams(leaving []*stream) {
@@ -193,50 +180,6 @@
 	return "retry budget exhausted"
 }
 
-// errTargetsCold means that all engines to which a run could be moved now are cold, and that
-// this gateway has used its share of their rate. It has one again soon.
-var errTargetsCold = errors.New("the engines are cold and accept no more requests a second")
-
-// pickMoveTarget picks the engine that a run is moved to; it returns errNoSpare or
-// errTargetsCold if there is none. It prefers the availability zone of the current engine
-// to the rest of its region, and that to other regions. Within the zone and the region it
-// first looks for an engine that has room by the estimates and then for any, as the
-// estimates may be wrong.
-//
-// A copy to another zone takes longer, and one to another region several times
-// as long; meanwhile it delays all other copies on both links. So other regions
-// are used only if no engine of this one accepts the run.
-func (s *stream) pickMoveTarget(from *upstreamStream, exclude []currantwood.UpstreamID) (balancer.Choice, error) {
-	scopes := []struct {
-		reach           balancer.Reach
-		requireCapacity bool
-	}{{balancer.InZone, true}, {balancer.InZone, false}, {balancer.InRegion, true}, {balancer.InRegion, false}, {balancer.Anywhere, true}}
-	version := s.beganAt()
-	s.g.mu.Lock()
-	defer s.g.mu.Unlock()
-	now, none := s.g.Now(), errNoSpare
-	for _, scope := range scopes {
-		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Regions: s.regions(), Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true, OutputTokens: s.outputLeft(), SameVersion: true, Version: version}
-		choice, err := s.g.balancer.Pick(now, query)
-		if err == nil {
-			s.g.balancer.Started(now, choice.View, query.Load, s.streamStallTimeout())
-			return choice, nil
-		}
-		if refused := (*balancer.RefusalError)(nil); errors.As(err, &refused) && refused.Cold != "" {
-			none = errTargetsCold
-		}
-	}
-	return balancer.Choice{}, none
-}
-
-// moveLoad is the load that the stream adds to the engine that it is moved to.
-// The target prefills hardly any prompt for it, but the run continues only after
-// the prompts already queued there are prefilled. The nominal prompt tokens keep
-// new prompts away meanwhile.
-func (s *stream) moveLoad() balancer.Load {
-	return balancer.Load{Requests: 1, MemoryTokens: s.client.Size.Expected(s.client.LengthHint), PrefillTokens: movePrefillTokens}
-}
-
 // moveTo moves the run to one engine and reports whether the move is over; if
 // not, another engine may be tried.
 func (s *stream) moveTo(ctx context.Context, from *upstreamStream, choice balancer.Choice) bool {
@@ -256,63 +199,3 @@
 	}
 	return s.resumeAt(ctx, from, s.startResume(ctx, choice, copied, fields))
 }
-
-// moveFields returns the fields of log lines that say where a run is and where it goes.
-func moveFields(from *upstreamStream, choice balancer.Choice) []zap.Field {
-	return []zap.Field{
-		zap.String("from", string(from.view.ID)), zap.String("from-version", string(from.view.Version)),
-		zap.String("to", string(choice.View.ID)), zap.String("to-version", string(choice.View.Version)),
-	}
-}
-
-// copyRun copies the run's memory to an engine, and asks it meanwhile whether it may be
-// used still; if not, the error is errTargetUnusable. If stop is set, the source stops the
-// run first. If copyRun fails, it has reported the end of the target's load to the
-// balancer.
-func (s *stream) copyRun(from *upstreamStream, choice balancer.Choice, stop bool) (currantwood.RunCopy, error) {
-	if !s.mayBeSent(choice.View) {
-		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
-		return currantwood.RunCopy{}, errTargetUnusable
-	}
-	// A target that starts again after the copy has begun loses it, so the answer may be
-	// older than the resume. After the resume it would delay the end of the run here.
-	confirmed := make(chan bool, 1)
-	go func() { confirmed <- s.g.acceptsRuns(choice.View) }()
-	order := currantwood.CopyOrder{Request: s.client.ID, From: from.view.Address, To: choice.View.Address, Stop: stop}
-	copied, err := s.g.Mover.Copy(order, copyTimeout)
-	if copied.SourceLeaving {
-		s.g.noteLeaving(from.view)
-	}
-	if err != nil {
-		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
-		return currantwood.RunCopy{}, err
-	}
-	outcome := balancer.Neutral
-	accepts := <-confirmed
-	if !accepts {
-		outcome = balancer.Failed
-	}
-	if !accepts || !s.mayBeSent(choice.View) {
-		s.recordEnd(choice.View, s.moveLoad(), outcome)
-		s.freeCopy(copied)
-		return currantwood.RunCopy{}, errTargetUnusable
-	}
-	return copied, nil
-}
-
-// acceptsRuns asks an engine whether it is the incarnation that the directory shows and
-// isn't about to shut down. No answer counts as no.
-func (g *Gateway) acceptsRuns(view upstreamkeeper.View) bool {
-	state, confirmed := g.confirmIncarnation(view)
-	if confirmed && state.Leaving {
-		g.noteLeaving(view)
-	}
-	return confirmed && !state.Leaving
-}
-
-// freeCopy frees a copy that will not be used.
-func (s *stream) freeCopy(copied currantwood.RunCopy) {
-	if err := s.g.Mover.Drop(copied, dropTimeout); err != nil {
-		s.log("copy not freed", zap.Error(err))
-	}
-}
