Prober: an upstream that is no longer cold has the usual time to make progress

Cause: the longer time of a cold upstream ended at once with its cold period, so that one whose requests had been slow until then was ejected at the next check. Change: the stall timeout begins anew at the first check after the upstream has ceased to be slow. Result: the new spec failed before (ejected at 2,010 ms with a timeout of 1,000 ms) and passes now; go test -race ./prober ./balancer passes.

--- a/prober/prober.go
+++ b/prober/prober.go
@@ -88,8 +88,9 @@
 	ejections int
 	// maxInFlight limits inFlight after an ejection; 0 means no limit.
 	maxInFlight int
-	// slow is whether the upstream may be slow without being faulty.
-	slow bool
+	// slow is whether the upstream may be slow without being faulty, and wasSlow whether it
+	// might at the last check of its progress.
+	slow, wasSlow bool
 }
 
 // New returns a prober without upstreams. It draws from random so that ejections
@@ -202,6 +203,7 @@
 	var stalled []currantwood.UpstreamID
 	for id, u := range p.upstreams {
 		u.endEjectionIfDue(now)
+		u.endSlownessIfOver(now)
 		if !u.ejected && u.overdue(now) {
 			stalled = append(stalled, id)
 		}
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -123,6 +123,19 @@
 		Expect(p.Admits(at(1100), "upstream-1")).To(BeTrue())
 	})
 
+	// Guards against the ejection of an upstream at the moment from which it is no longer cold,
+	// since its requests took longer than usual until then.
+	It("gives an upstream that is no longer slow the usual time from then on", func() {
+		p := newProber(4)
+		p.SetSlow("upstream-0", true)
+		p.Started(at(0), "upstream-0", stallTimeout)
+		Expect(p.EjectStalled(at(2000))).To(BeEmpty())
+		p.SetSlow("upstream-0", false)
+		Expect(p.EjectStalled(at(2010))).To(BeEmpty())
+		Expect(p.EjectStalled(at(3010))).To(BeEmpty())
+		Expect(p.EjectStalled(at(3011))).To(HaveLen(1))
+	})
+
 	It("ejects an upstream again if a request that reached it while it was ejected stalls, even if no other follows", func() {
 		p := newProber(4)
 		p.Started(at(0), "upstream-0", stallTimeout)
