Evacuations: orders are kept at a first read of a store from an older copy

Cause: a gateway that knew orders from others alone, and first read the store after it had come back from an older copy, dropped the orders missing there at once: its watcher had no position and so noticed no rise of the era. Change: the keeper notices the rise itself for every set that replaces its own, not only for those of other gateways. Result: the new entry failed before (no zone instead of one) and passes now; go test -race ./placement/evacuationkeeper passes, with its model.

--- a/placement/evacuationkeeper/keeper.go
+++ b/placement/evacuationkeeper/keeper.go
@@ -123,17 +123,17 @@
 	if k.known && set.Position.before(k.position) {
 		return Change{}
 	}
-	if k.known && set.Position.Era > k.position.Era {
-		// The sender may have started after the store came back, and not know the orders
-		// that are missing there.
-		k.EraRisen(now)
-	}
 	return k.replace(now, set)
 }
 
 // replace replaces the orders by those of a set. Orders that it lacks stay in force while
 // the store may be missing them.
 func (k *Keeper) replace(now time.Time, set Set) Change {
+	if k.known && set.Position.Era > k.position.Era {
+		// Nobody else may have noticed: another gateway may have started after the store came
+		// back, and this one may read the store for the first time.
+		k.EraRisen(now)
+	}
 	before := k.current(now)
 	zones := make(map[currantwood.ZoneID]time.Time, len(set.Zones)+len(set.Kept))
 	if now.Before(k.restoring) {
--- a/placement/evacuationkeeper/keeper_test.go
+++ b/placement/evacuationkeeper/keeper_test.go
@@ -81,6 +81,11 @@
 		Entry("a set of an earlier era with a later offset", []currantwood.ZoneID{"a"}, readAll(2, 3, "a"), told(1, 40)),
 		Entry("an order missing in an older copy", []currantwood.ZoneID{"a"}, readAll(1, 30, "a"), eraRises, readAll(2, 20)),
 		Entry("an order missing in an older copy and written again", []currantwood.ZoneID{"a"}, readAll(1, 30, "a"), eraRises, readAll(2, 20), read(2, 21, "a", true), wait(time.Hour)),
+		// Guards against orders that end at once at a gateway which knew them from others alone
+		// when it first read the store, which had come back from an older copy: its watcher
+		// had no position, so that it noticed no rise of the era.
+		Entry("an order missing in an older copy, at the first read", []currantwood.ZoneID{"a"}, told(1, 30, "a"), readAll(2, 20)),
+		Entry("an order missing in an older copy, some time after the first read", nil, told(1, 30, "a"), readAll(2, 20), wait(restoreTime)),
 		Entry("an order never written again after an older copy", nil, readAll(1, 30, "a"), eraRises, readAll(2, 20), wait(restoreTime)),
 		// Guards against orders that are undone by delayed reads and messages.
 		Entry("an older set of the collector just after a read", []currantwood.ZoneID{"a"}, readAll(0, 3), read(0, 4, "a", true), told(0, 3)),
