Cold upstreams: name the sources of a cold period alike

Cause: the state called what responses state "said" and "heard", the source of it Response, and statements of other gateways Told; a method named limit passed the rate on. Change: responseUntil, responseAt, ownResponse, Peer and passRate; renamed only, log lines as before.

--- a/placement/warmupkeeper/keeper.go
+++ b/placement/warmupkeeper/keeper.go
@@ -125,12 +125,12 @@
 		return Change{}
 	}
 	// The response may be older than other statements if its request was sent before.
-	newest := !sentAt.Before(s.recordAt) && !sentAt.Before(s.saidAt)
+	newest := !sentAt.Before(s.recordAt) && !sentAt.Before(s.responseAt)
 	switch until := now.Add(warmUp.Left); {
 	case warmUp.Left <= 0 && newest:
-		s.recordUntil, s.saidUntil, s.saidAt = time.Time{}, time.Time{}, now
-	case warmUp.Left > 0 && (newest || until.After(s.saidUntil)):
-		s.setSaid(now, until, true)
+		s.recordUntil, s.responseUntil, s.responseAt = time.Time{}, time.Time{}, now
+	case warmUp.Left > 0 && (newest || until.After(s.responseUntil)):
+		s.setByResponse(now, until, true)
 	}
 	return k.update(now, s, Response)
 }
@@ -145,8 +145,8 @@
 	if s == nil || !p.Until.After(s.until().Add(sameEnd)) {
 		return Change{}
 	}
-	s.setSaid(now, p.Until, false)
-	return k.update(now, s, Told)
+	s.setByResponse(now, p.Until, false)
+	return k.update(now, s, Peer)
 }
 
 // get returns the state of an incarnation, which it adds if add is set. It returns nil if
@@ -181,7 +181,7 @@
 	if cold && k.limits[s.upstream.Group] > 0 {
 		// The share is computed from the start of the period on, also without requests:
 		// it must have fallen here before other gateways use the difference.
-		k.limit(now, s.upstream)
+		k.passRate(now, s.upstream)
 	}
 	if cold != s.coldSince.IsZero() {
 		return Change{}
@@ -208,7 +208,7 @@
 		}
 		// A record or a response that arrives later may be older than what ended the
 		// period.
-		if now.Sub(s.until()) > announceTime && now.Sub(s.saidAt) > announceTime && now.Sub(s.recordAt) > announceTime {
+		if now.Sub(s.until()) > announceTime && now.Sub(s.responseAt) > announceTime && now.Sub(s.recordAt) > announceTime {
 			delete(k.states, id)
 		}
 		k.rates.Observe(now, id, s.upstream.Incarnation, currantwood.RateLimit{Known: true})
@@ -219,7 +219,7 @@
 // Heard returns the cold periods that responses to this gateway stated within announceTime,
 // for messages to the collector.
 func (k *Keeper) Heard(now time.Time) []Period {
-	return k.collect(now, func(s *state) bool { return s.heard && now.Sub(s.changedAt) <= announceTime })
+	return k.collect(now, func(s *state) bool { return s.ownResponse && now.Sub(s.changedAt) <= announceTime })
 }
 
 // Known returns the cold periods that responses stated within announceTime, for messages of
@@ -233,8 +233,8 @@
 func (k *Keeper) collect(now time.Time, wanted func(s *state) bool) []Period {
 	var periods []Period
 	for _, s := range k.states {
-		if s.saidUntil.After(now) && wanted(s) {
-			periods = append(periods, Period{Upstream: s.upstream, Until: s.saidUntil})
+		if s.responseUntil.After(now) && wanted(s) {
+			periods = append(periods, Period{Upstream: s.upstream, Until: s.responseUntil})
 		}
 	}
 	return periods
--- a/placement/warmupkeeper/keeper_test.go
+++ b/placement/warmupkeeper/keeper_test.go
@@ -40,7 +40,7 @@
 			change = k.ApplyRecord(now, u, now.Add(seconds(s.left)))
 		case Response:
 			change = k.Observe(now, sentAt, u, currantwood.WarmUp{Known: true, Left: seconds(s.left)})
-		case Told:
+		case Peer:
 			change = k.Learn(now, Period{Upstream: u, Until: now.Add(seconds(s.left))})
 		}
 		if change != (Change{}) {
@@ -70,17 +70,17 @@
 		Entry("a cold record", []statement{{0, Record, 1, 9, 0}}, 8.0, int64(1), true),
 		Entry("a cold record whose time is over", []statement{{0, Record, 1, 9, 0}}, 9.0, int64(1), false),
 		Entry("a cold response", []statement{{0, Response, 1, 9, 0}}, 8.0, int64(1), true),
-		Entry("what another gateway tells", []statement{{0, Told, 1, 9, 0}}, 8.0, int64(1), true),
+		Entry("what another gateway tells", []statement{{0, Peer, 1, 9, 0}}, 8.0, int64(1), true),
 		Entry("cold again by a record", []statement{{0, Record, 1, 2, 0}, {1, Record, 1, 0, 0}, {5, Record, 1, 9, 0}}, 8.0, int64(1), true),
 		Entry("cold again by a response", []statement{{0, Record, 1, 2, 0}, {5, Response, 1, 9, 0}}, 8.0, int64(1), true),
 		Entry("warm by a later record", []statement{{0, Record, 1, 9, 0}, {1, Record, 1, 0, 0}}, 2.0, int64(1), false),
 		Entry("warm by a record after a cold response", []statement{{0, Response, 1, 9, 0}, {1, Record, 1, 0, 0}}, 2.0, int64(1), true),
 		Entry("warm by a response to a request sent after the record", []statement{{0, Record, 1, 9, 0}, {2, Response, 1, 0, 1}}, 3.0, int64(1), false),
 		Entry("warm by a response to a request sent before the record", []statement{{1, Record, 1, 9, 0}, {2, Response, 1, 0, 0.5}}, 3.0, int64(1), true),
-		Entry("warm by a response that a frozen gateway reads late", []statement{{1, Told, 1, 9, 0}, {2, Response, 1, 0, 0.5}}, 3.0, int64(1), true),
+		Entry("warm by a response that a frozen gateway reads late", []statement{{1, Peer, 1, 9, 0}, {2, Response, 1, 0, 0.5}}, 3.0, int64(1), true),
 		Entry("a shorter time by a later response", []statement{{0, Response, 1, 9, 0}, {1, Response, 1, 1, 0}}, 3.0, int64(1), false),
 		Entry("a shorter time by an earlier response", []statement{{1, Response, 1, 9, 0}, {1.1, Response, 1, 1, 0.9}}, 3.0, int64(1), true),
-		Entry("a shorter time by another gateway", []statement{{0, Response, 1, 9, 0}, {1, Told, 1, 1, 0}}, 3.0, int64(1), true),
+		Entry("a shorter time by another gateway", []statement{{0, Response, 1, 9, 0}, {1, Peer, 1, 1, 0}}, 3.0, int64(1), true),
 		Entry("a warm later incarnation", []statement{{0, Record, 1, 9, 0}, {1, Record, 2, 0, 0}}, 2.0, int64(2), false),
 		Entry("a cold later incarnation", []statement{{0, Record, 1, 0, 0}, {1, Record, 2, 9, 0}}, 2.0, int64(2), true),
 		Entry("a warm earlier incarnation", []statement{{0, Record, 2, 9, 0}, {1, Record, 1, 0, 0}, {2, Response, 1, 0, 0}}, 3.0, int64(2), true),
@@ -101,10 +101,10 @@
 	It("reports the begin and the end of each cold period once, with the source", func() {
 		k := newTestKeeper(36)
 		u2 := Upstream{ID: "u", Group: "g", Incarnation: 2}
-		Expect(apply(k, []statement{{0, Record, 1, 9, 0}, {1, Response, 1, 8, 0}, {2, Told, 1, 30, 0}, {3, Response, 1, 0, 0}, {4, Told, 2, 2, 0}})).To(Equal([]Change{
+		Expect(apply(k, []statement{{0, Record, 1, 9, 0}, {1, Response, 1, 8, 0}, {2, Peer, 1, 30, 0}, {3, Response, 1, 0, 0}, {4, Peer, 2, 2, 0}})).To(Equal([]Change{
 			{Upstream: modelUpstream, Source: Record, Cold: true, Left: 9 * time.Second},
 			{Upstream: modelUpstream, Source: Response},
-			{Upstream: u2, Source: Told, Cold: true, Left: 2 * time.Second},
+			{Upstream: u2, Source: Peer, Cold: true, Left: 2 * time.Second},
 		}))
 		Expect(k.Tick(start.Add(5 * time.Second))).To(BeEmpty())
 		Expect(k.Tick(start.Add(6 * time.Second))).To(Equal([]Change{{Upstream: u2, Source: Elapsed}}))
@@ -114,7 +114,7 @@
 	// Guards against gateways that lengthen a cold period by telling each other of it.
 	It("tells others what responses said, for a while, and not what it was told of a known period", func() {
 		k := newTestKeeper(36)
-		apply(k, []statement{{0, Response, 1, 9, 0}, {0.5, Told, 1, 9.4, 0}})
+		apply(k, []statement{{0, Response, 1, 9, 0}, {0.5, Peer, 1, 9.4, 0}})
 		period := Period{Upstream: modelUpstream, Until: start.Add(9 * time.Second)}
 		Expect(k.Heard(start.Add(time.Second))).To(ConsistOf(period))
 		Expect(k.Known(start.Add(time.Second), false)).To(ConsistOf(period))
--- a/placement/warmupkeeper/shares.go
+++ b/placement/warmupkeeper/shares.go
@@ -19,13 +19,13 @@
 	if !k.IsLimited(now, u) {
 		return true
 	}
-	incarnation := k.limit(now, u)
+	incarnation := k.passRate(now, u)
 	return k.rates.Admits(now, u.ID, incarnation)
 }
 
-// limit makes the rate of a cold upstream known to the keeper of the shares. It returns the
+// passRate makes the rate of a cold upstream known to the keeper of the shares. It returns the
 // incarnation that is cold.
-func (k *Keeper) limit(now time.Time, u Upstream) int64 {
+func (k *Keeper) passRate(now time.Time, u Upstream) int64 {
 	incarnation := k.states[u.ID].upstream.Incarnation
 	k.rates.Observe(now, u.ID, incarnation, currantwood.RateLimit{Known: true, Limited: true, PerSecond: k.limits[u.Group]})
 	return incarnation
--- a/placement/warmupkeeper/source_string.go
+++ b/placement/warmupkeeper/source_string.go
@@ -10,7 +10,7 @@
 	var x [1]struct{}
 	_ = x[Record-1]
 	_ = x[Response-2]
-	_ = x[Told-3]
+	_ = x[Peer-3]
 	_ = x[Elapsed-4]
 }
 
--- a/placement/warmupkeeper/state.go
+++ b/placement/warmupkeeper/state.go
@@ -15,8 +15,8 @@
 const (
 	Record   Source = iota + 1 // record
 	Response                   // response
-	// Told is a statement that another gateway has received in a response.
-	Told // gateway
+	// Peer is a statement that another gateway has received in a response.
+	Peer // gateway
 	// Elapsed means that the time which the last statement named is over.
 	Elapsed // time
 )
@@ -46,13 +46,13 @@
 // state is what is known of one incarnation of an upstream.
 type state struct {
 	upstream Upstream
-	// recordUntil and saidUntil are the ends of the cold period by the directory record
-	// and by responses; recordAt and saidAt are when these were known.
-	recordUntil, recordAt time.Time
-	saidUntil, saidAt     time.Time
-	// heard is whether a response to this gateway said so, rather than another gateway.
-	heard bool
-	// changedAt is when saidUntil changed by more than the delay of messages.
+	// recordUntil and responseUntil are the ends of the cold period by the directory record
+	// and by responses; recordAt and responseAt are when these were known.
+	recordUntil, recordAt     time.Time
+	responseUntil, responseAt time.Time
+	// ownResponse is whether a response to this gateway said so, rather than another gateway.
+	ownResponse bool
+	// changedAt is when responseUntil changed by more than the delay of messages.
 	changedAt time.Time
 	// coldSince is when the period began here; zero while the upstream is warm.
 	coldSince time.Time
@@ -60,18 +60,18 @@
 
 // until returns when the upstream is warm.
 func (s *state) until() time.Time {
-	if s.saidUntil.After(s.recordUntil) {
-		return s.saidUntil
+	if s.responseUntil.After(s.recordUntil) {
+		return s.responseUntil
 	}
 	return s.recordUntil
 }
 
 func (s *state) isCold(now time.Time) bool { return s.until().After(now) }
 
-// setSaid sets the end of the cold period by a response.
-func (s *state) setSaid(now, until time.Time, heard bool) {
-	if until.Sub(s.saidUntil).Abs() > sameEnd {
-		s.changedAt, s.heard = now, heard
+// setByResponse sets the end of the cold period by a response.
+func (s *state) setByResponse(now, until time.Time, ownResponse bool) {
+	if until.Sub(s.responseUntil).Abs() > sameEnd {
+		s.changedAt, s.ownResponse = now, ownResponse
 	}
-	s.saidUntil, s.saidAt = until, now
+	s.responseUntil, s.responseAt = until, now
 }
