Rate limits: name what an upstream's responses and the fleet's sums state

Cause: fields named heard, told and summed, and a bound named first, said neither by whom nor of what. Change: response, fleet, inFleetSums and startShare; a comment says why shares stays sorted. Renamed only. Result: gofmt and go vet are clean; go test -race ./ratekeeper ./placement/... passes.

--- a/ratekeeper/keeper.go
+++ b/ratekeeper/keeper.go
@@ -108,7 +108,7 @@
 		u = k.add(now, id)
 	}
 	before, wasLimited := u.limit(incarnation), u.isLimited()
-	u.heard = Rate{Incarnation: incarnation, Limit: limit, At: now}
+	u.response = Rate{Incarnation: incarnation, Limit: limit, At: now}
 	k.restartIfLimited(now, u, wasLimited)
 	return before != u.limit(incarnation)
 }
@@ -142,9 +142,9 @@
 	for id, u := range k.upstreams {
 		k.accrue(now, u)
 		before, wasLimited := u.current().Limit, u.isLimited()
-		u.told, u.summed = rates[id]
+		u.fleet, u.inFleetSums = rates[id]
 		if k.options.LocalLimits {
-			u.told.Limit = currantwood.RateLimit{}
+			u.fleet.Limit = currantwood.RateLimit{}
 		}
 		k.restartIfLimited(now, u, wasLimited)
 		if after := u.current(); after.Limit != before {
@@ -209,7 +209,7 @@
 func (k *Keeper) fitsRecent(now time.Time, u *upstream) bool {
 	limit := u.sharedRate()
 	allowed := limit*(k.options.Window+k.options.SpareTime).Seconds() + k.options.SpareRequests
-	return float64(u.recentAfter(now)+u.told.Recent+1) <= allowed
+	return float64(u.recentAfter(now)+u.fleet.Recent+1) <= allowed
 }
 
 // Sent notes that a request is sent to an upstream. Without a limit it counts nothing.
@@ -259,9 +259,9 @@
 	}
 	own := make(Rates, len(k.upstreams))
 	for id, u := range k.upstreams {
-		r := u.heard
+		r := u.response
 		if !r.Limit.Known {
-			r.Incarnation = u.told.Incarnation
+			r.Incarnation = u.fleet.Incarnation
 		}
 		if u.isLimited() {
 			r.Demand, r.Recent = u.demandAfter(now), u.recentAfter(now)
--- a/ratekeeper/share.go
+++ b/ratekeeper/share.go
@@ -25,12 +25,12 @@
 	if k.options.RiseTime == 0 {
 		return due
 	}
-	first := k.evenShare(u)
+	startShare := k.evenShare(u)
 	if !k.hearsFleet(now) {
 		// The others may know the upstream for longer and use what this gateway left.
-		first *= evenPart
+		startShare *= evenPart
 	}
-	return u.lowestShare(now, due, first)
+	return u.lowestShare(now, due, startShare)
 }
 
 // hearsFleet reports whether the sums of all gateways are recent.
@@ -54,7 +54,7 @@
 	own := u.demandAfter(now)
 	// With local limits, sums without the upstream say nothing of the others' demand: they
 	// may be from before this gateway's own report, or have no room for all upstreams.
-	if total := own + u.told.Demand; total > 0 && (u.summed || !k.options.LocalLimits) {
+	if total := own + u.fleet.Demand; total > 0 && (u.inFleetSums || !k.options.LocalLimits) {
 		part = evenPart/heard + (1-evenPart)*own/total
 	}
 	return u.sharedRate() * min(1, heard/float64(k.assumedGateways())) * part
--- a/ratekeeper/upstream.go
+++ b/ratekeeper/upstream.go
@@ -10,13 +10,13 @@
 // upstream is what is known of the rate of one upstream.
 type upstream struct {
 	options *Options
-	// heard is what the last response to this gateway said. Its Demand is unused.
-	heard Rate
-	// told is what the sums of all gateways say; its Demand and Recent are those of all
+	// response is what the last response to this gateway said. Its Demand is unused.
+	response Rate
+	// fleet is what the sums of all gateways say; its Demand and Recent are those of all
 	// others.
-	told Rate
-	// summed is whether the sums have an entry for the upstream.
-	summed bool
+	fleet Rate
+	// inFleetSums is whether the sums have an entry for the upstream.
+	inFleetSums bool
 	// demand is the average rate of requests wanted, as of demandAt.
 	demand   float64
 	demandAt time.Time
@@ -42,10 +42,9 @@
 	rate float64
 }
 
-// current returns the newest of what was heard and told. A later incarnation goes
-// first.
+// current returns the newer of response and fleet. A later incarnation goes first.
 func (u *upstream) current() Rate {
-	return newer(u.heard, u.told)
+	return newer(u.response, u.fleet)
 }
 
 // isLimited reports whether the upstream limits its rate, by the newest that is known.
@@ -69,13 +68,15 @@
 }
 
 // lowestShare adds the share that is due now and returns the lowest within
-// Options.RiseTime. If none was added for Options.FleetMaxAge, first bounds it: this process
-// hasn't known meanwhile what the others do.
-func (u *upstream) lowestShare(now time.Time, due, first float64) float64 {
+// Options.RiseTime. If none was added for Options.FleetMaxAge, startShare bounds it: this
+// process hasn't known meanwhile what the others do.
+func (u *upstream) lowestShare(now time.Time, due, startShare float64) float64 {
 	if len(u.shares) == 0 || now.Sub(u.sharesAt) > u.options.FleetMaxAge {
-		due = min(due, first)
+		due = min(due, startShare)
 	}
 	u.sharesAt = now
+	// Shares that aren't below the new one can't be the lowest any more, so that shares stays
+	// sorted and its first is the lowest.
 	for len(u.shares) > 0 && u.shares[len(u.shares)-1].rate >= due {
 		u.shares = u.shares[:len(u.shares)-1]
 	}
