Moves: list the scopes of targets, split the check at sending

Cause: the order of scopes and a query of 11 fields were one line each, the wait for a share was hidden in the head of a loop, and nothing said that a positive answer takes a share. No change of behavior.

--- a/gateway/movetarget.go
+++ b/gateway/movetarget.go
@@ -16,6 +16,17 @@
 // this gateway has used its share of their rate. It has one again soon.
 var errTargetsCold = errors.New("the engines are cold and accept no more requests a second")
 
+// moveScopes are the sets of engines among which the target of a move is looked for, in
+// order. requireCapacity leaves out those without room by the estimates.
+var moveScopes = []struct {
+	reach           balancer.Reach
+	requireCapacity bool
+}{
+	{balancer.InZone, true}, {balancer.InZone, false},
+	{balancer.InRegion, true}, {balancer.InRegion, false},
+	{balancer.Anywhere, true},
+}
+
 // pickMoveTarget picks the engine that a run is moved to; it returns errNoSpare or
 // errTargetsCold if there is none. It prefers the availability zone of the current engine
 // to the rest of its region, and that to other regions. Within the zone and the region it
@@ -26,16 +37,16 @@
 // as long; meanwhile it delays all other copies on both links. So other regions
 // are used only if no engine of this one accepts the run.
 func (s *stream) pickMoveTarget(from *upstreamStream, exclude []currantwood.UpstreamID) (balancer.Choice, error) {
-	scopes := []struct {
-		reach           balancer.Reach
-		requireCapacity bool
-	}{{balancer.InZone, true}, {balancer.InZone, false}, {balancer.InRegion, true}, {balancer.InRegion, false}, {balancer.Anywhere, true}}
 	version := s.beganAt()
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	now, none := s.g.Now(), errNoSpare
-	for _, scope := range scopes {
-		query := balancer.Query{Group: s.group, Load: s.moveLoad(), Zone: from.view.Zone, Regions: s.regions(), Exclude: exclude, RequireCapacity: scope.requireCapacity, Reach: scope.reach, AvoidPrefill: true, OutputTokens: s.outputLeft(), SameVersion: true, Version: version}
+	for _, scope := range moveScopes {
+		query := balancer.Query{
+			Group: s.group, Load: s.moveLoad(), OutputTokens: s.outputLeft(), AvoidPrefill: true,
+			Zone: from.view.Zone, Regions: s.regions(), Reach: scope.reach, Exclude: exclude,
+			RequireCapacity: scope.requireCapacity, SameVersion: true, Version: version,
+		}
 		choice, err := s.g.balancer.Pick(now, query)
 		if err == nil {
 			s.g.balancer.Started(now, choice.View, query.Load, s.streamStallTimeout())
--- a/gateway/sendcheck.go
+++ b/gateway/sendcheck.go
@@ -24,14 +24,11 @@
 
 // checkSending returns an error if the request may not be sent to the upstream that was
 // picked for it. A process that was frozen, or waited for a connection, may send long after
-// the pick.
+// the pick. copied is whether the request resumes a run that was copied to the upstream.
 func (q *request) checkSending(ctx context.Context, choice balancer.Choice, copied bool) error {
 	verdict := q.verdictAtSending(choice)
-	for end := q.g.Now().Add(coldResumeWait); copied && verdict.Reason == noticekeeper.Cold; verdict = q.verdictAtSending(choice) {
-		left := end.Sub(q.g.Now())
-		if left <= 0 || !sleeper.Sleep(ctx, min(left, max(time.Millisecond, verdict.Wait))) {
-			break
-		}
+	if copied {
+		verdict = q.awaitColdShare(ctx, choice, verdict)
 	}
 	if verdict.Admitted() {
 		return nil
@@ -40,6 +37,22 @@
 	return &withheldError{verdict.Reason}
 }
 
+// awaitColdShare asks again, for at most coldResumeWait, while a verdict is that the upstream
+// is cold, and returns the last one.
+func (q *request) awaitColdShare(ctx context.Context, choice balancer.Choice, verdict noticekeeper.Verdict) noticekeeper.Verdict {
+	end := q.g.Now().Add(coldResumeWait)
+	for verdict.Reason == noticekeeper.Cold {
+		left := end.Sub(q.g.Now())
+		if left <= 0 || !sleeper.Sleep(ctx, min(left, max(time.Millisecond, verdict.Wait))) {
+			break
+		}
+		verdict = q.verdictAtSending(choice)
+	}
+	return verdict
+}
+
+// verdictAtSending asks whether the request may be sent now. If so, the caller must send it:
+// it may have taken a share of the rate of a cold upstream.
 func (q *request) verdictAtSending(choice balancer.Choice) noticekeeper.Verdict {
 	now, regions := q.g.Now(), q.regions()
 	q.g.mu.Lock()
