Connection limits: reads and writes, ends and admission in files of their own

Change: code is only moved: connio.go has reads and writes, connend.go how a connection ends, admission.go what makes room for connections, heads and bodies.

--- a/ingress/connlimiter/limiter.go
+++ b/ingress/connlimiter/limiter.go
@@ -20,7 +20,6 @@
 
 	"github.com/currantwood/currantwood/ingress/apportioner"
 	"github.com/currantwood/currantwood/ingress/headcounter"
-	"github.com/currantwood/currantwood/ingress/victimpicker"
 )
 
 const (
@@ -140,38 +139,6 @@
 	return l.addHead(l.options.Now(), c.chargeFields(fields))
 }
 
-// ReclaimBody ends the reading of the body that makes the least progress for its memory,
-// so that another one finds room. It reports false if all make progress and none was given
-// up before that is still held.
-func (l *Limiter) ReclaimBody() bool {
-	now := l.options.Now()
-	if l.reclaimedLately(now) {
-		return true
-	}
-	conns, candidates, aborted := l.candidates(now)
-	picked, found := victimpicker.Picker{}.Body(candidates)
-	if !found {
-		return len(aborted) > 0
-	}
-	if conns[picked].abort(now) {
-		l.noteReclaimed(now)
-		l.note(now, bodyDropped)
-	}
-	return true
-}
-
-func (l *Limiter) reclaimedLately(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return now.Sub(l.reclaimedAt) < reclaimPause
-}
-
-func (l *Limiter) noteReclaimed(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.reclaimedAt = now
-}
-
 // Sweep ends connections that haven't made the least progress. It must be called
 // regularly; each connection ends within the time between two calls after it may.
 func (l *Limiter) Sweep() {
@@ -200,110 +167,6 @@
 	return gap
 }
 
-// admit makes room for a connection and adds it. It reports false if the connection must
-// be refused.
-func (l *Limiter) admit(c *conn) bool {
-	now := l.options.Now()
-	if l.count() >= l.options.Shares.Connections && !l.dropLeast(now) {
-		l.note(now, connectionRefused)
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = struct{}{}
-	return true
-}
-
-func (l *Limiter) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)
-}
-
-// dropLeast closes a connection to make room: one whose body was given up, else the one
-// with the least progress for its memory. It reports false if no connection may be closed.
-func (l *Limiter) dropLeast(now time.Time) bool {
-	conns, candidates, aborted := l.candidates(now)
-	for _, c := range aborted {
-		if c.drop() {
-			return true
-		}
-	}
-	picked, found := victimpicker.Picker{}.Connection(candidates)
-	if !found || !conns[picked].drop() {
-		return false
-	}
-	l.note(now, connectionDropped)
-	return true
-}
-
-// addHead changes the memory of heads. While that exceeds its share, it closes the
-// connection with the least progress for the memory of its head. It reports false if there
-// is none to close.
-func (l *Limiter) addHead(now time.Time, bytes int64) bool {
-	if bytes == 0 || l.headBytes.Add(bytes) <= l.options.Shares.HeadBytes {
-		return true
-	}
-	for l.headBytes.Load() > l.options.Shares.HeadBytes {
-		if !l.dropHead(now) {
-			return false
-		}
-	}
-	return true
-}
-
-// dropHead closes the connection with the least progress for the memory of its head. It
-// reports false if there is none.
-func (l *Limiter) dropHead(now time.Time) bool {
-	conns, candidates, aborted := l.candidates(now)
-	for _, c := range aborted {
-		if c.drop() {
-			return true
-		}
-	}
-	for i, c := range conns {
-		candidates[i].MemoryBytes = c.chargedBytes()
-	}
-	picked, found := victimpicker.Picker{}.Head(candidates)
-	if !found || !conns[picked].drop() {
-		return false
-	}
-	l.note(now, connectionDropped)
-	return true
-}
-
-// remove forgets a connection that was closed.
-func (l *Limiter) remove(c *conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.conns, c)
-}
-
-func (l *Limiter) connections() []*conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	conns := make([]*conn, 0, len(l.conns))
-	for c := range l.conns {
-		conns = append(conns, c)
-	}
-	return conns
-}
-
-// candidates returns the open connections and their descriptions, and apart from them
-// those whose body was given up.
-func (l *Limiter) candidates(now time.Time) (conns []*conn, candidates []victimpicker.Candidate, aborted []*conn) {
-	for _, c := range l.connections() {
-		candidate, state := c.candidate(now)
-		switch state {
-		case open:
-			conns, candidates = append(conns, c), append(candidates, candidate)
-		case bodyAborted:
-			aborted = append(aborted, c)
-		}
-	}
-	return conns, candidates, aborted
-}
-
 // note counts an event, and logs all events since the last line if that is long enough
 // ago.
 func (l *Limiter) note(now time.Time, e event) {
