Head counter: an empty line before a head isn't its end

Cause: net/http skips empty lines after a POST, and may have read the start of a pipelined head, so that the Counter first sees the end of its line. Both were taken for the end of the head: up to 64 KB of fields were parsed without being counted or charged as they arrived. Change: an empty line ends a head only after another line. The table's case "an empty line first" required the fault (2 bytes, ended) and now goes on behind it; a case with two empty lines is new.

--- a/ingress/headcounter/counter.go
+++ b/ingress/headcounter/counter.go
@@ -15,7 +15,7 @@
 // Counter counts one head. The zero value is at its beginning. It is not safe for
 // concurrent use.
 type Counter struct {
-	// bytes and lines count what has arrived.
+	// bytes and lines count what has arrived. Empty lines before the head aren't lines.
 	bytes, lines int
 	// lineBegun is whether the current line has bytes other than carriage returns.
 	lineBegun bool
@@ -23,7 +23,9 @@
 	ended bool
 }
 
-// Count counts bytes that have arrived. What follows the end of the head isn't counted.
+// Count counts bytes that have arrived. What follows the end of the head isn't counted. An
+// empty line ends a head only after another line: net/http skips empty lines after a POST, and
+// may have read the beginning of a pipelined head before the Counter sees the rest of its line.
 func (c *Counter) Count(p []byte) {
 	for len(p) > 0 && !c.ended {
 		end := bytes.IndexByte(p, '\n')
@@ -33,9 +35,15 @@
 			return
 		}
 		c.bytes += end + 1
-		c.lines++
-		c.ended = !c.lineBegun && !hasText(p[:end])
+		empty := !c.lineBegun && !hasText(p[:end])
 		c.lineBegun = false
+		switch {
+		case !empty:
+			c.lines++
+		case c.lines > 0:
+			c.lines++
+			c.ended = true
+		}
 		p = p[end+1:]
 	}
 }
--- a/ingress/headcounter/counter_test.go
+++ b/ingress/headcounter/counter_test.go
@@ -27,7 +27,9 @@
 	Entry("a field that hasn't ended", "GET / HTTP/1.1\r\na:\r\nb:", 22, 1, false),
 	Entry("two fields, then a body", "GET / HTTP/1.1\r\na:\r\nb:\r\n\r\nbody\r\n\r\n", 26, 2, true),
 	Entry("line feeds alone", "GET / HTTP/1.1\na:\nb:\n\nbody", 22, 2, true),
-	Entry("an empty line first", "\r\nGET / HTTP/1.1\r\n", 2, 0, true),
+	// net/http skips empty lines after a POST, and what follows must be counted all the same.
+	Entry("an empty line first", "\r\nGET / HTTP/1.1\r\na:\r\n", 22, 1, false),
+	Entry("empty lines first, then a whole head", "\r\n\nGET / HTTP/1.1\r\na:\r\n\r\nbody", 25, 1, true),
 )
 
 var _ = It("a head at the limits doesn't exceed them, one field or byte more does", func() {
