Connection limits: a head isn't refused because another one displaced the same connection

Cause: heads that arrive at once pick the same connection to drop. Only the first succeeds; the others took that, or a connection that was no longer listed but still charged for, for "none may be dropped", and lost their connection without a status although there was room. A new connection was refused likewise if the picked one had ended or run a request meanwhile. Change: addHead and admit look at the bound again before they refuse, and pick again if the drop came too late; a closing connection gives back its charge before it leaves the list. The path of new connections has no test of its own.

--- a/ingress/connlimiter/admission.go
+++ b/ingress/connlimiter/admission.go
@@ -42,9 +42,11 @@
 // be refused.
 func (l *Limiter) admit(c *conn) bool {
 	now := l.options.Now()
-	if l.count() >= l.options.Shares.Connections && !l.dropLeast(now) {
-		l.note(now, connectionRefused)
-		return false
+	for l.isFull() {
+		if !l.dropLeast(now) && l.isFull() {
+			l.note(now, connectionRefused)
+			return false
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -52,6 +54,8 @@
 	return true
 }
 
+func (l *Limiter) isFull() bool { return l.count() >= l.options.Shares.Connections }
+
 func (l *Limiter) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -59,7 +63,9 @@
 }
 
 // dropLeast closes a connection to make room: one whose body was given up, else the one
-// with the least progress for its memory. It reports false if no connection may be closed.
+// with the least progress for its memory. It reports false if no connection may be closed,
+// and true also if the one that it picked has ended or runs a request by now, so that the
+// caller looks again.
 func (l *Limiter) dropLeast(now time.Time) bool {
 	conns, candidates, aborted := l.candidates(now)
 	for _, c := range aborted {
@@ -68,10 +74,12 @@
 		}
 	}
 	picked, found := victimpicker.Picker{}.Connection(candidates)
-	if !found || !conns[picked].drop() {
+	if !found {
 		return false
 	}
-	l.note(now, connectionDropped)
+	if conns[picked].drop() {
+		l.note(now, connectionDropped)
+	}
 	return true
 }
 
@@ -79,19 +87,24 @@
 // connection with the least progress for the memory of its head. It reports false if there
 // is none to close.
 func (l *Limiter) addHead(now time.Time, bytes int64) bool {
-	if bytes == 0 || l.headBytes.Add(bytes) <= l.options.Shares.HeadBytes {
+	if bytes == 0 {
 		return true
 	}
-	for l.headBytes.Load() > l.options.Shares.HeadBytes {
-		if !l.dropHead(now) {
+	l.headBytes.Add(bytes)
+	for l.exceedsHeads() {
+		// Another head may have displaced the last connection meanwhile.
+		if !l.dropHead(now) && l.exceedsHeads() {
 			return false
 		}
 	}
 	return true
 }
 
+func (l *Limiter) exceedsHeads() bool { return l.headBytes.Load() > l.options.Shares.HeadBytes }
+
 // dropHead closes the connection with the least progress for the memory of its head. It
-// reports false if there is none.
+// reports false if there is none, and true also if that connection has ended or runs a
+// request by now, as dropLeast does.
 func (l *Limiter) dropHead(now time.Time) bool {
 	conns, candidates, aborted := l.candidates(now)
 	for _, c := range aborted {
@@ -103,10 +116,12 @@
 		candidates[i].MemoryBytes = c.chargedBytes()
 	}
 	picked, found := victimpicker.Picker{}.Head(candidates)
-	if !found || !conns[picked].drop() {
+	if !found {
 		return false
 	}
-	l.note(now, connectionDropped)
+	if conns[picked].drop() {
+		l.note(now, connectionDropped)
+	}
 	return true
 }
 
--- a/ingress/connlimiter/connend.go
+++ b/ingress/connlimiter/connend.go
@@ -103,7 +103,9 @@
 // charged for it. The caller holds mu.
 func (c *conn) closeNow() error {
 	c.state = closed
-	c.limiter.remove(c)
+	// In this order: a connection that is no longer listed must not be charged for, else
+	// heads would be refused as if there were nothing to drop.
 	c.releaseHead()
+	c.limiter.remove(c)
 	return c.Conn.Close()
 }
--- a/ingress/connlimiter/head_test.go
+++ b/ingress/connlimiter/head_test.go
@@ -1,10 +1,19 @@
 package connlimiter
 
 import (
+	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/ingress/apportioner"
 )
 
 var _ = Describe("Limiter", func() {
@@ -27,4 +36,48 @@
 		c.send("\r\n" + fields(60) + "\r\n")
 		Expect(c.status()).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
+
+	// Guards against a head that is refused although there is room for it, as the connection
+	// that it would displace was dropped for another head at the same time.
+	It("admits all heads that have room once one connection is dropped", func() {
+		const heads = 8
+		for range 200 {
+			s := newIdleLimiter(heads*100, heads+1)
+			s.hold(heads * 100)
+			var refused atomic.Int32
+			var running sync.WaitGroup
+			begin := make(chan struct{})
+			for range heads {
+				running.Go(func() {
+					<-begin
+					if !s.addHead(s.options.Now(), 100) {
+						refused.Add(1)
+					}
+				})
+			}
+			close(begin)
+			running.Wait()
+			Expect(refused.Load()).To(BeZero())
+		}
+	})
 })
+
+// idleLimiter is a Limiter without a server.
+type idleLimiter struct{ *Limiter }
+
+func newIdleLimiter(headBytes int64, connections int) idleLimiter {
+	return idleLimiter{New(Options{Logger: zap.NewNop(), Metrics: metrics.NewRegistry(), Now: time.Now, Shares: apportioner.Shares{
+		Connections: connections, HeadBytes: headBytes,
+		Limits: currantwood.ConnectionLimits{HeadAllowance: time.Minute, BytesPerSecond: 100},
+	}})}
+}
+
+// hold adds a connection whose unfinished head takes memory.
+func (l idleLimiter) hold(headBytes int64) {
+	accepted, client := net.Pipe()
+	DeferCleanup(client.Close)
+	c := newConn(accepted, l.Limiter)
+	Expect(l.admit(c)).To(BeTrue())
+	c.headBytes = headBytes
+	Expect(l.addHead(l.options.Now(), headBytes)).To(BeTrue())
+}
