Bodies: one that fits isn't refused while a larger one is tried

Cause: reserve counted a body before it compared with the limit and took it back afterwards. Meanwhile smaller bodies that fit were refused as "no memory for the body", if none makes no progress. Change: memory is reserved by compare-and-swap, so that only what fits is counted.

--- a/gateway/bodybuffer.go
+++ b/gateway/bodybuffer.go
@@ -88,10 +88,9 @@
 // to be given up. It reports false if there are none, or if that takes too long.
 func (b *bodyBuffer) reserve(bytes int64) bool {
 	for range int(reclaimTime / reclaimInterval) {
-		if b.used.Add(bytes) <= b.limit {
+		if b.tryReserve(bytes) {
 			return true
 		}
-		b.used.Add(-bytes)
 		if b.reclaim == nil || !b.reclaim() {
 			return false
 		}
@@ -100,5 +99,19 @@
 	return false
 }
 
+// tryReserve reserves memory if it is left. A body that doesn't fit is never counted, as it
+// would let smaller ones that fit be refused meanwhile.
+func (b *bodyBuffer) tryReserve(bytes int64) bool {
+	for {
+		used := b.used.Load()
+		if used+bytes > b.limit {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
+	}
+}
+
 // release notes that a body is no longer needed.
 func (b *bodyBuffer) release(body []byte) { b.used.Add(-int64(cap(body))) }
--- a/gateway/bodybuffer_test.go
+++ b/gateway/bodybuffer_test.go
@@ -65,6 +65,34 @@
 		Expect(body).To(BeEquivalentTo("body"))
 	})
 
+	// Guards against a small body that is refused while one that doesn't fit is tried.
+	It("reads a body that fits although one that doesn't is refused at the same time", func() {
+		b := newBodyBuffer(0, 1000)
+		stop, stopped := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(stopped)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					b.reserve(2000)
+				}
+			}
+		}()
+		refused := 0
+		for range 200_000 {
+			if !b.reserve(1) {
+				refused++
+				continue
+			}
+			b.used.Add(-1)
+		}
+		close(stop)
+		<-stopped
+		Expect(refused).To(BeZero())
+	})
+
 	It("passes on the error of a body that breaks", func() {
 		broken := errors.New("connection reset")
 		_, err := newBodyBuffer(0, maxResponseBytes).readAll(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(broken)), maxResponseBytes)
