Progress of clients: a transfer that began after a gap keeps to its allowance

Change: Extend, like Transferred, never leaves more than the allowance; likewise the beginning of idle time isn't moved beyond now.

--- a/ingress/connlimiter/connend.go
+++ b/ingress/connlimiter/connend.go
@@ -82,12 +82,14 @@
 }
 
 // extend adds time that doesn't count.
-func (c *conn) extend(d time.Duration) {
+func (c *conn) extend(now time.Time, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.progress.Extend(d)
-	c.written.Extend(d)
-	c.since = c.since.Add(d)
+	c.progress.Extend(now, d)
+	c.written.Extend(now, d)
+	if c.since = c.since.Add(d); c.since.After(now) {
+		c.since = now
+	}
 }
 
 // endHead closes the connection. If a part of a head has arrived, it sends a status before.
--- a/ingress/connlimiter/head_test.go
+++ b/ingress/connlimiter/head_test.go
@@ -37,6 +37,19 @@
 		Expect(c.status()).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
 
+	// Guards against a crowd that connects while the process is frozen, and may then stall for
+	// as long again.
+	It("ends a head that stalls if the connection was accepted after a gap", func() {
+		s := newLimitedServer(10, 1<<30)
+		s.Sweep()
+		s.ahead.Add(int64(time.Hour))
+		stalled := s.dial(halfHead)
+		Eventually(s.headBytes.Load).Should(BeNumerically(">", 0))
+		s.pass(61 * time.Second)
+		Expect(s.counters[headStalled].Count()).To(BeEquivalentTo(1))
+		Expect(stalled.status()).To(Equal(http.StatusRequestTimeout))
+	})
+
 	// Guards against a head that is refused although there is room for it, as the connection
 	// that it would displace was dropped for another head at the same time.
 	It("admits all heads that have room once one connection is dropped", func() {
--- a/ingress/connlimiter/limiter.go
+++ b/ingress/connlimiter/limiter.go
@@ -146,7 +146,7 @@
 	gap := l.noteSweep(now)
 	for _, c := range l.connections() {
 		if gap > maxSweepGap {
-			c.extend(gap)
+			c.extend(now, gap)
 			continue
 		}
 		if event, expired := c.expire(now); expired {
--- a/ingress/progressmeter/meter.go
+++ b/ingress/progressmeter/meter.go
@@ -22,15 +22,18 @@
 // Transferred notes that bytes were transferred.
 func (m *Meter) Transferred(now time.Time, bytes int) {
 	refill := time.Duration(int64(bytes) * int64(time.Second) / m.bytesPerSecond)
-	m.end = m.end.Add(refill)
+	m.Extend(now, refill)
+}
+
+// Extend adds time, such as that in which the process didn't run. What is left is never more
+// than the allowance: a transfer may have begun after that time.
+func (m *Meter) Extend(now time.Time, d time.Duration) {
+	m.end = m.end.Add(d)
 	if latest := now.Add(m.allowance); m.end.After(latest) {
 		m.end = latest
 	}
 }
 
-// Extend adds time that doesn't count, as the process didn't run.
-func (m *Meter) Extend(d time.Duration) { m.end = m.end.Add(d) }
-
 // Lag returns how much of the allowance is used up.
 func (m *Meter) Lag(now time.Time) time.Duration {
 	return max(0, m.allowance-m.end.Sub(now))
--- a/ingress/progressmeter/meter_test.go
+++ b/ingress/progressmeter/meter_test.go
@@ -40,7 +40,14 @@
 
 var _ = It("time that doesn't count isn't used up", func() {
 	m := New(start, time.Second, 100)
-	m.Extend(time.Minute)
+	m.Extend(start.Add(time.Minute), time.Minute)
 	Expect(m.Expired(start.Add(time.Minute))).To(BeFalse())
 	Expect(m.Expired(start.Add(time.Minute + time.Second))).To(BeTrue())
 })
+
+var _ = It("a transfer that began after the time that doesn't count keeps to its allowance", func() {
+	m := New(start.Add(time.Minute), time.Second, 100)
+	m.Extend(start.Add(time.Minute), time.Minute)
+	Expect(m.Expired(start.Add(time.Minute + time.Second - 1))).To(BeFalse())
+	Expect(m.Expired(start.Add(time.Minute + time.Second))).To(BeTrue())
+})
