--- a/gateway/waiter.go
+++ b/gateway/waiter.go
@@ -55,6 +55,8 @@
 	g, q := w.q.g, w.q
 	g.mu.Lock()
 	g.syncGroups(q.snapshot)
+	// Requests that wait already go first. If no engine may take this one at all, waiting
+	// can't help, and pickNow returns the reason.
 	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
 		choice, err := w.pickNow(now, "")
 		var refused *balancer.RefusalError
--- a/ingress/connlimiter/conn.go
+++ b/ingress/connlimiter/conn.go
@@ -109,8 +109,8 @@
 	return true
 }
 
-// chargeFields returns what a parsed head takes more of memory than was charged for it,
-// which the caller charges.
+// chargeFields notes the number of fields of a parsed head. It returns the memory by which
+// that exceeds what was charged as the head arrived; the caller charges the difference.
 func (c *conn) chargeFields(fields int) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ingress/connlimiter/connio.go
+++ b/ingress/connlimiter/connio.go
@@ -49,8 +49,9 @@
 // onlyReader hides the methods of a connection that io.CopyBuffer would prefer.
 type onlyReader struct{ io.Reader }
 
-// noteRead notes bytes that were read. It returns what the head takes more of memory,
-// which the caller charges, and whether the head exceeds a limit.
+// noteRead notes bytes that were read. It returns by how much they raise the memory of the
+// head, which the caller charges, and whether the head exceeds a limit. If the connection is
+// closed before the caller has charged it, both changes of the Limiter's sum cancel out.
 func (c *conn) noteRead(now time.Time, p []byte) (charge int64, exceeds bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ingress/connlimiter/event.go
+++ b/ingress/connlimiter/event.go
@@ -1,8 +1,6 @@
 package connlimiter
 
 import (
-	"sync/atomic"
-
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 )
@@ -24,8 +22,6 @@
 
 //go:generate go tool stringer -linecomment -type=event
 
-type atomicBytes = atomic.Int64
-
 // events holds a number of each event.
 type events [eventCount]int
 
--- a/ingress/connlimiter/limiter.go
+++ b/ingress/connlimiter/limiter.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -63,7 +64,7 @@
 	reclaimedAt time.Time
 
 	// headBytes is the estimated memory of the heads that arrive or run.
-	headBytes atomicBytes
+	headBytes atomic.Int64
 }
 
 // New returns a Limiter without connections.
