--- a/gateway/waiter.go
+++ b/gateway/waiter.go
@@ -84,6 +84,8 @@
 func (w *waiter) tryNow(now time.Time) (balancer.Choice, *fullEngines, error) {
 	g, q := w.q.g, w.q
 	var fullError error
+	// Requests that wait already go first. If no engine may take this one at all, waiting
+	// can't help, and pickNow returns the reason.
 	if g.room.keeper.Waiting(q.group) == 0 || g.balancer.Room(now, w.query(now)).Engines == 0 {
 		choice, err := w.pickNow(now, "")
 		var refused *balancer.RefusalError
