Client limits: what arrives of the next head with a request is counted

Cause: net/http reads up to 4 KB ahead. Fields of the next head in them were parsed without having been counted, and the connection counted as idle: 900 connections took 160 MB with 112 MB in the settings. Then each head that had no room listed all connections to choose one, hundreds at the same time. Change: bodyskipper finds what follows a body, by its length or its chunks; it is counted as a head when the response is written, charged, and has the time of a head. Choices of a connection to end run one at a time and use their memory again. Five specs of the connection limits, four of them red before.

--- a/ingress/connlimiter/admission.go
+++ b/ingress/connlimiter/admission.go
@@ -14,12 +14,18 @@
 	if l.reclaimedLately(now) {
 		return true
 	}
-	conns, candidates, aborted := l.candidates(now)
-	picked, found := victimpicker.Picker{}.Body(candidates)
+	l.picking.Lock()
+	defer l.picking.Unlock()
+	// Another body may have been given up meanwhile.
+	if l.reclaimedLately(l.options.Now()) {
+		return true
+	}
+	c := l.listCandidates(now)
+	picked, found := victimpicker.Picker{}.Body(c.candidates)
 	if !found {
-		return len(aborted) > 0
+		return len(c.aborted) > 0
 	}
-	if conns[picked].abort(now) {
+	if c.conns[picked].abort(now) {
 		l.noteReclaimed(now)
 		l.note(now, bodyDropped)
 	}
@@ -67,17 +73,20 @@
 // and true also if the one that it picked has ended or runs a request by now, so that the
 // caller looks again.
 func (l *Limiter) dropLeast(now time.Time) bool {
-	conns, candidates, aborted := l.candidates(now)
-	for _, c := range aborted {
-		if c.drop() {
-			return true
-		}
+	l.picking.Lock()
+	defer l.picking.Unlock()
+	if !l.isFull() {
+		return true
 	}
-	picked, found := victimpicker.Picker{}.Connection(candidates)
+	c := l.listCandidates(now)
+	if c.dropAborted() {
+		return true
+	}
+	picked, found := victimpicker.Picker{}.Connection(c.candidates)
 	if !found {
 		return false
 	}
-	if conns[picked].drop() {
+	if c.conns[picked].drop() {
 		l.note(now, connectionDropped)
 	}
 	return true
@@ -106,20 +115,23 @@
 // reports false if there is none, and true also if that connection has ended or runs a
 // request by now, as dropLeast does.
 func (l *Limiter) dropHead(now time.Time) bool {
-	conns, candidates, aborted := l.candidates(now)
-	for _, c := range aborted {
-		if c.drop() {
-			return true
-		}
+	l.picking.Lock()
+	defer l.picking.Unlock()
+	if !l.exceedsHeads() {
+		return true
 	}
-	for i, c := range conns {
-		candidates[i].MemoryBytes = c.chargedBytes()
+	c := l.listCandidates(now)
+	if c.dropAborted() {
+		return true
+	}
+	for i, conn := range c.conns {
+		c.candidates[i].MemoryBytes = conn.chargedBytes()
 	}
-	picked, found := victimpicker.Picker{}.Head(candidates)
+	picked, found := victimpicker.Picker{}.Head(c.candidates)
 	if !found {
 		return false
 	}
-	if conns[picked].drop() {
+	if c.conns[picked].drop() {
 		l.note(now, connectionDropped)
 	}
 	return true
@@ -142,17 +154,39 @@
 	return conns
 }
 
-// candidates returns the open connections and their descriptions, and apart from them
-// those whose body was given up.
-func (l *Limiter) candidates(now time.Time) (conns []*conn, candidates []victimpicker.Candidate, aborted []*conn) {
-	for _, c := range l.connections() {
-		candidate, state := c.candidate(now)
+// choice is what a connection to end is chosen from. Its memory is used again.
+type choice struct {
+	// conns are the open connections, candidates their descriptions.
+	conns      []*conn
+	candidates []victimpicker.Candidate
+	// aborted are the connections whose body was given up.
+	aborted []*conn
+}
+
+// listCandidates lists all connections. The caller holds picking.
+func (l *Limiter) listCandidates(now time.Time) *choice {
+	c := &l.choice
+	clear(c.conns)
+	clear(c.aborted)
+	c.conns, c.candidates, c.aborted = c.conns[:0], c.candidates[:0], c.aborted[:0]
+	for _, conn := range l.connections() {
+		candidate, state := conn.candidate(now)
 		switch state {
 		case open:
-			conns, candidates = append(conns, c), append(candidates, candidate)
+			c.conns, c.candidates = append(c.conns, conn), append(c.candidates, candidate)
 		case bodyAborted:
-			aborted = append(aborted, c)
+			c.aborted = append(c.aborted, conn)
+		}
+	}
+	return c
+}
+
+// dropAborted closes a connection whose body was given up, if there is one.
+func (c *choice) dropAborted() bool {
+	for _, conn := range c.aborted {
+		if conn.drop() {
+			return true
 		}
 	}
-	return conns, candidates, aborted
+	return false
 }
--- a/ingress/connlimiter/conn.go
+++ b/ingress/connlimiter/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/currantwood/currantwood/ingress/bodyskipper"
 	"github.com/currantwood/currantwood/ingress/headcounter"
 	"github.com/currantwood/currantwood/ingress/progressmeter"
 	"github.com/currantwood/currantwood/ingress/victimpicker"
@@ -41,6 +43,8 @@
 	head  headcounter.Counter
 	// headBytes is what is charged to the limiter for the head.
 	headBytes int64
+	// body skips the body of the present request, which leaves what has arrived of the next one.
+	body bodyskipper.Skipper
 	// bodyBytes counts the bytes of the body that have arrived.
 	bodyBytes int64
 	// progress measures the head or the body that arrives.
@@ -75,15 +79,44 @@
 func (c *conn) awaitHead(now time.Time, phase victimpicker.Phase) {
 	limits := c.limiter.options.Shares.Limits
 	c.phase, c.since, c.head, c.bodyBytes = phase, now, headcounter.Counter{}, 0
+	c.body.Reset()
 	c.progress = progressmeter.New(now, limits.HeadAllowance, limits.BytesPerSecond)
 }
 
-// becomeIdle notes that the response to a request is written.
-func (c *conn) becomeIdle(now time.Time) {
+// becomeIdle notes that the response to a request is written. If a part of the next head has
+// arrived with that request, it is counted now: net/http has it already. becomeIdle returns the
+// memory of that part, which the caller charges.
+func (c *conn) becomeIdle(now time.Time) (charge int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state == closed {
+		return 0
+	}
 	c.releaseHead()
+	next := slices.Clone(c.body.Rest())
 	c.awaitHead(now, victimpicker.Idle)
+	if c.countHead(next); !c.head.Begun() {
+		c.awaitHead(now, victimpicker.Idle)
+		return 0
+	}
+	c.phase = victimpicker.Head
+	return c.chargeHead()
+}
+
+// countHead counts bytes that have arrived, up to the end of the head. The caller holds mu.
+func (c *conn) countHead(p []byte) {
+	before := c.head.Bytes()
+	c.head.Count(p)
+	c.body.Add(p[c.head.Bytes()-before:])
+}
+
+// chargeHead returns by how much the memory of the head has grown, which the caller charges to
+// the limiter. The caller holds mu.
+func (c *conn) chargeHead() int64 {
+	bytes := int64(headByteBytes*c.head.Bytes() + fieldBytes*c.head.Fields())
+	charge := bytes - c.headBytes
+	c.headBytes = bytes
+	return charge
 }
 
 // releaseHead gives back what was charged for the head. The caller holds mu.
@@ -92,15 +125,16 @@
 	c.headBytes = 0
 }
 
-// beginRequest notes that a head has been parsed. It reports false if the connection is
-// being closed.
-func (c *conn) beginRequest(now time.Time, hasBody bool) bool {
+// beginRequest notes that a head has been parsed, and the length of the body that follows or
+// bodyskipper.Chunked. It reports false if the connection is being closed.
+func (c *conn) beginRequest(now time.Time, hasBody bool, bodyLength int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != open {
 		return false
 	}
 	c.phase = victimpicker.Running
+	c.body.Begin(bodyLength)
 	if hasBody {
 		limits := c.limiter.options.Shares.Limits
 		c.phase = victimpicker.Body
--- a/ingress/connlimiter/connio.go
+++ b/ingress/connlimiter/connio.go
@@ -60,24 +60,23 @@
 		c.awaitHead(now, victimpicker.Head)
 	case victimpicker.Body:
 		c.bodyBytes += int64(len(p))
+		c.body.Add(p)
 	case victimpicker.Running, victimpicker.Writing:
 		// The first byte of a pipelined request, which net/http reads to notice the end of
 		// the connection.
+		c.body.Add(p)
 		return 0, false
 	}
 	c.progress.Transferred(now, len(p))
 	if c.phase != victimpicker.Head || c.state == closed {
 		return 0, false
 	}
-	c.head.Count(p)
+	c.countHead(p)
 	if c.head.Exceeds(c.limiter.headLimits) {
 		c.state = closed
 		return 0, true
 	}
-	bytes := int64(headByteBytes*c.head.Bytes() + fieldBytes*c.head.Fields())
-	charge = bytes - c.headBytes
-	c.headBytes = bytes
-	return charge, false
+	return c.chargeHead(), false
 }
 
 // Write writes in pieces, so that progress is seen.
--- a/ingress/connlimiter/head_test.go
+++ b/ingress/connlimiter/head_test.go
@@ -37,6 +37,34 @@
 		Expect(c.status()).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
 
+	// Guards against fields that are parsed without being charged, as they had arrived with the
+	// request before, and against a connection that counts as idle meanwhile.
+	DescribeTable("charges for a part of a head that arrives with the request before", func(first string) {
+		s := newLimitedServer(10, 1<<30)
+		c := s.dial(first + "GET / HTTP/1.1\r\nHost: a\r\n" + fields(40))
+		Expect(c.status()).To(Equal(http.StatusOK))
+		Eventually(s.headBytes.Load).Should(BeNumerically(">=", 41*fieldBytes))
+		s.pass(61 * time.Second)
+		Expect(s.counters[headStalled].Count()).To(BeEquivalentTo(1))
+		Expect(s.headBytes.Load()).To(BeZero())
+	},
+		Entry("without a body", get),
+		Entry("with a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"),
+		Entry("with a body in chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+		Entry("two of them", get+get),
+	)
+
+	// Guards against a connection that is ended as a stalled head because its client ends a body
+	// with an empty line, as old clients do.
+	It("takes a connection for idle after an empty line", func() {
+		s := newLimitedServer(10, 1<<30)
+		c := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nb\r\n")
+		Expect(c.status()).To(Equal(http.StatusOK))
+		s.pass(61 * time.Second)
+		c.send(get)
+		Expect(c.status()).To(Equal(http.StatusOK))
+	})
+
 	// Guards against a crowd that connects while the process is frozen, and may then stall for
 	// as long again.
 	It("ends a head that stalls if the connection was accepted after a gap", func() {
--- a/ingress/connlimiter/limiter.go
+++ b/ingress/connlimiter/limiter.go
@@ -63,6 +63,12 @@
 	// reclaimedAt is when a body was last given up; zero before.
 	reclaimedAt time.Time
 
+	// picking is held while a connection is chosen and ended. Each choice lists all
+	// connections, and a crowd whose heads arrive at once would make as many lists. It is taken
+	// before conn.mu.
+	picking sync.Mutex
+	choice  choice
+
 	// headBytes is the estimated memory of the heads that arrive or run.
 	headBytes atomic.Int64
 }
@@ -97,8 +103,14 @@
 
 // NoteState is the server's ConnState.
 func (l *Limiter) NoteState(c net.Conn, state http.ConnState) {
-	if limited := limitedConn(c); limited != nil && state == http.StateIdle {
-		limited.becomeIdle(l.options.Now())
+	limited := limitedConn(c)
+	if limited == nil || state != http.StateIdle {
+		return
+	}
+	now := l.options.Now()
+	if !l.addHead(now, limited.becomeIdle(now)) {
+		l.note(now, connectionRefused)
+		_ = limited.Close()
 	}
 }
 
@@ -111,7 +123,7 @@
 			return
 		}
 		hasBody := r.Body != nil && r.Body != http.NoBody
-		if !c.beginRequest(l.options.Now(), hasBody) {
+		if !c.beginRequest(l.options.Now(), hasBody, r.ContentLength) {
 			// The connection was dropped while its head was parsed.
 			panic(http.ErrAbortHandler)
 		}
--- a/ingress/headcounter/counter.go
+++ b/ingress/headcounter/counter.go
@@ -70,6 +70,9 @@
 	return max(0, fields)
 }
 
+// Begun reports whether more than empty lines has arrived.
+func (c *Counter) Begun() bool { return c.lines > 0 || c.lineBegun }
+
 // Ended reports whether the head has arrived whole.
 func (c *Counter) Ended() bool { return c.ended }
 
