Hand-over: the retry budget is charged only once a spare engine is picked

Cause: the budget was charged before the search for a spare engine, and the charge was lost if there was none. Result: the tests of gateway pass with the race detector; no test of its own.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -85,10 +85,10 @@
 	from.handedOver.Store(true)
 	spare := &spareCopy{ready: make(chan struct{}), done: make(chan struct{})}
 	exclude := []currantwood.UpstreamID{from.view.ID, target}
-	if !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
+	spare.choice, spare.err = s.pickMoveTarget(from, exclude)
+	if spare.err == nil && !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
+		s.recordEnd(spare.choice.View, s.moveLoad(), balancer.Neutral)
 		spare.err = errBudgetExhausted
-	} else {
-		spare.choice, spare.err = s.pickMoveTarget(from, exclude)
 	}
 	if spare.err != nil {
 		from.exchange.Abort()
