Room: no refusal by a forecast that rests on an assumed stay

A gateway at which no generation has ended assumes a stay of 2 s; 4,800 tokens are missing, it expects half of what becomes free, and the forecast is 0.94 s for a limit of 0.9 s. There is room after 0.4 s. It isn't load on the machine. Change: until a generation of the group has ended, the forecast refuses only where there is no engine to wait for. The spec of the refusal now measures a stay of the same 2 s first; a new one covers the time before that.

--- a/capacity/forecaster/forecaster.go
+++ b/capacity/forecaster/forecaster.go
@@ -112,6 +112,10 @@
 	s.memorySeconds += (tokens*seconds - s.memorySeconds) / stayDivisor
 }
 
+// HasMeasured reports whether any generation of a group has ended. Before that a forecast
+// rests on an assumed stay.
+func (f *Forecaster) HasMeasured(id currantwood.GroupID) bool { return f.stays[id] != nil }
+
 // stayTimes returns the mean stay of a generation, and of a token of memory, in seconds.
 func (f *Forecaster) stayTimes(id currantwood.GroupID) (request, memory float64) {
 	s := f.stays[id]
--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -160,8 +160,7 @@
 		d.Reason = NoTimeToWait
 		return d
 	}
-	// A request that fits an engine now is offered a place at once or with the next update.
-	if room.Open == 0 && d.Forecast > r.MaxWait && !r.Promised && !r.MustWait {
+	if room.Open == 0 && d.Forecast > r.MaxWait && k.refusesByForecast(r, room) {
 		d.Reason = TooLong
 		return d
 	}
@@ -180,6 +179,17 @@
 	return d
 }
 
+// refusesByForecast reports whether a request is refused if the forecast exceeds its time to
+// wait. Until a generation has ended here, the forecast rests on an assumed stay and refuses
+// only where there is no engine to wait for: otherwise a gateway that has just started
+// refuses generations that find room a moment later.
+func (k *Keeper) refusesByForecast(r Request, room forecaster.Room) bool {
+	if r.Promised || r.MustWait {
+		return false
+	}
+	return room.Engines == 0 || k.forecaster.HasMeasured(r.Group)
+}
+
 // Forecast returns the time until there is room for a request that doesn't wait yet, after
 // the waiting requests that go before it and the promised ones. Promised requests don't go
 // before one that redeems a promise itself.
--- a/capacity/roomkeeper/roomkeeper_test.go
+++ b/capacity/roomkeeper/roomkeeper_test.go
@@ -305,6 +305,7 @@
 
 	It("refuses what would wait longer than it may by the forecast", func() {
 		k, e := newKeeper(1<<20), newEngines()
+		k.forecaster.Ended("g", 2*time.Second, 1000)
 		e.need[0] = 1000
 		d := k.Arrive(start, Request{Group: "g", MaxWait: 20 * time.Millisecond, Work: forecaster.Work{Requests: 1, Memory: 1000}}, e.Room(0))
 		Expect(d.Reason).To(Equal(TooLong))
@@ -312,6 +313,18 @@
 		Expect(k.Waiting("g")).To(BeZero())
 	})
 
+	// Guards against generations that a gateway refuses soon after its start, by an assumed
+	// stay, although an engine has room a moment later.
+	It("doesn't refuse by the forecast before a generation has ended, unless there is no engine", func() {
+		k, e := newKeeper(1<<20), newEngines()
+		e.need[0] = 1000
+		r := Request{Group: "g", MaxWait: 20 * time.Millisecond, Work: forecaster.Work{Requests: 1, Memory: 1000}}
+		d := k.Arrive(start, r, e.Room(0))
+		Expect(d.Reason).To(Equal(Waits))
+		Expect(d.Forecast).To(BeNumerically(">", r.MaxWait))
+		Expect(k.Arrive(start, r, forecaster.Room{}).Reason).To(Equal(TooLong))
+	})
+
 	It("bounds the memory of waiting requests and evicts those that go last", func() {
 		k, e := newKeeper(2*overheadBytes+2000), newEngines()
 		arrive(k, e, Request{Priority: 5, BodyBytes: 1000})
