Configuration check: a customer without keys is a notice

Cause: withdrawing all keys of a customer is an ordinary change, and the check failed on each configuration after it. Change: findings have a severity; customer-without-api-key is a notice, printed and listed in JSON, without effect on the exit code. Result: the tests of configcheck and of the command pass; a configuration with only this notice ends with exit code 0, which a new case checks.

--- a/cmd/currantwood/configuration.go
+++ b/cmd/currantwood/configuration.go
@@ -19,7 +19,7 @@
 )
 
 // checkConfiguration checks a gateway configuration and prints what it finds. Input that
-// can't be read ends with exitUsage, findings with exitFailed.
+// can't be read ends with exitUsage, findings other than notices with exitFailed.
 func checkConfiguration(ctx context.Context, f checkFlags, file string, content []byte, out io.Writer) error {
 	document, err := decoder.Decoder{}.Document(file, content)
 	if err != nil {
@@ -50,7 +50,7 @@
 	if err := (renderer.Renderer{JSON: f.json}).Render(out, report); err != nil {
 		return err
 	}
-	if len(report.Findings) > 0 {
+	if report.Errors() > 0 {
 		return &exitError{exitFailed, nil}
 	}
 	return nil
@@ -62,7 +62,7 @@
 	if !errors.As(err, &undecoded) {
 		return &exitError{exitUsage, err}
 	}
-	finding := linter.Finding{Code: linter.NotDecoded, DocumentPosition: undecoded.Position, Message: undecoded.Reason}
+	finding := linter.NewFinding(linter.NotDecoded, undecoded.Position, undecoded.Reason)
 	if err := (renderer.Renderer{JSON: f.json}).Render(out, renderer.Report{File: file, Findings: []linter.Finding{finding}}); err != nil {
 		return err
 	}
--- a/cmd/currantwood/configuration_test.go
+++ b/cmd/currantwood/configuration_test.go
@@ -19,12 +19,14 @@
 
 // The configurations of testdata are variants of configurationExample: timeoutShorter has a
 // later version and a shorter timeout of the second route, groupMissing a route to a group
-// that isn't listed, undecodable a text in place of a timeout.
+// that isn't listed, undecodable a text in place of a timeout, customerWithoutKey a customer
+// without keys.
 const (
 	configurationExample = "../../platform/decoder/testdata/configuration.json"
 	timeoutShorter       = "testdata/timeout-shorter.json"
 	groupMissing         = "testdata/group-missing.json"
 	undecodable          = "testdata/undecodable.json"
+	customerWithoutKey   = "testdata/customer-without-key.json"
 )
 
 // TestCheckConfigurationExitCodes checks the exit codes that scripts rely on, for each way
@@ -41,6 +43,7 @@
 	g.Expect(check("--settings", settings, configurationExample)).To(Equal(0))
 	g.Expect(check("--against", configurationExample, timeoutShorter)).To(Equal(0), "a change is no fault")
 	g.Expect(check(groupMissing)).To(Equal(exitFailed))
+	g.Expect(check(customerWithoutKey)).To(Equal(0), "notices are no fault")
 	g.Expect(check("--against", timeoutShorter, configurationExample)).To(Equal(exitFailed), "an older version")
 	g.Expect(check(undecodable)).To(Equal(exitUsage))
 	g.Expect(check("--against", undecodable, timeoutShorter)).To(Equal(exitUsage))
--- a/configcheck/linter/linter.go
+++ b/configcheck/linter/linter.go
@@ -1,6 +1,6 @@
 // Package linter finds the parts of a configuration that can never take effect, contradict
 // each other or don't fit the settings of the gateways' VMs. A sound configuration has no
-// finding.
+// finding but notices.
 package linter
 
 import (
@@ -12,13 +12,19 @@
 	"github.com/currantwood/currantwood/configkeeper"
 )
 
-// Finding is one fault of a configuration.
+// Finding is one fault of a configuration, or one state of it worth a notice.
 type Finding struct {
-	Code Code `json:"code"`
+	Code     Code     `json:"code"`
+	Severity Severity `json:"severity"`
 	currantwood.DocumentPosition
 	Message string `json:"message"`
 }
 
+// NewFinding returns a finding with the severity of its code.
+func NewFinding(code Code, at currantwood.DocumentPosition, message string) Finding {
+	return Finding{Code: code, Severity: code.Severity(), DocumentPosition: at, Message: message}
+}
+
 // Options is what a configuration is checked against besides itself.
 type Options struct {
 	// Settings are those of a gateway's VM; nil leaves out the checks that need them.
@@ -70,7 +76,7 @@
 }
 
 func (c *check) addAt(code Code, at currantwood.DocumentPosition, format string, args ...any) {
-	c.findings = append(c.findings, Finding{Code: code, DocumentPosition: at, Message: fmt.Sprintf(format, args...)})
+	c.findings = append(c.findings, NewFinding(code, at, fmt.Sprintf(format, args...)))
 }
 
 // at returns the place of a field in the entry with an index.
