--- a/capacity/roomkeeper/roomkeeper_test.go
+++ b/capacity/roomkeeper/roomkeeper_test.go
@@ -340,6 +340,20 @@
 		Expect(bytes).To(Equal(int64(2*overheadBytes + 2000)))
 	})
 
+	// Guards against an urgent request that is refused for the memory of less urgent ones,
+	// since they wait for other engines.
+	It("evicts less urgent requests of other groups, but no equally urgent ones", func() {
+		k, e := newKeeper(2*overheadBytes), newEngines()
+		r := Request{Group: "other", MaxWait: time.Second, Promised: true, Priority: 1}
+		low := k.Arrive(start, r, e.Room(0)).Ticket
+		arrive(k, e, Request{Priority: 5})
+		r.Group, r.Priority = "g", 2
+		Expect(k.Arrive(start, r, e.Room(0)).Evicted).To(Equal([]Ticket{low}))
+		r.Group = "other"
+		Expect(k.Arrive(start, r, e.Room(0)).Reason).To(Equal(QueueFull))
+		Expect(k.Waiting("other")).To(BeZero())
+	})
+
 	// Guards against streams that are lost, as their resumption is refused for the memory that
 	// requests need which could come back.
 	It("doesn't evict a request whose stream has begun", func() {
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -44,6 +44,9 @@
 	seed       maphash.Seed
 	// offeredAt is when offerUpdate was called last.
 	offeredAt time.Time
+	// checkedVersion is the configuration by which the keys of waiting requests were checked
+	// last.
+	checkedVersion currantwood.ConfigurationVersion
 }
 
 func newRoomQueue(memoryBytes int64, random *rand.Rand) *roomQueue {
@@ -133,6 +136,23 @@
 	}
 }
 
+// refuseWithdrawn ends the wait of the requests whose keys a new configuration doesn't hold:
+// they would keep the place of others and be refused when it is their turn. The caller holds
+// mu.
+func (g *Gateway) refuseWithdrawn(now time.Time) {
+	version := g.Configuration.Version()
+	if version == g.room.checkedVersion {
+		return
+	}
+	g.room.checkedVersion = version
+	for t, w := range g.room.waiters {
+		if refused := w.q.recheckKey(now); refused != nil {
+			g.room.keeper.Leave(w.q.group, t)
+			g.endWait(t, &refusedError{refused})
+		}
+	}
+}
+
 // refuseWaiting ends the wait of all requests, as the gateway stops.
 func (g *Gateway) refuseWaiting() {
 	g.mu.Lock()
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -167,6 +167,24 @@
 		Entry("by a refusal", func() { first.recordRejection(engineView, first.load(), balancer.Neutral) }),
 	)
 
+	// Guards against a request without a valid key that keeps the place of others.
+	It("is refused when its key is withdrawn", func() {
+		groups := first.snapshot.Groups
+		keys := map[string]currantwood.KeyHolder{"k": {Customer: "c"}}
+		g.Configuration.SetIfNewer(currantwood.Configuration{Version: 2, Groups: groups, RequiresKeys: true, Keys: keys})
+		withKey := newGeneration(context.Background(), g, "second", 4*time.Second)
+		withKey.snapshot, withKey.client.APIKey = g.Configuration.Current(), "k"
+		result := pickInBackground(withKey)
+		Eventually(func() int { return waiting(g) }).Should(Equal(1))
+		g.Tick(g.Now())
+		Expect(waiting(g)).To(Equal(1))
+		g.Configuration.SetIfNewer(currantwood.Configuration{Version: 3, Groups: groups, RequiresKeys: true})
+		g.Tick(g.Now())
+		var refused *refusedError
+		Eventually(result).Should(Receive(HaveField("Err", BeAssignableToTypeOf(refused))))
+		Expect(waiting(g)).To(BeZero())
+	})
+
 	// Guards against less urgent requests that wait for the next update, of which a gateway
 	// among many takes a part only, and delay a more urgent one that fits now; and against a
 	// refusal of one that fits, as it has spent its time to wait.
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -98,8 +98,8 @@
 }
 
 // Tick does the work that is due by time alone: it ejects stalled upstreams,
-// removes those whose lapsed records were not written again in time, offers room to waiting
-// requests, and closes idle connections.
+// removes those whose lapsed records were not written again in time, refuses waiting requests
+// whose keys were withdrawn, offers room to the others, and closes idle connections.
 func (g *Gateway) Tick(now time.Time) {
 	g.mu.Lock()
 	if snapshot := g.Configuration.Current(); snapshot != nil {
@@ -113,6 +113,7 @@
 	}
 	events := g.upstreams.Tick(now)
 	g.abandoned.DeleteExpired(now)
+	g.refuseWithdrawn(now)
 	g.offerOverdue(now)
 	g.handleEventsAndUnlock(now, events)
 	g.logWarmUps("", warmUps...)
--- a/gateway/waiter.go
+++ b/gateway/waiter.go
@@ -148,9 +148,12 @@
 
 // ended returns the error for the result of waiting.
 func (w *waiter) ended(err error) error {
+	var refused *refusedError
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &refused):
+		return err
 	case errors.Is(err, errStoppedWaiting):
 		return &refusedError{&gatewayResponse{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: otherGatewayRetryAfter, closeConnection: true}}
 	default:
