--- a/configcheck/linter/linter.go
+++ b/configcheck/linter/linter.go
@@ -12,7 +12,7 @@
 	"github.com/currantwood/currantwood/configkeeper"
 )
 
-// Finding is one fault of a configuration, or one state of it worth a notice.
+// Finding is one fault of a configuration, or a state of it that operators should know of.
 type Finding struct {
 	Code     Code     `json:"code"`
 	Severity Severity `json:"severity"`
