Headers: one name for the relative time of work

Cause: the decoded response called it a slowdown, all other code a relative time. Change: the field is RelativeTime everywhere. Names on the wire are unchanged. Result: the tests of headercoder and gateway pass.

--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -36,7 +36,7 @@
 		events = q.g.markLeaving(now, view.ID, view.Incarnation)
 	}
 	if !x.Answer.OtherInstance {
-		q.g.balancer.ObserveSpeed(now, view.ID, x.Answer.Slowdown)
+		q.g.balancer.ObserveSpeed(now, view.ID, x.Answer.RelativeTime)
 		warmUp = q.g.warmUps.Observe(now, sentAt, warmUpUpstream(view), x.Answer.WarmUp)
 	}
 	share := q.g.rates.Share(now, view.ID)
--- a/routing.go
+++ b/routing.go
@@ -102,9 +102,9 @@
 	// Running and Waiting are the numbers of running and queued requests at the
 	// upstream, Slots the number that it can run. All are 0 if it reports no load.
 	Running, Waiting, Slots int
-	// Slowdown is how long work takes at the upstream now, relative to usual: 1 is as
+	// RelativeTime is how long work takes at the upstream now, relative to usual: 1 is as
 	// usual, 2 twice as long. 0 if it doesn't say.
-	Slowdown float64
+	RelativeTime float64
 	// WarmUp is what the response says of the upstream's warm-up.
 	WarmUp WarmUp
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if
