Gateway: read ahead of clients that read slowly

An event was read from the upstream only after the previous one was written, so a client that paused for 3 s made its engine stop, hold its slot and abort: "unexpected EOF" in the new spec. Events are now buffered once a write would block, by a goroutine that runs only then, within [flow] stream-share and total-share; the longest stopped client gives way. What the buffer accepted counts as delivered.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// ReclaimBody gives up the body of a request that makes no progress, so that another
 	// one finds room. It reports false if there is none. It may be nil.
 	ReclaimBody func() bool
+	// Writable reports whether a short write to the client of a request wouldn't block. If it
+	// is nil, events aren't buffered for clients that read slowly.
+	Writable func(*http.Request) bool
 }
 
 // Gateway implements http.Handler. It is safe for concurrent use.
@@ -99,6 +102,8 @@
 	// that are read whole.
 	requests, responses *bodyBuffer
 	instruments         instruments
+	// buffers accounts for the events that are buffered for clients that read slowly.
+	buffers *streamBuffers
 	// objectives are those of the configuration groupsVersion; guarded by mu.
 	objectives objectives
 	// room holds the generations that wait for room; guarded by mu.
@@ -155,6 +160,7 @@
 	}
 	g.requests.reclaim = options.ReclaimBody
 	g.instruments = newInstruments(options.Metrics)
+	g.buffers = newStreamBuffers(options)
 	return g
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,8 +36,10 @@
 type stream struct {
 	*request
 	ctx context.Context
-	// lastEvent is the id of the last event that the client received; -1 if
-	// none.
+	// out writes the events to the client.
+	out clientWriter
+	// lastEvent is the id of the last event that was written to the client or buffered for
+	// it; -1 if none. A buffered event is lost only together with the client's stream.
 	lastEvent atomic.Int64
 	// headerWritten is set when the header of the response is written, which is
 	// with the first event.
@@ -68,8 +70,8 @@
 	// the events.
 	resuming atomic.Bool
 	pacer    *pacer.Pacer
-	// deliveredAt is when the last event was delivered, and longestGap the longest time
-	// between two events, the second of which came from gapUpstream. Only relay uses them.
+	// deliveredAt is when the last event was written or buffered, and longestGap the longest
+	// time between two events, the second of which came from gapUpstream. Only relay uses them.
 	deliveredAt time.Time
 	longestGap  time.Duration
 	gapUpstream currantwood.UpstreamID
@@ -79,20 +81,29 @@
 func (q *request) serveStream(ctx context.Context) {
 	s := &stream{request: q, ctx: ctx, pacer: pacer.New(q.route.GapTarget)}
 	s.lastEvent.Store(q.client.LastEvent)
+	s.out = clientWriter{w: q.w, buffers: q.g.buffers, cancel: s.cancelCurrent}
+	if writable := q.g.Writable; writable != nil {
+		s.out.writable = func() bool { return writable(q.r) }
+	}
 	defer s.finish()
+	// The response must not be written to once this has returned.
+	defer func() { _ = s.out.drain(s.ctx) }()
 	if refusal := s.findStart(); refusal != nil {
 		s.endRequest(refusal)
 		return
 	}
 	for {
 		if !s.openUpstream() {
+			if errors.Is(s.out.failure(), errClientStopped) {
+				s.abort(errClientStopped)
+			}
 			return
 		}
 		err := s.relay()
 		if err == nil {
 			return
 		}
-		if !s.prepareResume(err) {
+		if errors.Is(err, errClientStopped) || !s.prepareResume(err) {
 			s.abort(err)
 			return
 		}
@@ -186,6 +197,11 @@
 				continue
 			}
 		}
+		if errors.Is(s.out.failure(), errClientStopped) {
+			// The gateway has ended the exchange, so err is no failure of the upstream.
+			s.closeUpstream(up, balancer.Neutral)
+			return errClientStopped
+		}
 		if s.clientDisconnected() {
 			s.recordCrash(up.failure(s.ctx))
 			s.closeUpstream(up, balancer.Neutral)
@@ -201,9 +217,7 @@
 			if up.exchange.Framed {
 				s.recordCompletion(up.firstEventAt)
 			}
-			s.g.instruments.served.Inc(1)
-			s.g.instruments.responseTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
-			s.log("stream served", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns), zap.Duration("longest-gap", s.longestGap), zap.String("gap-upstream", string(s.gapUpstream)))
+			s.finishResponse(up)
 			return nil
 		}
 		if broken && !up.handedOver.Load() {
@@ -238,7 +252,17 @@
 	cancel()
 }
 
-// finish cancels whatever is still under way for the stream.
+// cancelCurrent cancels the exchange with the upstream.
+func (s *stream) cancelCurrent() {
+	s.mu.Lock()
+	cancel := s.cancelUpstream
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// finish cancels whatever is still under way for the stream. It may be called again.
 func (s *stream) finish() {
 	s.mu.Lock()
 	s.finished = true
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -26,8 +26,8 @@
 // from this upstream or an earlier one.
 func (s *stream) complete() bool { return s.headerWritten.Load() }
 
-// deliver writes one event to the client unless the client has it already. It
-// fails if the event's id doesn't follow that of the last one.
+// deliver writes one event to the client, or buffers it, unless the client has it already
+// or will have. It fails if the event's id doesn't follow that of the last one.
 func (s *stream) deliver(up *upstreamStream, event eventsplitter.Event) error {
 	if event.ID >= 0 {
 		last := s.lastEvent.Load()
@@ -46,11 +46,8 @@
 		up.begun = true
 		s.recordBegun(up.firstEventAt)
 	}
-	if _, err := s.w.Write(event.Text); err != nil {
-		return errors.Wrap(err, "write to client")
-	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		return errors.Wrap(err, "write to client")
+	if err := s.out.write(s.ctx, event.Text); err != nil {
+		return err
 	}
 	s.pacer.Delivered(s.g.Now())
 	s.noteGap(up)
@@ -65,7 +62,7 @@
 	return nil
 }
 
-// noteGap keeps the longest time between two delivered events.
+// noteGap keeps the longest time between two events that were written or buffered.
 func (s *stream) noteGap(up *upstreamStream) {
 	now := s.g.Now()
 	if gap := now.Sub(s.deliveredAt); !s.deliveredAt.IsZero() && gap > s.longestGap {
@@ -86,6 +83,26 @@
 	s.g.instruments.firstEventTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
 }
 
+// finishResponse waits until the client has taken what is buffered of a complete response. The
+// upstream, up, has ended. It panics as abort does if that fails and the client is still
+// connected.
+func (s *stream) finishResponse(up *upstreamStream) {
+	// Nothing may be moved or resumed any more.
+	s.finish()
+	err := s.out.drain(s.ctx)
+	switch {
+	case err == nil:
+		s.g.instruments.served.Inc(1)
+		s.g.instruments.responseTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
+		s.log("stream served", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns), zap.Duration("longest-gap", s.longestGap), zap.String("gap-upstream", string(s.gapUpstream)))
+	case s.clientDisconnected() && !errors.Is(err, errClientStopped):
+		s.g.instruments.clientDisconnects.Inc(1)
+		s.log("client disconnected", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()))
+	default:
+		s.abort(err)
+	}
+}
+
 // prepareResume logs that the upstream stream broke and reports whether the
 // stream may be resumed at another upstream.
 func (s *stream) prepareResume(err error) bool {
@@ -93,8 +110,8 @@
 	return s.prepareRetry(s.ctx)
 }
 
-// abort ends the response so that it doesn't look complete to the client. It
-// panics with http.ErrAbortHandler if the header is written.
+// abort ends the response so that it doesn't look complete to the client. Events that are
+// buffered are written before. It panics with http.ErrAbortHandler if the header is written.
 func (s *stream) abort(err error) {
 	if !s.headerWritten.Load() {
 		status := http.StatusBadGateway
@@ -105,6 +122,8 @@
 		return
 	}
 	s.g.instruments.generationsLost.Inc(1)
+	s.finish()
+	_ = s.out.drain(s.ctx)
 	s.log("stream aborted", zap.Error(err), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns))
 	panic(http.ErrAbortHandler)
 }
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -38,6 +38,8 @@
 	Bounds            Bounds
 	// ConnectionLimits bounds what clients may take.
 	ConnectionLimits ConnectionLimits
+	// Flow bounds what is read ahead of clients that read slowly.
+	Flow FlowShares
 	// FirstStart is whether the whole system starts for the first time, so that no
 	// former process of it has done anything.
 	FirstStart bool
@@ -92,6 +94,56 @@
 	return nil
 }
 
+// FlowShares are the shares of the VM's memory for events that are buffered for clients that
+// read more slowly than upstreams generate. A value of 0 stands for the default.
+type FlowShares struct {
+	// Stream bounds the buffer of one stream, Total those of all streams together.
+	Stream, Total Share
+}
+
+const (
+	defaultStreamShare = 0.01
+	defaultTotalShare  = 0.1
+	// maxTotalShare leaves room for the shares of connections, heads and bodies, which are
+	// 0.56 of the memory, and for the process itself.
+	maxTotalShare = 0.25
+	// unknownMemoryBytes is assumed if the settings don't state the VM's memory.
+	unknownMemoryBytes = 128e6
+)
+
+// withDefaults returns the shares with the defaults filled in. A default share of a stream is
+// never above that of all.
+func (s FlowShares) withDefaults() FlowShares {
+	if s.Total == 0 {
+		s.Total = defaultTotalShare
+	}
+	if s.Stream == 0 {
+		s.Stream = min(defaultStreamShare, s.Total)
+	}
+	return s
+}
+
+// Bytes returns the limits in bytes on a VM with a memory size.
+func (s FlowShares) Bytes(memoryBytes int64) (stream, total int64) {
+	if memoryBytes <= 0 {
+		memoryBytes = unknownMemoryBytes
+	}
+	s = s.withDefaults()
+	return int64(float64(s.Stream) * float64(memoryBytes)), int64(float64(s.Total) * float64(memoryBytes))
+}
+
+// check returns an error if a share is out of range. NaN is.
+func (s FlowShares) check() error {
+	s = s.withDefaults()
+	if !(s.Total > 0 && s.Total <= maxTotalShare) {
+		return errors.Errorf("flow: total-share is %v, not between 0 and %v", s.Total, maxTotalShare)
+	}
+	if !(s.Stream > 0 && s.Stream <= s.Total) {
+		return errors.Errorf("flow: stream-share is %v, not between 0 and the total-share, %v", s.Stream, s.Total)
+	}
+	return nil
+}
+
 // Bounds are the limits that the operator sets for the system.
 type Bounds struct {
 	// DrainTime is how long an upstream may still receive new work after it has
@@ -126,7 +178,7 @@
 
 // Check returns an error if the VM, availability zone, an address for clients or
 // readiness, or the store's address is empty, if FailClosed is set without a
-// RevocationTime, or if a limit of clients is negative. The error names path, the settings file.
+// RevocationTime, if a share for streams is out of range or if a limit of clients is negative. The error names path, the settings file.
 func (s GatewaySettings) Check(path string) error {
 	required := []struct{ name, value string }{
 		{"VM", string(s.VM)},
@@ -143,6 +195,9 @@
 	if s.Bounds.FailClosed && s.Bounds.RevocationTime <= 0 {
 		return errors.Errorf("settings %s: API keys are refused without the store (fail closed), but the revocation time is missing", path)
 	}
+	if err := s.Flow.check(); err != nil {
+		return errors.Wrapf(err, "settings %s", path)
+	}
 	return errors.Wrapf(s.ConnectionLimits.check(), "settings %s", path)
 }
 
--- a/gatewaysettings_test.go
+++ b/gatewaysettings_test.go
@@ -6,6 +6,28 @@
 	. "github.com/onsi/gomega"
 )
 
+// TestFlowBytes guards against a buffer without a bound where the settings don't state the
+// memory, and against one for a single stream that exceeds that for all.
+func TestFlowBytes(t *testing.T) {
+	tests := []struct {
+		name          string
+		shares        FlowShares
+		memory        int64
+		stream, total int64
+	}{
+		{"defaults", FlowShares{}, 112e6, 1_120_000, 11_200_000},
+		{"memory isn't stated", FlowShares{}, 0, 1_280_000, 12_800_000},
+		{"less for all than the default for one", FlowShares{Total: 0.002}, 100e6, 200_000, 200_000},
+		{"both stated", FlowShares{Stream: 0.02, Total: 0.2}, 100e6, 2_000_000, 20_000_000},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			stream, total := test.shares.Bytes(test.memory)
+			NewWithT(t).Expect([]int64{stream, total}).To(Equal([]int64{test.stream, test.total}))
+		})
+	}
+}
+
 // TestMinGateways guards against a gateway of a large fleet that takes its seeds for all
 // others, and with them too much of what all gateways share.
 func TestMinGateways(t *testing.T) {
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -165,6 +165,7 @@
 	p.clientLimiter = p.newLimiter("clients", p.shares.Clients())
 	p.gateway = gateway.New(gateway.Options{
 		ReclaimBody:   p.clientLimiter.ReclaimBody,
+		Writable:      p.clientLimiter.Writable,
 		Settings:      options.Settings,
 		Logger:        options.Logger,
 		Now:           p.now,
