--- a/gateway/move.go
+++ b/gateway/move.go
@@ -12,6 +12,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/sleeper"
+	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
 const (
@@ -64,17 +65,24 @@
 // moveIfLeaving starts to move the stream if its upstream is leaving, gone or
 // restarted.
 func (s *stream) moveIfLeaving(up *upstreamStream) {
-	s.g.mu.Lock()
-	view, ok := s.g.upstreams.Get(up.view.ID)
-	s.g.mu.Unlock()
-	if !ok || !view.LeavingSince.IsZero() || view.Incarnation != up.view.Incarnation {
+	if s.g.leaves(up.view) {
 		s.startMove()
 	}
 }
 
+// leaves reports whether an upstream is leaving, gone or restarted.
+func (g *Gateway) leaves(view upstreamkeeper.View) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.isCurrent(view)
+}
+
 // startMove moves the stream to another engine in a new goroutine, unless a
 // move is already under way.
-func (s *stream) startMove() {
+func (s *stream) startMove() { s.startMoveBy(s.move) }
+
+// startMoveBy calls move in a new goroutine, unless a move is already under way.
+func (s *stream) startMoveBy(move func(ctx context.Context, from *upstreamStream)) {
 	engine := s.snapshot.Groups[s.group].Engine
 	if engine == nil || !engine.Moves {
 		return
@@ -92,7 +100,7 @@
 	s.moveDone, s.cancelMove = done, cancel
 	s.mu.Unlock()
 	go func() {
-		s.move(ctx, from)
+		move(ctx, from)
 		s.mu.Lock()
 		s.moveDone = nil
 		s.mu.Unlock()
@@ -156,10 +164,19 @@
 
 // reasonNotToResume returns why a run that was copied stays where it is, or "" if it may go
 // on at the target. It then takes what the move costs from the retry budget.
-func (s *stream) reasonNotToResume(ctx context.Context) string {
+func (s *stream) reasonNotToResume(ctx context.Context, from *upstreamStream) string {
 	if !s.mayMove(ctx) {
 		return "run ends soon or has ended"
 	}
+	switch s.causeOfMove(from) {
+	case noCause:
+		return "run may stay where it is"
+	case zoneEvacuated:
+		if !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.RelocatedRun) {
+			return "the rest of the retry budget is kept for failures"
+		}
+		return ""
+	}
 	return s.awaitRetryBudget(ctx)
 }
 
@@ -184,14 +201,14 @@
 // not, another engine may be tried.
 func (s *stream) moveTo(ctx context.Context, from *upstreamStream, choice balancer.Choice) bool {
 	began := s.g.Now()
-	fields := moveFields(from, choice)
+	fields := append(moveFields(from, choice), zap.String("cause", string(s.causeOfMove(from))))
 	copied, err := s.copyRun(from, choice, false)
 	if err != nil {
 		s.log("copy failed", append(fields, zap.Error(err), zap.Duration("took", s.g.Now().Sub(began)))...)
 		return !errors.Is(err, currantwood.ErrNoRoom) && !errors.Is(err, errTargetUnusable)
 	}
 	fields = append(fields, zap.Duration("copy", s.g.Now().Sub(began)))
-	if reason := s.reasonNotToResume(ctx); reason != "" {
+	if reason := s.reasonNotToResume(ctx, from); reason != "" {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
 		s.log("copied run not resumed: it ends soon or has ended, or the retry budget is exhausted", append(fields, zap.String("reason", reason))...)
 		s.freeCopy(copied)
--- a/gateway/movetarget.go
+++ b/gateway/movetarget.go
@@ -36,12 +36,17 @@
 // A copy to another zone takes longer, and one to another region several times
 // as long; meanwhile it delays all other copies on both links. So other regions
 // are used only if no engine of this one accepts the run.
+//
+// A run whose engine stays is moved only to one that has room by the estimates.
 func (s *stream) pickMoveTarget(from *upstreamStream, exclude []currantwood.UpstreamID) (balancer.Choice, error) {
-	version := s.beganAt()
+	version, leaves := s.beganAt(), s.g.leaves(from.view)
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	now, none := s.g.Now(), errNoSpare
 	for _, scope := range moveScopes {
+		if !leaves && !scope.requireCapacity {
+			continue
+		}
 		query := balancer.Query{
 			Group: s.group, Load: s.moveLoad(), OutputTokens: s.outputLeft(), AvoidPrefill: true,
 			Zone: from.view.Zone, Regions: s.regions(), Reach: scope.reach, Exclude: exclude,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -61,6 +61,11 @@
 	// cancelMove ends the move that began last and what it has reached; nil before the
 	// first. Guarded by mu.
 	cancelMove context.CancelFunc
+	// relocateAfter is when the run may next be moved away from an upstream that stays, and
+	// relocationPause the time between the last two such moves. Both are guarded by the
+	// gateway's mu.
+	relocateAfter   time.Time
+	relocationPause time.Duration
 	// finished is set when nothing more will be delivered; guarded by mu.
 	finished bool
 	// resuming is true while the target of a move has been asked to resume the
