--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -78,9 +78,9 @@
 // message said so, or why an order no longer holds.
 func (g *Gateway) logEvacuations(change evacuationkeeper.Change, source string) {
 	for _, zone := range change.Began {
-		g.Logger.Info("evacuation of an availability zone began", zap.String("zone", string(zone)), zap.String("source", source))
+		g.Logger.Info("evacuation of an availability zone began", zap.String("zone", string(zone)), zap.String("source", source), zap.Duration("age", change.Age))
 	}
 	for _, zone := range change.Ended {
-		g.Logger.Info("evacuation of an availability zone ended", zap.String("zone", string(zone)), zap.String("source", source))
+		g.Logger.Info("evacuation of an availability zone ended", zap.String("zone", string(zone)), zap.String("source", source), zap.Duration("age", change.Age))
 	}
 }
--- a/peermessenger/evacuation.go
+++ b/peermessenger/evacuation.go
@@ -1,6 +1,7 @@
 package peermessenger
 
 import (
+	"math"
 	"time"
 
 	"github.com/currantwood/currantwood"
@@ -16,6 +17,7 @@
 	return &peerwire.Evacuations{
 		StoreEra: uint64(set.Position.Era), Next: uint64(set.Position.Next), Zones: encodeZones(set.Zones),
 		Kept: encodeZones(set.Kept), KeptMs: set.KeptFor.Milliseconds(),
+		AgeMs: encodeAge(set.Age),
 	}
 }
 
@@ -27,6 +29,20 @@
 	return out
 }
 
+// encodeAge encodes an age, at most that of the type, about 49 days.
+func encodeAge(age time.Duration) *uint32 {
+	ms := uint32(min(math.MaxUint32, max(0, age.Milliseconds())))
+	return &ms
+}
+
+// decodeAge decodes an age; it is less than 0 if there is none.
+func decodeAge(message *peerwire.Evacuations) time.Duration {
+	if message.AgeMs == nil {
+		return -1
+	}
+	return time.Duration(message.GetAgeMs()) * time.Millisecond
+}
+
 // decodeEvacuations decodes a set of evacuated zones, and false if there is none.
 func decodeEvacuations(message *peerwire.Evacuations) (evacuationkeeper.Set, bool) {
 	if message == nil {
@@ -35,6 +51,7 @@
 	return evacuationkeeper.Set{
 		Position: evacuationkeeper.Position{Era: currantwood.StoreEra(message.GetStoreEra()), Next: currantwood.Offset(message.GetNext())},
 		Zones:    decodeZones(message.GetZones()),
+		Age:      decodeAge(message),
 		Kept:     decodeZones(message.GetKept()),
 		// A longer time than any keeper waits is cut, so that it can't overflow.
 		KeptFor: time.Duration(max(0, min(message.GetKeptMs(), maxKeptMs))) * time.Millisecond,
--- a/placement/evacuationkeeper/keeper.go
+++ b/placement/evacuationkeeper/keeper.go
@@ -38,6 +38,8 @@
 	// back from an older copy. They stay evacuated for KeptFor.
 	Kept    []currantwood.ZoneID
 	KeptFor time.Duration
+	// Age is how long ago the set was read from the store; less than 0 if that is unknown.
+	Age time.Duration
 }
 
 // Order is a record that orders the evacuation of a zone or, if Ordered is false, withdraws
@@ -51,6 +53,9 @@
 // Change lists the zones whose evacuation has begun or ended.
 type Change struct {
 	Began, Ended []currantwood.ZoneID
+	// Age is how old the information behind the change is: the time since the store was read,
+	// or since the message if its sender doesn't say when it was.
+	Age time.Duration
 }
 
 // Keeper holds the orders. It is not safe for concurrent use.
@@ -60,6 +65,8 @@
 	// known is whether the orders were ever read or received, up to position.
 	known    bool
 	position Position
+	// readAt is when the store was read by which the orders are known.
+	readAt time.Time
 	// restoring is until when orders that a read doesn't show are kept.
 	restoring time.Time
 }
@@ -109,7 +116,7 @@
 			delete(k.zones, order.Zone)
 		}
 	}
-	k.position = position
+	k.position, k.readAt = position, now
 	return k.changeSince(now, before), true
 }
 
@@ -151,6 +158,7 @@
 		zones[zone] = time.Time{}
 	}
 	k.zones, k.known, k.position = zones, true, set.Position
+	k.readAt = now.Add(-max(0, set.Age))
 	return k.changeSince(now, before)
 }
 
@@ -164,13 +172,13 @@
 		}
 	}
 	slices.Sort(ended)
-	return Change{Ended: ended}
+	return Change{Ended: ended, Age: now.Sub(k.readAt)}
 }
 
 // Current returns the orders in force, for messages to other gateways; false if they aren't
 // known.
 func (k *Keeper) Current(now time.Time) (Set, bool) {
-	set := Set{Position: k.position}
+	set := Set{Position: k.position, Age: now.Sub(k.readAt)}
 	for _, zone := range k.current(now) {
 		until := k.zones[zone]
 		if until.IsZero() {
@@ -201,5 +209,6 @@
 	return Change{
 		Began: slices.DeleteFunc(slices.Clone(after), isIn(before)),
 		Ended: slices.DeleteFunc(slices.Clone(before), isIn(after)),
+		Age:   now.Sub(k.readAt),
 	}
 }
--- a/placement/evacuationkeeper/keeper_test.go
+++ b/placement/evacuationkeeper/keeper_test.go
@@ -148,12 +148,27 @@
 		collector.Replace(start, Position{Era: 2, Next: 20}, nil)
 		now := start.Add(restoreTime / 2)
 		set, _ := collector.Current(now)
-		Expect(set).To(Equal(Set{Position: Position{Era: 2, Next: 20}, Kept: []currantwood.ZoneID{"a"}, KeptFor: restoreTime / 2}))
+		Expect(set).To(Equal(Set{Position: Position{Era: 2, Next: 20}, Kept: []currantwood.ZoneID{"a"}, KeptFor: restoreTime / 2, Age: restoreTime / 2}))
 		other.Learn(now, set)
 		Expect(other.IsEvacuated(now, "a")).To(BeTrue())
 		Expect(other.IsEvacuated(start.Add(restoreTime), "a")).To(BeFalse())
 	})
 
+	// Guards against a log line that shows old information as new: a gateway that was cut off
+	// learns of an order late, and the collector may not reach the store.
+	It("says how old the information behind a change is, also at a gateway that was told", func() {
+		collector, other := New(), New()
+		Expect(collector.Replace(start, Position{Next: 3}, []currantwood.ZoneID{"a"}).Age).To(BeZero())
+		later := start.Add(2 * time.Second)
+		set, _ := collector.Current(later)
+		Expect(other.Learn(later, set)).To(Equal(Change{Began: []currantwood.ZoneID{"a"}, Age: 2 * time.Second}))
+		passedOn, _ := other.Current(later.Add(time.Second))
+		Expect(passedOn.Age).To(Equal(3*time.Second), "however many gateways passed it on")
+		Expect(New().Learn(later, Set{Zones: []currantwood.ZoneID{"a"}, Age: -1}).Age).To(BeZero(), "told by an older gateway")
+		change, _ := collector.Apply(later, 3, Position{Next: 4}, []Order{{Zone: "a", Offset: 3}})
+		Expect(change).To(Equal(Change{Ended: []currantwood.ZoneID{"a"}}))
+	})
+
 	It("keeps no order longer than it would by itself, whatever it is told", func() {
 		k := New()
 		k.Learn(start, Set{Kept: []currantwood.ZoneID{"a"}, KeptFor: time.Hour})
