Cold upstreams: what bounds groups that never heard of each other

The excess of several groups that are partitioned from their start was stated for one pair. The note shows that no gateway can tell them from a whole fleet, and that at most rate x N/4 + N arrive; the model covers 7 groupings.

--- a/placement/warmupkeeper/model_test.go
+++ b/placement/warmupkeeper/model_test.go
@@ -414,6 +414,54 @@
 		}
 	})
 
+	// Guards against an excess beyond what docs/design/warm-up.md states, and against one that
+	// outlasts the partition: no gateway can know of groups that it has never heard of.
+	DescribeTable("exceed the bound by a known amount at most if groups of them are partitioned from their start",
+		func(within bool, groups ...int) {
+			const rate, partition = 36.0, 12 * time.Second
+			gateways, rateOfGroups := 0, 0.0
+			for _, size := range groups {
+				gateways += size
+				if size > 1 {
+					rateOfGroups += rate * min(1, float64(size)/modelSeeds)
+				}
+			}
+			// Each gateway may have accrued one request.
+			allowed := rateOfGroups + float64(gateways)
+			if within {
+				allowed = rate*modelOverage + modelSlack
+			}
+			for seed := *firstSeed; seed < *firstSeed+5; seed++ {
+				m := newModel(seed, gateways, rate)
+				m.focus(gateways)
+				m.demand = 600
+				first := 0
+				for island, size := range groups {
+					for i := range size {
+						m.cut(first+i, island+1, partition)
+					}
+					first += size
+				}
+				m.pass(partition)
+				most, at := m.most()
+				GinkgoWriter.Printf("groups %v: %d requests in a second, at most %.0f are expected\n", groups, most, allowed)
+				Expect(float64(most)).To(BeNumerically("<=", allowed), "seed %d at %v", seed, at)
+				m.pass(time.Second)
+				m.arrivals = nil
+				m.pass(6 * time.Second)
+				most, at = m.most()
+				Expect(most).To(BeNumerically("<=", 59), "seed %d at %v, a second after the partition", seed, at)
+			}
+		},
+		Entry("two pairs", true, 2, 2),
+		Entry("a pair and single ones", true, 2, 1, 1, 1, 1, 1, 1),
+		Entry("a group of 19 and a pair", true, 19, 2),
+		Entry("three pairs", false, 2, 2, 2),
+		Entry("ten pairs", false, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2),
+		Entry("five groups of four", false, 4, 4, 4, 4, 4),
+		Entry("three of seven", false, 7, 7, 7),
+	)
+
 	// Guards against a rate that stays unused since few gateways have requests for it, or
 	// since many share it.
 	DescribeTable("use most of the rate",
