Client limits: the buffers of accepted connections have sizes from the memory

Cause: bytes that arrive and aren't read, or are written and aren't read by the client, are in the kernel's buffers and count in the VM's memory: 24 to 194 MB with 300 clients, for 28 and 11 MB. Change: the listeners size the buffers, so that connections have them from the first byte, and connections are bounded by that memory, too. Long bodies get wide buffers as far as a share of the memory goes. The table of connections has lower counts for it and checks the sum.

--- a/gatewaystarter/servers.go
+++ b/gatewaystarter/servers.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -17,14 +16,15 @@
 
 // listen opens the listeners and starts to serve them.
 func (p *Process) listen() error {
-	clients, err := net.Listen("tcp", p.options.Settings.ListenClients)
+	clients, err := p.clientLimiter.Open(p.options.Settings.ListenClients)
 	if err != nil {
-		return errors.Wrap(err, "listen for clients")
+		return err
 	}
-	ready, err := net.Listen("tcp", p.options.Settings.ListenReady)
+	readyLimiter := p.newLimiter("readiness", p.shares.Side())
+	ready, err := readyLimiter.Open(p.options.Settings.ListenReady)
 	if err != nil {
 		_ = clients.Close()
-		return errors.Wrap(err, "listen for readiness")
+		return err
 	}
 	p.clientServer = &http.Server{
 		Handler:                      p.clientLimiter.Handler(http.HandlerFunc(p.serveClient)),
@@ -39,10 +39,8 @@
 			p.clientLimiter.NoteState(c, state)
 		},
 	}
-	readyLimiter := p.newLimiter("readiness", p.shares.Side())
 	p.readyServer = newSinglePathServer("/readyz", p.serveReady, readyLimiter)
-	clients = p.arrivals.Listen(p.clientLimiter.Listen(clients))
-	ready = readyLimiter.Listen(ready)
+	clients = p.arrivals.Listen(clients)
 	go func() { _ = p.clientServer.Serve(clients) }()
 	go func() { _ = p.readyServer.Serve(ready) }()
 	p.listenForMetrics()
@@ -68,12 +66,12 @@
 	limiter := p.newLimiter("metrics", p.shares.Side())
 	p.metricsServer = newSinglePathServer("/metrics", p.serveMetrics, limiter)
 	address := net.JoinHostPort(p.options.Settings.IP, strconv.Itoa(MetricsPort))
-	listener, err := net.Listen("tcp", address)
+	listener, err := limiter.Open(address)
 	if err != nil {
 		p.options.Logger.Warn("metrics are not served", zap.String("address", address), zap.Error(err))
 		return
 	}
-	go func() { _ = p.metricsServer.Serve(limiter.Listen(listener)) }()
+	go func() { _ = p.metricsServer.Serve(listener) }()
 }
 
 // newSinglePathServer returns a server that handles GET requests for one path.
--- a/ingress/apportioner/apportioner.go
+++ b/ingress/apportioner/apportioner.go
@@ -20,6 +20,10 @@
 	headShare       = 1.0 / 10
 	// sideHeadShare is headShare of a listener for readiness or metrics.
 	sideHeadShare = 1.0 / 50
+	// socketShare is the share of the memory for the buffers that the kernel keeps for the
+	// connections of clients, and wideShare the one for wide buffers beside them.
+	socketShare = 0.19
+	wideShare   = 0.05
 	// unknownMemoryBytes is assumed if the settings don't state the VM's memory.
 	unknownMemoryBytes = 128e6
 	// fileDescriptors is how many of the VM's descriptors are for files.
@@ -48,13 +52,32 @@
 	defaultBytesPerSecond = 256
 )
 
+// Buffers are the sizes of a socket's buffers, as the kernel counts them: with its bookkeeping,
+// which may be half.
+type Buffers struct{ Receive, Send int }
+
+// Bytes returns the memory of both buffers.
+func (b Buffers) Bytes() int64 { return int64(b.Receive + b.Send) }
+
+var (
+	// buffers hold a head of the longest legal size in a few round trips, and some events.
+	buffers = Buffers{Receive: 16 << 10, Send: 24 << 10}
+	// wideBuffers are for long bodies: half of the buffer arrives in each round trip, so a
+	// body of 4 MB takes 32 of them.
+	wideBuffers = Buffers{Receive: 256 << 10, Send: 64 << 10}
+)
+
 // Shares is what the connections of one listener may take.
 type Shares struct {
 	// Connections bounds the open connections, HeadBytes the estimated memory of the heads
 	// of their requests.
 	Connections int
 	HeadBytes   int64
-	Limits      currantwood.ConnectionLimits
+	// Buffers are those of each connection's socket; WideConnections of them may have
+	// WideBuffers.
+	Buffers, WideBuffers Buffers
+	WideConnections      int
+	Limits               currantwood.ConnectionLimits
 }
 
 // Apportioner divides the VM's resources.
@@ -70,13 +93,16 @@
 
 // Clients returns the shares of the listener for clients.
 func (a Apportioner) Clients() Shares {
-	connections := int(connectionShare * float64(a.settings.MemoryBytes) / connectionBytes)
+	memory := float64(a.settings.MemoryBytes)
+	connections := int(min(connectionShare*memory/connectionBytes, socketShare*memory/float64(buffers.Bytes())))
 	connections = min(connections, a.descriptors(clientDescriptorShare, connections))
 	limits := a.limits()
 	if limits.Connections > 0 {
 		connections = min(connections, limits.Connections)
 	}
-	return a.shares(max(minConnections, connections), headShare, limits)
+	shares := a.shares(max(minConnections, connections), headShare, limits)
+	shares.WideConnections = int(wideShare * memory / float64(wideBuffers.Bytes()))
+	return shares
 }
 
 // Side returns the shares of a listener for readiness or metrics.
@@ -86,7 +112,10 @@
 }
 
 func (a Apportioner) shares(connections int, headShare float64, limits currantwood.ConnectionLimits) Shares {
-	return Shares{Connections: connections, HeadBytes: int64(headShare * float64(a.settings.MemoryBytes)), Limits: limits}
+	return Shares{
+		Connections: connections, HeadBytes: int64(headShare * float64(a.settings.MemoryBytes)),
+		Buffers: buffers, WideBuffers: wideBuffers, Limits: limits,
+	}
 }
 
 // descriptors returns a share of the descriptors that aren't for files, or unknown if the
--- a/ingress/connlimiter/conn.go
+++ b/ingress/connlimiter/conn.go
@@ -52,6 +52,8 @@
 	// written measures the write that is under way if writing is true.
 	writing bool
 	written progressmeter.Meter
+	// wide is whether the socket has wide buffers, which are charged to the limiter.
+	wide bool
 	// state never goes back.
 	state state
 }
--- a/ingress/connlimiter/connend.go
+++ b/ingress/connlimiter/connend.go
@@ -17,7 +17,7 @@
 func (c *conn) candidate(now time.Time) (victimpicker.Candidate, state) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := victimpicker.Candidate{Phase: c.phase, MemoryBytes: connBytes + c.headBytes + c.bodyBytes}
+	v := victimpicker.Candidate{Phase: c.phase, MemoryBytes: connBytes + c.wideBytes() + c.headBytes + c.bodyBytes}
 	switch {
 	case c.writing:
 		v.Phase, v.Lag = victimpicker.Writing, c.written.Lag(now)
@@ -108,6 +108,7 @@
 	// In this order: a connection that is no longer listed must not be charged for, else
 	// heads would be refused as if there were nothing to drop.
 	c.releaseHead()
+	c.releaseWide()
 	c.limiter.remove(c)
 	return c.Conn.Close()
 }
--- a/ingress/connlimiter/connio.go
+++ b/ingress/connlimiter/connio.go
@@ -61,6 +61,9 @@
 	case victimpicker.Body:
 		c.bodyBytes += int64(len(p))
 		c.body.Add(p)
+		if c.bodyBytes > int64(c.limiter.options.Shares.Buffers.Receive) {
+			c.widen()
+		}
 	case victimpicker.Running, victimpicker.Writing:
 		// The first byte of a pipelined request, which net/http reads to notice the end of
 		// the connection.
@@ -83,6 +86,9 @@
 func (c *conn) Write(p []byte) (int, error) {
 	limits := c.limiter.options.Shares.Limits
 	c.mu.Lock()
+	if len(p) > writePiece {
+		c.widen()
+	}
 	c.writing = true
 	c.written = progressmeter.New(c.limiter.options.Now(), limits.WriteAllowance, limits.BytesPerSecond)
 	c.mu.Unlock()
--- a/ingress/connlimiter/limiter.go
+++ b/ingress/connlimiter/limiter.go
@@ -71,6 +71,8 @@
 
 	// headBytes is the estimated memory of the heads that arrive or run.
 	headBytes atomic.Int64
+	// wide counts the connections with wide buffers.
+	wide atomic.Int64
 }
 
 // New returns a Limiter without connections.
