Moves: only out of narrowed regions, with the source stopped at a silent target

Change: runs outside narrowed regions are moved as those of a leaving upstream; runs in evacuated zones end there.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -45,10 +45,6 @@
 	// failurePart is the part of guaranteedPart and of jointPart that retries of
 	// failed requests may use. The rest is kept for moved runs.
 	failurePart = 0.6
-	// relocationPart is the part of guaranteedPart and of jointPart that runs may use which
-	// could also stay where they are. It is half of failurePart, so that failures keep at
-	// least half of what they may use.
-	relocationPart = failurePart / 2
 	// peerUsageMaxAge is how long reported usage of the peers is used.
 	peerUsageMaxAge = time.Second
 	// reportDelay is the time from a retry until other gateways hear of it by the collector,
@@ -74,9 +70,6 @@
 	// MovedRun is for retries that continue a run on another engine because its
 	// own shuts down.
 	MovedRun
-	// RelocatedRun is for retries that continue a run on another engine although its own
-	// stays.
-	RelocatedRun
 )
 
 // Usage is what was sent to a group within the window.
@@ -274,7 +267,7 @@
 // gateways, each of which serves few, those are fewer than all: a failed request is one that
 // is served meanwhile, and a run that is moved was a request within about a window.
 func (b *Budgeter) contenders(now time.Time, requests int, reason RetryReason) float64 {
-	if reason != FailedRequest {
+	if reason == MovedRun {
 		return min(float64(b.peers.Gateways), minGateways+movedShare*float64(requests))
 	}
 	unheard := reportDelay + now.Sub(b.peersAt)
@@ -284,11 +277,8 @@
 
 // partOf returns the part of the budget that is open to a kind of retry.
 func partOf(reason RetryReason) float64 {
-	switch reason {
-	case FailedRequest:
+	if reason == FailedRequest {
 		return failurePart
-	case RelocatedRun:
-		return relocationPart
 	}
 	return 1
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,8 +100,6 @@
 	inFlight     atomic.Int64
 	// relocatedAt is when relocateRuns last looked for runs; only Tick uses it.
 	relocatedAt time.Time
-	// evacuating counts the runs of evacuated zones that are being moved.
-	evacuating atomic.Int64
 	// requests bounds the request bodies that are held, and responses the response bodies
 	// that are read whole.
 	requests, responses *bodyBuffer
@@ -119,8 +117,7 @@
 type instruments struct {
 	served, refused, failed, clientDisconnects metrics.Counter
 	retries, generationsMoved, generationsLost metrics.Counter
-	movesUnanswered, relocationsUnanswered     metrics.Counter
-	unrelatedResponses                         metrics.Counter
+	movesUnanswered, unrelatedResponses        metrics.Counter
 	crashesRecorded, crashesLearned            metrics.Counter
 	requestsBlocked, rateLimitChanges          metrics.Counter
 	leavingNotices, pauses, refusedPaused      metrics.Counter
@@ -172,40 +169,39 @@
 // newInstruments registers the counters and histograms of a gateway.
 func newInstruments(r metrics.Registry) instruments {
 	return instruments{
-		served:                metrics.NewRegisteredCounter("requests-served", r),
-		refused:               metrics.NewRegisteredCounter("requests-refused", r),
-		failed:                metrics.NewRegisteredCounter("requests-failed", r),
-		clientDisconnects:     metrics.NewRegisteredCounter("requests-left-by-client", r),
-		retries:               metrics.NewRegisteredCounter("retries", r),
-		generationsMoved:      metrics.NewRegisteredCounter("generations-moved", r),
-		generationsLost:       metrics.NewRegisteredCounter("generations-lost", r),
-		movesUnanswered:       metrics.NewRegisteredCounter("moves-unanswered", r),
-		relocationsUnanswered: metrics.NewRegisteredCounter("relocations-unanswered", r),
-		unrelatedResponses:    metrics.NewRegisteredCounter("unrelated-responses", r),
-		crashesRecorded:       metrics.NewRegisteredCounter("crashes-recorded", r),
-		crashesLearned:        metrics.NewRegisteredCounter("crashes-learned", r),
-		requestsBlocked:       metrics.NewRegisteredCounter("requests-blocked", r),
-		rateLimitChanges:      metrics.NewRegisteredCounter("rate-limit-changes", r),
-		startsLearned:         metrics.NewRegisteredCounter("stream-starts-learned", r),
-		startsUnknown:         metrics.NewRegisteredCounter("stream-starts-unknown", r),
-		leavingNotices:        metrics.NewRegisteredCounter("upstream-leaving-notices", r),
-		pauses:                metrics.NewRegisteredCounter("upstream-pauses", r),
-		refusedPaused:         metrics.NewRegisteredCounter("requests-refused-paused", r),
-		rateLimited:           metrics.NewRegisteredCounter("requests-rate-limited", r),
-		refusedRegions:        metrics.NewRegisteredCounter("requests-refused-regions", r),
-		refusedEvacuated:      metrics.NewRegisteredCounter("requests-refused-evacuated", r),
-		sentCold:              metrics.NewRegisteredCounter("requests-sent-cold", r),
-		refusedCold:           metrics.NewRegisteredCounter("requests-refused-cold", r),
-		withheld:              metrics.NewRegisteredCounter("requests-withheld", r),
-		responseTime:          metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
-		queued:                metrics.NewRegisteredCounter("requests-queued", r),
-		queuedAdmitted:        metrics.NewRegisteredCounter("requests-queued-admitted", r),
-		refusedRoom:           metrics.NewRegisteredCounter("requests-refused-room", r),
-		promisesGiven:         metrics.NewRegisteredCounter("promises-given", r),
-		promisesKept:          metrics.NewRegisteredCounter("promises-kept", r),
-		promisesBroken:        metrics.NewRegisteredCounter("promises-broken", r),
-		queueTime:             metrics.NewRegisteredHistogram("queue-time-us", r, newSample()),
-		firstEventTime:        metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
+		served:             metrics.NewRegisteredCounter("requests-served", r),
+		refused:            metrics.NewRegisteredCounter("requests-refused", r),
+		failed:             metrics.NewRegisteredCounter("requests-failed", r),
+		clientDisconnects:  metrics.NewRegisteredCounter("requests-left-by-client", r),
+		retries:            metrics.NewRegisteredCounter("retries", r),
+		generationsMoved:   metrics.NewRegisteredCounter("generations-moved", r),
+		generationsLost:    metrics.NewRegisteredCounter("generations-lost", r),
+		movesUnanswered:    metrics.NewRegisteredCounter("moves-unanswered", r),
+		unrelatedResponses: metrics.NewRegisteredCounter("unrelated-responses", r),
+		crashesRecorded:    metrics.NewRegisteredCounter("crashes-recorded", r),
+		crashesLearned:     metrics.NewRegisteredCounter("crashes-learned", r),
+		requestsBlocked:    metrics.NewRegisteredCounter("requests-blocked", r),
+		rateLimitChanges:   metrics.NewRegisteredCounter("rate-limit-changes", r),
+		startsLearned:      metrics.NewRegisteredCounter("stream-starts-learned", r),
+		startsUnknown:      metrics.NewRegisteredCounter("stream-starts-unknown", r),
+		leavingNotices:     metrics.NewRegisteredCounter("upstream-leaving-notices", r),
+		pauses:             metrics.NewRegisteredCounter("upstream-pauses", r),
+		refusedPaused:      metrics.NewRegisteredCounter("requests-refused-paused", r),
+		rateLimited:        metrics.NewRegisteredCounter("requests-rate-limited", r),
+		refusedRegions:     metrics.NewRegisteredCounter("requests-refused-regions", r),
+		refusedEvacuated:   metrics.NewRegisteredCounter("requests-refused-evacuated", r),
+		sentCold:           metrics.NewRegisteredCounter("requests-sent-cold", r),
+		refusedCold:        metrics.NewRegisteredCounter("requests-refused-cold", r),
+		withheld:           metrics.NewRegisteredCounter("requests-withheld", r),
+		responseTime:       metrics.NewRegisteredHistogram("answer-time-us", r, newSample()),
+		queued:             metrics.NewRegisteredCounter("requests-queued", r),
+		queuedAdmitted:     metrics.NewRegisteredCounter("requests-queued-admitted", r),
+		refusedRoom:        metrics.NewRegisteredCounter("requests-refused-room", r),
+		promisesGiven:      metrics.NewRegisteredCounter("promises-given", r),
+		promisesKept:       metrics.NewRegisteredCounter("promises-kept", r),
+		promisesBroken:     metrics.NewRegisteredCounter("promises-broken", r),
+		queueTime:          metrics.NewRegisteredHistogram("queue-time-us", r, newSample()),
+		firstEventTime:     metrics.NewRegisteredHistogram("first-event-time-us", r, newSample()),
 	}
 }
 
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -164,19 +164,10 @@
 
 // reasonNotToResume returns why a run that was copied stays where it is, or "" if it may go
 // on at the target. It then takes what the move costs from the retry budget.
-func (s *stream) reasonNotToResume(ctx context.Context, from *upstreamStream) string {
+func (s *stream) reasonNotToResume(ctx context.Context) string {
 	if !s.mayMove(ctx) {
 		return "run ends soon or has ended"
 	}
-	switch s.causeOfMove(from) {
-	case noCause:
-		return "run may stay where it is"
-	case zoneEvacuated:
-		if !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.RelocatedRun) {
-			return "the rest of the retry budget is kept for failures"
-		}
-		return ""
-	}
 	return s.awaitRetryBudget(ctx)
 }
 
@@ -201,14 +192,14 @@
 // not, another engine may be tried.
 func (s *stream) moveTo(ctx context.Context, from *upstreamStream, choice balancer.Choice) bool {
 	began := s.g.Now()
-	fields := append(moveFields(from, choice), zap.String("cause", string(s.causeOfMove(from))))
+	fields := append(moveFields(from, choice), zap.Bool("upstream-leaves", s.g.leaves(from.view)))
 	copied, err := s.copyRun(from, choice, false)
 	if err != nil {
 		s.log("copy failed", append(fields, zap.Error(err), zap.Duration("took", s.g.Now().Sub(began)))...)
 		return !errors.Is(err, currantwood.ErrNoRoom) && !errors.Is(err, errTargetUnusable)
 	}
 	fields = append(fields, zap.Duration("copy", s.g.Now().Sub(began)))
-	if reason := s.reasonNotToResume(ctx, from); reason != "" {
+	if reason := s.reasonNotToResume(ctx); reason != "" {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
 		s.log("copied run not resumed: it ends soon or has ended, or the retry budget is exhausted", append(fields, zap.String("reason", reason))...)
 		s.freeCopy(copied)
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -79,15 +79,11 @@
 // engine may be tried.
 //
 // The run ends at its source once the target may have run it for too long, whether or
-// not the target has responded. If the source stays, the run ends at the target instead.
+// not the target has responded.
 func (s *stream) resumeAt(ctx context.Context, from *upstreamStream, a *resumeAttempt) bool {
 	s.resuming.Store(true)
 	defer s.resuming.Store(false)
-	timeout := resumeResponseTimeout
-	if !s.g.leaves(from.view) {
-		timeout = relocationResponseTimeout
-	}
-	timer := time.NewTimer(timeout)
+	timer := time.NewTimer(resumeResponseTimeout)
 	defer timer.Stop()
 	select {
 	case r := <-a.result:
@@ -98,17 +94,8 @@
 			s.freeCopy(a.copied)
 			return false
 		}
-		if !s.g.leaves(from.view) {
-			s.stayAtSource(a, r)
-			return true
-		}
 		s.handOver(ctx, from, a, true)
 	case <-timer.C:
-		if !s.g.leaves(from.view) {
-			a.cancel()
-			s.stayAtSource(a, <-a.result)
-			return true
-		}
 		s.handOver(ctx, from, a, false)
 	}
 	return true
