Concurrency limits: estimate, messages and score

Upstreams that slow down before all their slots are in use got as much load as the others. capacity/limitkeeper estimates a limit from the reported time at levels of concurrency; the score divides by it, nothing is refused. Digests with speeds and limits are spaced out, so that a collector sends at most 4 MB/s.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,7 +9,9 @@
 //
 // Upstreams may also report how long work takes there now, relative to the usual time. This
 // is averaged over some seconds and all gateways. One that is slow gets less work, and
-// generations with a long output go elsewhere if they can.
+// generations with a long output go elsewhere if they can. Where the time grows faster than
+// throughput beyond some number of concurrent requests, that number takes the place of the
+// slots in the score.
 package balancer
 
 import (
@@ -17,6 +19,7 @@
 	"time"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/capacity/limitkeeper"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/prober"
@@ -70,6 +73,8 @@
 	slow []currantwood.UpstreamID
 	// speeds estimates how long work takes at each upstream.
 	speeds *speedkeeper.Keeper
+	// limits estimates how many concurrent requests each upstream handles well.
+	limits *limitkeeper.Keeper
 }
 
 // New returns a balancer without upstreams, given the region of each
@@ -79,6 +84,7 @@
 	return &Balancer{
 		notices:      notices,
 		speeds:       speedkeeper.New(),
+		limits:       limitkeeper.New(),
 		regions:      regions,
 		random:       random,
 		upstreams:    make(map[currantwood.UpstreamID]*upstream),
@@ -121,7 +127,9 @@
 			delete(b.upstreams, id)
 		}
 	}
-	b.speeds.Forget(func(id currantwood.UpstreamID) bool { return known[id] })
+	isKnown := func(id currantwood.UpstreamID) bool { return known[id] }
+	b.speeds.Forget(isKnown)
+	b.limits.Forget(isKnown)
 	for _, g := range b.groups {
 		g.prober.SetUpstreams(g.members)
 	}
--- a/balancer/group.go
+++ b/balancer/group.go
@@ -22,6 +22,9 @@
 	// averageSampleTokens and averageSampleTime are exponential moving averages
 	// of PrefillSample.Tokens and, in nanoseconds, PrefillSample.Duration.
 	averageSampleTokens, averageSampleTime float64
+	// usualCallTime and usualEventInterval are exponential moving averages of
+	// WorkSample.Duration, in nanoseconds; 0 before the first.
+	usualCallTime, usualEventInterval float64
 }
 
 // prefillTimePerToken estimates how long an engine of the group takes to prefill
--- a/balancer/score.go
+++ b/balancer/score.go
@@ -33,13 +33,12 @@
 	avoidPrefillWeight = 4
 )
 
-// evaluate scores an upstream by the requests and memory in use with this
-// request, its queued prompts, its speed, its distance, whether it is warming up or was
+// evaluate scores an upstream by the requests, relative to its concurrency limit, and the
+// memory in use with this request, its queued prompts, its speed, its distance, whether it is warming up or was
 // paused, and whether others need its room more.
 func (b *Balancer) evaluate(now time.Time, g *group, u *upstream, q Query) Choice {
 	load := b.TotalLoad(now, u.view.ID)
-	slots := max(1, u.view.Slots)
-	score := float64(load.Requests+1) / float64(slots)
+	score := float64(load.Requests+1) / float64(b.Limit(now, u.view))
 	used := score
 	if e := g.config.Engine; e != nil && e.MemoryTokens > 0 {
 		memory := float64(load.MemoryTokens+q.Load.MemoryTokens) / float64(e.MemoryTokens)
--- a/balancer/speed_test.go
+++ b/balancer/speed_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/capacity/limitkeeper"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
@@ -134,8 +135,8 @@
 	})
 })
 
-// BenchmarkPickLarge chooses among 10,000 upstreams of different speed. It must take no
-// memory.
+// BenchmarkPickLarge chooses among 10,000 upstreams of different speed, half of which have a
+// concurrency limit. It must take no memory.
 func BenchmarkPickLarge(b *testing.B) { benchmarkPick(b, 1) }
 
 // BenchmarkPickFewAllowed is the same for a request that may be at one in 200 of them.
@@ -149,7 +150,7 @@
 	balancer := New(zones, noticekeeper.New(noticekeeper.Options{Rates: newRates(), Regions: zones}), rand.New(rand.NewSource(1)))
 	balancer.SetGroups(map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", Engine: &currantwood.EngineProperties{Slots: 24, MemoryTokens: 30_000}}})
 	var views []upstreamkeeper.View
-	sums := make(speedkeeper.Sums)
+	sums, limits := make(speedkeeper.Sums), make(limitkeeper.Limits)
 	for i := range upstreams {
 		zone := "n1"
 		if i%every != 0 {
@@ -158,10 +159,14 @@
 		v := view(fmt.Sprintf("e%05d", i), zone)
 		views = append(views, v)
 		sums[v.ID] = speedkeeper.Sum{Weight: 4, Speed: 2 + float64(i%8)}
+		if i%2 == 0 {
+			limits[v.ID] = 0.3
+		}
 	}
 	balancer.SetUpstreams(views)
 	balancer.SetGatewayCount(2200)
 	balancer.LearnSpeeds(start, "collector", sums)
+	balancer.LearnLimits(start, limits)
 	regions := currantwood.Regions("north", "south")
 	b.ReportAllocs()
 	for b.Loop() {
--- a/capacity/speedkeeper/keeper.go
+++ b/capacity/speedkeeper/keeper.go
@@ -26,8 +26,11 @@
 	// priorWeight is the weight of the assumption that work takes the usual time, in
 	// observations.
 	priorWeight = 0.4
-	// reportMaxAge is how long the report of another gateway counts.
-	reportMaxAge = 2 * time.Second
+	// reportMaxAge is how long the report of another gateway counts at least, and
+	// maxReportMaxAge how long at most that of the only one which reports: with many gateways
+	// the collector sends its digests of speeds less often.
+	reportMaxAge    = 2 * time.Second
+	maxReportMaxAge = 20 * time.Second
 	// sweepInterval is the time between two searches for reports that are too old.
 	sweepInterval = 250 * time.Millisecond
 	// rebaseTime is how long weights are scaled by the same time. They grow by a factor of
@@ -88,6 +91,9 @@
 	base     time.Time
 	// reportedAt is when the last report came, and sweptAt when old ones were last dropped.
 	reportedAt, sweptAt time.Time
+	// reportedFor is how long reports count, and reportGap the time between the last two from
+	// the only gateway that reports; 0 if there are more.
+	reportedFor, reportGap time.Duration
 }
 
 // New returns a keeper without observations.
@@ -124,6 +130,7 @@
 	if now.Sub(k.base) > rebaseTime {
 		k.rebase(now)
 	}
+	k.noteGap(now, from)
 	k.drop(from)
 	r := report{at: now, sums: sums}
 	k.reports[from], k.reportedAt = r, now
@@ -133,12 +140,23 @@
 	}
 	k.sweptAt = now
 	for vm, r := range k.reports {
-		if now.Sub(r.at) > reportMaxAge {
+		if now.Sub(r.at) > k.reportedFor {
 			k.drop(vm)
 		}
 	}
 }
 
+// noteGap sets how long reports count when one arrives. A single longer gap is a lost report
+// or another collector.
+func (k *Keeper) noteGap(now time.Time, from currantwood.VMID) {
+	gap := time.Duration(0)
+	if last, known := k.reports[from]; known && len(k.reports) == 1 {
+		gap = now.Sub(last.at)
+	}
+	k.reportedFor = min(maxReportMaxAge, max(reportMaxAge, 5*(min(gap, k.reportGap)/2)))
+	k.reportGap = gap
+}
+
 // rebase scales the weights by a new time.
 func (k *Keeper) rebase(now time.Time) {
 	k.base = now
@@ -185,7 +203,7 @@
 // this gateway's own observations, too, which therefore count twice.
 func (k *Keeper) sum(now time.Time, id currantwood.UpstreamID) Sum {
 	sum := k.ownSum(now, id)
-	if reported, ok := k.reported[id]; ok && now.Sub(k.reportedAt) <= reportMaxAge {
+	if reported, ok := k.reported[id]; ok && now.Sub(k.reportedAt) <= k.reportedFor {
 		sum = sum.plus(reported.agedBy(now.Sub(k.base)))
 	}
 	return sum
--- a/capacity/speedkeeper/keeper_test.go
+++ b/capacity/speedkeeper/keeper_test.go
@@ -71,6 +71,27 @@
 		Expect(b.RelativeTime(at(1).Add(reportMaxAge+time.Second), "u")).To(Equal(1.0))
 	})
 
+	// Guards against estimates that lapse between the digests of a large fleet, which the
+	// collector sends less often.
+	It("keeps the reports of the only gateway that reports for longer if they arrive seldom", func() {
+		k := New()
+		for after := 0.0; after <= 21; after += 7 {
+			k.Learn(at(after), "collector", Sums{"u": {Weight: 50, Speed: 25}})
+		}
+		Expect(k.RelativeTime(at(27), "u")).To(BeNumerically(">", 1.8))
+		Expect(k.RelativeTime(at(42), "u")).To(Equal(1.0))
+	})
+
+	// Guards against one lost report by which old observations count for longer.
+	It("drops the reports after two seconds if a single one was late", func() {
+		k := New()
+		for _, after := range []float64{0, 0.25, 0.5, 1.9} {
+			k.Learn(at(after), "collector", Sums{"u": {Weight: 50, Speed: 25}})
+		}
+		Expect(k.RelativeTime(at(3.8), "u")).To(BeNumerically(">", 1.8))
+		Expect(k.RelativeTime(at(4), "u")).To(Equal(1.0))
+	})
+
 	It("replaces the former report of a gateway", func() {
 		k := New()
 		k.Learn(start, "a", Sums{"u": {Weight: 10, Speed: 30}})
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -42,6 +42,7 @@
 		s.writeHeader(up)
 	}
 	s.g.recordProgress(up)
+	s.g.observeInterval(up)
 	if !up.begun && up.lastEventAt.Sub(up.firstEventAt) >= beginTime {
 		up.begun = true
 		s.recordBegun(up.firstEventAt)
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -35,6 +35,9 @@
 	// firstEventAt and lastEventAt are when the first and the last event arrived; zero
 	// before the first.
 	firstEventAt, lastEventAt time.Time
+	// intervals is the number of intervals between events so far, up to one more than are
+	// measured. Only relay uses it.
+	intervals int
 	// begun is whether it was noted that the stream has gone on for beginTime.
 	begun bool
 	// stalled is whether the gateway ended the exchange since no event arrived.
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -23,12 +23,8 @@
 		return
 	}
 	recipients := m.peers.DigestRecipients(now)
-	speedsAreDue := speedsDue(now, &m.digestSpeedsAt)
 	m.mu.Unlock()
-	var speeds []*peerwire.Speed
-	if speedsAreDue {
-		speeds = encodeSpeeds(m.Gateway.AllSpeeds(now))
-	}
+	estimates := m.takeEstimates(now, len(recipients))
 	own, usage, ownRates, ownWarmUps := m.Gateway.OwnLoads(), m.Gateway.RetryUsage(now), m.Gateway.OwnRates(now), m.Gateway.OwnWarmUpRates(now)
 	m.mu.Lock()
 	rates, warmUps := m.peers.TotalRates(now, ownRates), m.peers.TotalWarmUpRates(now, ownWarmUps)
@@ -48,7 +44,8 @@
 		digest.RateLimits, digest.SumsRateLimits = encodeRates(now, m.peers.RatesExcept(rates, recipients[i].VM)), true
 		digest.WarmUpRates, digest.SumsWarmUpRates = encodeRates(now, m.peers.WarmUpRatesExcept(warmUps, recipients[i].VM)), true
 		digest.Rank, digest.Successors = uint32(ranks[i]), successors
-		digest.Notices, digest.Evacuations, digest.Speeds = notices, evacuations, speeds
+		digest.Notices, digest.Evacuations = notices, evacuations
+		estimates.addTo(digest)
 		if m.peers.HasJustStarted(now, recipients[i].VM) {
 			digest.Notices = allNotices
 		}
--- a/peermessenger/interim.go
+++ b/peermessenger/interim.go
@@ -20,6 +20,7 @@
 		RateLimits: d.GetRateLimits(), SumsRateLimits: d.GetSumsRateLimits(), Notices: d.GetNotices(),
 		Crashes: d.GetCrashes(), Completions: d.GetCompletions(), Evacuations: d.GetEvacuations(), Speeds: d.GetSpeeds(),
 		WarmUpRates: d.GetWarmUpRates(), SumsWarmUpRates: d.GetSumsWarmUpRates(),
+		Limits: d.GetLimits(), HasLimits: d.GetHasLimits(),
 	}}})
 }
 
@@ -55,6 +56,9 @@
 	if len(d.GetSpeeds()) > 0 {
 		m.Gateway.LearnSpeeds(now, from.VM, decodeSpeeds(d.GetSpeeds()))
 	}
+	if d.GetHasLimits() {
+		m.Gateway.LearnLimits(now, decodeLimits(d.GetLimits()))
+	}
 	if set, known := decodeEvacuations(d.GetEvacuations()); known {
 		m.Gateway.LearnEvacuations(now, from.VM, set)
 	}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -28,6 +28,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/capacity/limitkeeper"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/configasker"
 	"github.com/currantwood/currantwood/crashkeeper"
@@ -83,6 +84,14 @@
 	OwnSpeeds(now time.Time) speedkeeper.Sums
 	AllSpeeds(now time.Time) speedkeeper.Sums
 	LearnSpeeds(now time.Time, from currantwood.VMID, sums speedkeeper.Sums)
+	// OwnLoadLevels returns what this gateway has observed of the time that work takes at
+	// levels of concurrency; LearnLoadLevels notes what another has.
+	OwnLoadLevels(now time.Time) limitkeeper.Sums
+	LearnLoadLevels(now time.Time, from currantwood.VMID, sums limitkeeper.Sums)
+	// AllLimits returns the concurrency limits that follow from what all gateways have
+	// observed. LearnLimits notes those that the collector sent.
+	AllLimits(now time.Time) limitkeeper.Limits
+	LearnLimits(now time.Time, limits limitkeeper.Limits)
 	// Evacuations returns the orders to evacuate availability zones, and false if they
 	// aren't known; LearnEvacuations notes those that another gateway knows.
 	Evacuations(now time.Time) (evacuationkeeper.Set, bool)
@@ -194,6 +203,9 @@
 	// digests. With one time for both, a collector whose digests are as rare as speedInterval
 	// would send speeds only in its states.
 	stateSpeedsAt, digestSpeedsAt time.Time
+	// digestSpeedInterval is the time between two digests with speeds. It grows with the
+	// number of gateways.
+	digestSpeedInterval time.Duration
 	// process identifies this process among those of its VM.
 	process uint64
 	// startedAt is when this process created the Messenger.
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -10,6 +10,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/capacity/limitkeeper"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
@@ -44,6 +45,14 @@
 
 func (idleGateway) LearnSpeeds(time.Time, currantwood.VMID, speedkeeper.Sums) {}
 
+func (idleGateway) OwnLoadLevels(time.Time) limitkeeper.Sums { return nil }
+
+func (idleGateway) LearnLoadLevels(time.Time, currantwood.VMID, limitkeeper.Sums) {}
+
+func (idleGateway) AllLimits(time.Time) limitkeeper.Limits { return nil }
+
+func (idleGateway) LearnLimits(time.Time, limitkeeper.Limits) {}
+
 func (idleGateway) Evacuations(time.Time) (evacuationkeeper.Set, bool) {
 	return evacuationkeeper.Set{}, false
 }
--- a/peermessenger/speed.go
+++ b/peermessenger/speed.go
@@ -28,7 +28,13 @@
 // speedsDue reports whether speeds are to be sent now in messages of one kind, the last of
 // which with speeds was sent at sentAt, and if so notes that in sentAt. Called with mu held.
 func speedsDue(now time.Time, sentAt *time.Time) bool {
-	if now.Sub(*sentAt) < speedInterval {
+	return intervalPassed(now, sentAt, speedInterval)
+}
+
+// intervalPassed reports whether an interval has passed since sentAt, and if so sets sentAt
+// to now.
+func intervalPassed(now time.Time, sentAt *time.Time, interval time.Duration) bool {
+	if now.Sub(*sentAt) < interval {
 		return false
 	}
 	*sentAt = now
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -32,7 +32,7 @@
 
 // buildState returns the state of this gateway.
 func (m *Messenger) buildState(now time.Time, storeReachable bool, loads balancer.Loads) *peerwire.State {
-	sum, speeds := m.Gateway.CrashSum(now), m.Gateway.OwnSpeeds(now)
+	sum, speeds, levels := m.Gateway.CrashSum(now), m.Gateway.OwnSpeeds(now), m.Gateway.OwnLoadLevels(now)
 	recent, completed := m.Gateway.RecentCrashes(now)
 	m.mu.Lock()
 	collector, _ := m.peers.OtherCollector(now)
@@ -54,7 +54,7 @@
 	}
 	m.mu.Lock()
 	if speedsDue(now, &m.stateSpeedsAt) {
-		state.Speeds = encodeSpeeds(speeds)
+		state.Speeds, state.LoadLevels = encodeSpeeds(speeds), encodeLoadLevels(levels)
 	}
 	m.addStartsToState(now, collector.VM, state)
 	m.mu.Unlock()
@@ -98,6 +98,9 @@
 	if len(s.GetSpeeds()) > 0 {
 		m.Gateway.LearnSpeeds(now, from.VM, decodeSpeeds(s.GetSpeeds()))
 	}
+	if len(s.GetLoadLevels()) > 0 {
+		m.Gateway.LearnLoadLevels(now, from.VM, decodeLoadLevels(s.GetLoadLevels()))
+	}
 	if known && collector.VM != from.VM {
 		m.send(from.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Referral{
 			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Capacity, Established: collector.Established},
