--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -14,8 +14,8 @@
 	workAverageDivisor = 64
 	// maxWorkFactor bounds the part of one measurement, since calls and outputs differ in
 	// length by much more than upstreams in speed. A slow period shows in the upstream's figure
-	// and in the measurement; in trials with a bound of 2 the product lowered a limit without a knee
-	// for 15% of the time in the worst case of the model of package limitkeeper, with 1.5 for 8%.
+	// and in the measurement. In trials, the product lowered a limit without a knee for 15% of
+	// the time with a bound of 2 and for 8% with 1.5, in the worst case of limitkeeper's model.
 	maxWorkFactor = 1.5
 )
 
@@ -50,11 +50,6 @@
 	b.limits.Observe(now, view.ID, sample.Running, sample.Slots, sample.RelativeTime*factor)
 }
 
-// Limit returns how many concurrent requests an upstream handles well, at most its slots.
-func (b *Balancer) Limit(now time.Time, view upstreamkeeper.View) int {
-	return b.limits.Limit(now, view.ID, max(1, view.Slots))
-}
-
 // OwnLoadLevels returns what this gateway has observed of the upstreams' concurrency.
 func (b *Balancer) OwnLoadLevels(now time.Time) limitkeeper.Sums { return b.limits.Own(now) }
 
@@ -67,6 +62,9 @@
 // observed and others have reported to it.
 func (b *Balancer) AllLimits(now time.Time) limitkeeper.Limits { return b.limits.All(now) }
 
+// LimitedUpstreams returns the number of upstreams with a concurrency limit below their slots.
+func (b *Balancer) LimitedUpstreams(now time.Time) int { return b.limits.Limited(now) }
+
 // LearnLimits notes the concurrency limits that the collector has estimated.
 func (b *Balancer) LearnLimits(now time.Time, limits limitkeeper.Limits) {
 	b.limits.LearnLimits(now, limits)
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -70,6 +70,9 @@
 		refused.Full = refused.Full || g.fitsEmpty(q)
 		return Choice{}, false
 	}
+	if q.MaxPrefillWait <= 0 {
+		return choice, true
+	}
 	if excess := g.excessPrefillWait(choice, q, b.speeds.RelativeTime(now, id)); excess > 0 {
 		refused.Full = true
 		refused.lowerRetryAfter(excess)
--- a/balancer/score.go
+++ b/balancer/score.go
@@ -38,7 +38,7 @@
 // paused, and whether others need its room more.
 func (b *Balancer) evaluate(now time.Time, g *group, u *upstream, q Query) Choice {
 	load := b.TotalLoad(now, u.view.ID)
-	score := float64(load.Requests+1) / float64(b.Limit(now, u.view))
+	score := float64(load.Requests+1) / float64(b.limits.Limit(now, u.view.ID, max(1, u.view.Slots)))
 	used := score
 	if e := g.config.Engine; e != nil && e.MemoryTokens > 0 {
 		memory := float64(load.MemoryTokens+q.Load.MemoryTokens) / float64(e.MemoryTokens)
--- a/capacity/limitkeeper/keeper.go
+++ b/capacity/limitkeeper/keeper.go
@@ -251,7 +251,7 @@
 // share returns the limit as a share of the slots. The collector's counts as long as it is
 // recent, also where it has none, since it is based on more observations.
 func (k *Keeper) share(now time.Time, id currantwood.UpstreamID) float64 {
-	if k.learned != nil && now.Sub(k.learnedAt) <= k.learnedFor {
+	if k.hasLearned(now) {
 		if share, ok := k.learned[id]; ok {
 			return share
 		}
@@ -263,6 +263,19 @@
 	return 1
 }
 
+// hasLearned reports whether the collector's limits count.
+func (k *Keeper) hasLearned(now time.Time) bool {
+	return k.learned != nil && now.Sub(k.learnedAt) <= k.learnedFor
+}
+
+// Limited returns the number of upstreams whose limit is below their slots.
+func (k *Keeper) Limited(now time.Time) int {
+	if k.hasLearned(now) {
+		return len(k.learned)
+	}
+	return len(k.All(now))
+}
+
 // Own returns what this gateway has observed itself, to be reported to the collector, of
 // upstreams with more than a quarter of their slots in use.
 func (k *Keeper) Own(now time.Time) Sums {
--- a/capacity/limitkeeper/keeper_test.go
+++ b/capacity/limitkeeper/keeper_test.go
@@ -188,6 +188,8 @@
 		Expect(k.Limit(start, "v", 24)).To(Equal(24))
 		Expect(k.Limit(start, "v", 0)).To(Equal(1))
 		Expect(k.Limit(start, "w", 24)).To(Equal(24))
+		Expect(k.Limited(start)).To(Equal(2))
+		Expect(k.Limited(start.Add(time.Minute))).To(Equal(0))
 	})
 
 	// Guards against limits that outlive the collector.
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -62,6 +62,13 @@
 	return g.balancer.AllLimits(now)
 }
 
+// LimitedUpstreams returns the number of upstreams with a concurrency limit below their slots.
+func (g *Gateway) LimitedUpstreams(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.LimitedUpstreams(now)
+}
+
 // LearnLimits notes the concurrency limits that the collector has estimated.
 func (g *Gateway) LearnLimits(now time.Time, limits limitkeeper.Limits) {
 	g.mu.Lock()
--- a/peermessenger/limit_test.go
+++ b/peermessenger/limit_test.go
@@ -12,6 +12,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/capacity/limitkeeper"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
+	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/peerwire"
 )
 
@@ -72,6 +73,30 @@
 	})
 })
 
+// learningGateway is a Gateway that keeps the limits it has learned.
+type learningGateway struct {
+	idleGateway
+	learned *[]limitkeeper.Limits
+}
+
+// LearnLimits keeps the limits.
+func (g learningGateway) LearnLimits(_ time.Time, limits limitkeeper.Limits) {
+	*g.learned = append(*g.learned, limits)
+}
+
+// Guards against limits that end with each digest in which they aren't due or that an older
+// collector sends, and against limits that outlast a digest which names none.
+var _ = It("learns limits only from digests that have them", func() {
+	var learned []limitkeeper.Limits
+	m := &Messenger{Options: Options{Gateway: learningGateway{learned: &learned}}, peers: peerkeeper.New(peerkeeper.Peer{VM: "b"})}
+	from := peerkeeper.Peer{VM: "a", Address: "a:1"}
+	m.applySums(bootSeconds(9), from, &peerwire.Digest{})
+	Expect(learned).To(BeEmpty())
+	m.applySums(bootSeconds(9), from, &peerwire.Digest{HasLimits: true, Limits: []*peerwire.ConcurrencyLimit{{Upstream: "e1", Share: 500}}})
+	m.applySums(bootSeconds(9), from, &peerwire.Digest{HasLimits: true})
+	Expect(learned).To(Equal([]limitkeeper.Limits{{"e1": 0.5}, {}}))
+})
+
 // estimatingGateway is a Gateway that knows the speeds and limits of some upstreams.
 type estimatingGateway struct {
 	idleGateway
