--- a/peermessenger/limit.go
+++ b/peermessenger/limit.go
@@ -41,14 +41,18 @@
 	due    bool
 }
 
+// known reports whether any upstream states the time on which limits are based. Otherwise
+// digests are as without limits.
+func (e estimates) known() bool { return len(e.speeds) > 0 || len(e.limits) > 0 }
+
 // size returns the bytes that the estimates take in a digest.
 func (e estimates) size() int {
-	return proto.Size(&peerwire.Digest{Speeds: e.speeds, Limits: e.limits, HasLimits: e.due})
+	return proto.Size(&peerwire.Digest{Speeds: e.speeds, Limits: e.limits, HasLimits: e.known()})
 }
 
 // addTo sets the estimates of a digest.
 func (e estimates) addTo(digest *peerwire.Digest) {
-	digest.Speeds, digest.Limits, digest.HasLimits = e.speeds, e.limits, e.due
+	digest.Speeds, digest.Limits, digest.HasLimits = e.speeds, e.limits, e.known()
 }
 
 // takeEstimates returns the estimates for the digests of now, and sets when they are due
--- a/peermessenger/limit_test.go
+++ b/peermessenger/limit_test.go
@@ -121,6 +121,15 @@
 	return limits
 }
 
+// Guards against larger digests of groups whose upstreams state no time.
+var _ = It("adds nothing to digests if no upstream states a time", func() {
+	m := &Messenger{Options: Options{Gateway: idleGateway{}}}
+	e, digest := m.takeEstimates(bootSeconds(5), 68), &peerwire.Digest{}
+	Expect(e.due).To(BeTrue())
+	e.addTo(digest)
+	Expect(proto.Size(digest)).To(Equal(0))
+})
+
 // Guards against a collector that sends 117 MB/s to 2,200 gateways, and against digests that
 // are sent less often than today to few.
 var _ = DescribeTable("digests with speeds and limits", func(recipients, upstreams int, every time.Duration) {
