Concurrency limits: bound kept and received sums

Own observations and reports are dropped once they have no weight, also at a gateway that is no longer the collector; before, they stayed until the upstream left or the next report came. Reports from before the clock went back are dropped, since sums became NaN. The bound on a reported weight could never be reached by its field; the number of observations is bounded instead.

--- a/balancer/score.go
+++ b/balancer/score.go
@@ -34,8 +34,8 @@
 )
 
 // evaluate scores an upstream by the requests, relative to its concurrency limit, and the
-// memory in use with this request, its queued prompts, its speed, its distance, whether it is warming up or was
-// paused, and whether others need its room more.
+// memory in use with this request, its queued prompts, its speed, its distance, whether it is
+// warming up or was paused, and whether others need its room more.
 func (b *Balancer) evaluate(now time.Time, g *group, u *upstream, q Query) Choice {
 	load := b.TotalLoad(now, u.view.ID)
 	score := float64(load.Requests+1) / float64(b.limits.Limit(now, u.view.ID, max(1, u.view.Slots)))
--- a/capacity/doc.go
+++ b/capacity/doc.go
@@ -9,6 +9,6 @@
 //   - forecaster estimates when engines have room again, and records the promises that
 //     refused clients were given.
 //
-// Package balancer uses the estimates when it weighs upstreams; limits refuse nothing. Whether a request may be
-// sent to an upstream at all is decided before that, by package noticekeeper.
+// Package balancer uses the estimates when it weighs upstreams; limits refuse nothing. Whether
+// a request may be sent to an upstream at all is decided before that, by package noticekeeper.
 package capacity
--- a/capacity/limitkeeper/keeper.go
+++ b/capacity/limitkeeper/keeper.go
@@ -31,10 +31,12 @@
 	// sweepInterval is the time between two searches for reports that are too old.
 	sweepInterval = 250 * time.Millisecond
 	// rebaseTime is how long reported weights are scaled by the same time. They grow by a
-	// factor of 1,800 in it, which leaves enough digits of a float64.
+	// factor of 22,000 in it, which leaves enough digits of a float64.
 	rebaseTime = 15 * time.Second
 	// evaluationInterval is the time between two evaluations of an upstream.
 	evaluationInterval = 100 * time.Millisecond
+	// minKeptWeight is the least weight of an upstream's own sums that is kept.
+	minKeptWeight = 0.01
 	// minReportedWeight is the least weight of an upstream's sums that is reported.
 	minReportedWeight = 0.25
 	// busyLevels is the number of levels above a quarter of the slots. Upstreams below aren't
@@ -142,10 +144,10 @@
 }
 
 // Observe notes that a response said how many requests run at its upstream and how long
-// work takes there, relative to the usual time. Figures that aren't positive mean that it
-// doesn't say.
+// work takes there, relative to the usual time. Figures that aren't positive or aren't
+// finite mean that it doesn't say.
 func (k *Keeper) Observe(now time.Time, id currantwood.UpstreamID, running, slots int, relativeTime float64) {
-	if running <= 0 || slots <= 0 || !(relativeTime > 0) {
+	if running <= 0 || slots <= 0 || !(relativeTime > 0) || math.IsInf(relativeTime, 1) {
 		return
 	}
 	share := min(1, float64(running)/float64(slots))
@@ -168,6 +170,11 @@
 // Learn notes the sums that another gateway has reported, in place of its report before.
 // sums must not be changed afterwards.
 func (k *Keeper) Learn(now time.Time, from currantwood.VMID, sums Sums) {
+	if k.sweptAt.Sub(now) > reportMaxAge {
+		// The clock went back. The weights of reports from later would grow out of range.
+		clear(k.reports)
+		k.base, k.sweptAt = time.Time{}, now
+	}
 	if now.Sub(k.base) > rebaseTime {
 		k.base = now
 		clear(k.reported)
@@ -179,19 +186,25 @@
 	r := report{at: now, sums: sums}
 	k.reports[from] = r
 	k.addReport(r)
-	if now.Sub(k.sweptAt) >= sweepInterval {
-		k.sweptAt = now
-		for vm, r := range k.reports {
-			if now.Sub(r.at) > reportMaxAge {
-				k.drop(vm)
-			}
-		}
-	}
+	k.sweep(now)
 	for id := range sums {
 		k.evaluate(now, id)
 	}
 }
 
+// sweep drops the reports that are too old, if a search for them is due.
+func (k *Keeper) sweep(now time.Time) {
+	if now.Sub(k.sweptAt) < sweepInterval {
+		return
+	}
+	k.sweptAt = now
+	for vm, r := range k.reports {
+		if now.Sub(r.at) > reportMaxAge {
+			k.drop(vm)
+		}
+	}
+}
+
 func (k *Keeper) addReport(r report) {
 	factor := decay(k.base.Sub(r.at))
 	for id, sum := range r.sums {
@@ -277,13 +290,17 @@
 }
 
 // Own returns what this gateway has observed itself, to be reported to the collector, of
-// upstreams with more than a quarter of their slots in use.
+// upstreams with more than a quarter of their slots in use. It also drops what is too old, as
+// a gateway that is no longer the collector learns no more reports.
 func (k *Keeper) Own(now time.Time) Sums {
-	sums := make(Sums, len(k.own))
+	k.sweep(now)
+	sums := make(Sums)
 	for id, known := range k.own {
 		aged := Sum{}
-		aged.add(&known.sum, decay(now.Sub(known.at)))
-		if aged.isBusy() && aged.Weight() >= minReportedWeight {
+		aged.add(&known.sum, decay(max(0, now.Sub(known.at))))
+		if aged.Weight() < minKeptWeight {
+			delete(k.own, id)
+		} else if aged.isBusy() && aged.Weight() >= minReportedWeight {
 			sums[id] = aged
 		}
 	}
--- a/capacity/limitkeeper/keeper_test.go
+++ b/capacity/limitkeeper/keeper_test.go
@@ -177,6 +177,7 @@
 		Entry("no time", 3, 24, 0.0),
 		Entry("a negative time", 3, 24, -1.0),
 		Entry("a time that isn't a number", 3, 24, math.NaN()),
+		Entry("an infinite time", 3, 24, math.Inf(1)),
 		Entry("nothing that runs", 0, 24, 1.0),
 		Entry("no slots", 3, 0, 1.0),
 	)
@@ -253,6 +254,37 @@
 		}
 	})
 
+	// Guards against the memory and time that observations of an idle upstream take in every
+	// state.
+	It("drops own observations that have no weight any more", func() {
+		k := New()
+		k.Observe(start, "u", 20, 24, 2)
+		Expect(k.Own(start.Add(time.Second))).To(HaveLen(1))
+		Expect(k.Own(start.Add(time.Minute))).To(BeEmpty())
+		Expect(k.own).To(BeEmpty())
+	})
+
+	// Guards against reports that a gateway keeps for good once it is no longer the collector.
+	It("drops old reports if no more arrive", func() {
+		k := New()
+		k.Learn(start, "a", Sums{"u": sumAt(0, Level{Weight: 10, Running: 9, Speed: 10})})
+		k.Learn(start, "b", Sums{"v": sumAt(0, Level{Weight: 10, Running: 9, Speed: 10})})
+		k.Own(start.Add(3 * time.Second))
+		Expect(k.reports).To(BeEmpty())
+		Expect(k.reported).To(BeEmpty())
+	})
+
+	// Guards against sums that aren't numbers and reports that never become too old.
+	It("drops reports from before the clock went back", func() {
+		k := New()
+		sums := Sums{"u": sumAt(0, Level{Weight: 10, Running: 9, Speed: 10})}
+		k.Learn(start.Add(time.Hour), "a", sums)
+		k.Learn(start, "b", sums)
+		sum := k.sum(start, "u")
+		Expect(sum.Weight()).To(BeNumerically("~", 10, 1e-6))
+		Expect(k.reports).To(HaveLen(1))
+	})
+
 	It("drops upstreams that are gone", func() {
 		k := New()
 		k.Observe(start, "u", 20, 24, 2)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -140,10 +140,11 @@
 		return nil, errors.Wrap(err, "read response body")
 	}
 	x.Finish()
-	if outcome := outcomeOf(x); outcome == balancer.Served {
+	outcome := outcomeOf(x)
+	if outcome == balancer.Served {
 		q.g.observeWork(choice.View, x, q.g.Now().Sub(sentAt), false)
 	}
-	q.recordEnd(choice.View, load, outcomeOf(x))
+	q.recordEnd(choice.View, load, outcome)
 	return &response{sentAt: sentAt, framed: x.Framed, status: x.Status, header: x.Header, body: body}, nil
 }
 
--- a/peermessenger/limit.go
+++ b/peermessenger/limit.go
@@ -165,7 +165,7 @@
 		level := limitkeeper.Level{Weight: float64(scaled) / levelScale, Running: float64(l.GetRunning()[i]) / levelScale, Speed: float64(l.GetSpeeds()[i]) / levelScale}
 		// Each figure may be rounded by half a hundredth.
 		weight, speed := level.Weight+1.0/levelScale, level.Speed+1.0/levelScale
-		if weight > maxSpeedWeight*maxLevelFactor || level.Running > weight || level.Speed > weight*maxLevelFactor || level.Weight > speed*maxLevelFactor {
+		if level.Speed > maxSpeedWeight || level.Running > weight || level.Speed > weight*maxLevelFactor || level.Weight > speed*maxLevelFactor {
 			return sum, false
 		}
 		sum[int(l.GetFirst())+i] = level
