Concurrency limits: keep them if a digest arrives twice, drop idle estimates

A digest that arrived twice made limits end after 2 s where they are sent every 7 s or less often. Estimates of upstreams that only other gateways know were dropped at the collector only.

--- a/capacity/limitkeeper/keeper.go
+++ b/capacity/limitkeeper/keeper.go
@@ -28,7 +28,10 @@
 	reportMaxAge = 2 * time.Second
 	// maxReportMaxAge bounds how long limits count that are sent less often.
 	maxReportMaxAge = 20 * time.Second
-	// sweepInterval is the time between two searches for reports that are too old.
+	// minLimitsGap is the least time between two digests with limits that says how often these
+	// are sent. Digests that arrive twice would otherwise end the limits after reportMaxAge.
+	minLimitsGap = 100 * time.Millisecond
+	// sweepInterval is the time between two searches for what is too old.
 	sweepInterval = 250 * time.Millisecond
 	// rebaseTime is how long reported weights are scaled by the same time. They grow by a
 	// factor of 22,000 in it, which leaves enough digits of a float64.
@@ -192,7 +195,8 @@
 	}
 }
 
-// sweep drops the reports that are too old, if a search for them is due.
+// sweep drops the reports that are too old, and estimates at the slots that get no more
+// observations, if a search for them is due.
 func (k *Keeper) sweep(now time.Time) {
 	if now.Sub(k.sweptAt) < sweepInterval {
 		return
@@ -203,6 +207,11 @@
 			k.drop(vm)
 		}
 	}
+	for id, e := range k.estimates {
+		if e.at(now) >= 1 && now.Sub(e.evaluatedAt) > reportMaxAge {
+			delete(k.estimates, id)
+		}
+	}
 }
 
 func (k *Keeper) addReport(r report) {
@@ -243,10 +252,12 @@
 // LearnLimits notes the limits that the collector has estimated, in place of those before.
 // They count for two seconds, or longer if the collector sends them less often.
 func (k *Keeper) LearnLimits(now time.Time, limits Limits) {
-	gap := now.Sub(k.learnedAt)
-	// A single longer gap is a lost digest or another collector.
-	k.learnedFor = min(maxReportMaxAge, max(reportMaxAge, 5*(min(gap, k.learnedGap)/2)))
-	k.learned, k.learnedAt, k.learnedGap = limits, now, gap
+	if gap := now.Sub(k.learnedAt); gap >= minLimitsGap {
+		// A single longer gap is a lost digest or another collector.
+		k.learnedFor = min(maxReportMaxAge, max(reportMaxAge, 5*(min(gap, k.learnedGap)/2)))
+		k.learnedGap = gap
+	}
+	k.learned, k.learnedAt = limits, now
 }
 
 // Limit returns how many concurrent requests an upstream handles well: from 1 to slots.
@@ -312,11 +323,8 @@
 func (k *Keeper) All(now time.Time) Limits {
 	limits := make(Limits)
 	for id, e := range k.estimates {
-		share := e.at(now)
-		if share < 1 {
+		if share := e.at(now); share < 1 {
 			limits[id] = share
-		} else if now.Sub(e.evaluatedAt) > reportMaxAge {
-			delete(k.estimates, id)
 		}
 	}
 	return limits
--- a/capacity/limitkeeper/keeper_test.go
+++ b/capacity/limitkeeper/keeper_test.go
@@ -274,6 +274,28 @@
 		Expect(k.reported).To(BeEmpty())
 	})
 
+	// Guards against estimates of upstreams that only other gateways know, which Forget meets
+	// only when the known ones change.
+	It("drops estimates that are back at the slots and get no observations", func() {
+		k := New()
+		k.estimates["u"] = &estimate{share: 0.5, setAt: start, evaluatedAt: start}
+		k.Own(start.Add(3 * time.Second))
+		Expect(k.estimates).To(HaveLen(1))
+		k.Own(start.Add(4 * time.Second))
+		Expect(k.estimates).To(BeEmpty())
+	})
+
+	// Guards against limits that end between the digests of a large fleet since one of them
+	// arrived twice.
+	It("keeps limits that arrive seldom if a digest arrives twice", func() {
+		k := New()
+		for after := time.Duration(0); after <= 21*time.Second; after += 7 * time.Second {
+			k.LearnLimits(start.Add(after), Limits{"u": 0.5})
+		}
+		k.LearnLimits(start.Add(21*time.Second+time.Millisecond), Limits{"u": 0.5})
+		Expect(k.Limit(start.Add(27*time.Second), "u", 24)).To(Equal(12))
+	})
+
 	// Guards against sums that aren't numbers and reports that never become too old.
 	It("drops reports from before the clock went back", func() {
 		k := New()
