Speeds: keep them if a digest arrives twice

As for limits: a second copy made speeds end after 2 s where digests are sent every 7 s or less often.

--- a/capacity/speedkeeper/keeper.go
+++ b/capacity/speedkeeper/keeper.go
@@ -31,6 +31,10 @@
 	// the collector sends its digests of speeds less often.
 	reportMaxAge    = 2 * time.Second
 	maxReportMaxAge = 20 * time.Second
+	// minReportGap is the least time between two reports of the only gateway that reports which
+	// says how often it does. One that arrives twice would otherwise end the estimates after
+	// reportMaxAge.
+	minReportGap = 100 * time.Millisecond
 	// sweepInterval is the time between two searches for reports that are too old.
 	sweepInterval = 250 * time.Millisecond
 	// rebaseTime is how long weights are scaled by the same time. They grow by a factor of
@@ -152,6 +156,9 @@
 	gap := time.Duration(0)
 	if last, known := k.reports[from]; known && len(k.reports) == 1 {
 		gap = now.Sub(last.at)
+		if gap < minReportGap {
+			return
+		}
 	}
 	k.reportedFor = min(maxReportMaxAge, max(reportMaxAge, 5*(min(gap, k.reportGap)/2)))
 	k.reportGap = gap
--- a/capacity/speedkeeper/keeper_test.go
+++ b/capacity/speedkeeper/keeper_test.go
@@ -82,6 +82,15 @@
 		Expect(k.RelativeTime(at(42), "u")).To(Equal(1.0))
 	})
 
+	// Guards against estimates that lapse between digests since one of them arrived twice.
+	It("keeps reports that arrive seldom if one arrives twice", func() {
+		k := New()
+		for _, after := range []float64{0, 7, 14, 21, 21.001} {
+			k.Learn(at(after), "collector", Sums{"u": {Weight: 50, Speed: 25}})
+		}
+		Expect(k.RelativeTime(at(27), "u")).To(BeNumerically(">", 1.8))
+	})
+
 	// Guards against one lost report by which old observations count for longer.
 	It("drops the reports after two seconds if a single one was late", func() {
 		k := New()
--- a/peermessenger/limit.go
+++ b/peermessenger/limit.go
@@ -174,5 +174,5 @@
 }
 
 // maxLevelFactor is by how much a mean speed may be above or below the usual one: what an
-// upstream may state, times what one measurement may add (balancer.WorkSample).
+// upstream may state, times what one measurement may add (maxWorkFactor in package balancer).
 const maxLevelFactor = 1.5 * maxSpeedFactor
