--- a/peermessenger/limit.go
+++ b/peermessenger/limit.go
@@ -19,6 +19,9 @@
 	maxLoadLevels = 128
 	// maxLimits bounds the limits in one digest. Each takes about 14 bytes.
 	maxLimits = 512
+	// maxEstimateBytes bounds what speeds and limits take in one digest, where limits are left
+	// out for it: 512 of both with names of 64 bytes take 77 KB, too much for a datagram.
+	maxEstimateBytes = 32 << 10
 	// maxEstimateBytesPerSecond bounds what the collector sends of speeds and limits. With
 	// 2,200 gateways and 512 upstreams, digests each 250 ms would take 117 MB/s.
 	maxEstimateBytesPerSecond = 4e6
@@ -50,6 +53,16 @@
 	return proto.Size(&peerwire.Digest{Speeds: e.speeds, Limits: e.limits, HasLimits: e.known()})
 }
 
+// dropExcessLimits leaves out the highest limits if the digest would be too long.
+func (e *estimates) dropExcessLimits() {
+	excess := e.size() - maxEstimateBytes
+	for excess > 0 && len(e.limits) > 0 {
+		last := len(e.limits) - 1
+		excess -= proto.Size(&peerwire.Digest{Limits: e.limits[last:]})
+		e.limits = e.limits[:last]
+	}
+}
+
 // addTo sets the estimates of a digest.
 func (e estimates) addTo(digest *peerwire.Digest) {
 	digest.Speeds, digest.Limits, digest.HasLimits = e.speeds, e.limits, e.known()
@@ -65,6 +78,7 @@
 		return estimates{}
 	}
 	e := estimates{speeds: encodeSpeeds(m.Gateway.AllSpeeds(now)), limits: encodeLimits(m.Gateway.AllLimits(now)), due: true}
+	e.dropExcessLimits()
 	interval := estimateInterval(e.size(), recipients)
 	m.mu.Lock()
 	m.digestSpeedInterval = interval
--- a/peermessenger/limit_test.go
+++ b/peermessenger/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -102,13 +103,15 @@
 type estimatingGateway struct {
 	idleGateway
 	upstreams int
+	// prefix begins the name of each upstream.
+	prefix string
 }
 
 // AllSpeeds returns a speed for each upstream.
 func (g estimatingGateway) AllSpeeds(time.Time) speedkeeper.Sums {
 	sums := make(speedkeeper.Sums)
 	for i := range g.upstreams {
-		sums[currantwood.UpstreamID(fmt.Sprintf("upstream-%05d", i))] = speedkeeper.Sum{Weight: 10, Speed: 9}
+		sums[currantwood.UpstreamID(fmt.Sprintf("%supstream-%05d", g.prefix, i))] = speedkeeper.Sum{Weight: 10, Speed: 9}
 	}
 	return sums
 }
@@ -117,7 +120,7 @@
 func (g estimatingGateway) AllLimits(time.Time) limitkeeper.Limits {
 	limits := make(limitkeeper.Limits)
 	for i := range g.upstreams {
-		limits[currantwood.UpstreamID(fmt.Sprintf("upstream-%05d", i))] = 0.5
+		limits[currantwood.UpstreamID(fmt.Sprintf("%supstream-%05d", g.prefix, i))] = 0.5
 	}
 	return limits
 }
@@ -158,3 +161,14 @@
 	Entry("to 2,200 gateways", 2200, 50, 1340*time.Millisecond),
 	Entry("to 2,200 gateways with very many upstreams", 2200, 600, 13700*time.Millisecond),
 )
+
+// Guards against digests that are too long for a datagram, and lost with all loads, where
+// upstreams have long names.
+var _ = It("names fewer limits if they would make a digest too long", func() {
+	m := &Messenger{Options: Options{Gateway: estimatingGateway{upstreams: 600, prefix: strings.Repeat("x", 22)}}}
+	e := m.takeEstimates(bootSeconds(5), 68)
+	Expect(e.speeds).To(HaveLen(maxSpeeds))
+	Expect(e.limits).NotTo(BeEmpty())
+	Expect(e.size()).To(BeNumerically("<=", maxEstimateBytes))
+	Expect(e.size()).To(BeNumerically(">", maxEstimateBytes-100))
+})
