--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -32,11 +32,12 @@
 
 // buildState returns the state of this gateway.
 func (m *Messenger) buildState(now time.Time, storeReachable bool, loads balancer.Loads) *peerwire.State {
-	sum, speeds := m.Gateway.CrashSum(now), m.Gateway.OwnSpeeds(now)
+	sum := m.Gateway.CrashSum(now)
 	recent, completed := m.Gateway.RecentCrashes(now)
 	m.mu.Lock()
 	collector, _ := m.peers.OtherCollector(now)
 	missing := m.missingCrashes(now, collector.VM, sum)
+	speedsAreDue := speedsDue(now, &m.stateSpeedsAt)
 	m.mu.Unlock()
 	state := &peerwire.State{
 		SentAt:      now.UnixNano(),
@@ -52,10 +53,10 @@
 		Notices:     encodeNotices(now, m.Gateway.HeardNotices(now)),
 		WarmUpRates: encodeRates(now, m.Gateway.OwnWarmUpRates(now)),
 	}
-	m.mu.Lock()
-	if speedsDue(now, &m.stateSpeedsAt) {
-		state.Speeds = encodeSpeeds(speeds)
+	if speedsAreDue {
+		state.Speeds, state.LoadLevels = encodeSpeeds(m.Gateway.OwnSpeeds(now)), encodeLoadLevels(m.Gateway.OwnLoadLevels(now))
 	}
+	m.mu.Lock()
 	m.addStartsToState(now, collector.VM, state)
 	m.mu.Unlock()
 	return state
@@ -98,6 +99,9 @@
 	if len(s.GetSpeeds()) > 0 {
 		m.Gateway.LearnSpeeds(now, from.VM, decodeSpeeds(s.GetSpeeds()))
 	}
+	if len(s.GetLoadLevels()) > 0 {
+		m.Gateway.LearnLoadLevels(now, from.VM, decodeLoadLevels(s.GetLoadLevels()))
+	}
 	if known && collector.VM != from.VM {
 		m.send(from.Address, &peerwire.Datagram{Body: &peerwire.Datagram_Referral{
 			Referral: &peerwire.Referral{Vm: string(collector.VM), Address: collector.Address, Strength: collector.Capacity, Established: collector.Established},
