--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -55,6 +55,12 @@
 	// at once: runs last up to 20 s, and a zone may be lost. With a smaller share, gateways
 	// that move all runs at once together exceed the budget.
 	movedShare = 1.0 / 2
+	// settleTime is the time until all gateways know of a run that it is to be moved: notices
+	// of upstreams and sums of loads are up to 125 ms old each.
+	settleTime = 250 * time.Millisecond
+	// maxMoveWait is how long a run waits for the budget, beginning some time after the
+	// notice of its upstream.
+	maxMoveWait = time.Second
 	// minGateways is the number of gateways of the smallest fleet whose settings don't name
 	// all others: they name three seeds at most. It is also the least number of contenders.
 	minGateways = 4
@@ -95,9 +101,13 @@
 	FirstStart bool
 	// MinGateways is the least number of gateways that there are, this one included. Below
 	// minGateways it is all of them; from there on there may be more, and the reserve is used
-	// only once others were heard. 0 means that there are minGateways, and no more unless
+	// only once as many were heard. 0 means that there are minGateways, and no more unless
 	// others were heard.
 	MinGateways int
+	// NamedGateways is the number of gateways that the settings name, this one included. A
+	// gateway that has heard fewer may be in one of several groups that never heard of each
+	// other. 0 means MinGateways.
+	NamedGateways int
 }
 
 // Peers is what is known of the other gateways.
@@ -126,11 +136,13 @@
 	// Options.MinGateways. It doesn't fall, as gateways whose reports no longer arrive may
 	// still send retries.
 	maxReportingGateways int
-	// countKnown is whether maxReportingGateways is a count and not an assumption: other
-	// gateways were heard, or the settings name all of them.
+	// countKnown is whether maxReportingGateways is a count and not an assumption: as many
+	// gateways were heard as the settings name, or these name all of them.
 	countKnown bool
 	// recent holds the times of this gateway's retries of which others may not have heard.
 	recent map[currantwood.GroupID][]time.Time
+	// leaving is what is known of the runs at upstreams that leave.
+	leaving map[currantwood.GroupID]*leavingRuns
 }
 
 // New returns a budgeter without any usage, for a process that starts now.
@@ -146,6 +158,7 @@
 		countKnown:           options.MinGateways < minGateways,
 		peers:                Peers{Gateways: 1},
 		recent:               make(map[currantwood.GroupID][]time.Time),
+		leaving:              make(map[currantwood.GroupID]*leavingRuns),
 	}
 }
 
@@ -181,7 +194,7 @@
 	peers.Gateways = max(1, peers.Gateways)
 	b.peers, b.peersAt = peers, now
 	b.maxReportingGateways = max(b.maxReportingGateways, peers.Gateways)
-	b.countKnown = b.countKnown || peers.Gateways > 1
+	b.countKnown = b.countKnown || peers.Gateways >= cmp.Or(b.options.NamedGateways, b.options.MinGateways, minGateways)
 }
 
 // Peers returns what SetPeers set last.
@@ -234,7 +247,7 @@
 	left := part*b.jointBudget(all.Requests) - float64(all.Retries-recent)
 	// While reports are late, the others may have used their parts again.
 	late := 1 + now.Sub(b.peersAt).Seconds()/reportDelay.Seconds()
-	return float64(recent+1)*late*b.contenders(now, all.Requests, reason) <= left
+	return float64(recent+1)*late*b.contenders(now, id, all.Requests, reason) <= left
 }
 
 // guaranteedReserve returns the part of the reserve that each gateway may use whatever its
@@ -265,10 +278,15 @@
 
 // contenders returns how many gateways may retry before this one hears of it. Of many
 // gateways, each of which serves few, those are fewer than all: a failed request is one that
-// is served meanwhile, and a run that is moved was a request within about a window.
-func (b *Budgeter) contenders(now time.Time, requests int, reason RetryReason) float64 {
+// is served meanwhile, and a run that is moved was a request within about a window. Once all
+// know which upstreams leave, they are at most as many as the runs there.
+func (b *Budgeter) contenders(now time.Time, id currantwood.GroupID, requests int, reason RetryReason) float64 {
 	if reason == MovedRun {
-		return min(float64(b.peers.Gateways), minGateways+movedShare*float64(requests))
+		moving := movedShare * float64(requests)
+		if runs, settled := b.leaving[id].total(now); settled {
+			moving = min(moving, float64(runs))
+		}
+		return min(float64(b.peers.Gateways), minGateways+moving)
 	}
 	unheard := reportDelay + now.Sub(b.peersAt)
 	served := float64(requests) * unheard.Seconds() / b.options.Window.Seconds()
--- a/budgeter/fleet_test.go
+++ b/budgeter/fleet_test.go
@@ -24,6 +24,9 @@
 	requestsPerSecond float64
 	movedShare        float64
 	spread            int
+	// noticeSpread is the number of ticks within which the engines' notices arrive; 0 if they
+	// arrive at once.
+	noticeSpread int
 	// maxBudgetWait is the number of ticks for which a run that is to be moved waits for the
 	// budget.
 	maxBudgetWait int
@@ -31,13 +34,17 @@
 	delay int
 	// disturbs restarts gateways and cuts some off.
 	disturbs bool
+	// replaceEach is the time after which the next gateway is replaced, each of them once, as
+	// in a release; 0 means never.
+	replaceEach time.Duration
 }
 
 // runTicks is how long a run goes on: 5 s.
 const runTicks = 100
 
-// run is a generation at a gateway, or one that is to be moved.
-type run struct{ gateway, at int }
+// run is a generation at a gateway, or one that is to be moved from tick at on; the notice of
+// its upstream is known from tick leaving on.
+type run struct{ gateway, at, leaving int }
 
 // fleetResult is what became of the runs. used is the highest share of the budget in use.
 type fleetResult struct {
@@ -60,12 +67,22 @@
 		all[i] = New(f.options, start)
 	}
 	var own [][]Usage
-	var requests, retries []int
+	var requests, retries, leaving []int
 	var runs, waiting []run
 	var result fleetResult
 	for tick := range 1200 {
 		now := start.Add(time.Duration(tick) * fleetTick)
-		f.disturb(random, now, all, cut)
+		if i := f.disturb(random, now, all, cut); i >= 0 {
+			// The streams of a gateway end with it.
+			ended := func(r run) bool { return r.gateway == i }
+			runs, waiting = slices.DeleteFunc(runs, ended), slices.DeleteFunc(waiting, func(r run) bool {
+				if !ended(r) {
+					return false
+				}
+				result.wanted--
+				return true
+			})
+		}
 		usage, established := make([]Usage, f.gateways), 0
 		for i, b := range all {
 			usage[i] = b.OwnUsage(now)[group]
@@ -89,10 +106,21 @@
 		}
 		if tick%takeAwayTicks == takeAwayTicks-1 {
 			for _, i := range random.Perm(len(runs))[:int(f.movedShare*float64(len(runs)))] {
-				waiting = append(waiting, run{gateway: runs[i].gateway, at: tick + random.Intn(f.spread)})
+				leaving := tick
+				if f.noticeSpread > 0 {
+					leaving += random.Intn(f.noticeSpread)
+				}
+				waiting = append(waiting, run{gateway: runs[i].gateway, at: leaving + random.Intn(f.spread), leaving: leaving})
 				result.wanted++
 			}
 		}
+		leaving = append(leaving, countLeaving(waiting, tick))
+		for _, b := range all {
+			// Sums of loads are 100 to 200 ms old, and some are lost.
+			if late := tick - 2 - random.Intn(3); late >= 0 && random.Intn(10) > 0 {
+				b.SetLeaving(now, group, leaving[late])
+			}
+		}
 		waiting = slices.DeleteFunc(waiting, func(r run) bool {
 			if tick < r.at {
 				return false
@@ -114,10 +142,32 @@
 	return result
 }
 
-// disturb replaces a process now and then, and cuts gateways off and back.
-func (f fleet) disturb(random *rand.Rand, now time.Time, all []*Budgeter, cut []bool) {
+// countLeaving returns how many of the runs that are to be moved are at engines whose notice
+// has arrived.
+func countLeaving(waiting []run, tick int) int {
+	count := 0
+	for _, r := range waiting {
+		if tick >= r.leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// disturb replaces a process now and then, and cuts gateways off and back. It returns the
+// gateway that a release replaces, or -1.
+func (f fleet) disturb(random *rand.Rand, now time.Time, all []*Budgeter, cut []bool) int {
+	replaced := -1
+	if ticks := int(f.replaceEach / fleetTick); ticks > 0 {
+		if tick := int(now.Sub(start) / fleetTick); tick > 0 && tick%ticks == 0 && tick/ticks <= len(all) {
+			restarted := f.options
+			restarted.FirstStart = false
+			replaced = tick / ticks % len(all)
+			all[replaced] = New(restarted, now)
+		}
+	}
 	if !f.disturbs {
-		return
+		return replaced
 	}
 	if random.Intn(60) == 0 {
 		restarted := f.options
@@ -128,6 +178,7 @@
 		i := random.Intn(len(all))
 		cut[i] = !cut[i]
 	}
+	return replaced
 }
 
 // report gives the gateways that aren't cut off what the others of them had used. One
@@ -187,10 +238,15 @@
 	func(gateways int, disturbs bool) {
 		for _, reserve := range []float64{54, 176} {
 			for _, perSecond := range []float64{10, 40} {
-				f := fleet{gateways: gateways, options: newFleetOptions(gateways, reserve), requestsPerSecond: perSecond, movedShare: 1, spread: 8, delay: 8, maxBudgetWait: 16, disturbs: disturbs}
-				for seed := range int64(6) {
-					used := f.run(seed).used
-					GinkgoWriter.Println("reserve", reserve, "a second", perSecond, "most used", used)
+				for noticeSpread, seeds := range map[int]int64{0: 6, 8: 2, 24: 2} {
+					f := fleet{
+						gateways: gateways, options: newFleetOptions(gateways, reserve), requestsPerSecond: perSecond, movedShare: 1,
+						spread: 8, noticeSpread: noticeSpread, delay: 8, maxBudgetWait: 16, disturbs: disturbs,
+					}
+					for seed := range seeds {
+						used := f.run(seed).used
+						GinkgoWriter.Println("reserve", reserve, "a second", perSecond, "notices within", noticeSpread, "most used", used)
+					}
 				}
 			}
 		}
@@ -198,10 +254,12 @@
 	Entry("2 gateways", 2, false),
 	Entry("4 gateways", 4, false),
 	Entry("28 gateways", 28, false),
+	Entry("21 gateways", 21, false),
 	Entry("68 gateways", 68, false),
 	Entry("2 gateways, some just started or cut off", 2, true),
 	Entry("4 gateways, some just started or cut off", 4, true),
 	Entry("28 gateways, some just started or cut off", 28, true),
+	Entry("21 gateways, some just started or cut off", 21, true),
 	Entry("68 gateways, some just started or cut off", 68, true),
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,8 @@
 	crashes   *crashkeeper.Keeper
 	abandoned *abandonkeeper.Keeper
 	budget    *budgeter.Budgeter
+	// leaving holds the upstreams that leave; guarded by mu.
+	leaving map[currantwood.UpstreamID]leavingUpstream
 	// rates holds the rates of requests that upstreams accept; guarded by mu.
 	rates *ratekeeper.Keeper
 	// notices holds what upstreams say of themselves in responses, and asks rates;
@@ -152,6 +154,7 @@
 		eventInterval: initialEventInterval,
 		room:          newRoomQueue(options.Settings.MemoryBytes, options.Random),
 		budget:        newBudget(options),
+		leaving:       make(map[currantwood.UpstreamID]leavingUpstream),
 	}
 	g.requests.reclaim = options.ReclaimBody
 	g.instruments = newInstruments(options.Metrics)
@@ -199,12 +202,14 @@
 
 func newBudget(options Options) *budgeter.Budgeter {
 	bounds := options.Settings.Bounds
+	others, _ := options.Settings.OtherSeeds()
 	return budgeter.New(budgeter.Options{
-		Window:      bounds.RetryWindow,
-		RetryShare:  bounds.RetryShare,
-		Reserve:     bounds.RetryReserve,
-		FirstStart:  options.Settings.FirstStart,
-		MinGateways: options.Settings.MinGateways(),
+		Window:        bounds.RetryWindow,
+		RetryShare:    bounds.RetryShare,
+		Reserve:       bounds.RetryReserve,
+		FirstStart:    options.Settings.FirstStart,
+		MinGateways:   options.Settings.MinGateways(),
+		NamedGateways: 1 + len(others),
 	}, options.Now())
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -36,6 +36,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.balancer.SetPeerLoads(now, allPeers, loads)
+	g.countLeavingRuns(now)
 	g.offerUpdate(now)
 }
 
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -141,6 +141,7 @@
 		g.warmUps.Forget(known)
 	}
 	warmUps := g.noteWarmUps(now, events)
+	g.noteLeavingUpstreams(now, events)
 	var leaving, restarted []*stream
 	var crashed []currantwood.UpstreamRecord
 	for _, e := range events {
