--- a/capacity/forecaster/forecaster.go
+++ b/capacity/forecaster/forecaster.go
@@ -7,11 +7,13 @@
 // expects a share of the freed capacity that equals its share of the work in flight.
 //
 // The forecast for a refused request counts the work that waits here and the work that was
-// promised room before. Its retry is recognized by a key at this gateway; at another gateway
-// it counts as a new request.
+// promised room before. Its retry is recognized by a key, which other gateways learn: clients
+// may come back to any of them.
 package forecaster
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/currantwood/currantwood"
@@ -34,6 +36,9 @@
 	// maxPromises bounds the recorded promises; 4,096 take about 400 KB. Beyond it a refused
 	// client gets a Retry-After, but its retry isn't recognized.
 	maxPromises = 4096
+	// shareTime is for how long a promise is told to others, in messages every 50 ms, some of
+	// which may be lost.
+	shareTime = 300 * time.Millisecond
 	// maxForecast is the longest forecast, also if nothing is known to become free.
 	maxForecast = time.Minute
 )
@@ -69,15 +74,25 @@
 	PrefillExcess time.Duration
 }
 
-// Key identifies the retry of a refused request: a hash of its customer, target and body.
+// Key identifies the retry of a refused request: a hash of its customer, target and body. It
+// is the same at all gateways.
 type Key uint64
 
+// SharedPromise is what gateways tell each other of a promise.
+type SharedPromise struct {
+	Key Key
+	// At is the promised time. After Expires, a retry isn't recognized.
+	At, Expires time.Time
+}
+
 // promise is the retry time given to a refused request.
 type promise struct {
 	group currantwood.GroupID
 	work  Work
 	// at is the promised time. After expires, a retry isn't recognized.
 	at, expires time.Time
+	// notedAt is when it was given or learned here.
+	notedAt time.Time
 }
 
 // stay is how long generations stay at engines, as exponential moving averages.
@@ -92,11 +107,14 @@
 	stays    map[currantwood.GroupID]*stay
 	promises map[Key]promise
 	promised map[currantwood.GroupID]Work
+	// redeemed holds the keys of promises that were redeemed here, and until when messages of
+	// other gateways may still hold them.
+	redeemed map[Key]time.Time
 }
 
 // New returns a forecaster without measurements and promises.
 func New() *Forecaster {
-	return &Forecaster{stays: make(map[currantwood.GroupID]*stay), promises: make(map[Key]promise), promised: make(map[currantwood.GroupID]Work)}
+	return &Forecaster{stays: make(map[currantwood.GroupID]*stay), promises: make(map[Key]promise), promised: make(map[currantwood.GroupID]Work), redeemed: make(map[Key]time.Time)}
 }
 
 // Ended notes how long a generation was in flight, and with how much memory.
@@ -189,7 +207,7 @@
 		return
 	}
 	late := lateSlack + time.Duration(lateShare*float64(after))
-	f.promises[key] = promise{group: id, work: work, at: now.Add(after), expires: now.Add(after + late)}
+	f.promises[key] = promise{group: id, work: work, at: now.Add(after), expires: now.Add(after + late), notedAt: now}
 	total := f.promised[id]
 	total.Add(work)
 	f.promised[id] = total
@@ -203,9 +221,37 @@
 		return false
 	}
 	f.drop(key)
+	f.redeemed[key] = now.Add(2 * shareTime)
 	return now.Before(p.expires)
 }
 
+// Recent returns up to limit promises that were given or learned here a moment ago, the
+// newest first.
+func (f *Forecaster) Recent(now time.Time, limit int) []SharedPromise {
+	var recent []SharedPromise
+	for key, p := range f.promises {
+		if now.Sub(p.notedAt) < shareTime && now.Before(p.expires) {
+			recent = append(recent, SharedPromise{Key: key, At: p.at, Expires: p.expires})
+		}
+	}
+	slices.SortFunc(recent, func(a, b SharedPromise) int {
+		return cmp.Or(f.promises[b.Key].notedAt.Compare(f.promises[a.Key].notedAt), cmp.Compare(a.Key, b.Key))
+	})
+	return recent[:min(limit, len(recent))]
+}
+
+// Learn notes promises that other gateways gave. Their work counts as ahead of others only at
+// the gateway that gave them.
+func (f *Forecaster) Learn(now time.Time, promises []SharedPromise) {
+	f.expire(now)
+	for _, p := range promises {
+		if _, known := f.promises[p.Key]; known || len(f.promises) >= maxPromises || !now.Before(p.Expires) || now.Before(f.redeemed[p.Key]) {
+			continue
+		}
+		f.promises[p.Key] = promise{at: p.At, expires: p.Expires, notedAt: now}
+	}
+}
+
 // HasPromises reports whether any promise is recorded.
 func (f *Forecaster) HasPromises() bool { return len(f.promises) > 0 }
 
@@ -222,6 +268,11 @@
 			f.drop(key)
 		}
 	}
+	for key, until := range f.redeemed {
+		if !now.Before(until) {
+			delete(f.redeemed, key)
+		}
+	}
 }
 
 func (f *Forecaster) drop(key Key) {
--- a/capacity/forecaster/forecaster_test.go
+++ b/capacity/forecaster/forecaster_test.go
@@ -67,3 +67,28 @@
 		Expect(f.Promised(start, "g").Requests).To(Equal(maxPromises))
 	})
 })
+
+var _ = Describe("Promises of other gateways", func() {
+	now := time.Unix(1_700_000_000, 0)
+
+	// Guards against a client that comes back to another gateway and is refused again.
+	It("are redeemed once, at their time", func() {
+		home, other := New(), New()
+		home.Promise(now, 7, "g", Work{Requests: 1}, time.Second)
+		Expect(home.Recent(now, 10)).To(HaveLen(1))
+		other.Learn(now, home.Recent(now, 10))
+		Expect(other.Promised(now, "g")).To(BeZero(), "booked at the other gateway")
+		Expect(other.Redeem(now.Add(500*time.Millisecond), 7)).To(BeFalse(), "too early")
+		Expect(other.Redeem(now.Add(time.Second), 7)).To(BeTrue())
+		other.Learn(now.Add(time.Second), home.Recent(now, 10))
+		Expect(other.Redeem(now.Add(time.Second), 7)).To(BeFalse(), "redeemed before a late message")
+	})
+
+	It("are told for a moment only, the newest if there are many", func() {
+		f := New()
+		f.Promise(now, 1, "g", Work{}, time.Second)
+		f.Promise(now.Add(time.Millisecond), 2, "g", Work{}, time.Second)
+		Expect(f.Recent(now.Add(time.Millisecond), 1)).To(HaveExactElements(HaveField("Key", Key(2))))
+		Expect(f.Recent(now.Add(shareTime+time.Millisecond), 10)).To(BeEmpty())
+	})
+})
--- a/capacity/roomkeeper/roomkeeper.go
+++ b/capacity/roomkeeper/roomkeeper.go
@@ -42,9 +42,9 @@
 	// gateways choose the same engine.
 	manyOpen = 1.0 / 3
 	// returnFactor is the Retry-After of a refusal, divided by its forecast. It exceeds 1
-	// since the forecast leaves out the requests that arrive meanwhile, a retry at another
-	// gateway isn't recognized, and most clients retry only once.
-	returnFactor = 2.5
+	// since the forecast leaves out the requests that arrive meanwhile, and most clients retry
+	// only once: with 2.5, 2.3% of the promises were broken in the model.
+	returnFactor = 3.0
 	// claimPart is the part of the engines that all gateways together may claim, for the
 	// request that each of them holds an engine for. With claims on most engines nothing
 	// would be admitted anywhere.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -32,15 +33,27 @@
 	minEventsLeft = 10
 )
 
-// moveStreams starts to move streams away from leaving upstreams, those with the
-// most events left first. The moves then run concurrently.
+// moveStreams starts to move streams away from leaving upstreams, those that would lose most
+// first. The moves then run concurrently.
 func (g *Gateway) moveStreams(leaving []*stream) {
-	slices.SortFunc(leaving, func(a, b *stream) int { return int(b.eventsLeft() - a.eventsLeft()) })
+	slices.SortStableFunc(leaving, func(a, b *stream) int { return cmp.Compare(b.moveValue(), a.moveValue()) })
 	for _, s := range leaving {
 		s.startMove()
 	}
 }
 
+// promptTokenCost is the time to read a token of a prompt, relative to that to generate one:
+// engines read about 14 tokens per millisecond and generate one in some milliseconds.
+const promptTokenCost = 0.02
+
+// moveValue is what the loss of the run would cost, in generated tokens: those that would have
+// to be read and generated again, and those for which the client still waits.
+func (s *stream) moveValue() float64 {
+	generated := max(0, s.lastEvent.Load()) * s.tokensPerEvent()
+	left := max(0, s.eventsLeft()) * s.tokensPerEvent()
+	return promptTokenCost*float64(s.client.Size.Prompt) + float64(generated+left)
+}
+
 // eventsLeft is the largest number of events still to come, by the maximum
 // output. It is 0 or less if that is unknown; such a run is never moved.
 func (s *stream) eventsLeft() int64 {
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -48,3 +48,19 @@
 		g.notices.Observe(start, "e1", 7, currantwood.UpstreamResponse{DeclaredNotRun: true, Pause: time.Second})
 	}, false),
 )
+
+// Guards against moves that compete in an order by the events left alone: the run with the long
+// prompt, most of which was generated already, costs more if it is lost.
+var _ = Describe("The value of a move", func() {
+	run := func(prompt, output currantwood.TokenCount, lastEvent int64) *stream {
+		s := &stream{request: &request{snapshot: &configkeeper.Snapshot{}}}
+		s.client.Size = currantwood.GenerationSize{Prompt: prompt, Output: output}
+		s.lastEvent.Store(lastEvent)
+		return s
+	}
+
+	It("counts what would have to be read and generated again, and what is left", func() {
+		Expect(run(30_000, 600, 500).moveValue()).To(BeNumerically(">", run(200, 800, 0).moveValue()))
+		Expect(run(200, 800, 400).moveValue()).To(BeNumerically(">", run(200, 500, 0).moveValue()))
+	})
+})
--- a/gateway/promise.go
+++ b/gateway/promise.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/binary"
-	"hash/maphash"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood/capacity/forecaster"
@@ -37,12 +37,11 @@
 	return &refusedError{&gatewayResponse{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}}
 }
 
-// promiseKey identifies the request when its client sends it again.
+// promiseKey identifies the request when its client sends it again, to any gateway.
 func (q *request) promiseKey() forecaster.Key {
-	var h maphash.Hash
-	h.SetSeed(q.g.room.seed)
+	h := xxhash.New()
 	_, _ = h.WriteString(string(q.customer))
-	_ = h.WriteByte(0)
+	_, _ = h.Write([]byte{0})
 	_, _ = h.WriteString(q.requestTarget())
 	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(q.body))))
 	_, _ = h.Write(q.body[:min(hashedBytes, len(q.body))])
@@ -77,3 +76,20 @@
 	}
 	q.promiseNoted = true
 }
+
+// RecentPromises returns up to limit promises of room that other gateways should learn of.
+func (g *Gateway) RecentPromises(now time.Time, limit int) []forecaster.SharedPromise {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.room.forecaster.Recent(now, limit)
+}
+
+// LearnPromises notes the promises of room that another gateway sent.
+func (g *Gateway) LearnPromises(now time.Time, promises []forecaster.SharedPromise) {
+	if len(promises) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.room.forecaster.Learn(now, promises)
+}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"hash/maphash"
 	"math/rand"
 	"slices"
 	"time"
@@ -20,7 +19,7 @@
 	waitShare = 0.5
 	// promisedWaitShare replaces it for a request that redeems a promise: most clients don't
 	// retry after a second refusal.
-	promisedWaitShare = 0.75
+	promisedWaitShare = 0.8
 	// waitAndQueueShare is the share of the target time that waiting and the prompts queued
 	// at the engine may take together.
 	waitAndQueueShare = 0.85
@@ -41,7 +40,6 @@
 	keeper     *roomkeeper.Keeper
 	forecaster *forecaster.Forecaster
 	waiters    map[roomkeeper.Ticket]*waiter
-	seed       maphash.Seed
 	// offeredAt is when offerUpdate was called last.
 	offeredAt time.Time
 	// checkedVersion is the configuration by which the keys of waiting requests were checked
@@ -55,7 +53,6 @@
 		keeper:     roomkeeper.New(int64(waitingShare*float64(memoryBytes)), f, random),
 		forecaster: f,
 		waiters:    make(map[roomkeeper.Ticket]*waiter),
-		seed:       maphash.MakeSeed(),
 	}
 }
 
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -39,6 +39,7 @@
 	crashes, completions, sum := encodeCrashes(recent), encodeCompletions(completed), m.Gateway.CrashSum(now)
 	notices, allNotices := encodeNotices(now, m.Gateway.KnownNotices(now, false)), encodeNotices(now, m.Gateway.KnownNotices(now, true))
 	evacuations := encodeEvacuations(m.Gateway.Evacuations(now))
+	promises := encodePromises(now, m.Gateway.RecentPromises(now, digestPromises(len(recipients))))
 	for i, digest := range m.buildDigests(now, recipients, own, usage) {
 		m.mu.Lock()
 		missing := m.missingCrashes(now, recipients[i].VM, sum)
@@ -49,6 +50,7 @@
 		digest.WarmUpRates, digest.SumsWarmUpRates = encodeRates(now, m.peers.WarmUpRatesExcept(warmUps, recipients[i].VM)), true
 		digest.Rank, digest.Successors = uint32(ranks[i]), successors
 		digest.Notices, digest.Evacuations, digest.Speeds = notices, evacuations, speeds
+		digest.Promises = promises
 		if m.peers.HasJustStarted(now, recipients[i].VM) {
 			digest.Notices = allNotices
 		}
--- a/peermessenger/interim.go
+++ b/peermessenger/interim.go
@@ -19,7 +19,7 @@
 		Loads: d.GetLoads(), Uses: d.GetUses(), Gateways: d.GetGateways(), Established: d.GetEstablished(),
 		RateLimits: d.GetRateLimits(), SumsRateLimits: d.GetSumsRateLimits(), Notices: d.GetNotices(),
 		Crashes: d.GetCrashes(), Completions: d.GetCompletions(), Evacuations: d.GetEvacuations(), Speeds: d.GetSpeeds(),
-		WarmUpRates: d.GetWarmUpRates(), SumsWarmUpRates: d.GetSumsWarmUpRates(),
+		WarmUpRates: d.GetWarmUpRates(), SumsWarmUpRates: d.GetSumsWarmUpRates(), Promises: d.GetPromises(),
 	}}})
 }
 
@@ -52,6 +52,7 @@
 		m.Gateway.SetFleetWarmUpRates(now, decodeRates(now, d.GetWarmUpRates()), int(d.GetGateways()))
 	}
 	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, d.GetNotices()))
+	m.Gateway.LearnPromises(now, decodePromises(now, d.GetPromises()))
 	if len(d.GetSpeeds()) > 0 {
 		m.Gateway.LearnSpeeds(now, from.VM, decodeSpeeds(d.GetSpeeds()))
 	}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -28,6 +28,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/capacity/forecaster"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/configasker"
 	"github.com/currantwood/currantwood/crashkeeper"
@@ -83,6 +84,10 @@
 	OwnSpeeds(now time.Time) speedkeeper.Sums
 	AllSpeeds(now time.Time) speedkeeper.Sums
 	LearnSpeeds(now time.Time, from currantwood.VMID, sums speedkeeper.Sums)
+	// RecentPromises returns up to limit promises of room that other gateways should learn of,
+	// LearnPromises notes those of others.
+	RecentPromises(now time.Time, limit int) []forecaster.SharedPromise
+	LearnPromises(now time.Time, promises []forecaster.SharedPromise)
 	// Evacuations returns the orders to evacuate availability zones, and false if they
 	// aren't known; LearnEvacuations notes those that another gateway knows.
 	Evacuations(now time.Time) (evacuationkeeper.Set, bool)
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -10,6 +10,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/capacity/forecaster"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
@@ -42,6 +43,8 @@
 
 func (idleGateway) AllSpeeds(time.Time) speedkeeper.Sums { return nil }
 
+func (idleGateway) RecentPromises(time.Time, int) []forecaster.SharedPromise  { return nil }
+func (idleGateway) LearnPromises(time.Time, []forecaster.SharedPromise)       {}
 func (idleGateway) LearnSpeeds(time.Time, currantwood.VMID, speedkeeper.Sums) {}
 
 func (idleGateway) Evacuations(time.Time) (evacuationkeeper.Set, bool) {
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -51,6 +51,7 @@
 		RateLimits:  encodeRates(now, m.Gateway.OwnRates(now)),
 		Notices:     encodeNotices(now, m.Gateway.HeardNotices(now)),
 		WarmUpRates: encodeRates(now, m.Gateway.OwnWarmUpRates(now)),
+		Promises:    encodePromises(now, m.Gateway.RecentPromises(now, maxStatePromises)),
 	}
 	m.mu.Lock()
 	if speedsDue(now, &m.stateSpeedsAt) {
@@ -95,6 +96,7 @@
 	m.mu.Unlock()
 	m.receiveStateStarts(now, from.VM, process, s)
 	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, s.GetNotices()))
+	m.Gateway.LearnPromises(now, decodePromises(now, s.GetPromises()))
 	if len(s.GetSpeeds()) > 0 {
 		m.Gateway.LearnSpeeds(now, from.VM, decodeSpeeds(s.GetSpeeds()))
 	}
