Long outputs avoid upstreams that are likely to be taken away

Each gateway counts the losses of a group by zone, software version and age (capacity/lossforecaster). Where they differ by more than chance explains, balancer adds a penalty for long outputs; without losses, or if all lose alike, picks are the same.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/capacity/lossforecaster"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/prober"
@@ -44,6 +45,9 @@
 	own Load
 	// isMember is whether it may be chosen; it stays for its load otherwise.
 	isMember bool
+	// lossRate is by how many losses per second more are expected of it than of the safest
+	// of its group.
+	lossRate float64
 }
 
 // peerLoad holds the loads that a peer reported at a time.
@@ -70,6 +74,11 @@
 	slow []currantwood.UpstreamID
 	// speeds estimates how long work takes at each upstream.
 	speeds *speedkeeper.Keeper
+	// losses estimates which upstreams are likely to be taken away. lossesAt is when the
+	// estimates were applied last, highLoss how many upstreams have a rate.
+	losses   *lossforecaster.Keeper
+	lossesAt time.Time
+	highLoss int
 }
 
 // New returns a balancer without upstreams, given the region of each
@@ -79,6 +88,7 @@
 	return &Balancer{
 		notices:      notices,
 		speeds:       speedkeeper.New(),
+		losses:       lossforecaster.New(),
 		regions:      regions,
 		random:       random,
 		upstreams:    make(map[currantwood.UpstreamID]*upstream),
--- a/balancer/score.go
+++ b/balancer/score.go
@@ -60,6 +60,7 @@
 	// The prompt itself takes longer at a slow upstream, too.
 	score += (relativeTime - 1) * float64(q.Load.PrefillTokens) / fullPrefillQueue
 	score += b.distancePenalty(q.Zone, u.view.Zone)
+	score += u.lossPenaltyAt(q)
 	score += b.roomPenalty(g, q, u.view.Zone, used)
 	if now.Before(u.view.WarmAt) {
 		score += warmUpPenalty
--- a/capacity/doc.go
+++ b/capacity/doc.go
@@ -5,7 +5,9 @@
 //   - roomkeeper decides whether a generation that finds no room waits in its gateway or is
 //     refused, and which of those that wait is admitted next;
 //   - forecaster estimates when engines have room again, and records the promises that
-//     refused clients were given.
+//     refused clients were given, by any gateway;
+//   - lossforecaster estimates which upstreams are likely to be taken away, from those that
+//     left lately.
 //
 // Package balancer uses the estimates when it weighs upstreams. Whether a request may be
 // sent to an upstream at all is decided before that, by package noticekeeper.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,9 @@
 	budget    *budgeter.Budgeter
 	// leaving holds the upstreams that leave; guarded by mu.
 	leaving map[currantwood.UpstreamID]leavingUpstream
+	// lossesDiffer is whether some upstreams are likelier to be taken away than others;
+	// guarded by mu.
+	lossesDiffer bool
 	// rates holds the rates of requests that upstreams accept; guarded by mu.
 	rates *ratekeeper.Keeper
 	// notices holds what upstreams say of themselves in responses, and asks rates;
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -17,19 +19,29 @@
 	since time.Time
 }
 
-// noteLeavingUpstreams notes which upstreams leave by these events. The caller holds mu.
+// noteLeavingUpstreams notes which upstreams leave by these events, for the retry budget and
+// for the estimate of losses. The caller holds mu.
 func (g *Gateway) noteLeavingUpstreams(now time.Time, events []upstreamkeeper.Event) {
+	if len(events) == 0 {
+		return
+	}
+	left := make(map[currantwood.GroupID][]currantwood.UpstreamRecord)
 	for _, e := range events {
 		switch e.Change {
 		case upstreamkeeper.Leaving, upstreamkeeper.Removed:
 			if _, known := g.leaving[e.Record.ID]; !known {
 				g.leaving[e.Record.ID] = leavingUpstream{group: e.Record.Group, since: now}
+				left[e.Record.Group] = append(left[e.Record.Group], e.Record)
 			}
 		case upstreamkeeper.Appeared, upstreamkeeper.Restarted:
 			delete(g.leaving, e.Record.ID)
 		}
 	}
+	for group, records := range left {
+		g.balancer.Left(now, group, records)
+	}
 	g.countLeavingRuns(now)
+	g.balancer.RefreshLosses(now)
 }
 
 // countLeavingRuns tells the retry budget how many runs all gateways have at upstreams that
@@ -51,3 +63,17 @@
 		g.budget.SetLeaving(now, group, count)
 	}
 }
+
+// refreshLosses applies the estimate of losses again, as it falls with time, and logs when it
+// begins and ceases to differ among upstreams.
+func (g *Gateway) refreshLosses(now time.Time) {
+	g.mu.Lock()
+	g.balancer.RefreshLosses(now)
+	count := g.balancer.HighLossUpstreams()
+	changed := (count > 0) != g.lossesDiffer
+	g.lossesDiffer = count > 0
+	g.mu.Unlock()
+	if changed {
+		g.Logger.Info("losses of upstreams began or ceased to differ", zap.Bool("differ", count > 0), zap.Int("upstreams", count))
+	}
+}
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -125,6 +125,7 @@
 	}
 	g.logEndedPauses(now)
 	g.expireEvacuations(now)
+	g.refreshLosses(now)
 	g.boundIdleConnections()
 	g.Connections.CloseExpired(now)
 }
