--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -20,6 +20,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/capacity/limitkeeper"
+	"github.com/currantwood/currantwood/capacity/lossforecaster"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/prober"
@@ -47,6 +48,9 @@
 	own Load
 	// isMember is whether it may be chosen; it stays for its load otherwise.
 	isMember bool
+	// lossRate is by how many losses per second more are expected of it than of the safest
+	// of its group.
+	lossRate float64
 }
 
 // peerLoad holds the loads that a peer reported at a time.
@@ -77,6 +81,11 @@
 	rooms map[roomKey]*roomView
 	// limits estimates how many concurrent requests each upstream handles well.
 	limits *limitkeeper.Keeper
+	// losses estimates which upstreams are likely to be taken away. lossesAt is when the
+	// estimates were applied last, highLoss how many upstreams have a rate.
+	losses   *lossforecaster.Keeper
+	lossesAt time.Time
+	highLoss int
 }
 
 // New returns a balancer without upstreams, given the region of each
@@ -87,6 +96,7 @@
 		notices:      notices,
 		speeds:       speedkeeper.New(),
 		limits:       limitkeeper.New(),
+		losses:       lossforecaster.New(),
 		regions:      regions,
 		random:       random,
 		upstreams:    make(map[currantwood.UpstreamID]*upstream),
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -126,6 +126,7 @@
 	g.logEndedPauses(now)
 	g.expireEvacuations(now)
 	g.relocateRuns(now)
+	g.refreshLosses(now)
 	g.boundIdleConnections()
 	g.Connections.CloseExpired(now)
 }
@@ -142,6 +143,7 @@
 		g.warmUps.Forget(known)
 	}
 	warmUps := g.noteWarmUps(now, events)
+	g.noteLeavingUpstreams(now, events)
 	var leaving, restarted []*stream
 	var crashed []currantwood.UpstreamRecord
 	for _, e := range events {
--- a/peermessenger/interim.go
+++ b/peermessenger/interim.go
@@ -20,7 +20,7 @@
 		RateLimits: d.GetRateLimits(), SumsRateLimits: d.GetSumsRateLimits(), Notices: d.GetNotices(),
 		Crashes: d.GetCrashes(), Completions: d.GetCompletions(), Evacuations: d.GetEvacuations(), Speeds: d.GetSpeeds(),
 		WarmUpRates: d.GetWarmUpRates(), SumsWarmUpRates: d.GetSumsWarmUpRates(),
-		Limits: d.GetLimits(), HasLimits: d.GetHasLimits(),
+		Limits: d.GetLimits(), HasLimits: d.GetHasLimits(), Promises: d.GetPromises(),
 	}}})
 }
 
@@ -53,6 +53,7 @@
 		m.Gateway.SetFleetWarmUpRates(now, decodeRates(now, d.GetWarmUpRates()), int(d.GetGateways()))
 	}
 	m.Gateway.LearnNotices(now, from.VM, decodeNotices(now, d.GetNotices()))
+	m.Gateway.LearnPromises(now, decodePromises(now, d.GetPromises()))
 	if len(d.GetSpeeds()) > 0 {
 		m.Gateway.LearnSpeeds(now, from.VM, decodeSpeeds(d.GetSpeeds()))
 	}
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -28,6 +28,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
+	"github.com/currantwood/currantwood/capacity/forecaster"
 	"github.com/currantwood/currantwood/capacity/limitkeeper"
 	"github.com/currantwood/currantwood/capacity/speedkeeper"
 	"github.com/currantwood/currantwood/configasker"
@@ -92,6 +93,10 @@
 	// observed. LearnLimits notes those that the collector sent.
 	AllLimits(now time.Time) limitkeeper.Limits
 	LearnLimits(now time.Time, limits limitkeeper.Limits)
+	// RecentPromises returns up to limit promises of room that other gateways should learn of,
+	// LearnPromises notes those of others.
+	RecentPromises(now time.Time, limit int) []forecaster.SharedPromise
+	LearnPromises(now time.Time, promises []forecaster.SharedPromise)
 	// Evacuations returns the orders to evacuate availability zones, and false if they
 	// aren't known; LearnEvacuations notes those that another gateway knows.
 	Evacuations(now time.Time) (evacuationkeeper.Set, bool)
