Streams: no complete response for a client that has closed its sending side

Cause: net/http cancels the request when the client closes its sending side, which counted as disconnected. The handler returned normally, so the response ended with the last chunk although events were missing. Change: such a response ends as incomplete. The new spec of platform/proof failed before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -102,6 +102,7 @@
 			if errors.Is(s.out.failure(), errClientStopped) {
 				s.abort(errClientStopped)
 			}
+			s.cutOff()
 			return
 		}
 		err := s.relay()
@@ -212,6 +213,7 @@
 			s.closeUpstream(up, balancer.Neutral)
 			s.g.instruments.clientDisconnects.Inc(1)
 			s.log("client disconnected", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()))
+			s.cutOff()
 			return nil
 		}
 		if s.switchTo(up, s.takeNext()) {
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -99,6 +99,7 @@
 	case s.clientDisconnected() && !errors.Is(err, errClientStopped):
 		s.g.instruments.clientDisconnects.Inc(1)
 		s.log("client disconnected", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()))
+		s.cutOff()
 	default:
 		s.abort(err)
 	}
@@ -128,3 +129,12 @@
 	s.log("stream aborted", zap.Error(err), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns))
 	panic(http.ErrAbortHandler)
 }
+
+// cutOff ends the response to a client that has disconnected. It panics with http.ErrAbortHandler
+// if the header is written: a client that has closed only its sending side still reads, and would
+// take the response for complete otherwise.
+func (s *stream) cutOff() {
+	if s.headerWritten.Load() {
+		panic(http.ErrAbortHandler)
+	}
+}
