Stream buffers: written events don't stay in memory uncharged

Cause: the queue's array kept the texts of events that were written and given back, until the array was replaced or the queue was empty. Change: they are cleared once written. The new test failed before.

--- a/gateway/clientwriter.go
+++ b/gateway/clientwriter.go
@@ -177,6 +177,8 @@
 			c.buffers.release(c, charged)
 		}
 		c.mu.Lock()
+		// The queue shares its array, and would keep the texts in memory uncharged.
+		clear(batch)
 		if err != nil && c.err == nil {
 			c.err = err
 		}
--- a/gateway/clientwriter_test.go
+++ b/gateway/clientwriter_test.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"time"
+	"weak"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -157,6 +159,33 @@
 		Expect(client.read()).To(HaveLen(1000 * (written + 1)))
 	})
 
+	// Guards against written events that the array of the queue still holds: they would take
+	// memory that isn't charged.
+	It("holds no event that is written while others are buffered", func() {
+		client, canceled := newPausingClient(), false
+		client.setPaused(true)
+		out := newWriter(client, &canceled)
+		writeEvent := func() weak.Pointer[byte] {
+			text := []byte(strings.Repeat("x", 900))
+			Expect(out.write(context.Background(), text)).To(Succeed())
+			return weak.Make(&text[0])
+		}
+		writeEvent()
+		written := writeEvent()
+		for range 5 {
+			writeEvent()
+		}
+		// The third batch is being written then.
+		client.setSpare(1 + maxBatchBytes/900)
+		Eventually(func() bool {
+			runtime.GC()
+			return written.Value() == nil
+		}, "2s", "10ms").Should(BeTrue())
+		client.setPaused(false)
+		Expect(out.drain(context.Background())).To(Succeed())
+		Expect(client.read()).To(HaveLen(7 * 900))
+	})
+
 	// Guards against an event that is longer than the limit and blocks its stream for good.
 	It("writes an event that is longer than a stream's buffer once the buffer is empty", func() {
 		client, canceled := newPausingClient(), false
