Client limits: a refused buffer size doesn't keep a listener from opening

Cause: an error of setsockopt was returned by Open, so the gateway didn't start. Change: it is logged, and the size of the other direction is set nevertheless.

--- a/ingress/connlimiter/limiter.go
+++ b/ingress/connlimiter/limiter.go
@@ -18,6 +18,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/currantwood/currantwood/ingress/apportioner"
 	"github.com/currantwood/currantwood/ingress/headcounter"
@@ -49,6 +50,8 @@
 type Limiter struct {
 	options    Options
 	headLimits headcounter.Limits
+	// setOption is unix.SetsockoptInt, except in tests of its failure.
+	setOption func(fd, level, option, value int) error
 	instruments
 
 	// mu guards the fields below. It may be taken while conn.mu is held, but not the other
@@ -81,6 +84,7 @@
 	return &Limiter{
 		options:     options,
 		headLimits:  headcounter.Limits{Bytes: limits.HeadBytes, Fields: limits.HeadFields},
+		setOption:   unix.SetsockoptInt,
 		instruments: newInstruments(options.Metrics),
 		conns:       make(map[*conn]struct{}),
 	}
--- a/ingress/connlimiter/socket.go
+++ b/ingress/connlimiter/socket.go
@@ -6,16 +6,21 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"github.com/currantwood/currantwood/ingress/apportioner"
 )
 
 // Open opens a listener whose connections are limited. What the kernel holds for them, unread
-// or unsent, is limited from their first byte, as they inherit the sizes of its buffers.
+// or unsent, is limited from their first byte, as they inherit the sizes of its buffers. If a
+// size can't be set, the listener is opened with the kernel's own.
 func (l *Limiter) Open(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return setBuffers(raw, l.options.Shares.Buffers)
+		if err := l.setBuffers(raw, l.options.Shares.Buffers); err != nil {
+			l.options.Logger.Warn("the kernel's memory for connections isn't limited", zap.String("listener", l.options.Name), zap.Error(err))
+		}
+		return nil
 	}}
 	// Connections of a listener for Multipath TCP don't inherit the sizes.
 	config.SetMultipathTCP(false)
@@ -27,18 +32,20 @@
 }
 
 // setBuffers sizes the buffers of a socket; a size of 0 leaves a buffer as it is. The kernel
-// doubles what it is given, to allow for its bookkeeping, so it is given half.
-func setBuffers(raw syscall.RawConn, buffers apportioner.Buffers) error {
+// doubles what it is given, to allow for its bookkeeping, so it is given half. If one size can't
+// be set, the other one is.
+func (l *Limiter) setBuffers(raw syscall.RawConn, buffers apportioner.Buffers) error {
 	return control(raw, func(fd int) error {
+		var failure error
 		for option, size := range map[int]int{unix.SO_RCVBUF: buffers.Receive, unix.SO_SNDBUF: buffers.Send} {
 			if size == 0 {
 				continue
 			}
-			if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, option, size/2); err != nil {
-				return errors.Wrap(err, "size the buffers of a socket")
+			if err := l.setOption(fd, unix.SOL_SOCKET, option, size/2); err != nil {
+				failure = errors.Wrap(err, "size the buffers of a socket")
 			}
 		}
-		return nil
+		return failure
 	})
 }
 
@@ -71,7 +78,7 @@
 		return
 	}
 	// Without them the transfer only takes longer.
-	if setBuffers(raw, c.limiter.options.Shares.WideBuffers) == nil {
+	if c.limiter.setBuffers(raw, c.limiter.options.Shares.WideBuffers) == nil {
 		_ = raiseWindow(raw, c.limiter.options.Shares.WideBuffers)
 	}
 }
