Streams: an upstream that isn't read for a slow client doesn't count as stalled

Cause: while a stream's buffer is full, its upstream isn't read, so the prober saw no progress and excluded the upstream, with 112 MB after 5.7 s of one client that didn't read; a resumable stream would also be canceled there. Clients could thus exclude up to half of a group. Change: such a stream doesn't count for the time of progress until it is read again. Other requests at the upstream still do.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -177,6 +177,17 @@
 	b.group(view.Group).prober.Started(now, view.ID, stallTimeout)
 }
 
+// Unread records that the response of a request at an upstream isn't read for now, since its
+// client doesn't read. Reread must follow before the request ends.
+func (b *Balancer) Unread(view upstreamkeeper.View) {
+	b.group(view.Group).prober.Unread(view.ID)
+}
+
+// Reread records that the response of such a request is read again.
+func (b *Balancer) Reread(now time.Time, view upstreamkeeper.View) {
+	b.group(view.Group).prober.Reread(now, view.ID)
+}
+
 // Progressed records a sign that an upstream works on its requests.
 func (b *Balancer) Progressed(now time.Time, view upstreamkeeper.View) {
 	b.group(view.Group).prober.Progressed(now, view.ID)
--- a/gateway/clientwriter.go
+++ b/gateway/clientwriter.go
@@ -44,6 +44,9 @@
 	buffers  *streamBuffers
 	// cancel ends the exchange with the upstream when the stream is ended for its memory.
 	cancel func()
+	// noteUnread is called when write begins to wait for memory, and when it ends to. It may
+	// be nil.
+	noteUnread func(unread bool)
 	// credit is what remains of directBytes. Only write uses it.
 	credit int
 
@@ -114,6 +117,7 @@
 // starts isn't charged: it is being written, as without a buffer.
 func (c *clientWriter) enqueue(ctx context.Context, text []byte) error {
 	charge := int64(cap(text) + bufferedEventBytes)
+	waiting := false
 	for {
 		victim, done, err := c.tryEnqueue(text, charge)
 		if done || err != nil {
@@ -122,6 +126,11 @@
 		if victim != nil {
 			victim.giveUp()
 		}
+		if !waiting && c.noteUnread != nil {
+			waiting = true
+			c.noteUnread(true)
+			defer c.noteUnread(false)
+		}
 		timer := time.NewTimer(bufferRetryInterval)
 		select {
 		case <-c.changed:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -86,7 +86,7 @@
 func (q *request) serveStream(ctx context.Context) {
 	s := &stream{request: q, ctx: ctx, pacer: pacer.New(q.route.GapTarget)}
 	s.lastEvent.Store(q.client.LastEvent)
-	s.out = clientWriter{w: q.w, buffers: q.g.buffers, cancel: s.cancelCurrent}
+	s.out = clientWriter{w: q.w, buffers: q.g.buffers, cancel: s.cancelCurrent, noteUnread: s.noteUnread}
 	if writable := q.g.Writable; writable != nil {
 		s.out.writable = func() bool { return writable(q.r) }
 	}
@@ -269,6 +269,18 @@
 	}
 }
 
+// noteUnread records whether the current upstream isn't read, as the buffer is full: it must not
+// count as stalled for a client that doesn't read.
+func (s *stream) noteUnread(unread bool) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	if unread {
+		s.g.balancer.Unread(s.current.view)
+	} else {
+		s.g.balancer.Reread(s.g.Now(), s.current.view)
+	}
+}
+
 // finish cancels whatever is still under way for the stream. It may be called again.
 func (s *stream) finish() {
 	s.mu.Lock()
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -72,8 +72,10 @@
 	// responses are those that tell whether its requests fail in it.
 	responses responses
 	inFlight  int
+	// unread counts the requests in flight whose responses aren't read for now.
+	unread int
 	// progressDue is the time by which the upstream must make progress. It has a
-	// meaning only while inFlight > 0.
+	// meaning only while inFlight > unread.
 	progressDue time.Time
 	// stallTimeout is the longest time without progress that the newest request
 	// allows. A change applies when progressDue is next set.
@@ -141,12 +143,34 @@
 func (p *Prober) Started(now time.Time, id currantwood.UpstreamID, stallTimeout time.Duration) {
 	u := p.upstream(id)
 	u.stallTimeout = stallTimeout
-	if u.inFlight == 0 {
+	if u.inFlight <= u.unread {
 		u.progressDue = now.Add(stallTimeout)
 	}
 	u.inFlight++
 }
 
+// Unread records that the response of a request in flight isn't read for now, since its client
+// doesn't read: the upstream can't make progress with it. Reread must follow before the request
+// ends.
+func (p *Prober) Unread(id currantwood.UpstreamID) {
+	if u := p.upstreams[id]; u != nil {
+		u.unread++
+	}
+}
+
+// Reread records that the response of such a request is read again. If no other response was
+// read meanwhile, the time for progress begins anew.
+func (p *Prober) Reread(now time.Time, id currantwood.UpstreamID) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	if u.inFlight <= u.unread {
+		u.progressDue = now.Add(u.stallTimeout)
+	}
+	u.unread = max(0, u.unread-1)
+}
+
 // Queued records that the upstream's side process has queued a request and
 // expects to start it after wait. It has no effect while other requests are in
 // flight, as these still have to make progress.
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -58,6 +58,32 @@
 			p.Started(at(0), "upstream-0", stallTimeout)
 			p.Progressed(at(700), "upstream-0")
 		}, false, true),
+		Entry("a client that doesn't read keeps its only response from being read", func(p *Prober) {
+			p.Started(at(0), "upstream-0", stallTimeout)
+			p.Unread("upstream-0")
+		}, false, true),
+		Entry("its only response was read again a moment ago", func(p *Prober) {
+			p.Started(at(0), "upstream-0", stallTimeout)
+			p.Unread("upstream-0")
+			p.Reread(at(1500), "upstream-0")
+		}, false, true),
+		Entry("no progress since its only response was read again", func(p *Prober) {
+			p.Started(at(0), "upstream-0", stallTimeout)
+			p.Unread("upstream-0")
+			p.Reread(at(500), "upstream-0")
+		}, true, false),
+		Entry("no progress of one response while another one isn't read", func(p *Prober) {
+			p.Started(at(0), "upstream-0", stallTimeout)
+			p.Started(at(0), "upstream-0", stallTimeout)
+			p.Unread("upstream-0")
+			p.Reread(at(1500), "upstream-0")
+			p.Unread("upstream-0")
+		}, true, false),
+		Entry("a request that starts late beside one that isn't read", func(p *Prober) {
+			p.Started(at(0), "upstream-0", stallTimeout)
+			p.Unread("upstream-0")
+			p.Started(at(1500), "upstream-0", stallTimeout)
+		}, false, true),
 		Entry("its only request is queued", func(p *Prober) {
 			p.Started(at(0), "upstream-0", stallTimeout)
 			p.Queued(at(10), "upstream-0", 3*time.Second)
--- a/prober/slow.go
+++ b/prober/slow.go
@@ -34,5 +34,5 @@
 	if u.slow {
 		due = due.Add((slowFactor - 1) * u.stallTimeout)
 	}
-	return u.inFlight > 0 && now.After(due)
+	return u.inFlight > u.unread && now.After(due)
 }
