--- a/ingress/connlimiter/head_test.go
+++ b/ingress/connlimiter/head_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/ingress/apportioner"
+	"github.com/currantwood/currantwood/ingress/victimpicker"
 )
 
 var _ = Describe("Limiter", func() {
@@ -60,6 +61,12 @@
 		s := newLimitedServer(10, 1<<30)
 		c := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nb\r\n")
 		Expect(c.status()).To(Equal(http.StatusOK))
+		// The client may have the response before the server's write has returned, and that
+		// write would count as stalled.
+		Eventually(func() victimpicker.Phase {
+			candidate, _ := s.connections()[0].candidate(s.now())
+			return candidate.Phase
+		}).Should(Equal(victimpicker.Idle))
 		s.pass(61 * time.Second)
 		c.send(get)
 		Expect(c.status()).To(Equal(http.StatusOK))
