--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -76,6 +76,9 @@
 	// MovedRun is for retries that continue a run on another engine because its
 	// own shuts down.
 	MovedRun
+	// RelocatedRun is for retries that continue a run on another engine although its own
+	// stays, as it is outside the regions that are allowed now.
+	RelocatedRun
 )
 
 // Usage is what was sent to a group within the window.
@@ -192,6 +195,7 @@
 // SetPeers sets what is known of the other gateways.
 func (b *Budgeter) SetPeers(now time.Time, peers Peers) {
 	peers.Gateways = max(1, peers.Gateways)
+	peers.Established = min(peers.Established, peers.Gateways)
 	b.peers, b.peersAt = peers, now
 	b.maxReportingGateways = max(b.maxReportingGateways, peers.Gateways)
 	b.countKnown = b.countKnown || peers.Gateways >= cmp.Or(b.options.NamedGateways, b.options.MinGateways, minGateways)
@@ -279,11 +283,12 @@
 // contenders returns how many gateways may retry before this one hears of it. Of many
 // gateways, each of which serves few, those are fewer than all: a failed request is one that
 // is served meanwhile, and a run that is moved was a request within about a window. Once all
-// know which upstreams leave, they are at most as many as the runs there.
+// know which upstreams leave, they are at most as many as the runs there; relocated runs are
+// elsewhere.
 func (b *Budgeter) contenders(now time.Time, id currantwood.GroupID, requests int, reason RetryReason) float64 {
-	if reason == MovedRun {
+	if reason != FailedRequest {
 		moving := movedShare * float64(requests)
-		if runs, settled := b.leaving[id].total(now); settled {
+		if runs, settled := b.leaving[id].total(now); settled && reason == MovedRun {
 			moving = min(moving, float64(runs))
 		}
 		return min(float64(b.peers.Gateways), minGateways+moving)
--- a/budgeter/leavingruns.go
+++ b/budgeter/leavingruns.go
@@ -36,6 +36,11 @@
 		l.rises = append(l.rises, rise{now, by})
 	}
 	l.now = runs
+	l.expire(now)
+}
+
+// expire drops the increases that are long ago.
+func (l *leavingRuns) expire(now time.Time) {
 	for len(l.rises) > 0 && now.Sub(l.rises[0].at) > settleTime+maxMoveWait+reportDelay {
 		l.rises = l.rises[1:]
 	}
@@ -44,7 +49,11 @@
 // total returns how many runs may have been moved since others have last heard of moves, or
 // may still be, and false as long as other gateways may not know of them all.
 func (l *leavingRuns) total(now time.Time) (runs int, settled bool) {
-	if l == nil || len(l.rises) == 0 || now.Sub(l.rises[len(l.rises)-1].at) < settleTime {
+	if l == nil {
+		return 0, false
+	}
+	l.expire(now)
+	if len(l.rises) == 0 || now.Sub(l.rises[len(l.rises)-1].at) < settleTime {
 		return 0, false
 	}
 	for _, r := range l.rises {
--- a/budgeter/release_test.go
+++ b/budgeter/release_test.go
@@ -108,3 +108,43 @@
 	}
 	return used
 }
+
+var _ = Describe("The count of runs at upstreams that leave", func() {
+	settled := func(runs int) (*Budgeter, time.Time) {
+		b := New(newFleetOptions(68, 54), start)
+		b.SetLeaving(start, group, runs)
+		now := start.Add(settleTime)
+		b.SetLeaving(now, group, runs)
+		b.SetPeers(now, Peers{Usage: GroupUsage{group: {Requests: 400}}, Gateways: 68, Established: 68})
+		return b, now
+	}
+
+	// Guards against 68 gateways that each move runs out of narrowed regions as if only the
+	// few with runs at a leaving upstream did so: together they would exceed the budget.
+	It("doesn't widen the budget of relocated runs", func() {
+		b, now := settled(1)
+		Expect(b.contenders(now, group, 400, MovedRun)).To(BeEquivalentTo(minGateways + 1))
+		Expect(b.contenders(now, group, 400, RelocatedRun)).To(BeEquivalentTo(68))
+		moved := 0
+		for range 68 {
+			b, now := settled(1)
+			moved += retryWhileAllowed(b, now, RelocatedRun, 100)
+		}
+		Expect(moved).To(BeNumerically("<=", 0.2*400+54))
+	})
+
+	// Guards against a move long after the notice, divided by a count that no longer applies.
+	It("isn't used any longer than others may have moved these runs", func() {
+		b, now := settled(1)
+		Expect(b.contenders(now.Add(10*time.Second), group, 400, MovedRun)).To(BeEquivalentTo(68))
+	})
+})
+
+// Guards against a message by which more of the reserve is established than there is.
+var _ = Describe("A report of more established gateways than gateways", func() {
+	It("doesn't exceed the budget", func() {
+		b := New(options, start)
+		b.SetPeers(start, Peers{Gateways: 4, Established: 1 << 30})
+		Expect(b.jointBudget(0)).To(BeNumerically("<=", options.Reserve))
+	})
+})
--- a/capacity/forecaster/forecaster.go
+++ b/capacity/forecaster/forecaster.go
@@ -12,8 +12,6 @@
 package forecaster
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/currantwood/currantwood"
@@ -33,9 +31,13 @@
 	// lateSlack is added to it.
 	lateShare = 0.6
 	lateSlack = 300 * time.Millisecond
-	// maxPromises bounds the recorded promises; 4,096 take about 400 KB. Beyond it a refused
-	// client gets a Retry-After, but its retry isn't recognized.
+	// maxPromises bounds the recorded promises, those of this gateway and those of others
+	// each; 4,096 take about 400 KB. Beyond it a refused client gets a Retry-After, but its
+	// retry isn't recognized.
 	maxPromises = 4096
+	// expireInterval is the time between two searches for expired promises that messages of
+	// others cause. A search takes up to 70 us, and a collector gets over 1,000 messages a second.
+	expireInterval = 50 * time.Millisecond
 	// shareTime is for how long a promise is told to others, in messages every 50 ms, some of
 	// which may be lost.
 	shareTime = 300 * time.Millisecond
@@ -105,6 +107,14 @@
 	at, expires time.Time
 	// notedAt is when it was given or learned here.
 	notedAt time.Time
+	// learned is whether another gateway gave it.
+	learned bool
+}
+
+// notedKey is the key of a promise and when it was noted.
+type notedKey struct {
+	key Key
+	at  time.Time
 }
 
 // stay is how long generations stay at engines, as exponential moving averages.
@@ -122,6 +132,13 @@
 	// redeemed holds the keys of promises that were redeemed here, and until when messages of
 	// other gateways may still hold them.
 	redeemed map[Key]time.Time
+	// learned is the number of promises that other gateways gave.
+	learned int
+	// noted holds the keys noted within shareTime, in the order of their times. Promises may
+	// have been dropped since.
+	noted []notedKey
+	// expiredAt is when expired promises were last searched for.
+	expiredAt time.Time
 }
 
 // New returns a forecaster without measurements and promises.
@@ -215,11 +232,11 @@
 func (f *Forecaster) Promise(now time.Time, key Key, id currantwood.GroupID, work Work, after time.Duration) {
 	f.expire(now)
 	f.drop(key)
-	if len(f.promises) >= maxPromises {
+	if len(f.promises)-f.learned >= maxPromises {
 		return
 	}
 	late := lateSlack + time.Duration(lateShare*float64(after))
-	f.promises[key] = promise{group: id, work: work, at: now.Add(after), expires: now.Add(after + late), notedAt: now}
+	f.add(key, promise{group: id, work: work, at: now.Add(after), expires: now.Add(after + late), notedAt: now})
 	total := f.promised[id]
 	total.Add(work)
 	f.promised[id] = total
@@ -240,27 +257,46 @@
 // Recent returns up to limit promises that were given or learned here a moment ago, the
 // newest first.
 func (f *Forecaster) Recent(now time.Time, limit int) []SharedPromise {
+	f.forgetNoted(now)
 	var recent []SharedPromise
-	for key, p := range f.promises {
-		if now.Sub(p.notedAt) < shareTime && now.Before(p.expires) {
-			recent = append(recent, SharedPromise{Key: key, At: p.at, Expires: p.expires})
+	for i := len(f.noted) - 1; i >= 0 && len(recent) < limit; i-- {
+		n := f.noted[i]
+		if p, ok := f.promises[n.key]; ok && p.notedAt.Equal(n.at) && now.Before(p.expires) {
+			recent = append(recent, SharedPromise{Key: n.key, At: p.at, Expires: p.expires})
 		}
 	}
-	slices.SortFunc(recent, func(a, b SharedPromise) int {
-		return cmp.Or(f.promises[b.Key].notedAt.Compare(f.promises[a.Key].notedAt), cmp.Compare(a.Key, b.Key))
-	})
-	return recent[:min(limit, len(recent))]
+	return recent
 }
 
 // Learn notes promises that other gateways gave. Their work counts as ahead of others only at
 // the gateway that gave them.
 func (f *Forecaster) Learn(now time.Time, promises []SharedPromise) {
-	f.expire(now)
+	if now.Sub(f.expiredAt) >= expireInterval {
+		f.expire(now)
+	}
 	for _, p := range promises {
-		if _, known := f.promises[p.Key]; known || len(f.promises) >= maxPromises || !now.Before(p.Expires) || now.Before(f.redeemed[p.Key]) {
+		if known, ok := f.promises[p.Key]; ok && now.Before(known.expires) || !now.Before(p.Expires) || now.Before(f.redeemed[p.Key]) {
 			continue
 		}
-		f.promises[p.Key] = promise{at: p.At, expires: p.Expires, notedAt: now}
+		f.drop(p.Key)
+		if f.learned < maxPromises {
+			f.add(p.Key, promise{at: p.At, expires: p.Expires, notedAt: now, learned: true})
+			f.learned++
+		}
+	}
+}
+
+// add records a promise whose key has none.
+func (f *Forecaster) add(key Key, p promise) {
+	f.promises[key] = p
+	f.noted = append(f.noted, notedKey{key, p.notedAt})
+	f.forgetNoted(p.notedAt)
+}
+
+// forgetNoted drops the keys that others aren't told any more.
+func (f *Forecaster) forgetNoted(now time.Time) {
+	for len(f.noted) > 0 && now.Sub(f.noted[0].at) >= shareTime {
+		f.noted = f.noted[1:]
 	}
 }
 
@@ -275,6 +311,7 @@
 
 // expire drops the promises whose clients didn't retry in time.
 func (f *Forecaster) expire(now time.Time) {
+	f.expiredAt = now
 	for key, p := range f.promises {
 		if !now.Before(p.expires) {
 			f.drop(key)
@@ -293,6 +330,10 @@
 		return
 	}
 	delete(f.promises, key)
+	if p.learned {
+		f.learned--
+		return
+	}
 	total := f.promised[p.group]
 	total.Requests -= p.work.Requests
 	total.Memory -= p.work.Memory
--- a/capacity/forecaster/forecaster_test.go
+++ b/capacity/forecaster/forecaster_test.go
@@ -1,6 +1,7 @@
 package forecaster
 
 import (
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -92,3 +93,72 @@
 		Expect(f.Recent(now.Add(shareTime+time.Millisecond), 10)).To(BeEmpty())
 	})
 })
+
+// Guards against promises of other gateways that take the place of own ones, whose work would
+// then not count as ahead of others.
+var _ = Describe("A table full of promises of other gateways", func() {
+	now := time.Unix(1_700_000_000, 0)
+
+	full := func(f *Forecaster) []SharedPromise {
+		var others []SharedPromise
+		for i := range 2 * maxPromises {
+			others = append(others, SharedPromise{Key: Key(i), At: now.Add(time.Second), Expires: now.Add(2 * time.Second)})
+		}
+		f.Learn(now, others)
+		return others
+	}
+
+	It("has room for own promises, and is bounded", func() {
+		f := New()
+		full(f)
+		Expect(f.promises).To(HaveLen(maxPromises))
+		f.Promise(now, 1<<40, "g", Work{Requests: 1}, time.Second)
+		Expect(f.Promised(now, "g").Requests).To(Equal(1))
+		f.Promise(now, 1, "g", Work{Requests: 1}, time.Second)
+		Expect(f.Promised(now, "g").Requests).To(Equal(2))
+		f.Promised(now.Add(time.Minute), "g")
+		Expect(f.promises).To(BeEmpty())
+		full(f)
+		Expect(f.promises).To(HaveLen(maxPromises))
+	})
+
+	// Guards against promises that are taken for known ones, since they aren't searched for
+	// expired ones with each message.
+	It("takes a promise again once it has expired", func() {
+		f := New()
+		full(f)
+		f.Learn(now.Add(2*time.Second-time.Millisecond), nil)
+		again := now.Add(2 * time.Second)
+		f.Learn(again, []SharedPromise{{Key: 1, At: again, Expires: again.Add(time.Second)}})
+		Expect(f.Redeem(again, 1)).To(BeTrue())
+	})
+})
+
+// newBenchmarkForecaster returns a forecaster with the largest number of promises of others.
+func newBenchmarkForecaster() (*Forecaster, []SharedPromise) {
+	f := New()
+	var others []SharedPromise
+	for i := range maxPromises {
+		others = append(others, SharedPromise{Key: Key(i), At: start.Add(time.Second), Expires: start.Add(2 * time.Second)})
+	}
+	f.Learn(start, others)
+	return f, others
+}
+
+// BenchmarkLearn notes a message with 128 known promises.
+func BenchmarkLearn(b *testing.B) {
+	f, others := newBenchmarkForecaster()
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Learn(start, others[:128])
+	}
+}
+
+// BenchmarkRecent collects 128 promises for a message.
+func BenchmarkRecent(b *testing.B) {
+	f, _ := newBenchmarkForecaster()
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Recent(start, 128)
+	}
+}
--- a/capacity/lossforecaster/keeper.go
+++ b/capacity/lossforecaster/keeper.go
@@ -8,6 +8,7 @@
 package lossforecaster
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -25,6 +26,9 @@
 	minDeviations = 2.5
 	// minWeight is the weight below which the losses of a group are forgotten.
 	minWeight = 0.1
+	// minClassWeight is the weight below which the losses in a class are forgotten: each
+	// release adds a version.
+	minClassWeight = 0.01
 )
 
 // Upstream is what of an upstream its loss may depend on.
@@ -83,12 +87,13 @@
 	}
 }
 
-// Forget drops the groups whose losses are long ago.
+// Forget drops the groups and classes whose losses are long ago.
 func (k *Keeper) Forget(now time.Time) {
 	for id, l := range k.groups {
 		if l.decay(now); l.total < minWeight {
 			delete(k.groups, id)
 		}
+		maps.DeleteFunc(l.weights, func(_ class, weight float64) bool { return weight < minClassWeight })
 	}
 }
 
--- a/capacity/lossforecaster/keeper_test.go
+++ b/capacity/lossforecaster/keeper_test.go
@@ -1,6 +1,7 @@
 package lossforecaster
 
 import (
+	"fmt"
 	"math/rand"
 	"slices"
 	"time"
@@ -162,3 +163,16 @@
 		Expect(rates[4]).To(BeZero())
 	})
 })
+
+// Guards against classes that are kept for ever, one for each version, while releases go on.
+var _ = Describe("Classes whose losses are long ago", func() {
+	It("are forgotten while the group still loses others", func() {
+		k := New()
+		for i := range 1000 {
+			now := start.Add(time.Duration(i) * 10 * time.Second)
+			k.Left(now, "g", Upstream{Zone: "a", Version: currantwood.SoftwareVersion(fmt.Sprint(i))})
+			k.Forget(now)
+		}
+		Expect(len(k.groups["g"].weights)).To(BeNumerically("<", 30))
+	})
+})
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -9,7 +9,6 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
-	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/sleeper"
 )
 
@@ -86,7 +85,7 @@
 	spare := &spareCopy{ready: make(chan struct{}), done: make(chan struct{})}
 	exclude := []currantwood.UpstreamID{from.view.ID, target}
 	spare.choice, spare.err = s.pickMoveTarget(from, exclude)
-	if spare.err == nil && !s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
+	if spare.err == nil && !s.g.takeRetryBudget(s.g.Now(), s.group, s.g.moveReason(from.view)) {
 		s.recordEnd(spare.choice.View, s.moveLoad(), balancer.Neutral)
 		spare.err = errBudgetExhausted
 	}
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -25,32 +25,42 @@
 	if len(events) == 0 {
 		return
 	}
+	var returned []currantwood.GroupID
 	left := make(map[currantwood.GroupID][]currantwood.UpstreamRecord)
 	for _, e := range events {
 		switch e.Change {
 		case upstreamkeeper.Leaving, upstreamkeeper.Removed:
 			if _, known := g.leaving[e.Record.ID]; !known {
 				g.leaving[e.Record.ID] = leavingUpstream{group: e.Record.Group, since: now}
-				left[e.Record.Group] = append(left[e.Record.Group], e.Record)
+				// A removal after the notice is the same loss.
+				if view, _ := g.upstreams.Get(e.Record.ID); e.Change == upstreamkeeper.Leaving || !view.LeaveAnnounced {
+					left[e.Record.Group] = append(left[e.Record.Group], e.Record)
+				}
 			}
 		case upstreamkeeper.Appeared, upstreamkeeper.Restarted:
-			delete(g.leaving, e.Record.ID)
+			if l, known := g.leaving[e.Record.ID]; known {
+				returned = append(returned, l.group)
+				delete(g.leaving, e.Record.ID)
+			}
 		}
 	}
 	for group, records := range left {
 		g.balancer.Left(now, group, records)
 	}
-	g.countLeavingRuns(now)
+	g.countLeavingRuns(now, returned...)
 	g.balancer.RefreshLosses(now)
 }
 
 // countLeavingRuns tells the retry budget how many runs all gateways have at upstreams that
-// leave. The caller holds mu.
-func (g *Gateway) countLeavingRuns(now time.Time) {
-	if len(g.leaving) == 0 {
+// leave, also for the groups named, in which none may be left. The caller holds mu.
+func (g *Gateway) countLeavingRuns(now time.Time, also ...currantwood.GroupID) {
+	if len(g.leaving) == 0 && len(also) == 0 {
 		return
 	}
 	runs := make(map[currantwood.GroupID]int)
+	for _, group := range also {
+		runs[group] = 0
+	}
 	for id, l := range g.leaving {
 		if now.Sub(l.since) > leavingRetention {
 			delete(g.leaving, id)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -90,6 +90,14 @@
 	return !g.isCurrent(view)
 }
 
+// moveReason returns as what a move away from an upstream counts in the retry budget.
+func (g *Gateway) moveReason(from upstreamkeeper.View) budgeter.RetryReason {
+	if g.leaves(from) {
+		return budgeter.MovedRun
+	}
+	return budgeter.RelocatedRun
+}
+
 // startMove moves the stream to another engine in a new goroutine, unless a
 // move is already under way.
 func (s *stream) startMove() { s.startMoveBy(s.move) }
@@ -177,20 +185,20 @@
 
 // reasonNotToResume returns why a run that was copied stays where it is, or "" if it may go
 // on at the target. It then takes what the move costs from the retry budget.
-func (s *stream) reasonNotToResume(ctx context.Context) string {
+func (s *stream) reasonNotToResume(ctx context.Context, from *upstreamStream) string {
 	if !s.mayMove(ctx) {
 		return "run ends soon or has ended"
 	}
-	return s.awaitRetryBudget(ctx)
+	return s.awaitRetryBudget(ctx, from)
 }
 
 // awaitRetryBudget takes the cost of the move from the retry budget as soon as that allows
 // it. It returns why the run stays where it is, or "". A gateway may use only a part of what
 // is left before the others have heard of its retries, which takes less than half a second;
 // an engine that leaves stays for longer.
-func (s *stream) awaitRetryBudget(ctx context.Context) string {
+func (s *stream) awaitRetryBudget(ctx context.Context, from *upstreamStream) string {
 	for range maxBudgetChecks {
-		if s.g.takeRetryBudget(s.g.Now(), s.group, budgeter.MovedRun) {
+		if s.g.takeRetryBudget(s.g.Now(), s.group, s.g.moveReason(from.view)) {
 			return ""
 		}
 		if !sleeper.Sleep(ctx, budgetCheckPause) || !s.mayMove(ctx) {
@@ -212,7 +220,7 @@
 		return !errors.Is(err, currantwood.ErrNoRoom) && !errors.Is(err, errTargetUnusable)
 	}
 	fields = append(fields, zap.Duration("copy", s.g.Now().Sub(began)))
-	if reason := s.reasonNotToResume(ctx); reason != "" {
+	if reason := s.reasonNotToResume(ctx, from); reason != "" {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
 		s.log("copied run not resumed: it ends soon or has ended, or the retry budget is exhausted", append(fields, zap.String("reason", reason))...)
 		s.freeCopy(copied)
