Promises: the second promise to a client replaces the first at other gateways

A client that was refused again at another gateway wasn't recognized at its second time: others ignored that promise, since they held the first one until it expired (forecaster_test.go).

--- a/capacity/forecaster/forecaster.go
+++ b/capacity/forecaster/forecaster.go
@@ -275,7 +275,7 @@
 		f.expire(now)
 	}
 	for _, p := range promises {
-		if known, ok := f.promises[p.Key]; ok && now.Before(known.expires) || !now.Before(p.Expires) || now.Before(f.redeemed[p.Key]) {
+		if f.keeps(now, p) || !now.Before(p.Expires) || now.Before(f.redeemed[p.Key]) {
 			continue
 		}
 		f.drop(p.Key)
@@ -286,6 +286,14 @@
 	}
 }
 
+// keeps reports whether the promise that is recorded for a key stays when another gateway
+// tells of one. It gives way to the next one of a client that was refused again: its time has
+// come, and the other's time is after its end.
+func (f *Forecaster) keeps(now time.Time, other SharedPromise) bool {
+	known, ok := f.promises[other.Key]
+	return ok && now.Before(known.expires) && (now.Before(known.at) || !other.At.After(known.expires))
+}
+
 // add records a promise whose key has none.
 func (f *Forecaster) add(key Key, p promise) {
 	f.promises[key] = p
--- a/capacity/forecaster/forecaster_test.go
+++ b/capacity/forecaster/forecaster_test.go
@@ -85,6 +85,29 @@
 		Expect(other.Redeem(now.Add(time.Second), 7)).To(BeFalse(), "redeemed before a late message")
 	})
 
+	// Guards against a second promise to the same client that others ignore, since they hold the
+	// first one until it expires.
+	It("replace the former one of a client that was refused again", func() {
+		home, other := New(), New()
+		home.Promise(now, 7, "g", Work{Requests: 1}, time.Second)
+		other.Learn(now, home.Recent(now, 10))
+		second := now.Add(time.Second)
+		Expect(other.Redeem(second, 7)).To(BeTrue())
+		other.Promise(second, 7, "g", Work{Requests: 1}, 2*time.Second)
+		home.Learn(second, other.Recent(second, 10))
+		Expect(home.Promised(second, "g")).To(BeZero(), "the client has come back elsewhere")
+		Expect(home.Redeem(second.Add(2*time.Second), 7)).To(BeTrue())
+	})
+
+	// Guards against the same request of two clients: the second promise comes before the
+	// first client can have returned.
+	It("don't replace one whose time hasn't come", func() {
+		home := New()
+		home.Promise(now, 7, "g", Work{Requests: 1}, time.Second)
+		home.Learn(now, []SharedPromise{{Key: 7, At: now.Add(3 * time.Second), Expires: now.Add(5 * time.Second)}})
+		Expect(home.Redeem(now.Add(time.Second), 7)).To(BeTrue())
+	})
+
 	It("are told for a moment only, the newest if there are many", func() {
 		f := New()
 		f.Promise(now, 1, "g", Work{}, time.Second)
