--- a/capacity/limitkeeper/keeper.go
+++ b/capacity/limitkeeper/keeper.go
@@ -50,74 +50,9 @@
 	risePerSecond = 0.15
 )
 
-// Level is a sum of the observations at one level of concurrency, weighted by their age.
-type Level struct {
-	// Weight is the sum of the relative times, Running the same multiplied by the share of the
-	// slots in use, and Speed the number of observations. A slow upstream sends fewer
-	// responses, which therefore count more: Speed divided by Weight is the mean speed.
-	Weight, Running, Speed float64
-}
-
-// Sum holds the levels of one upstream, from that of all slots down.
-type Sum [Levels]Level
-
-// Sums holds a sum for each observed upstream.
-type Sums map[currantwood.UpstreamID]Sum
-
 // Limits holds the limits that are below the slots, as shares of these.
 type Limits map[currantwood.UpstreamID]float64
 
-// add adds the levels of another sum, multiplied by a factor.
-func (s *Sum) add(other *Sum, factor float64) {
-	for i := range s {
-		s[i].Weight += factor * other[i].Weight
-		s[i].Running += factor * other[i].Running
-		s[i].Speed += factor * other[i].Speed
-	}
-}
-
-// Weight returns the weight of all levels.
-func (s *Sum) Weight() float64 {
-	weight := 0.0
-	for i := range s {
-		weight += s[i].Weight
-	}
-	return weight
-}
-
-// isBusy reports whether more than a quarter of the slots were in use lately.
-func (s *Sum) isBusy() bool {
-	weight := 0.0
-	for _, l := range s[:busyLevels] {
-		weight += l.Weight
-	}
-	return weight >= minReportedWeight
-}
-
-// decay returns the factor of a weight after some time.
-func decay(age time.Duration) float64 {
-	return math.Exp(-age.Seconds() / memoryTime.Seconds())
-}
-
-// datedSum is a sum as of a time.
-type datedSum struct {
-	sum Sum
-	at  time.Time
-}
-
-// report is what another gateway has reported at a time.
-type report struct {
-	at   time.Time
-	sums Sums
-}
-
-// reportedSum is the sum of the reports about one upstream. It is dropped with the last of
-// them, since rounding may leave it different from 0.
-type reportedSum struct {
-	sum     Sum
-	reports int
-}
-
 // Keeper holds the observations and the limits that follow from them. It is not safe for
 // concurrent use.
 type Keeper struct {
@@ -170,85 +105,6 @@
 	k.evaluate(now, id)
 }
 
-// Learn notes the sums that another gateway has reported, in place of its report before.
-// sums must not be changed afterwards.
-func (k *Keeper) Learn(now time.Time, from currantwood.VMID, sums Sums) {
-	if k.sweptAt.Sub(now) > reportMaxAge {
-		// The clock went back. The weights of reports from later would grow out of range.
-		clear(k.reports)
-		k.base, k.sweptAt = time.Time{}, now
-	}
-	if now.Sub(k.base) > rebaseTime {
-		k.base = now
-		clear(k.reported)
-		for _, r := range k.reports {
-			k.addReport(r)
-		}
-	}
-	k.drop(from)
-	r := report{at: now, sums: sums}
-	k.reports[from] = r
-	k.addReport(r)
-	k.sweep(now)
-	for id := range sums {
-		k.evaluate(now, id)
-	}
-}
-
-// sweep drops the reports that are too old, and estimates at the slots that get no more
-// observations, if a search for them is due.
-func (k *Keeper) sweep(now time.Time) {
-	if now.Sub(k.sweptAt) < sweepInterval {
-		return
-	}
-	k.sweptAt = now
-	for vm, r := range k.reports {
-		if now.Sub(r.at) > reportMaxAge {
-			k.drop(vm)
-		}
-	}
-	for id, e := range k.estimates {
-		if e.at(now) >= 1 && now.Sub(e.evaluatedAt) > reportMaxAge {
-			delete(k.estimates, id)
-		}
-	}
-}
-
-func (k *Keeper) addReport(r report) {
-	factor := decay(k.base.Sub(r.at))
-	for id, sum := range r.sums {
-		known := k.reported[id]
-		if known == nil {
-			known = &reportedSum{}
-			k.reported[id] = known
-		}
-		known.sum.add(&sum, factor)
-		known.reports++
-	}
-}
-
-// drop removes the report of a gateway, if there is one, from the sums.
-func (k *Keeper) drop(vm currantwood.VMID) {
-	r, known := k.reports[vm]
-	if !known {
-		return
-	}
-	delete(k.reports, vm)
-	factor := decay(k.base.Sub(r.at))
-	for id, sum := range r.sums {
-		rest := k.reported[id]
-		if rest == nil {
-			continue
-		}
-		if rest.reports <= 1 {
-			delete(k.reported, id)
-			continue
-		}
-		rest.sum.add(&sum, -factor)
-		rest.reports--
-	}
-}
-
 // LearnLimits notes the limits that the collector has estimated, in place of those before.
 // They count for two seconds, or longer if the collector sends them less often.
 func (k *Keeper) LearnLimits(now time.Time, limits Limits) {
