--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -48,8 +48,8 @@
 	own Load
 	// isMember is whether it may be chosen; it stays for its load otherwise.
 	isMember bool
-	// lossRate is by how many losses per second more are expected of it than of the safest
-	// of its group.
+	// lossRate is how many losses per second are expected of it beyond those of the rest of
+	// its group.
 	lossRate float64
 }
 
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -13,9 +13,9 @@
 	// time.
 	workAverageDivisor = 64
 	// maxWorkFactor bounds the part of one measurement, since calls and outputs differ in
-	// length by much more than upstreams in speed. A slow period shows in the upstream's figure
-	// and in the measurement. In trials, the product lowered a limit without a knee for 15% of
-	// the time with a bound of 2 and for 8% with 1.5, in the worst case of limitkeeper's model.
+	// length by much more than upstreams in speed. A slow period counts twice, as it shows in
+	// the upstream's figure and in the measurement: a bound of 2 lowers limits without a knee
+	// for 15% of the time in the worst case of limitkeeper's model, one of 1.5 for 8%.
 	maxWorkFactor = 1.5
 )
 
--- a/balancer/loss.go
+++ b/balancer/loss.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// medianIncarnation returns the incarnation than which half of a group are higher.
+// medianIncarnation returns the median of the incarnations of a group; 0 if it has no members.
 func (b *Balancer) medianIncarnation(g *group) int64 {
 	if len(g.members) == 0 {
 		return 0
--- a/capacity/lossforecaster/keeper.go
+++ b/capacity/lossforecaster/keeper.go
@@ -93,8 +93,8 @@
 }
 
 // ExcessRates returns, for each of the upstreams that a group has now, the losses per second
-// that are expected of it beyond those of its safest classes. It returns nil if the losses
-// don't differ.
+// that are expected of it beyond those of the rest of the group: the highest excess of its
+// classes. It returns nil if no rate is above 0.
 func (k *Keeper) ExcessRates(now time.Time, group currantwood.GroupID, members []Upstream) []float64 {
 	l := k.groups[group]
 	if l == nil || len(members) == 0 {
@@ -132,15 +132,15 @@
 	}
 }
 
-// excess returns by how much the loss rate of a class exceeds that of the rest of its group; 0
-// unless by more than chance explains.
+// excess returns by how much the loss rate of a class exceeds that of the rest of its group. It
+// is 0 if chance may explain the difference.
 func (l *losses) excess(c class, counts map[class]int, members int) float64 {
 	lost := l.weights[c]
 	if lost < minLosses {
 		return 0
 	}
-	// Those that left were replaced by others of the same class or not; the present shares are
-	// taken for the former ones.
+	// The classes' shares of the group at the times of the losses aren't known, so the present
+	// ones are used.
 	expected := l.total * float64(counts[c]) / float64(members)
 	if lost <= expected+minDeviations*math.Sqrt(expected) {
 		return 0
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -178,7 +178,8 @@
 
 // Check returns an error if the VM, availability zone, an address for clients or
 // readiness, or the store's address is empty, if FailClosed is set without a
-// RevocationTime, if a share for streams is out of range or if a limit of clients is negative. The error names path, the settings file.
+// RevocationTime, if a share for streams is out of range, or if a limit of clients is
+// negative. The error names path, the settings file.
 func (s GatewaySettings) Check(path string) error {
 	required := []struct{ name, value string }{
 		{"VM", string(s.VM)},
