--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -276,23 +276,6 @@
 	return jointPart*b.budget(requests, 0) + max(0, b.budget(0, reservePart)-(gateways-1)*b.guaranteedReserve())
 }
 
-// contenders returns how many gateways may retry before this one hears of it. Of many
-// gateways, each of which serves few, those are fewer than all: a failed request is one that
-// is served meanwhile, and a run that is moved was a request within about a window. Once all
-// know which upstreams leave, they are at most as many as the runs there.
-func (b *Budgeter) contenders(now time.Time, id currantwood.GroupID, requests int, reason RetryReason) float64 {
-	if reason == MovedRun {
-		moving := movedShare * float64(requests)
-		if runs, settled := b.leaving[id].total(now); settled {
-			moving = min(moving, float64(runs))
-		}
-		return min(float64(b.peers.Gateways), minGateways+moving)
-	}
-	unheard := reportDelay + now.Sub(b.peersAt)
-	served := float64(requests) * unheard.Seconds() / b.options.Window.Seconds()
-	return min(float64(b.peers.Gateways), minGateways+burstFactor*served)
-}
-
 // partOf returns the part of the budget that is open to a kind of retry.
 func partOf(reason RetryReason) float64 {
 	if reason == FailedRequest {
--- a/gateway/clientwriter.go
+++ b/gateway/clientwriter.go
@@ -124,7 +124,7 @@
 			return err
 		}
 		if victim != nil {
-			victim.giveUp()
+			victim.endForMemory()
 		}
 		if !waiting && c.noteUnread != nil {
 			waiting = true
@@ -225,8 +225,8 @@
 	}
 }
 
-// giveUp ends the stream for its memory: the write under way fails, and no other follows.
-func (c *clientWriter) giveUp() {
+// endForMemory ends the stream so that others can use its memory: the write under way fails, and no other follows.
+func (c *clientWriter) endForMemory() {
 	c.mu.Lock()
 	if !c.running || c.err != nil {
 		c.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -102,7 +102,7 @@
 			if errors.Is(s.out.failure(), errClientStopped) {
 				s.abort(errClientStopped)
 			}
-			s.cutOff()
+			s.abortDisconnected()
 			return
 		}
 		err := s.relay()
@@ -211,9 +211,7 @@
 		if s.clientDisconnected() {
 			s.recordCrash(up.failure(s.ctx))
 			s.closeUpstream(up, balancer.Neutral)
-			s.g.instruments.clientDisconnects.Inc(1)
-			s.log("client disconnected", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()))
-			s.cutOff()
+			s.endDisconnected(up)
 			return nil
 		}
 		if s.switchTo(up, s.takeNext()) {
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -97,9 +97,7 @@
 		s.g.instruments.responseTime.Update(s.g.Now().Sub(s.arrived).Microseconds())
 		s.log("stream served", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int("upstreams", s.possibleRuns), zap.Duration("longest-gap", s.longestGap), zap.String("gap-upstream", string(s.gapUpstream)))
 	case s.clientDisconnected() && !errors.Is(err, errClientStopped):
-		s.g.instruments.clientDisconnects.Inc(1)
-		s.log("client disconnected", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()))
-		s.cutOff()
+		s.endDisconnected(up)
 	default:
 		s.abort(err)
 	}
@@ -130,10 +128,18 @@
 	panic(http.ErrAbortHandler)
 }
 
-// cutOff ends the response to a client that has disconnected. It panics with http.ErrAbortHandler
+// endDisconnected counts and logs that the client has disconnected during the response of an
+// upstream, and ends the response as abortDisconnected does.
+func (s *stream) endDisconnected(up *upstreamStream) {
+	s.g.instruments.clientDisconnects.Inc(1)
+	s.log("client disconnected", zap.String("upstream", string(up.view.ID)), zap.Int64("last-event", s.lastEvent.Load()))
+	s.abortDisconnected()
+}
+
+// abortDisconnected ends the response to a client that has disconnected. It panics with http.ErrAbortHandler
 // if the header is written: a client that has closed only its sending side still reads, and would
 // take the response for complete otherwise.
-func (s *stream) cutOff() {
+func (s *stream) abortDisconnected() {
 	if s.headerWritten.Load() {
 		panic(http.ErrAbortHandler)
 	}
