--- a/ingress/connlimiter/socket.go
+++ b/ingress/connlimiter/socket.go
@@ -37,12 +37,15 @@
 func (l *Limiter) setBuffers(raw syscall.RawConn, buffers apportioner.Buffers) error {
 	return control(raw, func(fd int) error {
 		var failure error
-		for option, size := range map[int]int{unix.SO_RCVBUF: buffers.Receive, unix.SO_SNDBUF: buffers.Send} {
-			if size == 0 {
+		for _, b := range []struct {
+			name         string
+			option, size int
+		}{{"receive", unix.SO_RCVBUF, buffers.Receive}, {"send", unix.SO_SNDBUF, buffers.Send}} {
+			if b.size == 0 {
 				continue
 			}
-			if err := l.setOption(fd, unix.SOL_SOCKET, option, size/2); err != nil {
-				failure = errors.Wrap(err, "size the buffers of a socket")
+			if err := l.setOption(fd, unix.SOL_SOCKET, b.option, b.size/2); err != nil {
+				failure = errors.Wrapf(err, "set the %s buffer of a socket to %d bytes", b.name, b.size)
 			}
 		}
 		return failure
@@ -57,10 +60,11 @@
 	})
 }
 
+// control calls do with the descriptor of a socket.
 func control(raw syscall.RawConn, do func(fd int) error) error {
 	var failure error
 	if err := raw.Control(func(fd uintptr) { failure = do(int(fd)) }); err != nil {
-		return err
+		return errors.Wrap(err, "access a socket")
 	}
 	return failure
 }
--- a/peermessenger/limit.go
+++ b/peermessenger/limit.go
@@ -28,6 +28,9 @@
 	// levelScale is the factor of the figures in peerwire.LoadLevels, and limitScale that of
 	// the shares in peerwire.ConcurrencyLimit.
 	levelScale, limitScale = 100, 1000
+	// maxLevelFactor is by how much a mean speed may be above or below the usual one: what an
+	// upstream may state, times what one measurement may add (maxWorkFactor in package balancer).
+	maxLevelFactor = 1.5 * maxSpeedFactor
 )
 
 // estimateInterval returns the time until the next digests with speeds and limits, if those
@@ -41,7 +44,8 @@
 type estimates struct {
 	speeds []*peerwire.Speed
 	limits []*peerwire.ConcurrencyLimit
-	due    bool
+	// due distinguishes estimates that are empty from those that aren't due.
+	due bool
 }
 
 // known reports whether any upstream states the time on which limits are based. Otherwise
@@ -186,7 +190,3 @@
 	}
 	return sum, true
 }
-
-// maxLevelFactor is by how much a mean speed may be above or below the usual one: what an
-// upstream may state, times what one measurement may add (maxWorkFactor in package balancer).
-const maxLevelFactor = 1.5 * maxSpeedFactor
