--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -2,12 +2,14 @@
 // gateway sends its state to the collector: its loads, its retry usage (what it
 // sent to each group within the retry window), recent crashes, the completions
 // for which crashes don't count, the rate limits and notices that it has heard itself, and
-// the starts of streams that the collector lacks. The collector's digest returns the
+// the starts of streams that the collector lacks, what it has observed of upstreams' speed and
+// concurrency, and recent promises of room. The collector's digest returns the
 // summed loads, retry usage and demand of all others, the newest rate limits and notices,
 // the recent crashes and completions that the collector knows, the crashes and the starts
-// of streams that the gateway lacks, the number of gateways and the receiver's rank among
-// the next collectors, the directory records that it read and the version and age of its
-// configuration. A gateway that lacks this version asks the collector for its record. A
+// of streams that the gateway lacks, the speeds and concurrency limits of upstreams, recent
+// promises of room, the orders to evacuate zones, the number of gateways and the receiver's
+// rank among the next collectors, the directory records that it read and the version and age
+// of its configuration. A gateway that lacks this version asks the collector for its record. A
 // gateway that isn't the collector answers a state with a referral to the collector that it
 // knows.
 package peermessenger
