--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -14,8 +14,8 @@
 	workAverageDivisor = 64
 	// maxWorkFactor bounds the part of one measurement, since calls and outputs differ in
 	// length by much more than upstreams in speed. A slow period counts twice, as it shows in
-	// the upstream's figure and in the measurement: a bound of 2 lowers limits without a knee
-	// for 15% of the time in the worst case of limitkeeper's model, one of 1.5 for 8%.
+	// the upstream's figure and in the measurement: in the worst case of limitkeeper's model a
+	// limit without a knee is too low for 8% of the time, and for 15% with a bound of 2 (trials).
 	maxWorkFactor = 1.5
 )
 
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -105,7 +105,7 @@
 	defaultStreamShare = 0.01
 	defaultTotalShare  = 0.1
 	// maxTotalShare leaves room for the shares of client connections with their socket buffers,
-	// of heads and of bodies, which are 0.72 of the memory.
+	// of heads and of bodies, which are 0.72 of the memory (computed).
 	maxTotalShare = 0.25
 	// unknownMemoryBytes is assumed if the settings don't state the VM's memory.
 	unknownMemoryBytes = 128e6
