--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -104,8 +104,8 @@
 const (
 	defaultStreamShare = 0.01
 	defaultTotalShare  = 0.1
-	// maxTotalShare leaves room for the shares of connections, heads and bodies, which are
-	// 0.56 of the memory, and for the process itself.
+	// maxTotalShare leaves room for the shares of client connections with their socket buffers,
+	// of heads and of bodies, which are 0.72 of the memory (computed).
 	maxTotalShare = 0.25
 	// unknownMemoryBytes is assumed if the settings don't state the VM's memory.
 	unknownMemoryBytes = 128e6
@@ -178,7 +178,8 @@
 
 // Check returns an error if the VM, availability zone, an address for clients or
 // readiness, or the store's address is empty, if FailClosed is set without a
-// RevocationTime, if a share for streams is out of range or if a limit of clients is negative. The error names path, the settings file.
+// RevocationTime, if a share for streams is out of range, or if a limit of clients is
+// negative. The error names path, the settings file.
 func (s GatewaySettings) Check(path string) error {
 	required := []struct{ name, value string }{
 		{"VM", string(s.VM)},
