--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -13,6 +15,9 @@
 // host is the host of all routes.
 const host = "ficu95.example"
 
+// requestTime is how long a client waits.
+const requestTime = 20 * time.Second
+
 // answer is what a client got.
 type answer struct {
 	id     string
@@ -41,7 +46,7 @@
 // send sends one request to a gateway on a connection of its own.
 func (w *world) send(g *gateway, method, path, key, body string) answer {
 	a := answer{id: w.newID(), sentAt: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), requestTime)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", g.ip, frontendPort, path), bytes.NewReader([]byte(body)))
 	if err != nil {
@@ -51,7 +56,12 @@
 	request.Host = host
 	request.Close = true
 	request.Header.Set("X-Request-Id", a.id)
-	request.Header.Set("X-Deadline-Ms", "6000")
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(requestTime.Milliseconds(), 10))
+	if strings.HasPrefix(path, "/plan/") {
+		request.Header.Set("X-Model", "m")
+		request.Header.Set("X-Token-Counts", "600,480")
+		request.Header.Set("X-Prefix-Hash", "5c1e07a2:400,"+a.id+":200")
+	}
 	request.Header.Set("X-Api-Key", key)
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}).Do(request)
 	if err != nil {
--- a/review/stand2/gateway.go
+++ b/review/stand2/gateway.go
@@ -34,7 +34,7 @@
 	world    *world
 	name, ip string
 	seeds    []string
-	store    string
+	store    *storeProxy
 	zone     string
 	settings string
 	log      string
@@ -81,7 +81,7 @@
 	var added []*gateway
 	for _, ip := range ips {
 		name := fmt.Sprintf("edge-%d", len(w.gateways)+1)
-		g := &gateway{world: w, name: name, ip: ip, seeds: seeds, store: w.store.Address(), zone: "kingston-a"}
+		g := &gateway{world: w, name: name, ip: ip, seeds: seeds, store: newStoreProxy(w.store.Address()), zone: "kingston-a"}
 		w.gateways = append(w.gateways, g)
 		added = append(added, g)
 	}
@@ -116,76 +116,8 @@
 
 // settingsText returns settings like those of a small deployment.
 func (g *gateway) settingsText(bootstrap bool) string {
-	return fmt.Sprintf(`nodeId = %q
-role = "gateway"
-machineClass = "edge"
-serves = ["edge","control_plane"]
-ip = %q
-zone = %q
-region = "kingston"
-internalPortRange = [%d,%d]
-seeds = [%s]
-bootstrap = %t
-toleranceCounted = false
-discovery = "platform"
-entry = "vip"
-heartbeatMs = 1200
-contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"]
-[zones]
-kingston-a = "kingston"
-montego-a = "montego"
-mandeville-a = "mandeville"
-[listen]
-frontend = "%s:%d"
-readiness = "%s:%d"
-admin = "%s:%d"
-[limits]
-cpuShare = 0.304
-cpus = 1
-memoryMb = 134
-maxFds = 4100
-linkMbps = 1000.0
-diskMb = 0
-[faultTolerance]
-machines = 1
-zones = 0
-regions = 0
-[bounds]
-seedLagS = 3
-addrReuseS = 2
-contactMs = 4000
-ackMs = 5000
-catchupS = 4
-drainMs = 2500
-graceS = 8
-lostSlackMs = 200
-configApplyMs = 2500
-rollbackSlackMs = 250
-maxSkewMs = 6000
-revokeFailClosed = true
-revokeMs = 5000
-retryBudgetRatio = 0.2
-retryWindowS = 10
-budgetSlack = 54
-recoveryS = 12
-passMs = 250
-againS = 4.7
-[platform]
-address = %q
-form = "log"
-writesPerS = 400
-readsPerS = 2000
-parts = 12
-appendMs = 2.0
-partitionMbS = 20.0
-readMbS = 80.0
-recordBytes = 262144
-callBytes = 2097152
-keep_s = 300
-partMb = 200
-ttlMinMs = 1000
-`, g.name, g.ip, g.zone, peerPort, peerPort+15, strings.Join(g.seeds, ","), bootstrap,
-		g.ip, frontendPort, g.ip, readinessPort, g.ip, adminPort, g.store)
+	return fmt.Sprintf(settingsFormat, g.name, g.ip, g.zone, peerPort, peerPort+15, strings.Join(g.seeds, ","), bootstrap,
+		g.ip, frontendPort, g.ip, readinessPort, g.ip, adminPort, g.store.address())
 }
 
 // signal sends a signal to the process.
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -11,8 +11,9 @@
 
 // cases holds the cases by their name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) bool{
-	"frozen":  playFrozen,
-	"rewound": playRewound,
+	"unshared": playUnshared,
+	"cut":      playCut,
+	"rewound":  playRewound,
 }
 
 const (
--- a/review/stand2/rewound.go
+++ b/review/stand2/rewound.go
@@ -10,7 +10,7 @@
 // from before the withdrawal, and a gateway starts before the operator has written again.
 func playRewound(w *world, trouble bool) bool {
 	w.publish(deskRoutes, "key-1", "key-2")
-	k := w.startWorker(workerOptions{id: "i-desk-1", service: "desk", zone: "kingston-a", version: "v1", slots: 6, work: 15 * time.Millisecond})
+	k := w.startDesk(15 * time.Millisecond)
 	gateways := w.addGateways(gatewayIPs(2))
 	first, late := gateways[0], gateways[1]
 	first.start(true)
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -25,6 +25,8 @@
 	ended            time.Time
 	// outcome is how it ended; empty while it is at work.
 	outcome string
+	// stop is closed when a move has stopped the run.
+	stop chan struct{}
 }
 
 // workerOptions describes a worker.
@@ -52,11 +54,15 @@
 	// generation rises with each start, so that goroutines of an earlier one end.
 	generation int
 	runs       []*run
-	// leaving is set from the moment at which the worker says that it leaves.
+	// leaving is whether the worker is draining.
 	leaving bool
 	// unwritten makes the worker leave its entry in the store as it is.
 	unwritten bool
-	down      bool
+	// copies holds the copies of runs that it has, as source/handle, and handles counts those
+	// that it has made.
+	copies  map[string]bool
+	handles int
+	down    bool
 }
 
 // startWorker starts a worker and writes its entry.
@@ -82,11 +88,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", k.serveReport)
 	mux.HandleFunc("GET /healthz", k.serveHealth)
+	mux.HandleFunc("POST /kv-move", k.serveMove)
+	mux.HandleFunc("DELETE /kv-handle/{handle}", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /copied", k.serveCopied)
 	mux.HandleFunc("/", k.serve)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	k.mu.Lock()
 	k.address, k.listener, k.server, k.born = listener.Addr().String(), listener, server, born
-	k.sequence, k.leaving, k.down = 0, false, false
+	k.sequence, k.leaving, k.down, k.copies = 0, false, false, map[string]bool{}
 	k.generation++
 	generation := k.generation
 	k.mu.Unlock()
@@ -131,20 +140,20 @@
 	k.world.store.Put(storeclient.UpstreamTopic, k.options.id, entry)
 }
 
-// leave makes the worker say in all its answers that it leaves, and then report it to the
-// store.
-func (k *worker) leave(before time.Duration) {
+// drain makes the worker report to the store that it is draining.
+func (k *worker) drain() {
 	k.mu.Lock()
 	k.leaving = true
-	k.unwritten = true
 	k.mu.Unlock()
-	k.world.note("%s leaves: says so in its answers", k.options.id)
-	time.Sleep(before)
+	k.writeEntry()
+}
+
+// removeEntry makes the worker leave without reporting draining: it goes on serving.
+func (k *worker) removeEntry() {
 	k.mu.Lock()
-	k.unwritten = false
+	k.unwritten = true
 	k.mu.Unlock()
-	k.writeEntry()
-	k.world.note("%s leaves: the store has acknowledged its entry with state draining", k.options.id)
+	k.world.store.Put(storeclient.UpstreamTopic, k.options.id, nil)
 }
 
 // end ends the worker: its connections break off and its entry is removed.
@@ -165,14 +174,7 @@
 	return k.leaving
 }
 
-func (k *worker) say(h http.Header) {
-	if k.isLeaving() {
-		h.Set("Server-Leaving", "1")
-	}
-}
-
 func (k *worker) serveReport(w http.ResponseWriter, _ *http.Request) {
-	k.say(w.Header())
 	k.mu.Lock()
 	state := "ready"
 	if k.leaving {
@@ -191,16 +193,67 @@
 }
 
 func (k *worker) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	k.say(w.Header())
 	w.Header().Set("X-Instance-Id", k.options.id)
 	if k.isLeaving() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// serveMove copies a run to another worker, and stops it first if it is the last copy.
+func (k *worker) serveMove(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		ID   string `json:"id"`
+		To   string `json:"to"`
+		Last bool   `json:"last"`
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	k.mu.Lock()
+	var found *run
+	for _, candidate := range k.runs {
+		if candidate.id == order.ID && candidate.outcome == "" {
+			found = candidate
+		}
+	}
+	k.handles++
+	handle, address := fmt.Sprintf("h%d", k.handles), k.address
+	k.mu.Unlock()
+	if found == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if order.Last {
+		close(found.stop)
+	}
+	response, err := http.Post("http://"+order.To+"/copied?from="+address+"/"+handle, "text/plain", nil)
+	if err != nil || response.Body.Close() != nil || response.StatusCode != http.StatusOK {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "createRev": 0})
+}
+
+// serveCopied takes a copy; only workers of this stand send it.
+func (k *worker) serveCopied(_ http.ResponseWriter, r *http.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.copies[r.URL.Query().Get("from")] = true
+}
+
+// takeCopy uses a copy up, and reports whether there is one.
+func (k *worker) takeCopy(from string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	found := k.copies[from]
+	delete(k.copies, from)
+	return found
+}
+
 // serve runs a request, unless it expects another instance.
 func (k *worker) serve(w http.ResponseWriter, r *http.Request) {
-	k.say(w.Header())
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Instance-Id", k.options.id)
@@ -211,12 +264,17 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if from := r.Header.Get("Kv-From"); from != "" && !k.takeCopy(from) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	began := k.begin(r)
 	outcome := "broken off"
 	defer func() { k.finish(began, outcome) }()
 	w.Header().Set("X-Response-Seal", "seal."+k.options.id+"."+id)
 	if strings.HasPrefix(r.URL.Path, "/plan/") || strings.HasPrefix(r.URL.Path, "/check/") {
-		if k.serveEvents(w, r) {
+		if k.serveEvents(w, r, began) {
 			outcome = "served"
 		}
 		return
@@ -234,7 +292,7 @@
 }
 
 // serveEvents sends the events after Last-Event-Id. It reports whether all were sent.
-func (k *worker) serveEvents(w http.ResponseWriter, r *http.Request) bool {
+func (k *worker) serveEvents(w http.ResponseWriter, r *http.Request, of *run) bool {
 	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if err != nil {
 		last = 0
@@ -246,6 +304,8 @@
 		case <-time.After(k.options.interval):
 		case <-r.Context().Done():
 			return false
+		case <-of.stop:
+			panic(http.ErrAbortHandler)
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", id, k.options.version, r.Header.Get("X-Request-Id"), id); err != nil {
 			return false
@@ -258,7 +318,7 @@
 }
 
 func (k *worker) begin(r *http.Request) *run {
-	began := &run{id: r.Header.Get("X-Request-Id"), path: r.URL.Path, tenant: r.Header.Get("X-Tenant"), resumedAfter: r.Header.Get("Last-Event-Id"), began: time.Now()}
+	began := &run{id: r.Header.Get("X-Request-Id"), path: r.URL.Path, tenant: r.Header.Get("X-Tenant"), resumedAfter: r.Header.Get("Last-Event-Id"), began: time.Now(), stop: make(chan struct{})}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.runs = append(k.runs, began)
