--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -70,7 +70,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	a.status, a.seal, a.body, a.err = response.StatusCode, response.Header.Get("X-Response-Seal"), string(data), err
+	a.status, a.seal, a.body, a.err = response.StatusCode, response.Header.Get(sealName), string(data), err
 	return a
 }
 
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -11,6 +11,7 @@
 
 // cases holds the cases by their name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) bool{
+	"unsealed": playUnsealed,
 	"unshared": playUnshared,
 	"cut":      playCut,
 	"rewound":  playRewound,
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -62,7 +62,10 @@
 	// that it has made.
 	copies  map[string]bool
 	handles int
-	down    bool
+	// spoils is whether the worker spoils some of its answers, of which it counts answered.
+	spoils   bool
+	answered int
+	down     bool
 }
 
 // startWorker starts a worker and writes its entry.
@@ -272,7 +275,7 @@
 	began := k.begin(r)
 	outcome := "broken off"
 	defer func() { k.finish(began, outcome) }()
-	w.Header().Set("X-Response-Seal", "seal."+k.options.id+"."+id)
+	w.Header().Set(sealName, "seal."+k.options.id+"."+id)
 	if strings.HasPrefix(r.URL.Path, "/plan/") || strings.HasPrefix(r.URL.Path, "/check/") {
 		if k.serveEvents(w, r, began) {
 			outcome = "served"
@@ -285,6 +288,12 @@
 		return
 	}
 	body := "answer to " + id + " by " + k.options.id + "\n"
+	if number := k.nextSpoiled(); number > 0 {
+		if k.writeSpoiled(w, number, id, body) {
+			outcome = "spoiled"
+		}
+		return
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if _, err := io.WriteString(w, body); err == nil {
 		outcome = "served"
