--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -14,6 +14,7 @@
 	"unsealed": playUnsealed,
 	"unshared": playUnshared,
 	"cut":      playCut,
+	"inplace":  playInPlace,
 	"rewound":  playRewound,
 }
 
--- a/review/stand2/unshared.go
+++ b/review/stand2/unshared.go
@@ -54,10 +54,15 @@
 // openStreams sends requests for streams at once, to each of the gateways in turn. The function
 // that it returns waits for their ends.
 func (w *world) openStreams(count int, gateways ...*gateway) func() []answer {
+	return w.openPath("/plan/1", count, gateways...)
+}
+
+// openPath is openStreams for a path.
+func (w *world) openPath(path string, count int, gateways ...*gateway) func() []answer {
 	answers := make([]answer, count)
 	var done sync.WaitGroup
 	for i := range answers {
-		done.Go(func() { answers[i] = w.send(gateways[i%len(gateways)], "POST", "/plan/1", "key-1", "a plan") })
+		done.Go(func() { answers[i] = w.send(gateways[i%len(gateways)], "POST", path, "key-1", "a plan") })
 	}
 	return func() []answer {
 		done.Wait()
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -102,8 +102,11 @@
 	k.generation++
 	generation := k.generation
 	k.mu.Unlock()
+	unwritten := k.unwritten
 	go func() { _ = server.Serve(listener) }()
-	k.writeEntry()
+	if !unwritten {
+		k.writeEntry()
+	}
 	go k.beat(generation)
 }
 
