--- a/review/stand2/gateway.go
+++ b/review/stand2/gateway.go
@@ -26,7 +26,6 @@
 	drainTime   = 2500 * time.Millisecond
 	contactTime = 4000 * time.Millisecond
 	revokeTime  = 5000 * time.Millisecond
-	graceTime   = 8 * time.Second
 )
 
 // gateway is a process of the system.
@@ -127,24 +126,12 @@
 	}
 }
 
-// freeze stops the process, and wake lets it go on.
-func (g *gateway) freeze() {
-	g.signal(syscall.SIGSTOP)
-	g.world.note("%s frozen", g.name)
-}
-
-func (g *gateway) wake() {
-	g.signal(syscall.SIGCONT)
-	g.world.note("%s woken", g.name)
-}
-
 // kill ends the process at once and waits for its end.
 func (g *gateway) kill() {
 	if g.command == nil {
 		return
 	}
 	g.signal(syscall.SIGKILL)
-	g.signal(syscall.SIGCONT)
 	<-g.ended
 }
 
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -20,7 +20,6 @@
 // run is a request that a worker began to work on.
 type run struct {
 	id, path, tenant string
-	resumedAfter     string
 	began            time.Time
 	ended            time.Time
 	// outcome is how it ended; empty while it is at work.
@@ -330,7 +329,7 @@
 }
 
 func (k *worker) begin(r *http.Request) *run {
-	began := &run{id: r.Header.Get("X-Request-Id"), path: r.URL.Path, tenant: r.Header.Get("X-Tenant"), resumedAfter: r.Header.Get("Last-Event-Id"), began: time.Now(), stop: make(chan struct{})}
+	began := &run{id: r.Header.Get("X-Request-Id"), path: r.URL.Path, tenant: r.Header.Get("X-Tenant"), began: time.Now(), stop: make(chan struct{})}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.runs = append(k.runs, began)
