--- a/review/n6/main.go
+++ b/review/rig/memory/main.go
@@ -1,4 +1,4 @@
-// Command n6 measures what a gateway's process takes of memory while some workers send bytes
+// Command memory measures what a gateway's process takes of memory while some workers send bytes
 // without end in streams.
 package main
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	// Host is the host name of all routes, and Key the API key of their one tenant.
+	// Host is the host name of all routes.
 	Host = "desk.example"
-	Key  = "key-of-ada"
+	// Key is the API key of their one tenant.
+	Key = "key-of-ada"
 	// Topics and keys of the platform's pages.
 	operatorTopic = "keyed.op"
 	serverTopic   = "keyed.servers"
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -161,6 +161,15 @@
 	w.rig.Unregister(w.ID)
 }
 
+// EndRuns ends all runs, as the end of the worker's process does.
+func (w *Worker) EndRuns() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, run := range w.runs {
+		run.stopped.Do(func() { close(run.stop) })
+	}
+}
+
 // Running returns the number of runs that go on.
 func (w *Worker) Running() int {
 	w.mu.Lock()
