--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,5 +3,5 @@
 # 0 if it held and 2 if the case couldn't run; TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/currantwood ] && [ -x target/review-stand-2 ] || { echo "not built" >&2; exit 2; }
-exec target/review-stand-2 cut review/8
+[ -x target/currantwood ] && [ -x target/review/8 ] || { echo "not built" >&2; exit 2; }
+exec target/review/8 review/8/record.txt
