--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/currantwood ] && [ -x target/review-stand-2 ] || { echo "not built" >&2; exit 2; }
-exec target/review-stand-2 unsealed review/10
+exec target/review-stand-2 cut review/10
