Stop runs whose engines don't hear of the end of an exchange

Cause: the end of a connection was taken for the end of the run. Over a connection that has gone silent the engine doesn't hear of it.

Change: an exchange knows how long nothing has arrived. After 1 s a moved run is stopped by an order over another connection before it goes on. After a stall, or when the probes of the connection fail, the engine is asked whether it works on, and the run is stopped and moved with its memory. An engine that has made events which haven't arrived for 2 s is left. RunCopy says whether the source has stopped, and reports of runs have their number of events. Closing plain calls stays as it is: nothing stops a call.

Evidence: "A run whose connection has gone silent, while new ones work", 4 specs, each failed before (1 s after the move the source went on; no move within 7 s).

Cost: an order for each run that moves while its engine is silent; a question each 0.5 s for each stream silent for 2 s; 300 ms before a run whose engine is dark is resumed.

--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -137,6 +138,7 @@
 // write sends the request. A body longer than maxInlineBodyBytes is written in
 // the background while the response is read, as the upstream may answer early.
 func (x *Exchange) write(call *Call) error {
+	x.conn.headLimit.arrivals.restart()
 	var head bytes.Buffer
 	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	header := call.Header
@@ -223,6 +225,13 @@
 	}
 }
 
+// Silence returns how long nothing has arrived from the upstream, and whether a read waits for
+// more. If none does, bytes that have arrived may not be read yet.
+func (x *Exchange) Silence(now time.Time) (silence time.Duration, awaited bool) {
+	arrivals := &x.conn.headLimit.arrivals
+	return arrivals.silence(now), arrivals.waiting.Load()
+}
+
 // Finish ends an exchange whose Body was read to its end. It returns the
 // connection to the pool if the request was written completely, no bytes follow
 // the response and the connection may stay open; otherwise it closes it.
--- a/connkeeper/headlimiter.go
+++ b/connkeeper/headlimiter.go
@@ -23,13 +23,17 @@
 	return errors.Is(err, ErrHeadTooLong) || errors.Is(err, ErrUnrelatedResponse)
 }
 
-// headLimiter fails once remaining bytes were read, unless that is unlimited.
+// headLimiter fails once remaining bytes were read, unless that is unlimited. It notes when bytes
+// arrive.
 type headLimiter struct {
 	source    io.Reader
 	remaining int
+	arrivals  arrivalClock
 }
 
 func (l *headLimiter) Read(b []byte) (int, error) {
+	l.arrivals.waiting.Store(true)
+	defer l.arrivals.noteRead()
 	if l.remaining == unlimited {
 		return l.source.Read(b)
 	}
--- a/connkeeper/pool.go
+++ b/connkeeper/pool.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	limiter := &headLimiter{source: raw, remaining: unlimited}
+	limiter := &headLimiter{source: raw, remaining: unlimited, arrivals: arrivalClock{now: p.now}}
 	return &conn{Conn: raw, headLimit: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), upstream: upstream}, nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,8 +103,9 @@
 	// of a time of Options.Now; 0 if it never did.
 	configuredAt atomic.Int64
 	inFlight     atomic.Int64
-	// relocatedAt is when relocateRuns last looked for runs; only Tick uses it.
-	relocatedAt time.Time
+	// relocatedAt is when relocateRuns last looked for runs, and silenceCheckedAt when
+	// moveSilent did; only Tick uses them.
+	relocatedAt, silenceCheckedAt time.Time
 	// requests bounds the request bodies that are held, and responses the response bodies
 	// that are read whole.
 	requests, responses *bodyBuffer
@@ -123,6 +124,7 @@
 	served, refused, failed, clientDisconnects metrics.Counter
 	retries, generationsMoved, generationsLost metrics.Counter
 	movesUnanswered, unrelatedResponses        metrics.Counter
+	runsStoppedUnheard                         metrics.Counter
 	crashesRecorded, crashesLearned            metrics.Counter
 	requestsBlocked, rateLimitChanges          metrics.Counter
 	leavingNotices, pauses, refusedPaused      metrics.Counter
@@ -183,6 +185,7 @@
 		generationsMoved:   metrics.NewRegisteredCounter("generations-moved", r),
 		generationsLost:    metrics.NewRegisteredCounter("generations-lost", r),
 		movesUnanswered:    metrics.NewRegisteredCounter("moves-unanswered", r),
+		runsStoppedUnheard: metrics.NewRegisteredCounter("runs-stopped-unheard", r),
 		unrelatedResponses: metrics.NewRegisteredCounter("unrelated-responses", r),
 		crashesRecorded:    metrics.NewRegisteredCounter("crashes-recorded", r),
 		crashesLearned:     metrics.NewRegisteredCounter("crashes-learned", r),
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -10,6 +10,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/sleeper"
+	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
 const (
@@ -56,20 +57,35 @@
 		go s.freeSpare(spare)
 		return
 	}
-	<-spare.done
-	if ctx.Err() != nil {
-		s.freeSpare(spare)
+	if !s.awaitSpare(ctx, spare, a.fields) {
 		return
 	}
-	if spare.err != nil {
-		s.log("run lost: no spare engine has its memory", append(a.fields, zap.Error(spare.err))...)
-		return
-	}
-	if !s.awaitRunEnd(wait, a) {
+	if !s.awaitRunEnd(wait, a.choice.View, a.sentAt) {
 		s.log("run lost: the target of the move may still run it", a.fields...)
 		s.freeSpare(spare)
 		return
 	}
+	s.resumeAtSpare(ctx, wait, from, spare)
+}
+
+// awaitSpare waits until the memory of a run is at a spare engine. It returns false if it isn't,
+// or if nobody waits for the run any longer.
+func (s *stream) awaitSpare(ctx context.Context, spare *spareCopy, fields []zap.Field) bool {
+	<-spare.done
+	if ctx.Err() != nil {
+		s.freeSpare(spare)
+		return false
+	}
+	if spare.err != nil {
+		s.log("run lost: no spare engine has its memory", append(fields, zap.Error(spare.err))...)
+		return false
+	}
+	return true
+}
+
+// resumeAtSpare lets the client's stream go on at a spare engine, which has until wait is done
+// to respond.
+func (s *stream) resumeAtSpare(ctx, wait context.Context, from *upstreamStream, spare *spareCopy) {
 	next := s.startResume(ctx, spare.choice, spare.copied, moveFields(from, spare.choice))
 	if !s.awaitTarget(wait, from, next, nil) {
 		s.log("run lost: the spare engine didn't resume it", next.fields...)
@@ -77,20 +93,20 @@
 	}
 }
 
-// stopAtSource makes the source stop the run, keep its memory and copy that to an engine
-// other than the target. It returns at once. The connection to the source is closed if
+// stopAtSource makes the source stop the run, keep its memory and copy that to another engine,
+// but to none of those given. It returns at once. The connection to the source is closed if
 // the source doesn't stop the run by itself.
-func (s *stream) stopAtSource(from *upstreamStream, target currantwood.UpstreamID) *spareCopy {
+func (s *stream) stopAtSource(from *upstreamStream, unusable ...currantwood.UpstreamID) *spareCopy {
 	from.handedOver.Store(true)
 	spare := &spareCopy{ready: make(chan struct{}), done: make(chan struct{})}
-	exclude := []currantwood.UpstreamID{from.view.ID, target}
+	exclude := append(unusable, from.view.ID)
 	spare.choice, spare.err = s.pickMoveTarget(from, exclude)
 	if spare.err == nil && !s.g.takeRetryBudget(s.g.Now(), s.group, s.g.moveReason(from.view)) {
 		s.recordEnd(spare.choice.View, s.moveLoad(), balancer.Neutral)
 		spare.err = errBudgetExhausted
 	}
 	if spare.err != nil {
-		from.exchange.Abort()
+		s.endAtSource(from)
 		close(spare.done)
 		return spare
 	}
@@ -117,15 +133,16 @@
 	return s.continueAt(from, a, <-a.result)
 }
 
-// awaitRunEnd waits until the target of a, the exchange with which has ended, reports that
-// it doesn't run the request. It returns false if that isn't known before ctx is done.
-func (s *stream) awaitRunEnd(ctx context.Context, a *resumeAttempt) bool {
+// awaitRunEnd waits until an engine, to which the request was sent or which was told to stop it
+// at a moment, reports that it doesn't run the request. It returns false if that isn't known
+// before ctx is done.
+func (s *stream) awaitRunEnd(ctx context.Context, view upstreamkeeper.View, since time.Time) bool {
 	// A report that is older than the run doesn't have it.
-	if !sleeper.Sleep(ctx, a.sentAt.Add(stateLag).Sub(s.g.Now())) {
+	if !sleeper.Sleep(ctx, since.Add(stateLag).Sub(s.g.Now())) {
 		return false
 	}
 	for {
-		if s.g.hasEndedRun(a.choice.View, s.client.ID, runEndQuestionTimeout) {
+		if s.g.hasEndedRun(view, s.client.ID, runEndQuestionTimeout) {
 			return true
 		}
 		if !sleeper.Sleep(ctx, runEndInterval) {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -226,5 +226,9 @@
 		s.freeCopy(copied)
 		return true
 	}
+	if silence, _ := from.exchange.Silence(s.g.Now()); silence >= silenceTimeout {
+		s.resumeSilent(ctx, from, choice, copied, append(fields, zap.Duration("silence", silence)))
+		return true
+	}
 	return s.resumeAt(ctx, from, s.startResume(ctx, choice, copied, fields))
 }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -129,7 +128,8 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return state.Incarnation != view.Incarnation || !slices.Contains(state.Runs, id)
+	_, runs := state.FindRun(id)
+	return state.Incarnation != view.Incarnation || !runs
 }
 
 // continueAt lets the client's stream go on at the engine of a if r says that it resumes
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -162,6 +162,9 @@
 			s.recordDisconnect(choice)
 			return false
 		}
+		if unheard(err) && !unsent(err) && s.ctx.Err() == nil {
+			s.stopRun(choice.View)
+		}
 		s.log("upstream attempt failed", zap.String("upstream", string(choice.View.ID)), zap.Error(err), zap.Float64("score", choice.Score))
 		if s.possibleRuns > 0 {
 			final = &gatewayResponse{status: http.StatusBadGateway, reason: "upstream failed"}
@@ -225,6 +228,9 @@
 			s.finishResponse(up)
 			return nil
 		}
+		if broken && unheard(err) && s.switchTo(up, s.moveFromUnheard(up)) {
+			continue
+		}
 		if broken && !up.handedOver.Load() {
 			s.recordBrokenBody(err, up.failure(s.ctx))
 		}
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -126,6 +126,7 @@
 	g.logEndedPauses(now)
 	g.expireEvacuations(now)
 	g.relocateRuns(now)
+	g.moveSilent(now)
 	g.refreshLosses(now)
 	g.boundIdleConnections()
 	g.Connections.CloseExpired(now)
--- a/moves.go
+++ b/moves.go
@@ -1,6 +1,7 @@
 package currantwood
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,8 @@
 	Handle string
 	// SourceLeaving is whether the source said that it is about to shut down.
 	SourceLeaving bool
+	// SourceStopped is whether the source said that it doesn't run the request any more.
+	SourceStopped bool
 }
 
 // ErrNoRoom means that an engine refused a copy or could not place it, which may be
@@ -28,8 +31,25 @@
 	Leaving bool
 	// WarmUp is what the response with the state says of the upstream's warm-up.
 	WarmUp WarmUp
-	// Runs are the requests that the upstream works on; empty if it doesn't tell.
-	Runs []RequestID
+	// Runs are the runs that the upstream works on; empty if it doesn't tell.
+	Runs []RunState
+}
+
+// FindRun returns the run of a request and whether the upstream works on it.
+func (s UpstreamState) FindRun(id RequestID) (RunState, bool) {
+	at := slices.IndexFunc(s.Runs, func(r RunState) bool { return r.Request == id })
+	if at < 0 {
+		return RunState{}, false
+	}
+	return s.Runs[at], true
+}
+
+// RunState is what an engine reports about a run.
+type RunState struct {
+	Request RequestID
+	// Events is the number of events that the run has generated; 0 if the engine doesn't
+	// tell.
+	Events int64
 }
 
 // StateReader reads the state that upstreams report about themselves.
@@ -53,8 +73,9 @@
 // for a request; its key-value cache is what is copied.
 type RunMover interface {
 	// Copy carries out an order and returns when the copy is complete. It fails with
-	// ErrNoRoom if another target, or a later attempt, may succeed. SourceLeaving of the
-	// copy is valid also if it fails.
+	// ErrNoRoom if another target, or a later attempt, may succeed. SourceLeaving and
+	// SourceStopped of the copy are valid also if it fails. If it has stopped a run whose
+	// copy found no room, Handle is valid, too: the source keeps the memory.
 	Copy(order CopyOrder, timeout time.Duration) (RunCopy, error)
 	// Drop frees an unused copy.
 	Drop(copied RunCopy, timeout time.Duration) error
