Take a gap between reads for an outage of the store only if a read failed

The gateway that reads the directory for all was cut off from the store, no other one.

Cause: a gateway that had heard no records for more than 1.2 s took a missing record for one that had expired while the store was away, and waited 2 s for its return. It couldn't tell an outage of the store from the loss of its reader. The log shows "lapsed" 1.1 s after the removal and "removed" 2 s later; that it is heard too late, or that an older record revives the upstream, is ruled out.

Change: a gap counts only if a read failed in it, here or at the gateway whose digest ends it (digests say how long ago one failed; older gateways are taken to have failed), and if it is long enough for a record to expire, by the heartbeat in the settings. The record of what a peer has read is a type. The storewatcher's specs of outages name the failed read, which was tacit before; a table has the cases with and without one.

Cost: about ten bytes a digest.

--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -20,6 +20,9 @@
 	ListenReady    string
 	ListenOperator string
 	StoreAddress   string
+	// UpstreamHeartbeat is about how often an upstream writes its record; 0 if the settings
+	// don't say.
+	UpstreamHeartbeat time.Duration
 	// Seeds are the addresses, host:port, of a few other VMs with which the gateway
 	// exchanges state at first. Only the host is used; the port is PeerPort.
 	Seeds []string
--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -12,6 +12,15 @@
 	"github.com/currantwood/currantwood/streamencoder"
 )
 
+const (
+	// expiryHeartbeats is after how many heartbeats without one the record of an upstream
+	// expires.
+	expiryHeartbeats = 3
+	// minOutageShare is the share of that time for which the store must be away before a
+	// record can expire: the last heartbeat came before, by an interval or somewhat more.
+	minOutageShare = 0.5
+)
+
 // configurationFeed returns the feed of the topic that holds the configuration.
 func (p *Process) configurationFeed() storewatcher.Feed {
 	applyAll := func(records []currantwood.KeyedRecord) {
@@ -85,6 +94,7 @@
 		OnRead:        p.peers.NoteDirectoryRead,
 		OnEraRise:     p.countEraRise,
 		OnCurrentAsOf: func(time.Time) {},
+		MinOutage:     time.Duration(minOutageShare * float64(expiryHeartbeats*p.options.Settings.UpstreamHeartbeat)),
 		OnOutageEnd:   p.gateway.DirectoryRecovered,
 		Stale:         func(time.Time) bool { return false },
 		PeerCoverage: func(now time.Time) (time.Time, bool) {
--- a/keyed.go
+++ b/keyed.go
@@ -56,3 +56,15 @@
 	// added, or may be added later.
 	Append(ctx context.Context, topic string, records []KeyedRecord) error
 }
+
+// PeerRead is what another gateway has read of a topic.
+type PeerRead struct {
+	// ReadAt is when that gateway last had all records; zero if it isn't known.
+	ReadAt time.Time
+	// FailedAt is when a read by that gateway last failed; zero if none has.
+	FailedAt time.Time
+	// Records are those in the offset range [From, Next) of an era that say something new.
+	Era        StoreEra
+	From, Next Offset
+	Records    []KeyedRecord
+}
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -120,7 +120,7 @@
 	sentLoads   balancer.Loads
 	stateSentAt time.Time
 	// records are the directory's records from firstOffset up to nextOffset
-	// that caused an event.
+	// that say something new.
 	firstOffset currantwood.Offset
 	nextOffset  currantwood.Offset
 	// recordsEra is the era of the store to which these offsets belong.
--- a/peerkeeper/records.go
+++ b/peerkeeper/records.go
@@ -13,7 +13,7 @@
 }
 
 // RetainRecords keeps records of the directory for peers. changed are the
-// records in the offset range [from, next) that caused an event. If from
+// records in the offset range [from, next) that say something new. If from
 // isn't the end of the previous range in the same era of the store, the records kept so far are discarded.
 // So are those up to one that is too long for a digest: gateways that lack it read the
 // directory themselves.
--- a/peermessenger/configuration.go
+++ b/peermessenger/configuration.go
@@ -123,7 +123,7 @@
 	offset := currantwood.Offset(a.GetOffset())
 	record := currantwood.KeyedRecord{Offset: offset, Key: a.GetKey(), Value: value}
 	// The newest record of the key replaces all before it, so the range may begin anywhere.
-	applied := m.configurationTopic.ApplyPeerRecords(now, time.Time{}, currantwood.StoreEra(a.GetStoreEra()), 0, offset+1, []currantwood.KeyedRecord{record})
+	applied := m.configurationTopic.ApplyPeerRecords(now, currantwood.PeerRead{Era: currantwood.StoreEra(a.GetStoreEra()), Next: offset + 1, Records: []currantwood.KeyedRecord{record}})
 	if !applied {
 		return errors.Errorf("record of era %d, offset %d doesn't follow what is known", a.GetStoreEra(), offset)
 	}
--- a/peermessenger/configuration_test.go
+++ b/peermessenger/configuration_test.go
@@ -24,11 +24,11 @@
 
 func (t *recordingTopic) Kick() { t.reads++ }
 
-func (t *recordingTopic) ApplyPeerRecords(_, readAt time.Time, era currantwood.StoreEra, _, _ currantwood.Offset, records []currantwood.KeyedRecord) bool {
-	if era != 2 {
+func (t *recordingTopic) ApplyPeerRecords(_ time.Time, read currantwood.PeerRead) bool {
+	if read.Era != 2 {
 		return false
 	}
-	t.applied, t.readAt = append(t.applied, records...), readAt
+	t.applied, t.readAt = append(t.applied, read.Records...), read.ReadAt
 	return true
 }
 
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/budgeter"
@@ -121,11 +123,13 @@
 		Configuration:      uint64(m.Configuration.Version()),
 		ConfigurationAgeUs: age.Microseconds(),
 		DirectoryAgeUs:     m.directoryTopic.Age(now).Microseconds(),
-		Loads:              encodeLoads(m.peers.LoadsExcept(loads, peer.VM)),
-		Gateways:           uint32(m.peers.CountGateways(now)),
-		Established:        uint32(m.peers.CountEstablished(now)),
-		StoreEra:           uint64(m.directoryTopic.Era()),
-		Uses:               encodeRetryUsage(m.peers.TotalUsage(now, m.retryWindow(), peer.VM, usage)),
+		// The age of a time that is zero is the longest duration.
+		DirectoryFailedAgeUs: proto.Int64(now.Sub(m.directoryTopic.FailedAt()).Microseconds()),
+		Loads:                encodeLoads(m.peers.LoadsExcept(loads, peer.VM)),
+		Gateways:             uint32(m.peers.CountGateways(now)),
+		Established:          uint32(m.peers.CountEstablished(now)),
+		StoreEra:             uint64(m.directoryTopic.Era()),
+		Uses:                 encodeRetryUsage(m.peers.TotalUsage(now, m.retryWindow(), peer.VM, usage)),
 	}
 	known := m.peers.KnownOffset(peer.VM)
 	era := m.peers.LastState(peer.VM).Era
@@ -169,10 +173,18 @@
 	for _, r := range d.GetRecords() {
 		records = append(records, currantwood.KeyedRecord{Offset: currantwood.Offset(r.GetOffset()), Key: r.GetKey(), Value: r.GetValue()})
 	}
-	// The transit time is unknown and isn't subtracted, so readAt is too late by
-	// as much.
-	readAt := now.Add(-time.Duration(d.GetDirectoryAgeUs()) * time.Microsecond)
-	if m.directoryTopic.ApplyPeerRecords(now, readAt, currantwood.StoreEra(d.GetStoreEra()), currantwood.Offset(d.GetFrom()), currantwood.Offset(d.GetNext()), records) {
+	// The transit time is unknown and isn't subtracted, so the times are too late by as
+	// much.
+	read := currantwood.PeerRead{
+		ReadAt: now.Add(-time.Duration(d.GetDirectoryAgeUs()) * time.Microsecond),
+		Era:    currantwood.StoreEra(d.GetStoreEra()), From: currantwood.Offset(d.GetFrom()), Next: currantwood.Offset(d.GetNext()), Records: records,
+	}
+	// An older gateway doesn't say whether its reads failed: they may have.
+	read.FailedAt = read.ReadAt
+	if d.DirectoryFailedAgeUs != nil {
+		read.FailedAt = now.Add(-time.Duration(d.GetDirectoryFailedAgeUs()) * time.Microsecond)
+	}
+	if m.directoryTopic.ApplyPeerRecords(now, read) {
 		m.mu.Lock()
 		m.directoryCoveredAt = now
 		m.mu.Unlock()
--- a/peermessenger/interfaces.go
+++ b/peermessenger/interfaces.go
@@ -112,9 +112,12 @@
 	Age(now time.Time) time.Duration
 	// Era returns the era of the store to which the position belongs.
 	Era() currantwood.StoreEra
-	// ApplyPeerRecords applies records that a peer read at readAt. It returns
-	// false if they don't follow what is known.
-	ApplyPeerRecords(now, readAt time.Time, era currantwood.StoreEra, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool
+	// FailedAt returns when a read of the topic by this process last failed; zero if none
+	// has.
+	FailedAt() time.Time
+	// ApplyPeerRecords applies records that a peer read. It returns false if they don't
+	// follow what is known.
+	ApplyPeerRecords(now time.Time, read currantwood.PeerRead) bool
 	// Kick requests a read, even while a peer reads the topic.
 	Kick()
 	// Reachable reports whether this process's latest own read of the store
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -152,7 +152,7 @@
 }
 
 // NoteDirectoryRead notes a read of the directory by this gateway. changed are
-// the records in the offset range [from, next) that caused an event; if there
+// the records in the offset range [from, next) that say something new; if there
 // are any and this gateway is the collector, it sends digests at once. era is that of
 // the store.
 func (m *Messenger) NoteDirectoryRead(now time.Time, era currantwood.StoreEra, from, next currantwood.Offset, changed []currantwood.KeyedRecord) {
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -88,7 +88,8 @@
 func (idleTopic) Age(time.Time) time.Duration  { return 0 }
 func (idleTopic) Kick()                        {}
 func (idleTopic) Reachable() bool              { return false }
-func (idleTopic) ApplyPeerRecords(_, _ time.Time, _ currantwood.StoreEra, _, _ currantwood.Offset, _ []currantwood.KeyedRecord) bool {
+func (idleTopic) FailedAt() time.Time          { return time.Time{} }
+func (idleTopic) ApplyPeerRecords(time.Time, currantwood.PeerRead) bool {
 	return false
 }
 
--- a/storewatcher/feed.go
+++ b/storewatcher/feed.go
@@ -18,10 +18,10 @@
 	// records.
 	Replace func(now time.Time, records []currantwood.KeyedRecord)
 	// Apply takes the records that follow those taken before, and returns those
-	// that caused an event, for OnRead.
+	// that say something new, for OnRead.
 	Apply func(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord
 	// OnRead is called after each read from the store with the records in the
-	// offset range [from, next) that caused an event. After a read of the
+	// offset range [from, next) that say something new. After a read of the
 	// newest records, from equals next and changed is empty.
 	OnRead func(now time.Time, era currantwood.StoreEra, from, next currantwood.Offset, changed []currantwood.KeyedRecord)
 	// OnOwnRead is called before Replace or Apply takes the records of a read by this
@@ -35,8 +35,11 @@
 	// was sent: the records held now include everything written before that
 	// time.
 	OnCurrentAsOf func(at time.Time)
+	// MinOutage is how long the store must be away before a record can expire meanwhile; 0
+	// if that isn't known.
+	MinOutage time.Duration
 	// OnOutageEnd is called before the next records are applied when the topic
-	// can be read again after an outage.
+	// can be read again after an outage, which is a gap between reads in which reads failed.
 	OnOutageEnd func(now time.Time)
 	// Stale reports whether the records held are too old, so that reads must
 	// not wait for new ones.
--- a/storewatcher/read.go
+++ b/storewatcher/read.go
@@ -67,7 +67,7 @@
 	now := w.now()
 	w.mu.Lock()
 	newer := recordsFrom(w.next, batch.Records)
-	w.markCurrent(now)
+	w.markCurrent(now, time.Time{})
 	start := max(from, w.next)
 	w.next = max(w.next, batch.Next)
 	w.noteOwnRead(now, Read{Era: w.era, From: from, Next: batch.Next, Records: batch.Records})
@@ -100,7 +100,7 @@
 	if rose {
 		w.handleEraRise(now, sent, batch)
 	}
-	w.markCurrent(now)
+	w.markCurrent(now, time.Time{})
 	w.next, w.positionKnown, w.readAll, w.era = batch.Next, true, false, max(w.era, batch.Era)
 	w.noteOwnRead(now, Read{Whole: true, Era: w.era, Next: batch.Next, Records: batch.Records})
 	w.feed.Replace(now, batch.Records)
@@ -160,6 +160,7 @@
 func (w *Watcher) recordFailure(err error) {
 	now := w.now()
 	w.mu.Lock()
+	w.failedAt = now
 	w.consecutiveFailures++
 	sinceSuccess := now.Sub(w.lastSuccess)
 	becameUnreachable := !w.declaredUnreachable && (sinceSuccess >= unreachableThreshold || w.consecutiveFailures > 1)
--- a/storewatcher/watcher.go
+++ b/storewatcher/watcher.go
@@ -29,8 +29,8 @@
 	// Before that, it takes two in a row.
 	unreachableThreshold = 700 * time.Millisecond
 	// outageThreshold is how long a topic may go without a read, here or by a
-	// peer, in addition to Feed.Wait. After a longer gap, a record that is missing may
-	// have expired only because its writer couldn't reach the store.
+	// peer, in addition to Feed.Wait. After a longer gap in which reads failed, a record that
+	// is missing may have expired only because its writer couldn't reach the store.
 	outageThreshold = 1200 * time.Millisecond
 	// coverageCheckInterval is the time between two checks whether a peer
 	// still reads the topic.
@@ -69,6 +69,8 @@
 	// consecutiveFailures is the number of failed reads since the last successful
 	// one.
 	consecutiveFailures int
+	// failedAt is when a read last failed; zero if none has.
+	failedAt time.Time
 	// takeOverAt is when this process reads the topic although a peer did so at the last
 	// check; zero if none did. Only the goroutine that reads uses it.
 	takeOverAt time.Time
@@ -112,26 +114,31 @@
 	return now.Sub(w.currentAt)
 }
 
-// ApplyPeerRecords applies records that a peer read at readAt. They are those in
-// the offset range [from, next) that caused an event at the peer. It returns
-// false if the topic isn't known yet, the range leaves a gap or is of another era. A
-// later era also requests a read of its own.
-func (w *Watcher) ApplyPeerRecords(now, readAt time.Time, era currantwood.StoreEra, from, next currantwood.Offset, records []currantwood.KeyedRecord) bool {
+// FailedAt returns when a read by this process last failed; zero if none has.
+func (w *Watcher) FailedAt() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if era > w.era {
+	return w.failedAt
+}
+
+// ApplyPeerRecords applies records that a peer read. It returns false if the topic isn't
+// known yet, their range leaves a gap or is of another era. A later era also requests a read
+// of its own.
+func (w *Watcher) ApplyPeerRecords(now time.Time, read currantwood.PeerRead) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if read.Era > w.era {
 		w.Kick()
 	}
-	if !w.positionKnown || era != w.era || from > w.next {
+	if !w.positionKnown || read.Era != w.era || read.From > w.next {
 		return false
 	}
-	if next <= w.next {
-		w.markCurrent(readAt)
+	w.markCurrent(read.ReadAt, read.FailedAt)
+	if read.Next <= w.next {
 		return true
 	}
-	newer := recordsFrom(w.next, records)
-	w.markCurrent(readAt)
-	w.next = next
+	newer := recordsFrom(w.next, read.Records)
+	w.next = read.Next
 	w.feed.Apply(now, newer)
 	return true
 }
@@ -148,16 +155,22 @@
 }
 
 // markCurrent notes that this process had all records of the topic at a time, by
-// its own read or a peer's. It informs the feed of the end of an outage before
-// the records written during it are applied. Called with mu held.
-func (w *Watcher) markCurrent(at time.Time) {
+// its own read or that of a peer, whose reads last failed at peerFailedAt. It informs the feed
+// of the end of an outage before the records written during it are applied. Called with mu held.
+//
+// A gap between reads isn't an outage of the store by itself: the gateway that reads for this one
+// may have been the only one that lost the store. One whose read failed in the gap knows more.
+func (w *Watcher) markCurrent(at, peerFailedAt time.Time) {
 	if at.Before(w.currentAt) {
 		return
 	}
-	outage := at.Sub(w.currentAt)
-	if !w.currentAt.IsZero() && outage > outageThreshold+w.feed.Wait {
-		w.logger.Info("records available again after an outage", zap.String("feed", w.feed.Name), zap.Duration("without", outage))
-		w.feed.OnOutageEnd(at)
+	gap := at.Sub(w.currentAt)
+	if !w.currentAt.IsZero() && gap > max(outageThreshold, w.feed.MinOutage)+w.feed.Wait {
+		failed := w.failedAt.After(w.currentAt) || peerFailedAt.After(w.currentAt)
+		w.logger.Info("records available again after a gap", zap.String("feed", w.feed.Name), zap.Duration("without", gap), zap.Bool("reads-failed", failed))
+		if failed {
+			w.feed.OnOutageEnd(at)
+		}
 	}
 	w.currentAt = at
 }
@@ -242,7 +255,7 @@
 	readAt, covered := w.feed.PeerCoverage(w.now())
 	if covered {
 		w.mu.Lock()
-		w.markCurrent(readAt)
+		w.markCurrent(readAt, time.Time{})
 		w.mu.Unlock()
 	}
 	return covered
--- a/storewatcher/watcher_test.go
+++ b/storewatcher/watcher_test.go
@@ -114,6 +114,11 @@
 	return b
 }
 
+// peerRead returns what a peer read at a time, after a read that had failed just before.
+func peerRead(at time.Time, era currantwood.StoreEra, from, next currantwood.Offset, records []currantwood.KeyedRecord) currantwood.PeerRead {
+	return currantwood.PeerRead{ReadAt: at, FailedAt: at.Add(-time.Millisecond), Era: era, From: from, Next: next, Records: records}
+}
+
 // succeedWith returns a read result without an error.
 func succeedWith(b currantwood.KeyedRecordBatch) func() (currantwood.KeyedRecordBatch, error) {
 	return func() (currantwood.KeyedRecordBatch, error) { return b, nil }
@@ -125,6 +130,12 @@
 		DeferCleanup(cancel)
 		return New(ctx, s, zap.NewNop(), time.Now, newFeed(l, covered))
 	}
+	startFeed := func(s *scriptedStore, feed Feed) *Watcher {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		return New(ctx, s, zap.NewNop(), time.Now, feed)
+	}
+
 	never := func() bool { return false }
 
 	It("starts with the newest records and reads the following ones", func() {
@@ -176,7 +187,7 @@
 		w := New(ctx, s, zap.NewNop(), time.Now, feed)
 		Eventually(s.readWaits).ShouldNot(BeEmpty())
 		now := time.Now()
-		Expect(w.ApplyPeerRecords(now, now, 0, 0, 12, batch(12, "c").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(now, peerRead(now, 0, 0, 12, batch(12, "c").Records))).To(BeTrue())
 		close(release)
 		Eventually(l.all).Should(Equal([]string{"true 0 10", "read a", "false 10 13", "read b", "read c", "read d"}))
 	})
@@ -197,9 +208,9 @@
 		w := start(s, l, func() bool { return true })
 		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
 		now := time.Now()
-		Expect(w.ApplyPeerRecords(now, now, 0, 11, 12, batch(12, "gap").Records)).To(BeFalse())
-		Expect(w.ApplyPeerRecords(now, now, 0, 9, 12, batch(12, "old", "b", "c").Records)).To(BeTrue())
-		Expect(w.ApplyPeerRecords(now, now, 0, 9, 12, batch(12, "old", "b", "c").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(now, peerRead(now, 0, 11, 12, batch(12, "gap").Records))).To(BeFalse())
+		Expect(w.ApplyPeerRecords(now, peerRead(now, 0, 9, 12, batch(12, "old", "b", "c").Records))).To(BeTrue())
+		Expect(w.ApplyPeerRecords(now, peerRead(now, 0, 9, 12, batch(12, "old", "b", "c").Records))).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "apply b", "apply c"}))
 		Expect(w.Position()).To(Equal(currantwood.Offset(12)))
 	})
@@ -209,7 +220,45 @@
 		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(10, "a")}}
 		w := start(s, l, func() bool { return true })
 		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
-		Expect(w.ApplyPeerRecords(time.Now().Add(5*time.Second), time.Now().Add(5*time.Second), 0, 10, 11, batch(11, "b").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(time.Now().Add(5*time.Second), peerRead(time.Now().Add(5*time.Second), 0, 10, 11, batch(11, "b").Records))).To(BeTrue())
+		Expect(l.all()).To(Equal([]string{"replace a", "outage end", "apply b"}))
+	})
+
+	// Guards against a removal that counts as expired with the store away, though only the
+	// gateway that read for this one had lost it.
+	DescribeTable("takes a gap between reads for an outage only if the store may have been away for long enough",
+		func(gap, minOutage, failedBefore time.Duration, want []string) {
+			l := &callLog{}
+			s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(10, "a")}}
+			feed := newFeed(l, func() bool { return true })
+			feed.MinOutage = minOutage
+			w := startFeed(s, feed)
+			Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
+			at := time.Now().Add(gap)
+			read := peerRead(at, 0, 10, 11, batch(11, "b").Records)
+			read.FailedAt = at.Add(-failedBefore)
+			Expect(w.ApplyPeerRecords(at, read)).To(BeTrue())
+			Expect(l.all()).To(Equal(want))
+		},
+		Entry("a read of the peer failed", 5*time.Second, 2*time.Second, time.Second, []string{"replace a", "outage end", "apply b"}),
+		Entry("no read of the peer has failed", 5*time.Second, 2*time.Second, 100*time.Hour, []string{"replace a", "apply b"}),
+		Entry("none has failed since the last read", 5*time.Second, 2*time.Second, 6*time.Second, []string{"replace a", "apply b"}),
+		Entry("the gap is too short for records to expire", 1800*time.Millisecond, 2*time.Second, time.Second, []string{"replace a", "apply b"}),
+		Entry("it isn't known how long that takes", 1800*time.Millisecond, time.Duration(0), time.Second, []string{"replace a", "outage end", "apply b"}),
+	)
+
+	It("takes a gap for an outage if a read of its own has failed in it", func() {
+		l := &callLog{}
+		fails := func() (currantwood.KeyedRecordBatch, error) {
+			return currantwood.KeyedRecordBatch{}, errors.New("store unreachable")
+		}
+		var covered atomic.Bool
+		s := &scriptedStore{newestBatches: []currantwood.KeyedRecordBatch{batch(10, "a")}, readResults: []func() (currantwood.KeyedRecordBatch, error){fails}}
+		w := startFeed(s, newFeed(l, covered.Load))
+		Eventually(w.FailedAt).ShouldNot(BeZero())
+		covered.Store(true)
+		at := time.Now().Add(5 * time.Second)
+		Expect(w.ApplyPeerRecords(at, currantwood.PeerRead{ReadAt: at, From: 10, Next: 11, Records: batch(11, "b").Records})).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "outage end", "apply b"}))
 	})
 
@@ -220,11 +269,11 @@
 		Eventually(w.Position).Should(Equal(currantwood.Offset(10)))
 		read := time.Now()
 		for ms := range 20 {
-			Expect(w.ApplyPeerRecords(read.Add(time.Duration(ms)*100*time.Millisecond), read, 0, 10, 10, nil)).To(BeTrue())
+			Expect(w.ApplyPeerRecords(read.Add(time.Duration(ms)*100*time.Millisecond), peerRead(read, 0, 10, 10, nil))).To(BeTrue())
 		}
 		Expect(w.Age(read.Add(1900 * time.Millisecond))).To(Equal(1900 * time.Millisecond))
 		later := read.Add(1900 * time.Millisecond)
-		Expect(w.ApplyPeerRecords(later, later, 0, 10, 11, batch(11, "b").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(later, peerRead(later, 0, 10, 11, batch(11, "b").Records))).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "outage end", "apply b"}))
 	})
 
@@ -236,7 +285,7 @@
 		// Long enough for several checks whether the peer reads.
 		time.Sleep(outageThreshold + 200*time.Millisecond)
 		now := time.Now()
-		Expect(w.ApplyPeerRecords(now, now, 0, 10, 11, batch(11, "b").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(now, peerRead(now, 0, 10, 11, batch(11, "b").Records))).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "outage end", "apply b"}))
 	})
 
@@ -287,9 +336,9 @@
 		Eventually(w.Era).Should(BeEquivalentTo(2))
 		Expect(w.Position()).To(BeEquivalentTo(7))
 		now := time.Now()
-		Expect(w.ApplyPeerRecords(now, now, 1, 7, 9, batch(9, "x", "y").Records)).To(BeFalse())
-		Expect(w.ApplyPeerRecords(now, now, 3, 7, 9, batch(9, "x", "y").Records)).To(BeFalse())
-		Expect(w.ApplyPeerRecords(now, now, 2, 7, 8, batch(8, "z").Records)).To(BeTrue())
+		Expect(w.ApplyPeerRecords(now, peerRead(now, 1, 7, 9, batch(9, "x", "y").Records))).To(BeFalse())
+		Expect(w.ApplyPeerRecords(now, peerRead(now, 3, 7, 9, batch(9, "x", "y").Records))).To(BeFalse())
+		Expect(w.ApplyPeerRecords(now, peerRead(now, 2, 7, 8, batch(8, "z").Records))).To(BeTrue())
 		Expect(l.all()).To(Equal([]string{"replace a", "era 2", "outage end", "replace copy", "apply z"}))
 	})
 
@@ -305,12 +354,6 @@
 		Eventually(l.all, "2s").Should(ContainElement("apply b"))
 	})
 
-	startFeed := func(s *scriptedStore, feed Feed) *Watcher {
-		ctx, cancel := context.WithCancel(context.Background())
-		DeferCleanup(cancel)
-		return New(ctx, s, zap.NewNop(), time.Now, feed)
-	}
-
 	It("waits for another peer before it takes over", func() {
 		var uncovered atomic.Bool
 		feed := newFeed(&callLog{}, func() bool { return !uncovered.Load() })
