Hand on what a record says, also if the reader knows it already

Cause: the gateway that reads the directory for the others handed on only records that changed its own view. The next reader had asked the engine itself, so the record with its leaving changed nothing there, and the digest moved the others past it. A late read and a lost digest are ruled out by the log: "leaving" at the next reader 0.3 s after the report, at no other one.

Change: upstreamkeeper says whether a record is news against the record before it, whatever else is known of the upstream; such records are handed on. So are returns of a record at a gateway that knows of the leaving, and a new number of slots, which caused no event and was never handed on.

Cost: about 100 bytes a digest for a leaving that the reader knew.

--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -14,24 +14,26 @@
 // directory, all of them take longer than streams may pause.
 const recordsPerLock = 64
 
-// ApplyUpstreamRecords applies new records of the directory in order and
-// returns those that changed anything.
+// ApplyUpstreamRecords applies new records of the directory in order and returns those that
+// other gateways must hear of: they say something new, here or to a gateway that doesn't know
+// what the upstream has said itself.
 func (g *Gateway) ApplyUpstreamRecords(now time.Time, records []currantwood.KeyedRecord) []currantwood.KeyedRecord {
-	var changed []currantwood.KeyedRecord
+	var news []currantwood.KeyedRecord
 	var events []upstreamkeeper.Event
 	for part := range slices.Chunk(records, recordsPerLock) {
 		g.mu.Lock()
-		for i, record := range part {
-			if changes := g.upstreams.Apply(now, part[i:i+1]); len(changes) > 0 {
-				events = append(events, changes...)
-				changed = append(changed, record)
+		for _, record := range part {
+			changes, isNews := g.upstreams.ApplyRecord(now, record)
+			events = append(events, changes...)
+			if isNews {
+				news = append(news, record)
 			}
 		}
 		g.mu.Unlock()
 	}
 	g.mu.Lock()
 	g.handleEventsAndUnlock(now, events)
-	return changed
+	return news
 }
 
 // ReplaceUpstreamRecords replaces the known upstreams by a full read of the
--- a/upstreamkeeper/keeper.go
+++ b/upstreamkeeper/keeper.go
@@ -52,12 +52,23 @@
 	view View
 	// removedAt is when the upstream was removed; zero while it isn't.
 	removedAt time.Time
+	// record is what the newest record said.
+	record recordState
 	// lapsedAt is when the record was found missing after an outage of the
 	// directory; zero while the record is present, and once the upstream is
 	// removed.
 	lapsedAt time.Time
 }
 
+// recordState is what the newest record of an upstream said, whatever else is known of it.
+type recordState struct {
+	// missing is whether there is none, and undecodable whether it can't be decoded. The
+	// fields below are then those of the record before.
+	missing, undecodable bool
+	leaving              bool
+	slots                int
+}
+
 // DecodeFunc decodes the value of an upstream's record.
 type DecodeFunc func(key string, value []byte) (currantwood.UpstreamRecord, error)
 
@@ -78,18 +89,38 @@
 // DirectoryRecovered notes that the directory can be read again after an outage.
 func (k *Keeper) DirectoryRecovered(now time.Time) { k.recoveredAt = now }
 
-// Apply applies records, which must be in the order in which they were written.
-// A record that repeats or precedes a known one, by its Incarnation and
-// Sequence, is ignored. A removal and an undecodable value have neither and
-// count as newest.
+// Apply is ApplyRecord for records in the order in which they were written.
 func (k *Keeper) Apply(now time.Time, records []currantwood.KeyedRecord) []Event {
 	var events []Event
 	for _, r := range records {
-		events = append(events, k.applyRecord(now, r)...)
+		changes, _ := k.ApplyRecord(now, r)
+		events = append(events, changes...)
 	}
 	return events
 }
 
+// ApplyRecord applies a record, which must follow those applied before. A record that repeats
+// or precedes a known one, by its Incarnation and Sequence, is ignored. A removal and an
+// undecodable value have neither and count as newest.
+//
+// news is whether the record says something that the one before didn't, apart from that the
+// upstream lives. It may be so without an event, if the upstream has said the same itself:
+// others haven't heard that.
+func (k *Keeper) ApplyRecord(now time.Time, r currantwood.KeyedRecord) (events []Event, news bool) {
+	id := currantwood.UpstreamID(r.Key)
+	before := k.recordOf(id)
+	events = k.applyRecord(now, r)
+	return events, len(events) > 0 || k.recordOf(id) != before
+}
+
+// recordOf returns what the newest record of an upstream said.
+func (k *Keeper) recordOf(id currantwood.UpstreamID) recordState {
+	if e := k.entries[id]; e != nil {
+		return e.record
+	}
+	return recordState{missing: true}
+}
+
 // RemoveMissing handles as missing the upstreams without a record in a complete set.
 func (k *Keeper) RemoveMissing(now time.Time, records []currantwood.KeyedRecord) []Event {
 	var events []Event
@@ -124,6 +155,7 @@
 		return nil
 	}
 	e.view.Sequence, e.view.Slots = record.Sequence, record.Slots
+	e.record = recordStateOf(record)
 	e.lapsedAt = time.Time{}
 	return append(e.noteWarmUp(now, record.WarmUp), k.applyNewer(now, e, record, lapsed)...)
 }
@@ -189,18 +221,26 @@
 	if record.Leaving {
 		view.LeavingSince, view.LeaveAnnounced = now, true
 	}
-	k.entries[record.ID] = &entry{view: view}
+	k.entries[record.ID] = &entry{view: view, record: recordStateOf(record)}
 	if old != nil {
 		return []Event{{Change: Restarted, Record: record}}
 	}
 	return []Event{{Change: Appeared, Record: record}}
 }
 
+func recordStateOf(record currantwood.UpstreamRecord) recordState {
+	return recordState{leaving: record.Leaving, slots: record.Slots}
+}
+
 // markUndecodable notes that the newest record of an upstream can't be
 // decoded.
 func (k *Keeper) markUndecodable(id currantwood.UpstreamID) []Event {
 	e := k.entries[id]
-	if e == nil || e.view.Undecodable {
+	if e == nil {
+		return nil
+	}
+	e.record.undecodable = true
+	if e.view.Undecodable {
 		return nil
 	}
 	e.view.Undecodable = true
@@ -212,7 +252,11 @@
 // unless the upstream is already leaving.
 func (k *Keeper) handleMissing(now time.Time, id currantwood.UpstreamID) []Event {
 	e := k.entries[id]
-	if e == nil || !e.removedAt.IsZero() || !e.lapsedAt.IsZero() {
+	if e == nil {
+		return nil
+	}
+	e.record.missing = true
+	if !e.removedAt.IsZero() || !e.lapsedAt.IsZero() {
 		return nil
 	}
 	if !k.recoveredAt.IsZero() && now.Before(k.recoveredAt.Add(lapseGracePeriod)) && e.view.LeavingSince.IsZero() {
--- a/upstreamkeeper/keeper_test.go
+++ b/upstreamkeeper/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,8 +15,8 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// decode decodes "state incarnation sequence", with state "ready" or "leaving". Any
-// other value is an error.
+// decode decodes "state incarnation sequence", with state "ready" or "leaving", and the number
+// of slots if that follows. Any other value is an error.
 func decode(key string, value []byte) (currantwood.UpstreamRecord, error) {
 	var state string
 	r := currantwood.UpstreamRecord{ID: currantwood.UpstreamID(key), Group: "g", Address: key + ":1"}
@@ -26,6 +27,11 @@
 		return r, errors.New("unknown state")
 	}
 	r.Leaving = state == "leaving"
+	if fields := strings.Fields(string(value)); len(fields) > 3 {
+		slots, err := strconv.Atoi(fields[3])
+		r.Slots = slots
+		return r, err
+	}
 	return r, nil
 }
 
@@ -136,6 +142,33 @@
 	)
 })
 
+// Guards against a record that isn't handed on to other gateways, since this one has heard the
+// same from the upstream itself.
+var _ = DescribeTable("A record is news if it says what the one before didn't",
+	func(before []string, record string, want bool) {
+		k := New(decode)
+		for _, action := range before {
+			perform(k, start, action)
+		}
+		_, news := k.ApplyRecord(start, parseRecord(record))
+		Expect(news).To(Equal(want))
+	},
+	Entry("a new upstream", nil, "a=ready 1 1", true),
+	Entry("a heartbeat", []string{"a=ready 1 1"}, "a=ready 1 2", false),
+	Entry("a heartbeat of an upstream that has said that it leaves", []string{"a=ready 1 1", "says a leaving 1"}, "a=ready 1 2", false),
+	Entry("an announcement", []string{"a=ready 1 1"}, "a=leaving 1 2", true),
+	Entry("one that the upstream has made itself", []string{"a=ready 1 1", "says a leaving 1"}, "a=leaving 1 2", true),
+	Entry("one that an earlier record made", []string{"a=ready 1 1", "a=leaving 1 2"}, "a=leaving 1 3", false),
+	Entry("a removal", []string{"a=ready 1 1"}, "a=", true),
+	Entry("a removal after an announcement", []string{"a=ready 1 1", "says a leaving 1"}, "a=", true),
+	Entry("a second removal", []string{"a=ready 1 1", "a="}, "a=", false),
+	Entry("a return of an upstream that had announced its leaving", []string{"a=ready 1 1", "says a leaving 1", "a="}, "a=ready 1 2", true),
+	Entry("an undecodable record", []string{"a=ready 1 1"}, "a=nonsense", true),
+	Entry("a second one", []string{"a=ready 1 1", "a=nonsense"}, "a=nonsense", false),
+	Entry("a new number of slots", []string{"a=ready 1 1 4"}, "a=ready 1 2 8", true),
+	Entry("an earlier record", []string{"a=ready 1 2"}, "a=leaving 1 1", false),
+)
+
 // perform executes the action of a step and returns the events.
 func perform(k *Keeper, now time.Time, action string) []Event {
 	switch {
