Take a reset that the write was told for the end of no response

What callers saw: part of a 200 without a length as a whole response: the upstream had reset the connection while a long upload was still being written.

Cause: the kernel reports a reset once. The write of the upload took it, and the read then found only the end of the connection, which ends a response without a length. That a reset is read as an end by itself is ruled out: where the read waits first it gets the error (20 of 20 calls).

Change: the end of such a response asks the write of the body; ECONNRESET there means that it isn't whole. An upstream that has ended its side first causes EPIPE: still whole.

Evidence: "isn't whole if the connection is reset" failed in 3 of 3 runs before; the three specs on early ends passed in 20 of 20 after, two of which guard upstreams that end in order.

Cost: none on the way.

--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -75,8 +75,8 @@
 	// Answer holds the parameters decoded from Status and Header.
 	Answer currantwood.UpstreamResponse
 	// Body of a response that has a length or is chunked ends with io.EOF only if
-	// it is complete. Any other response ends with the connection, so that its
-	// io.EOF doesn't show whether it is complete.
+	// it is complete. Any other response ends with the connection, and with io.EOF only if
+	// the upstream has ended that in order.
 	Body io.Reader
 	// Framed is whether Body has a length or is chunked.
 	Framed bool
@@ -89,10 +89,10 @@
 	address string
 	// closeAfter reports whether the connection must not be reused.
 	closeAfter bool
-	// bodyWritten receives the error, or nil, of writing the body. For a body of
-	// at most maxInlineBodyBytes it always receives nil, as Start returns the
-	// error.
-	bodyWritten chan error
+	// bodyWritten is closed when the write of the body has ended, with writeErr. For a body of
+	// at most maxInlineBodyBytes that is nil, as Start returns the error.
+	bodyWritten chan struct{}
+	writeErr    error
 	// stopCancelHook detaches the exchange from the context of Start.
 	stopCancelHook func() bool
 	// ended is true once the connection was closed or returned to the pool.
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, &connectError{upstream: call.Upstream, cause: err}
 	}
-	x := &Exchange{pool: p, conn: c, address: call.Address, bodyWritten: make(chan error, 1)}
+	x := &Exchange{pool: p, conn: c, address: call.Address, bodyWritten: make(chan struct{})}
 	x.stopCancelHook = context.AfterFunc(ctx, x.closeConn)
 	if err := x.mayBeSent(call); err != nil {
 		x.Abort()
@@ -152,15 +152,15 @@
 	if len(call.Body) <= maxInlineBodyBytes {
 		head.Write(call.Body)
 		_, err := x.conn.Write(head.Bytes())
-		x.bodyWritten <- nil
+		close(x.bodyWritten)
 		return errors.WithStack(err)
 	}
 	if _, err := x.conn.Write(head.Bytes()); err != nil {
 		return errors.WithStack(err)
 	}
 	go func() {
-		_, err := x.conn.Write(call.Body)
-		x.bodyWritten <- err
+		_, x.writeErr = x.conn.Write(call.Body)
+		close(x.bodyWritten)
 	}()
 	return nil
 }
@@ -191,6 +191,9 @@
 		if answer.Request == call.ID || unnamedRefusal && !x.conn.used && x.Unrelated == 0 {
 			x.Status, x.Header, x.Answer = response.StatusCode, response.Header, answer
 			x.Body, x.Framed = response.Body, response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+			if !x.Framed {
+				x.Body = &unframedBody{Reader: response.Body, checkEnd: x.checkEnd}
+			}
 			x.closeAfter = x.closeAfter || response.Close
 			if answer.DeclaredNotRun {
 				x.conn.refused = append(x.conn.refused, call.ID)
@@ -241,8 +244,8 @@
 		return
 	}
 	select {
-	case err := <-x.bodyWritten:
-		if err == nil && !x.closeAfter && x.conn.reader.Buffered() == 0 {
+	case <-x.bodyWritten:
+		if x.writeErr == nil && !x.closeAfter && x.conn.reader.Buffered() == 0 {
 			x.pool.release(x.conn, x.address, x.Answer.IdleTimeout)
 			return
 		}
