Read responses of upstreams with one strict reader

Cause: net/http's parser accepts such names and any three digits, lines that go on the one before, and a length beside chunks.

Change: responsereader checks the status line and each field before net/http decodes the head, and reads bodies with their trailers; connkeeper uses it for all exchanges.

Cost: each line of a head is looked at twice. A response with one malformed line fails.

--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/responsereader"
 )
 
 const (
@@ -138,7 +139,7 @@
 // write sends the request. A body longer than maxInlineBodyBytes is written in
 // the background while the response is read, as the upstream may answer early.
 func (x *Exchange) write(call *Call) error {
-	x.conn.headLimit.arrivals.restart()
+	x.conn.arrivals.restart()
 	var head bytes.Buffer
 	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	header := call.Header
@@ -168,29 +169,26 @@
 // readHead reads up to the head of the response that belongs to the request, as
 // Call.ID says. Other responses, which an upstream may send late, are read to
 // their end and skipped if their length is known, at most maxUnrelatedBytes, and the
-// connection stays open, at most maxUnrelatedResponses of them. Informational (1xx)
-// responses are skipped. Together with the head that follows them they may have
-// maxHeadBytes.
+// connection stays open, at most maxUnrelatedResponses of them.
 //
 // A refusal that names no request belongs to this one only if nothing was sent on the
 // connection before: otherwise it may be additional bytes after an earlier response, and
 // the upstream runs the request. The upstream is doubted for a while, see Pool.doubt.
 func (x *Exchange) readHead(call *Call, coder currantwood.HeaderCoder) error {
-	request := &http.Request{Method: call.Method}
 	for x.Unrelated <= maxUnrelatedResponses {
-		response, err := x.readFinalHead(request)
+		response, err := x.conn.responses.Next(call.Method)
 		if err != nil {
 			return err
 		}
-		answer := coder.Answer(response.StatusCode, response.Header)
+		answer := coder.Answer(response.Status, response.Header)
 		unnamedRefusal := answer.Request == "" && answer.DeclaredNotRun
 		if unnamedRefusal {
 			x.pool.doubt(call.Upstream)
 			x.closeAfter = true
 		}
 		if answer.Request == call.ID || unnamedRefusal && !x.conn.used && x.Unrelated == 0 {
-			x.Status, x.Header, x.Answer = response.StatusCode, response.Header, answer
-			x.Body, x.Framed = response.Body, response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+			x.Status, x.Header, x.Answer = response.Status, response.Header, answer
+			x.Body, x.Framed = response.Body, response.Framed
 			if !x.Framed {
 				x.Body = &unframedBody{Reader: response.Body, checkEnd: x.checkEnd}
 			}
@@ -203,7 +201,7 @@
 		}
 		x.Unrelated++
 		x.closeAfter = true
-		if response.Close || response.ContentLength < 0 || response.ContentLength > maxUnrelatedBytes {
+		if response.Close || response.Length < 0 || response.Length > maxUnrelatedBytes {
 			return ErrUnrelatedResponse
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -213,26 +211,16 @@
 	return ErrUnrelatedResponse
 }
 
-// readFinalHead reads the head of the next response that isn't informational.
-func (x *Exchange) readFinalHead(request *http.Request) (*http.Response, error) {
-	x.conn.headLimit.remaining = maxHeadBytes
-	defer func() { x.conn.headLimit.remaining = unlimited }()
-	for {
-		response, err := http.ReadResponse(x.conn.reader, request)
-		if err != nil {
-			return nil, errors.WithStack(err)
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // Silence returns how long nothing has arrived from the upstream, and whether a read waits for
 // more. If none does, bytes that have arrived may not be read yet.
 func (x *Exchange) Silence(now time.Time) (silence time.Duration, awaited bool) {
-	arrivals := &x.conn.headLimit.arrivals
-	return arrivals.silence(now), arrivals.waiting.Load()
+	return x.conn.arrivals.silence(now), x.conn.arrivals.waiting.Load()
+}
+
+// IsTooLong reports whether an exchange failed since the upstream sent more than it
+// may, rather than less.
+func IsTooLong(err error) bool {
+	return errors.Is(err, responsereader.ErrHeadTooLong) || errors.Is(err, ErrUnrelatedResponse)
 }
 
 // Finish ends an exchange whose Body was read to its end. It returns the
--- a/connkeeper/pool.go
+++ b/connkeeper/pool.go
@@ -4,8 +4,7 @@
 // It replaces the transport of net/http, which repeats a request by itself
 // when a reused connection breaks, and hides bytes that follow a response.
 // Requests that may run only once must not be repeated, and such bytes may be
-// a response to another request. Only the parsing of messages is taken from
-// net/http.
+// a response to another request. Responses are read by package responsereader.
 package connkeeper
 
 import (
@@ -23,6 +22,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/responsereader"
 )
 
 const (
@@ -74,9 +74,10 @@
 // conn is a connection to an upstream. At most one exchange uses it at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	// headLimit is the source of reader.
-	headLimit *headLimiter
+	// reader reads from arrivals, and responses from reader.
+	reader    *bufio.Reader
+	arrivals  *arrivalReader
+	responses *responsereader.Reader
 	upstream  currantwood.UpstreamID
 	// used is whether a request was sent on the connection before the present one.
 	used bool
@@ -127,8 +128,9 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	limiter := &headLimiter{source: raw, remaining: unlimited, arrivals: arrivalClock{now: p.now}}
-	return &conn{Conn: raw, headLimit: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), upstream: upstream}, nil
+	arrivals := &arrivalReader{source: raw, now: p.now}
+	reader := bufio.NewReaderSize(arrivals, readBufferBytes)
+	return &conn{Conn: raw, arrivals: arrivals, reader: reader, responses: responsereader.New(reader), upstream: upstream}, nil
 }
 
 // mayReuse reports whether a connection that was idle may carry a request. It may not if
