Read responses to control calls and of the store with the same reader

What callers saw: nothing was reported; by test, reports of engines, handles of copies and records of the store were read from malformed responses.

Cause: control calls and the store's client went through net/http's transport, which accepts what the strict reader refuses; two ways of reading stood beside each other.

Change: transporter sends these requests over connkeeper, so that responsereader reads all responses; only GET requests are sent again over a kept connection that was closed. Redirects aren't followed, a response that is too long is an error of its own, and a handle has only characters that may stand in a path and a header.

Evidence: "A malformed response to a control call or of the store is none" failed in 5 of 5 specs before, passes now.

Cost: idle connections to control endpoints are kept for 2.8 s where upstreams don't say how long, not 20 s.

--- a/cmd/currantwood/gateway.go
+++ b/cmd/currantwood/gateway.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"flag"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"reflect"
@@ -16,7 +14,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/currantwood/currantwood"
-	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/boottimer"
 	"github.com/currantwood/currantwood/gatewaystarter"
 	"github.com/currantwood/currantwood/logwriter"
 	"github.com/currantwood/currantwood/platform/decoder"
@@ -24,21 +22,13 @@
 	platformsettings "github.com/currantwood/currantwood/platform/settingsreader"
 	"github.com/currantwood/currantwood/platform/storeclient"
 	"github.com/currantwood/currantwood/platform/upstreamclient"
+	"github.com/currantwood/currantwood/transporter"
 )
 
 const (
-	// gatewayDialTimeout bounds the opening of a connection to the store or to
-	// the control endpoints of an upstream.
-	gatewayDialTimeout = 600 * time.Millisecond
 	// settingsPollInterval is the time between two reads of the settings file, so
 	// that a change without a SIGHUP is logged, too.
 	settingsPollInterval = 5 * time.Second
-	// gatewayIdleTimeout is how long an idle connection to the store or to an
-	// upstream is kept open.
-	gatewayIdleTimeout = 20 * time.Second
-	// maxResponseHeaderBytes bounds the header of a response. An upstream in trouble
-	// may send one without end.
-	maxResponseHeaderBytes = 64 << 10
 	// maxIdleToStore is the maximum number of idle connections to the store. Four
 	// watchers, of the configuration, the directory, the crashes of requests and the
 	// starts of streams, each have at most one read in progress, and one append each of
@@ -72,7 +62,7 @@
 	}
 	logger, flush := gatewayLogger()
 	defer flush()
-	upstreams := upstreamclient.New(gatewayTransport(maxIdleToUpstream))
+	upstreams := upstreamclient.New(gatewayTransport(maxIdleToUpstream), gatewayTransport(0))
 	store := storeclient.New(settings.StoreAddress, gatewayTransport(maxIdleToStore))
 	gateway, err := gatewaystarter.New(gatewaystarter.Options{
 		Settings:            settings,
@@ -125,21 +115,11 @@
 	return read
 }
 
-// gatewayTransport returns a transport for reads from the store or for calls of
-// the upstreams' control endpoints. maxIdlePerHost is the number of idle
-// connections that it keeps to each host. Clients' requests use separate
-// connections.
-func gatewayTransport(maxIdlePerHost int) *http.Transport {
-	dialer := &net.Dialer{Timeout: gatewayDialTimeout, KeepAliveConfig: connkeeper.KeepAlive}
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		MaxIdleConnsPerHost:    maxIdlePerHost,
-		IdleConnTimeout:        gatewayIdleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		DisableCompression:     true,
-		ReadBufferSize:         2048,
-		WriteBufferSize:        2048,
-	}
+// gatewayTransport returns a transport for the store or for the control endpoints of the
+// upstreams. It keeps up to maxIdlePerHost idle connections to each host; with 0, each request
+// has a connection of its own. Clients' requests use separate connections.
+func gatewayTransport(maxIdlePerHost int) *transporter.Transport {
+	return transporter.New(transporter.Options{Now: boottimer.Clock{}.Now, Coder: headercoder.Coder{}, MaxIdle: maxIdlePerHost})
 }
 
 // gatewayLogger returns a logger that writes JSON lines to standard output
