Count all that is kept of responses that aren't whole

Cause: each event had a bound, all together had none: 240 streams may hold a megabyte each. Heads had none together either. Bodies, informational responses, chunk extensions and trailers are ruled out by the process's peak (41 to 64 MB).

Change: memorykeeper, the former buffer of bodies, bounds by a share of the memory what is kept of bodies, heads and events beyond 4 KB and responses to control calls. What finds no memory fails alone, and isn't taken for a crash. Short heads and events are never refused.

Cost: a long event may fail while other incomplete ones fill the share.

--- a/cmd/currantwood/configuration.go
+++ b/cmd/currantwood/configuration.go
@@ -13,6 +13,7 @@
 	"github.com/currantwood/currantwood/configcheck/linter"
 	"github.com/currantwood/currantwood/configcheck/renderer"
 	"github.com/currantwood/currantwood/gateway"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/platform/decoder"
 	"github.com/currantwood/currantwood/platform/settingsreader"
 	"github.com/currantwood/currantwood/platform/storeclient"
@@ -101,7 +102,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	batch, err := storeclient.New(f.store, gatewayTransport(maxIdleToStore)).Newest(ctx, storeclient.ConfigurationTopic)
+	batch, err := storeclient.New(f.store, gatewayTransport(maxIdleToStore, memorykeeper.New(0, gateway.MaxResponseBytes, nil))).Newest(ctx, storeclient.ConfigurationTopic)
 	if err != nil {
 		return "", nil, errors.Wrap(err, "check: read configuration in force")
 	}
--- a/cmd/currantwood/gateway.go
+++ b/cmd/currantwood/gateway.go
@@ -15,8 +15,10 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/boottimer"
+	"github.com/currantwood/currantwood/gateway"
 	"github.com/currantwood/currantwood/gatewaystarter"
 	"github.com/currantwood/currantwood/logwriter"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/platform/decoder"
 	"github.com/currantwood/currantwood/platform/headercoder"
 	platformsettings "github.com/currantwood/currantwood/platform/settingsreader"
@@ -62,9 +64,10 @@
 	}
 	logger, flush := gatewayLogger()
 	defer flush()
-	upstreams := upstreamclient.New(gatewayTransport(maxIdleToUpstream), gatewayTransport(0))
-	store := storeclient.New(settings.StoreAddress, gatewayTransport(maxIdleToStore))
-	gateway, err := gatewaystarter.New(gatewaystarter.Options{
+	responses := memorykeeper.New(settings.MemoryBytes, gateway.MaxResponseBytes, nil)
+	upstreams := upstreamclient.New(gatewayTransport(maxIdleToUpstream, responses), gatewayTransport(0, responses), responses)
+	store := storeclient.New(settings.StoreAddress, gatewayTransport(maxIdleToStore, responses))
+	process, err := gatewaystarter.New(gatewaystarter.Options{
 		Settings:            settings,
 		Logger:              logger,
 		Store:               store,
@@ -72,6 +75,7 @@
 		Coder:               headercoder.Coder{},
 		Mover:               upstreams,
 		States:              upstreams,
+		Responses:           responses,
 		Decoder:             decoder.Decoder{},
 		ConfigurationTopic:  storeclient.ConfigurationTopic,
 		ConfigurationKey:    storeclient.ConfigurationKey,
@@ -92,7 +96,7 @@
 		case <-ticker.C:
 			settings = rereadSettings(logger, settings, false)
 		case <-ctx.Done():
-			return gateway.Shutdown(context.Background())
+			return process.Shutdown(context.Background())
 		}
 	}
 }
@@ -117,9 +121,10 @@
 
 // gatewayTransport returns a transport for the store or for the control endpoints of the
 // upstreams. It keeps up to maxIdlePerHost idle connections to each host; with 0, each request
-// has a connection of its own. Clients' requests use separate connections.
-func gatewayTransport(maxIdlePerHost int) *transporter.Transport {
-	return transporter.New(transporter.Options{Now: boottimer.Clock{}.Now, Coder: headercoder.Coder{}, MaxIdle: maxIdlePerHost})
+// has a connection of its own. Clients' requests use separate connections. memory bounds what
+// is kept of responses.
+func gatewayTransport(maxIdlePerHost int, memory *memorykeeper.Keeper) *transporter.Transport {
+	return transporter.New(transporter.Options{Now: boottimer.Clock{}.Now, Coder: headercoder.Coder{}, Memory: memory, MaxIdle: maxIdlePerHost})
 }
 
 // gatewayLogger returns a logger that writes JSON lines to standard output
--- a/connkeeper/earlyresponse_test.go
+++ b/connkeeper/earlyresponse_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 // unframedText is a response without a length, whose end is that of its connection.
@@ -33,7 +35,7 @@
 		time.Sleep(20 * time.Millisecond)
 		end(conn.(*net.TCPConn))
 	}()
-	p := New(time.Now)
+	p := New(time.Now, memorykeeper.New(0, 1<<20, nil))
 	call := &Call{Upstream: "u", Address: listener.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"r"}}, Body: make([]byte, 32<<20), ID: "r"}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- a/connkeeper/exchange.go
+++ b/connkeeper/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/responsereader"
 )
 
@@ -217,10 +218,10 @@
 	return x.conn.arrivals.silence(now), x.conn.arrivals.waiting.Load()
 }
 
-// IsTooLong reports whether an exchange failed since the upstream sent more than it
-// may, rather than less.
+// IsTooLong reports whether an exchange failed since upstreams sent more than they may, rather
+// than less.
 func IsTooLong(err error) bool {
-	return errors.Is(err, responsereader.ErrHeadTooLong) || errors.Is(err, ErrUnrelatedResponse)
+	return errors.Is(err, responsereader.ErrHeadTooLong) || errors.Is(err, memorykeeper.ErrExhausted) || errors.Is(err, ErrUnrelatedResponse)
 }
 
 // Finish ends an exchange whose Body was read to its end. It returns the
@@ -228,6 +229,7 @@
 // the response and the connection may stay open; otherwise it closes it.
 func (x *Exchange) Finish() {
 	x.stopCancelHook()
+	x.conn.responses.Release()
 	if x.ended.Swap(true) {
 		return
 	}
@@ -247,6 +249,7 @@
 // Abort closes the connection, which makes the upstream cancel the request.
 func (x *Exchange) Abort() {
 	x.stopCancelHook()
+	x.conn.responses.Release()
 	x.closeConn()
 }
 
--- a/connkeeper/exchange_test.go
+++ b/connkeeper/exchange_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 // testCoder decodes whether a response is a refusal, and its request.
@@ -90,7 +91,7 @@
 
 var _ = Describe("Exchange", func() {
 	var p *Pool
-	BeforeEach(func() { p = New(time.Now) })
+	BeforeEach(func() { p = New(time.Now, memorykeeper.New(0, 1<<20, nil)) })
 
 	// send sends a request and returns the status and whether the response is a refusal.
 	send := func(u *scriptedUpstream, id currantwood.RequestID) (status int, refused bool, err error) {
--- a/connkeeper/pool.go
+++ b/connkeeper/pool.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/responsereader"
 )
 
@@ -60,6 +61,7 @@
 type Pool struct {
 	now    func() time.Time
 	dialer net.Dialer
+	memory *memorykeeper.Keeper
 	mu     sync.Mutex
 	// maxIdle bounds the idle connections to one address; protected by mu.
 	maxIdle int
@@ -89,9 +91,9 @@
 	usableUntil time.Time
 }
 
-// New returns an empty pool.
-func New(now func() time.Time) *Pool {
-	p := &Pool{now: now, maxIdle: MaxIdlePerAddress, idle: map[string][]*conn{}, doubted: map[currantwood.UpstreamID]time.Time{}}
+// New returns an empty pool. memory bounds what is kept of responses that aren't whole.
+func New(now func() time.Time, memory *memorykeeper.Keeper) *Pool {
+	p := &Pool{now: now, memory: memory, maxIdle: MaxIdlePerAddress, idle: map[string][]*conn{}, doubted: map[currantwood.UpstreamID]time.Time{}}
 	p.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: KeepAlive,
@@ -100,6 +102,9 @@
 	return p
 }
 
+// Memory returns what bounds the responses that aren't whole.
+func (p *Pool) Memory() *memorykeeper.Keeper { return p.memory }
+
 // setUserTimeout sets TCP_USER_TIMEOUT, so that a connection fails if its other
 // end is gone without closing it.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -130,7 +135,7 @@
 	}
 	arrivals := &arrivalReader{source: raw, now: p.now}
 	reader := bufio.NewReaderSize(arrivals, readBufferBytes)
-	return &conn{Conn: raw, arrivals: arrivals, reader: reader, responses: responsereader.New(reader), upstream: upstream}, nil
+	return &conn{Conn: raw, arrivals: arrivals, reader: reader, responses: responsereader.New(reader, p.memory), upstream: upstream}, nil
 }
 
 // mayReuse reports whether a connection that was idle may carry a request. It may not if
--- a/connkeeper/pool_test.go
+++ b/connkeeper/pool_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 var _ = Describe("Pool", func() {
@@ -18,7 +20,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(listener.Close)
 			address := listener.Addr().String()
-			p := New(time.Now)
+			p := New(time.Now, memorykeeper.New(0, 1<<20, nil))
 			p.SetMaxIdle(limit)
 			var used []*conn
 			for range MaxIdlePerAddress + 4 {
--- a/eventsplitter/fuzz_test.go
+++ b/eventsplitter/fuzz_test.go
@@ -36,7 +36,7 @@
 
 // splitAll returns the text and the ids of all events, and the error after the last one.
 func splitAll(body io.Reader) (text []byte, ids []int64, end error) {
-	s := New(body)
+	s := New(body, newMemory())
 	for {
 		event, err := s.Next()
 		if err != nil {
--- a/eventsplitter/splitter.go
+++ b/eventsplitter/splitter.go
@@ -9,13 +9,20 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 // readBufferBytes is the size of the read buffer.
 const readBufferBytes = 2048
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event.
+	maxEventBytes = 1 << 20
+	// freeEventBytes is what an event may have, until it is complete, without being charged
+	// to the memory that all streams share.
+	freeEventBytes = 4 << 10
+)
 
 // ErrEventTooLong means that an event exceeds maxEventBytes.
 var ErrEventTooLong = errors.Errorf("event exceeds %d bytes", maxEventBytes)
@@ -32,18 +39,24 @@
 // Splitter reads events from a response body. It is not safe for concurrent
 // use.
 type Splitter struct {
-	in *bufio.Reader
+	in     *bufio.Reader
+	memory *memorykeeper.Keeper
+	// charged is what is reserved of memory for an event that isn't complete.
+	charged int64
 }
 
-// New returns a Splitter that reads from body.
-func New(body io.Reader) *Splitter {
-	return &Splitter{in: bufio.NewReaderSize(body, readBufferBytes)}
+// New returns a Splitter that reads from body. memory bounds the long events that aren't
+// complete.
+func New(body io.Reader, memory *memorykeeper.Keeper) *Splitter {
+	return &Splitter{in: bufio.NewReaderSize(body, readBufferBytes), memory: memory}
 }
 
 // Next returns the next complete event. It returns io.EOF if the body ends
-// between two events, io.ErrUnexpectedEOF if it ends within one, and
-// ErrEventTooLong if the event exceeds maxEventBytes.
+// between two events, io.ErrUnexpectedEOF if it ends within one,
+// ErrEventTooLong if the event exceeds maxEventBytes, and memorykeeper.ErrExhausted if
+// all incomplete events together exceed the memory.
 func (s *Splitter) Next() (Event, error) {
+	defer s.release()
 	event := Event{ID: -1}
 	// A line that is longer than the read buffer is read in parts. It is neither empty nor
 	// an id.
@@ -54,6 +67,9 @@
 		if len(event.Text) > maxEventBytes {
 			return Event{}, errors.WithStack(ErrEventTooLong)
 		}
+		if !s.charge(int64(cap(event.Text))) {
+			return Event{}, errors.WithStack(memorykeeper.ErrExhausted)
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			partOfLine = true
 			continue
@@ -74,6 +90,25 @@
 	}
 }
 
+// charge reserves memory for an event of a capacity. It reports false if there is none.
+func (s *Splitter) charge(capacity int64) bool {
+	more := capacity - freeEventBytes - s.charged
+	if more <= 0 {
+		return true
+	}
+	if !s.memory.TryReserve(more) {
+		return false
+	}
+	s.charged += more
+	return true
+}
+
+// release gives back what was reserved.
+func (s *Splitter) release() {
+	s.memory.Release(s.charged)
+	s.charged = 0
+}
+
 // endError turns io.EOF into io.ErrUnexpectedEOF if the body ended within an
 // event.
 func (s *Splitter) endError(event Event, err error) error {
--- a/eventsplitter/splitter_test.go
+++ b/eventsplitter/splitter_test.go
@@ -7,13 +7,17 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
+func newMemory() *memorykeeper.Keeper { return memorykeeper.New(0, 4<<20, nil) }
+
 var _ = Describe("Splitter", func() {
 	DescribeTable("returns only complete events",
 		func(text string, ids []int64, end error) {
 			for _, body := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
-				s := New(body)
+				s := New(body, newMemory())
 				var got []int64
 				passed := ""
 				event, err := s.Next()
@@ -44,7 +48,7 @@
 	)
 
 	DescribeTable("fails on an event that exceeds the size limit", func(text string) {
-		_, err := New(strings.NewReader(text)).Next()
+		_, err := New(strings.NewReader(text), newMemory()).Next()
 		Expect(err).To(MatchError(ErrEventTooLong))
 		Expect(err).To(MatchError(ContainSubstring("event exceeds 1048576 bytes")))
 	},
@@ -52,3 +56,45 @@
 		Entry("in many lines", strings.Repeat("data: x\n", 400_000)),
 	)
 })
+
+// endless is a body that repeats a text until it was read for a number of times.
+type endless struct {
+	text string
+	left int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	if e.left--; e.left < 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return copy(p, e.text), nil
+}
+
+var _ = Describe("Events that aren't complete", func() {
+	// Guards against many long events that together fill the process's memory.
+	It("take no more memory together than there is, and give it back", func() {
+		memory := memorykeeper.New(0, 1<<20, nil)
+		held := 0
+		for range 8 {
+			s := New(&endless{text: strings.Repeat("a", 1024), left: 500}, memory)
+			_, err := s.Next()
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			held++
+		}
+		Expect(held).To(Equal(8))
+		Expect(memory.Used()).To(BeZero())
+		Expect(memory.TryReserve(memory.Limit() - 100_000)).To(BeTrue())
+		_, err := New(&endless{text: strings.Repeat("a", 1024), left: 500}, memory).Next()
+		Expect(err).To(MatchError(memorykeeper.ErrExhausted))
+		Expect(memory.Used()).To(Equal(memory.Limit() - 100_000))
+	})
+
+	// Guards against a fix that refuses short events while others fill the memory.
+	It("are read if they are short, also without memory", func() {
+		memory := memorykeeper.New(0, 1<<20, nil)
+		Expect(memory.TryReserve(memory.Limit())).To(BeTrue())
+		event, err := New(strings.NewReader("id: 1\ndata: "+strings.Repeat("a", 2000)+"\n\n"), memory).Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(event.ID).To(BeEquivalentTo(1))
+	})
+})
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantwood/currantwood"
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 // gatewayResponse is a final response that the gateway generates itself, to
@@ -162,12 +163,12 @@
 	if q.r.ContentLength > limit {
 		return &gatewayResponse{status: http.StatusRequestEntityTooLarge, reason: "body too long", closeConnection: true}
 	}
-	body, err := q.g.requests.readAll(q.r.Body, limit)
+	body, err := q.g.requests.ReadAll(q.r.Body, limit)
 	q.body = body
 	switch {
-	case errors.Is(err, errBodyTooLong):
+	case errors.Is(err, memorykeeper.ErrBodyTooLong):
 		return &gatewayResponse{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
-	case errors.Is(err, errBodiesTooLong):
+	case errors.Is(err, memorykeeper.ErrExhausted):
 		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "no memory for the body", retryAfter: upstreamRetryAfter, closeConnection: true}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &gatewayResponse{status: http.StatusRequestTimeout, reason: "body makes no progress", closeConnection: true}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -58,7 +58,7 @@
 		q.attempted = append(q.attempted, choice.View.ID)
 		result, err := q.attempt(ctx, choice)
 		if err == nil {
-			defer q.g.responses.release(result.body)
+			defer q.g.responses.ReleaseBody(result.body)
 		}
 		if q.clientDisconnected() {
 			q.recordDisconnect(choice)
@@ -131,10 +131,10 @@
 		return nil, err
 	}
 	q.possibleRuns++
-	body, err := q.g.responses.readAll(x.Body, maxResponseBytes)
+	body, err := q.g.responses.ReadAll(x.Body, MaxResponseBytes)
 	if err != nil {
 		x.Abort()
-		q.g.responses.release(body)
+		q.g.responses.ReleaseBody(body)
 		q.recordEnd(choice.View, load, q.failureOutcome(choice.View, ctx.Err() == nil))
 		q.recordBrokenBody(err, failure{view: choice.View, sentAt: sentAt, broken: ctx.Err() == nil})
 		return nil, errors.Wrap(err, "read response body")
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -13,6 +13,7 @@
 	"github.com/currantwood/currantwood/abandonkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
 	"github.com/currantwood/currantwood/eventsplitter"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -89,7 +90,7 @@
 // recordBrokenBody records a body that wasn't read to its end because of err as a
 // crash, unless this gateway stopped reading since it was too long.
 func (q *request) recordBrokenBody(err error, f failure) {
-	if errors.Is(err, errBodyTooLong) || errors.Is(err, errBodiesTooLong) || errors.Is(err, eventsplitter.ErrEventTooLong) {
+	if errors.Is(err, memorykeeper.ErrBodyTooLong) || errors.Is(err, memorykeeper.ErrExhausted) || errors.Is(err, eventsplitter.ErrEventTooLong) {
 		return
 	}
 	q.recordCrash(f)
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -15,6 +15,7 @@
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -31,7 +32,7 @@
 	}
 	g := New(Options{
 		Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Decode: decode,
-		Connections: connkeeper.New(time.Now),
+		Connections: connkeeper.New(time.Now, memorykeeper.New(0, MaxResponseBytes, nil)),
 		Now:         func() time.Time { return start.Add(10 * time.Second) },
 		Settings:    currantwood.GatewaySettings{Bounds: currantwood.Bounds{DrainTime: 2 * time.Second}},
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 	"github.com/currantwood/currantwood/placement/warmupkeeper"
@@ -106,9 +107,9 @@
 	// relocatedAt is when relocateRuns last looked for runs, and silenceCheckedAt when
 	// moveSilent did; only Tick uses them.
 	relocatedAt, silenceCheckedAt time.Time
-	// requests bounds the request bodies that are held, and responses the response bodies
-	// that are read whole.
-	requests, responses *bodyBuffer
+	// requests bounds the request bodies that are held, and responses what is kept of
+	// responses: bodies that are read whole, long heads and events.
+	requests, responses *memorykeeper.Keeper
 	instruments         instruments
 	// buffers accounts for the events that are buffered for clients that read slowly.
 	buffers *streamBuffers
@@ -161,14 +162,13 @@
 		notices:       notices,
 		evacuations:   evacuations,
 		warmUps:       warmUps,
-		requests:      newBodyBuffer(options.Settings.MemoryBytes, currantwood.DefaultMaxBodyBytes),
-		responses:     newBodyBuffer(options.Settings.MemoryBytes, maxResponseBytes),
+		requests:      memorykeeper.New(options.Settings.MemoryBytes, currantwood.DefaultMaxBodyBytes, options.ReclaimBody),
+		responses:     options.Connections.Memory(),
 		eventInterval: initialEventInterval,
 		room:          newRoomQueue(options.Settings.MemoryBytes, options.Random),
 		budget:        newBudget(options),
 		leaving:       make(map[currantwood.UpstreamID]leavingUpstream),
 	}
-	g.requests.reclaim = options.ReclaimBody
 	g.instruments = newInstruments(options.Metrics)
 	g.buffers = newStreamBuffers(options)
 	return g
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -14,6 +14,7 @@
 	"github.com/currantwood/currantwood/budgeter"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 // Guards against runs that count as leaving for ever, or again after a restart of their
@@ -24,7 +25,7 @@
 		g := New(Options{
 			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
 			Settings:    currantwood.GatewaySettings{Regions: map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}},
-			Connections: connkeeper.New(func() time.Time { return start }),
+			Connections: connkeeper.New(func() time.Time { return start }, memorykeeper.New(0, MaxResponseBytes, nil)),
 			Decode:      func(string, []byte) (currantwood.UpstreamRecord, error) { return record, nil },
 		})
 		records := []currantwood.KeyedRecord{{Key: "e1", Value: []byte("record")}}
@@ -53,7 +54,7 @@
 		g := New(Options{
 			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
 			Settings:    currantwood.GatewaySettings{Regions: map[currantwood.ZoneID]currantwood.RegionID{"n1": "north", "n2": "north"}},
-			Connections: connkeeper.New(func() time.Time { return start }),
+			Connections: connkeeper.New(func() time.Time { return start }, memorykeeper.New(0, MaxResponseBytes, nil)),
 			Decode: func(key string, value []byte) (currantwood.UpstreamRecord, error) {
 				r := currantwood.UpstreamRecord{ID: currantwood.UpstreamID(key), Group: "g", Address: "10.0.0.1:80", Zone: "n2", Slots: 4, Sequence: 1, Incarnation: 7}
 				if key < "d" {
@@ -94,7 +95,7 @@
 				Regions: map[currantwood.ZoneID]currantwood.RegionID{"n1": "north"}, FirstStart: true,
 				Bounds: currantwood.Bounds{RetryWindow: 10 * time.Second, RetryShare: 0.2, RetryReserve: 54},
 			},
-			Connections: connkeeper.New(func() time.Time { return start }),
+			Connections: connkeeper.New(func() time.Time { return start }, memorykeeper.New(0, MaxResponseBytes, nil)),
 			Decode:      func(string, []byte) (currantwood.UpstreamRecord, error) { return record, nil },
 		})
 		records := []currantwood.KeyedRecord{{Key: "e1", Value: []byte("record")}}
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -12,6 +12,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
@@ -26,7 +27,7 @@
 		now = start
 		g = New(Options{
 			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return now },
-			Connections: connkeeper.New(func() time.Time { return now }),
+			Connections: connkeeper.New(func() time.Time { return now }, memorykeeper.New(0, MaxResponseBytes, nil)),
 		})
 	})
 
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -12,6 +12,7 @@
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -23,7 +24,7 @@
 		g := New(Options{
 			Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
 			Settings:    currantwood.GatewaySettings{Regions: map[currantwood.ZoneID]currantwood.RegionID{"n1": "north", "s1": "south"}},
-			Connections: connkeeper.New(func() time.Time { return start }),
+			Connections: connkeeper.New(func() time.Time { return start }, memorykeeper.New(0, MaxResponseBytes, nil)),
 			Decode:      func(string, []byte) (currantwood.UpstreamRecord, error) { return record, nil },
 		})
 		records := []currantwood.KeyedRecord{{Key: "e1", Value: []byte("record")}}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -110,7 +110,7 @@
 }
 
 func (q *request) serve() {
-	defer func() { q.g.requests.release(q.body) }()
+	defer func() { q.g.requests.ReleaseBody(q.body) }()
 	if refusal := q.admit(); refusal != nil {
 		q.endRequest(refusal)
 		return
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configkeeper"
+	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 )
 
@@ -30,6 +32,7 @@
 	It("is false until the configuration and the upstreams are read, and once the configuration is too old for readiness", func() {
 		keeper := configkeeper.New()
 		g := New(Options{
+			Connections:   connkeeper.New(time.Now, memorykeeper.New(0, MaxResponseBytes, nil)),
 			Configuration: keeper, Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
 			Settings: currantwood.GatewaySettings{Bounds: currantwood.Bounds{FailClosed: true, RevocationTime: 5 * time.Second}},
 		})
@@ -111,6 +114,7 @@
 // left.
 func stoppingRequest(left time.Duration) *request {
 	g := New(Options{
+		Connections:   connkeeper.New(time.Now, memorykeeper.New(0, MaxResponseBytes, nil)),
 		Configuration: configkeeper.New(), Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return start },
 	})
 	g.Stop(start, start.Add(left))
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -18,6 +18,7 @@
 	"github.com/currantwood/currantwood/capacity/roomkeeper"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -35,7 +36,7 @@
 	g := New(Options{
 		Configuration: keeper, Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: time.Now,
 		Settings:    currantwood.GatewaySettings{QueueRequests: queueRequests, MemoryBytes: 134_000_000, Zone: "a", Regions: map[currantwood.ZoneID]currantwood.RegionID{"a": "r"}},
-		Connections: connkeeper.New(time.Now),
+		Connections: connkeeper.New(time.Now, memorykeeper.New(0, MaxResponseBytes, nil)),
 		Decode:      func(string, []byte) (currantwood.UpstreamRecord, error) { return engineView.UpstreamRecord, nil },
 	})
 	g.ReplaceUpstreamRecords(time.Now(), []currantwood.KeyedRecord{{Key: "e", Value: []byte("{}")}})
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &upstreamStream{view: choice.View, exchange: x, events: eventsplitter.New(x.Body), load: load, startedAt: startedAt}, nil
+	return &upstreamStream{view: choice.View, exchange: x, events: eventsplitter.New(x.Body, s.g.responses), load: load, startedAt: startedAt}, nil
 }
 
 // rejectResume ends the exchange with an upstream that was to resume the stream, and
@@ -106,8 +106,8 @@
 // writeWholeResponse passes on a response whose status isn't 200. The header must not
 // have been written for an earlier upstream.
 func (s *stream) writeWholeResponse(up *upstreamStream, choice balancer.Choice) {
-	body, err := s.g.responses.readAll(up.exchange.Body, maxResponseBytes)
-	defer s.g.responses.release(body)
+	body, err := s.g.responses.ReadAll(up.exchange.Body, MaxResponseBytes)
+	defer s.g.responses.ReleaseBody(body)
 	if err != nil {
 		up.exchange.Abort()
 		s.recordBrokenBody(err, up.failure(s.ctx))
--- a/gateway/warmup_test.go
+++ b/gateway/warmup_test.go
@@ -13,6 +13,7 @@
 	"github.com/currantwood/currantwood/balancer"
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/noticekeeper"
 	"github.com/currantwood/currantwood/placement/warmupkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
@@ -36,7 +37,7 @@
 		configuration.SetIfNewer(currantwood.Configuration{Version: 1, Groups: map[currantwood.GroupID]currantwood.Group{"g": {ID: "g", WarmUpRate: 2}}})
 		g = New(Options{
 			Configuration: configuration, Random: rand.New(rand.NewSource(1)), Metrics: metrics.NewRegistry(), Logger: zap.NewNop(), Now: func() time.Time { return now },
-			Connections: connkeeper.New(func() time.Time { return now }),
+			Connections: connkeeper.New(func() time.Time { return now }, memorykeeper.New(0, MaxResponseBytes, nil)),
 			Decode:      func(string, []byte) (currantwood.UpstreamRecord, error) { return record, nil },
 		})
 		g.Tick(now)
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -23,6 +23,7 @@
 	"github.com/currantwood/currantwood/gateway"
 	"github.com/currantwood/currantwood/ingress/apportioner"
 	"github.com/currantwood/currantwood/ingress/connlimiter"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/peermessenger"
 	"github.com/currantwood/currantwood/readpacer"
 	"github.com/currantwood/currantwood/sleeper"
@@ -98,11 +99,13 @@
 	Logger   *zap.Logger
 	Store    currantwood.KeyedStore
 	// Writer writes to the same store.
-	Writer  currantwood.KeyedWriter
-	Coder   currantwood.HeaderCoder
-	Mover   currantwood.RunMover
-	States  currantwood.StateReader
-	Decoder Decoder
+	Writer currantwood.KeyedWriter
+	Coder  currantwood.HeaderCoder
+	Mover  currantwood.RunMover
+	States currantwood.StateReader
+	// Responses bounds what is kept of responses of upstreams.
+	Responses *memorykeeper.Keeper
+	Decoder   Decoder
 	// ConfigurationTopic and ConfigurationKey locate the configuration in the
 	// store, UpstreamTopic the directory of upstreams, and CrashTopic the crashes of
 	// requests.
@@ -174,7 +177,7 @@
 		Coder:         options.Coder,
 		Mover:         options.Mover,
 		States:        options.States,
-		Connections:   connkeeper.New(p.now),
+		Connections:   connkeeper.New(p.now, options.Responses),
 		Decode:        upstreamkeeper.DecodeFunc(options.Decoder.Upstream),
 		Metrics:       p.metrics,
 	})
--- a/responsereader/fuzz_test.go
+++ b/responsereader/fuzz_test.go
@@ -25,7 +25,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		response, err := New(bufio.NewReaderSize(bytes.NewReader(text), 16)).Next(http.MethodGet)
+		response, err := New(bufio.NewReaderSize(bytes.NewReader(text), 16), newMemory()).Next(http.MethodGet)
 		if err != nil {
 			return
 		}
--- a/responsereader/reader.go
+++ b/responsereader/reader.go
@@ -13,8 +13,11 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 const (
@@ -23,6 +26,11 @@
 	maxHeadBytes = 64 << 10
 	// maxHeadFields bounds the fields of these heads. A field takes more memory than its bytes.
 	maxHeadFields = 512
+	// freeHeadBytes is what a head may have without being charged to the memory that all share.
+	freeHeadBytes = 4 << 10
+	// headCost is what a byte of a longer head is charged: the head, its decoded fields, and
+	// the maps and slices that hold them.
+	headCost = 4
 	// maxTrailerBytes bounds the fields after the last chunk of a body.
 	maxTrailerBytes = 4 << 10
 )
@@ -59,7 +67,10 @@
 
 // Reader reads the responses on one connection, one after the other.
 type Reader struct {
-	in *bufio.Reader
+	in     *bufio.Reader
+	memory *memorykeeper.Keeper
+	// charged is what is reserved of memory for the head.
+	charged atomic.Int64
 	// request is that of the next response; net/http needs its method.
 	request http.Request
 	// head holds the head that is read.
@@ -68,12 +79,19 @@
 	bytesLeft, fieldsLeft int
 }
 
-// New returns a Reader of what arrives at in.
-func New(in *bufio.Reader) *Reader { return &Reader{in: in} }
+// New returns a Reader of what arrives at in. memory bounds the long heads that are held.
+func New(in *bufio.Reader, memory *memorykeeper.Keeper) *Reader {
+	return &Reader{in: in, memory: memory}
+}
+
+// Release gives back the memory of the head that was read last. It may be called again, and
+// while a body is read.
+func (r *Reader) Release() { r.memory.Release(r.charged.Swap(0)) }
 
 // Next reads the head of the next response to a request with a method, past informational
 // ones. The body of the one before must have been read to its end.
 func (r *Reader) Next(method string) (*Response, error) {
+	r.Release()
 	r.request.Method = method
 	r.bytesLeft, r.fieldsLeft = maxHeadBytes, maxHeadFields
 	for {
@@ -84,6 +102,7 @@
 		if response.StatusCode >= http.StatusOK {
 			return r.withBody(response)
 		}
+		r.Release()
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.Wrap(ErrMalformed, "change of the protocol")
 		}
@@ -92,6 +111,9 @@
 
 // nextHead reads and decodes one head.
 func (r *Reader) nextHead() (*http.Response, error) {
+	if cap(r.head) > freeHeadBytes {
+		r.head = nil
+	}
 	r.head = r.head[:0]
 	if err := r.readHeadLine(checkStatusLine); err != nil {
 		return nil, err
@@ -131,6 +153,9 @@
 		if r.bytesLeft -= len(part); r.bytesLeft < 0 {
 			return errors.WithStack(ErrHeadTooLong)
 		}
+		if !r.charge(len(part)) {
+			return errors.WithStack(memorykeeper.ErrExhausted)
+		}
 		r.head = append(r.head, part...)
 		if err == nil {
 			return check(trimLineEnd(r.head[start:]))
@@ -141,6 +166,19 @@
 	}
 }
 
+// charge reserves memory for the next bytes of the head. It reports false if there is none.
+func (r *Reader) charge(bytes int) bool {
+	over := min(bytes, len(r.head)+bytes-freeHeadBytes)
+	if over <= 0 {
+		return true
+	}
+	if !r.memory.TryReserve(int64(headCost * over)) {
+		return false
+	}
+	r.charged.Add(int64(headCost * over))
+	return true
+}
+
 // withBody returns the response with its body.
 func (r *Reader) withBody(head *http.Response) (*Response, error) {
 	response := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Close: head.Close}
--- a/responsereader/reader_test.go
+++ b/responsereader/reader_test.go
@@ -9,18 +9,22 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 // bufferBytes is the size of the read buffer: shorter than some lines.
 const bufferBytes = 64
 
+func newMemory() *memorykeeper.Keeper { return memorykeeper.New(0, 1<<20, nil) }
+
 // read reads one response and its body.
 func read(method, text string) (*Response, string, error) {
 	return readFrom(method, bufio.NewReaderSize(strings.NewReader(text), bufferBytes))
 }
 
 func readFrom(method string, in *bufio.Reader) (*Response, string, error) {
-	response, err := New(in).Next(method)
+	response, err := New(in, newMemory()).Next(method)
 	if err != nil {
 		return nil, "", err
 	}
@@ -100,7 +104,7 @@
 
 	It("reads one response after the other", func() {
 		in := bufio.NewReaderSize(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 201 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\nHTTP/1.1 202 OK\r\n\r\nc"), bufferBytes)
-		reader, got := New(in), ""
+		reader, got := New(in, newMemory()), ""
 		for status := 200; status <= 202; status++ {
 			response, err := reader.Next(http.MethodGet)
 			Expect(err).NotTo(HaveOccurred())
@@ -111,4 +115,22 @@
 		}
 		Expect(got).To(Equal("abc"))
 	})
+
+	// Guards against many long heads that together fill the process's memory.
+	It("charges long heads until they are released, and short ones not at all", func() {
+		memory := newMemory()
+		long := "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 40_000) + "\r\nContent-Length: 0\r\n\r\n"
+		reader := New(bufio.NewReaderSize(strings.NewReader(long), bufferBytes), memory)
+		_, err := reader.Next(http.MethodGet)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(memory.Used()).To(BeNumerically(">", 40_000))
+		reader.Release()
+		reader.Release()
+		Expect(memory.Used()).To(BeZero())
+		Expect(memory.TryReserve(memory.Limit())).To(BeTrue())
+		_, err = New(bufio.NewReaderSize(strings.NewReader(long), bufferBytes), memory).Next(http.MethodGet)
+		Expect(err).To(MatchError(memorykeeper.ErrExhausted))
+		_, err = New(bufio.NewReaderSize(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), bufferBytes), memory).Next(http.MethodGet)
+		Expect(err).NotTo(HaveOccurred())
+	})
 })
--- a/transporter/transport.go
+++ b/transporter/transport.go
@@ -14,6 +14,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 )
 
 // Options are the settings of a Transport.
@@ -22,6 +23,8 @@
 	Now func() time.Time
 	// Coder decodes how long the other end keeps idle connections.
 	Coder currantwood.HeaderCoder
+	// Memory bounds what is kept of responses that aren't whole.
+	Memory *memorykeeper.Keeper
 	// MaxIdle bounds the idle connections to one address. With 0, each request has a
 	// connection of its own.
 	MaxIdle int
@@ -36,7 +39,7 @@
 
 // New returns a Transport without connections.
 func New(options Options) *Transport {
-	t := &Transport{options: options, pool: connkeeper.New(options.Now)}
+	t := &Transport{options: options, pool: connkeeper.New(options.Now, options.Memory)}
 	t.pool.SetMaxIdle(options.MaxIdle)
 	return t
 }
--- a/transporter/transport_test.go
+++ b/transporter/transport_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/currantwood/currantwood/connkeeper"
+	"github.com/currantwood/currantwood/memorykeeper"
 	"github.com/currantwood/currantwood/platform/headercoder"
 )
 
@@ -59,7 +60,7 @@
 
 var _ = Describe("Transport", func() {
 	newClient := func(maxIdle int) *http.Client {
-		return &http.Client{Transport: New(Options{Now: time.Now, Coder: headercoder.Coder{}, MaxIdle: maxIdle})}
+		return &http.Client{Transport: New(Options{Now: time.Now, Coder: headercoder.Coder{}, Memory: memorykeeper.New(0, 8<<20, nil), MaxIdle: maxIdle})}
 	}
 	get := func(client *http.Client, address string) (string, error) {
 		response, err := client.Get("http://" + address + "/a?b=c")
