Respond to requests that outlast a planned stop before the process ends

Cause: a request was accepted by what was expected of it, up to the very moment at which the process ends, and nothing ended it when it took longer. Late calls with far deadlines are ruled out: they are refused.

Change: 0.3 s before the end, requests whose response hasn't begun get a final one (504, or 503 if nothing was sent), and a line in the log. Requests are accepted by that moment.

Cost: a response that would come in the last 0.3 s of the grace period is a 504.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -202,6 +202,7 @@
 func (q *request) writeResponse(a *response, choice balancer.Choice) {
 	copyEndToEndHeaders(q.w.Header(), a.header)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	q.responding.Store(true)
 	q.w.WriteHeader(a.status)
 	if _, err := q.w.Write(a.body); err != nil {
 		q.recordDisconnect(choice)
--- a/gateway/endrequest.go
+++ b/gateway/endrequest.go
@@ -24,6 +24,7 @@
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Length", "0")
+	q.responding.Store(true)
 	q.w.WriteHeader(f.status)
 	if f.status >= http.StatusBadGateway && f.status != http.StatusServiceUnavailable {
 		q.g.instruments.failed.Inc(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,9 @@
 	eventInterval time.Duration
 	// shutdown is set once the gateway has been told to stop; nil before.
 	shutdown atomic.Pointer[shutdown]
+	// ending is canceled by endUnanswered, when a stopping process is about to end.
+	ending        context.Context
+	endUnanswered context.CancelFunc
 	// directoryLoaded is set once the directory of upstreams has been read in
 	// full.
 	directoryLoaded atomic.Bool
@@ -125,7 +128,7 @@
 	served, refused, failed, clientDisconnects metrics.Counter
 	retries, generationsMoved, generationsLost metrics.Counter
 	movesUnanswered, unrelatedResponses        metrics.Counter
-	runsStoppedUnheard                         metrics.Counter
+	runsStoppedUnheard, endedWithProcess       metrics.Counter
 	crashesRecorded, crashesLearned            metrics.Counter
 	requestsBlocked, rateLimitChanges          metrics.Counter
 	leavingNotices, pauses, refusedPaused      metrics.Counter
@@ -169,6 +172,7 @@
 		budget:        newBudget(options),
 		leaving:       make(map[currantwood.UpstreamID]leavingUpstream),
 	}
+	g.ending, g.endUnanswered = context.WithCancel(context.Background())
 	g.instruments = newInstruments(options.Metrics)
 	g.buffers = newStreamBuffers(options)
 	return g
@@ -185,6 +189,7 @@
 		generationsMoved:   metrics.NewRegisteredCounter("generations-moved", r),
 		generationsLost:    metrics.NewRegisteredCounter("generations-lost", r),
 		movesUnanswered:    metrics.NewRegisteredCounter("moves-unanswered", r),
+		endedWithProcess:   metrics.NewRegisteredCounter("requests-ended-with-process", r),
 		runsStoppedUnheard: metrics.NewRegisteredCounter("runs-stopped-unheard", r),
 		unrelatedResponses: metrics.NewRegisteredCounter("unrelated-responses", r),
 		crashesRecorded:    metrics.NewRegisteredCounter("crashes-recorded", r),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -100,6 +101,8 @@
 	// pickedAt is when the last upstream was picked; guarded by the gateway's mu while the
 	// request waits for room.
 	pickedAt time.Time
+	// responding is set once the response to the client has begun.
+	responding atomic.Bool
 	// promised is whether the request redeems a promise of room, and promiseNoted
 	// whether it was counted if there was room for it.
 	promised, promiseNoted bool
@@ -118,6 +121,7 @@
 	defer q.returnUnsentProbe()
 	ctx, cancel := context.WithTimeout(q.r.Context(), q.deadline.Sub(q.g.Now()))
 	defer cancel()
+	defer q.endWithProcess(cancel)()
 	if q.route.Stream {
 		q.serveStream(ctx)
 		return
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -10,22 +11,43 @@
 	"github.com/currantwood/currantwood"
 )
 
-// callsAcceptedTime is how long after the start of a shutdown calls are accepted that end
-// in time unless their upstream is slow.
-const callsAcceptedTime = 2500 * time.Millisecond
+const (
+	// callsAcceptedTime is how long after the start of a shutdown calls are accepted that
+	// end in time unless their upstream is slow.
+	callsAcceptedTime = 2500 * time.Millisecond
+	// finalResponseTime is how long before its end a stopping process ends the requests that
+	// have no response, so that their clients get one.
+	finalResponseTime = 300 * time.Millisecond
+)
 
 // shutdown is the planned end of the process.
 type shutdown struct {
-	// began is when the gateway was told to stop, and end when the process ends.
+	// began is when the gateway was told to stop, and end is when requests without a
+	// response are ended, finalResponseTime before the process.
 	began, end time.Time
 }
 
 // Stop makes the response to every request that arrives from now on close its
-// connection. Requests that may run past end are refused, and so are those that wait for
-// room.
-func (g *Gateway) Stop(now, end time.Time) {
+// connection. Requests that may run until processEnd are refused, and so are those that wait
+// for room. Those that run then in spite of that get a final response shortly before.
+func (g *Gateway) Stop(now, processEnd time.Time) {
+	end := processEnd.Add(-finalResponseTime)
 	g.shutdown.Store(&shutdown{began: now, end: end})
 	g.refuseWaiting()
+	time.AfterFunc(end.Sub(now), g.endUnanswered)
+}
+
+// endWithProcess calls cancel when a stopping process is about to end, unless the response to
+// the request has begun by then. The function that it returns prevents that.
+func (q *request) endWithProcess(cancel context.CancelFunc) (stop func() bool) {
+	return context.AfterFunc(q.g.ending, func() {
+		if q.responding.Load() {
+			return
+		}
+		q.g.instruments.endedWithProcess.Inc(1)
+		q.log("request ended without a response of its upstream, as the process ends")
+		cancel()
+	})
 }
 
 // maxDuration is the longest time that the request is expected to take from now on, while
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -78,6 +78,7 @@
 	// The deadline keeps a client that doesn't read from blocking the stream
 	// forever.
 	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(s.deadline.Sub(s.g.Now()) + writeSlack))
+	s.responding.Store(true)
 	s.w.WriteHeader(up.exchange.Status)
 	s.noteBegun(up)
 	s.headerWritten.Store(true)
