Hold a response that continues a stream to the first one

What callers saw (an operators' report of other systems; by test here): a stream had begun and broke off or was moved, the next engine answered with 200 and an error: its text, a whole head among them, stood in the middle of the stream, or the stream ended as if it were whole.

Cause: of a response that continues only the status was looked at, and its end counted for the stream whatever it had sent. Errors by status are ruled out: they were refused before.

Change: such a response must have a signature, if the first had one, and the first one's type; a text without an id among events with ids breaks the exchange, comments are passed on; a stream is whole only if the upstream that ended it has sent an event. A run that has sent all its events counts as whole even if it was moved meanwhile.

Cost: a stream whose engine breaks off right after its last event is cut off if the next one has nothing to add.

--- a/eventsplitter/splitter.go
+++ b/eventsplitter/splitter.go
@@ -34,6 +34,8 @@
 	Text []byte
 	// ID is the event's numeric id; negative if it has none.
 	ID int64
+	// Comment is whether all lines are comments.
+	Comment bool
 }
 
 // Splitter reads events from a response body. It is not safe for concurrent
@@ -57,13 +59,16 @@
 // all incomplete events together exceed the memory.
 func (s *Splitter) Next() (Event, error) {
 	defer s.release()
-	event := Event{ID: -1}
+	event := Event{ID: -1, Comment: true}
 	// A line that is longer than the read buffer is read in parts. It is neither empty nor
 	// an id.
 	partOfLine := false
 	for {
 		line, err := s.in.ReadSlice('\n')
 		event.Text = append(event.Text, line...)
+		if !partOfLine && !isEmpty(line) && line[0] != ':' {
+			event.Comment = false
+		}
 		if len(event.Text) > maxEventBytes {
 			return Event{}, errors.WithStack(ErrEventTooLong)
 		}
--- a/eventsplitter/splitter_test.go
+++ b/eventsplitter/splitter_test.go
@@ -57,6 +57,20 @@
 	)
 })
 
+var _ = DescribeTable("An event is a comment if all its lines are",
+	func(text string, comment bool) {
+		event, err := New(strings.NewReader(text+"\n\n"), newMemory()).Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(event.Comment).To(Equal(comment))
+	},
+	Entry("one line", ": keep-alive", true),
+	Entry("a line longer than the read buffer", ":"+strings.Repeat("a", 3*readBufferBytes), true),
+	Entry("two lines", ":\n: a", true),
+	Entry("a field", "data: a", false),
+	Entry("a field after a comment", ": a\ndata: a", false),
+	Entry("a text", "some error.", false),
+)
+
 // endless is a body that repeats a text until it was read for a number of times.
 type endless struct {
 	text string
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -65,12 +64,15 @@
 
 func (s *stream) sendResume(ctx context.Context, choice balancer.Choice, copied currantwood.RunCopy) (*upstreamStream, error) {
 	opened, err := s.sendToUpstream(ctx, choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.lastEvent.Load(), ResumeFrom: &copied})
-	if err == nil && opened.exchange.Status != http.StatusOK {
+	if err != nil {
+		return nil, err
+	}
+	if err := s.checkContinues(opened); err != nil {
 		opened.exchange.Abort()
 		s.recordEnd(opened.view, opened.load, balancer.Failed)
-		return nil, &rejectedError{opened.exchange.Status}
+		return nil, err
 	}
-	return opened, err
+	return opened, nil
 }
 
 // resumeAt waits for the response to a and lets the client's stream go on there. It
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,6 +48,8 @@
 	// version is that of the software of the upstream that sent the first event; empty
 	// before it, or if it is unknown. Guarded by mu.
 	version currantwood.SoftwareVersion
+	// first is what the first response of the stream was like; zero before. Guarded by mu.
+	first firstResponse
 	// current delivers events; next is where a move has resumed the stream,
 	// until relay switches to it. Both are changed only with mu held. current is
 	// changed only by the goroutine of serveStream, which therefore reads it
@@ -82,6 +84,15 @@
 	gapUpstream currantwood.UpstreamID
 }
 
+// firstResponse is the first response of a stream, whose header the client gets.
+type firstResponse struct {
+	Signed      bool
+	ContentType string
+}
+
+// errUnconfirmed means that an upstream isn't known to be the one that was chosen.
+var errUnconfirmed = errors.New("the upstream isn't known to be the incarnation that was chosen")
+
 // serveStream serves a request whose response is relayed event by event.
 func (q *request) serveStream(ctx context.Context) {
 	s := &stream{request: q, ctx: ctx, pacer: pacer.New(q.route.GapTarget)}
@@ -140,11 +151,8 @@
 		}
 		s.attempted = append(s.attempted, choice.View.ID)
 		opened, err := s.sendCancelable(choice, currantwood.UpstreamRequest{LastEvent: s.lastEvent.Load()})
-		if err == nil && opened.exchange.Status != http.StatusOK && s.headerWritten.Load() {
-			err = s.rejectResume(opened)
-		}
-		if err == nil && opened.exchange.Status == http.StatusOK && s.hasBegun() && !s.confirms(choice.View) {
-			err = s.rejectResume(opened)
+		if err == nil {
+			err = s.checkResumed(opened, choice)
 		}
 		if err == nil && opened.exchange.Status != http.StatusOK {
 			s.g.removeStream(choice.View.ID, s)
@@ -184,6 +192,22 @@
 	return false
 }
 
+// checkResumed ends the exchange with an upstream and returns an error if the stream has begun
+// and can't go on with its response. A response with an error to a client that has received
+// nothing in this attempt is passed on.
+func (s *stream) checkResumed(opened *upstreamStream, choice balancer.Choice) error {
+	if !s.hasBegun() || opened.exchange.Status != http.StatusOK && !s.headerWritten.Load() {
+		return nil
+	}
+	if err := s.checkContinues(opened); err != nil {
+		return s.rejectResume(opened, err)
+	}
+	if !s.confirms(choice.View) {
+		return s.rejectResume(opened, errUnconfirmed)
+	}
+	return nil
+}
+
 // streamStallTimeout is the longest time that a healthy engine leaves a
 // stream without an event.
 func (s *stream) streamStallTimeout() time.Duration {
@@ -217,10 +241,12 @@
 			s.endDisconnected(up)
 			return nil
 		}
-		if s.switchTo(up, s.takeNext()) {
+		whole := up.ended(err) && s.complete(up)
+		// A run that has sent all its events doesn't go on elsewhere, although it was moved.
+		if !(whole && up.exchange.Framed) && s.switchTo(up, s.takeNext()) {
 			continue
 		}
-		if up.ended(err) && s.complete() {
+		if whole {
 			s.closeUpstream(up, balancer.Served)
 			if up.exchange.Framed {
 				s.recordCompletion(up.firstEventAt)
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -38,6 +38,11 @@
 	// intervals is the number of intervals between events so far, up to one more than are
 	// measured. Only relay uses it.
 	intervals int
+	// continues is whether the client had events of another upstream before.
+	continues bool
+	// sentEvent is whether the upstream has sent an event that isn't a comment. Only relay
+	// uses it.
+	sentEvent bool
 	// begun is whether it was noted that the stream has gone on for beginTime.
 	begun bool
 	// stalled is whether the gateway ended the exchange since no event arrived.
@@ -89,18 +94,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &upstreamStream{view: choice.View, exchange: x, events: eventsplitter.New(x.Body, s.g.responses), load: load, startedAt: startedAt}, nil
+	return &upstreamStream{view: choice.View, exchange: x, events: eventsplitter.New(x.Body, s.g.responses), load: load, startedAt: startedAt, continues: s.hasBegun()}, nil
 }
 
-// rejectResume ends the exchange with an upstream that was to resume the stream, and
-// responded with an error, which can't be passed on within the stream, or isn't known
-// to be the one that was chosen. It returns that as an error.
-func (s *stream) rejectResume(up *upstreamStream) error {
+// rejectResume ends the exchange with an upstream that was to resume the stream. What it
+// responded can't be passed on within the stream, or it isn't known to be the one that was
+// chosen. rejectResume returns cause as the error.
+func (s *stream) rejectResume(up *upstreamStream, cause error) error {
 	up.exchange.Abort()
 	s.g.removeStream(up.view.ID, s)
 	s.recordEnd(up.view, up.load, balancer.Failed)
 	s.possibleRuns++
-	return errors.Errorf("resume rejected with status %d", up.exchange.Status)
+	return errors.Wrap(cause, "resume rejected")
 }
 
 // writeWholeResponse passes on a response whose status isn't 200. The header must not
