Reckon with the slowest pace that is on time when a gateway stops

Cause: it reckoned with the average time between events of its own streams, 40 ms from a quiet time, while other gateways' streams made engines take 104 ms. A wrong length and an early end of the process are ruled out by the log.

Change: the longest pause for which a stream is on time, or the average if that is longer.

Cost: more streams are refused while a gateway stops, as not run and with a time to come back.

--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -96,6 +96,21 @@
 	Entry("long, with a deadline right before the process ends", currantwood.TokenCount(2204), currantwood.TokenCount(0), true, 4*time.Second, false),
 )
 
+// Guards against streams that are cut off since the gateway knew the pace of engines from a
+// quiet time only.
+var _ = DescribeTable("a stopping gateway accepts a stream only if it ends in time at the slowest pace that is on time",
+	func(output currantwood.TokenCount, want bool) {
+		q := stoppingRequest(4200 * time.Millisecond)
+		q.route = &currantwood.Route{Stream: true, Target: 1500 * time.Millisecond, GapTarget: 180 * time.Millisecond}
+		q.client = currantwood.ClientRequest{Size: currantwood.GenerationSize{Output: output}}
+		q.deadline = start.Add(39 * time.Second)
+		Expect(q.checkServable(start) == nil).To(Equal(want))
+	},
+	Entry("13 events", currantwood.TokenCount(52), true),
+	Entry("14 events", currantwood.TokenCount(56), false),
+	Entry("50 events, which would fit at the pace of a quiet time", currantwood.TokenCount(200), false),
+)
+
 var _ = DescribeTable("a stopping gateway accepts a call if it ends by its deadline or, at first, if it usually ends in time",
 	func(afterStop, left, timeout time.Duration, want bool) {
 		q := stoppingRequest(left)
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -66,15 +66,17 @@
 }
 
 // maxStreamDuration is how long the stream takes if it generates its maximum
-// output. The client's estimate is not used: it is often far off, and cutting a
-// stream off is worse for the client than starting it at another gateway at
-// once. The caller holds the gateway's mu.
+// output, each event after the longest pause for which the stream is on time. Engines may be
+// that slow when they are busy, which this gateway doesn't see in a quiet time. Nor is the
+// client's estimate used: it is often far off. Cutting a stream off is worse for the client than
+// starting it at another gateway at once. The caller holds the gateway's mu.
 func (q *request) maxStreamDuration() time.Duration {
 	perEvent := currantwood.TokenCount(1)
 	if e := q.snapshot.Groups[q.group].Engine; e != nil && e.TokensPerEvent > 0 {
 		perEvent = e.TokensPerEvent
 	}
-	return q.route.Target + time.Duration(q.client.Size.Output/perEvent)*q.g.eventInterval
+	interval := max(q.g.eventInterval, q.route.GapTarget)
+	return q.route.Target + time.Duration(q.client.Size.Output/perEvent)*interval
 }
 
 // LogCutOff logs the streams that the end of the process cuts off now.
