Withdraw the confirmation of a configuration that was read from an older copy

Cause: its read of the copy counted as a confirmation, which nothing withdrew; and it accepted requests before it had heard of the other gateways. That it doesn't know of the version is ruled out by its log.

Change: digests say for how long the sender has held its version, and a later confirmation of an older one is withdrawn. A process that isn't one of the first believes its reads once it hears from the collector, or after 0.4 s.

Cost: a process that is started again is ready up to 0.4 s later.

--- a/configkeeper/keeper.go
+++ b/configkeeper/keeper.go
@@ -47,15 +47,27 @@
 	}
 }
 
-// NoteNewest notes that a version exists. While the current one is older, it can't be
-// confirmed: the store may have come back from a copy without the newest.
-func (k *Keeper) NoteNewest(version currantwood.ConfigurationVersion) {
+// NoteNewest notes that a version exists, and has since a time. While the current one is older,
+// it can't be confirmed: the store may have come back from a copy without the newest. If it was
+// confirmed after that time, that was by such a copy and is withdrawn. NoteNewest reports whether
+// it was.
+func (k *Keeper) NoteNewest(version currantwood.ConfigurationVersion, since time.Time) (withdrawn bool) {
 	for {
 		known := k.newest.Load()
 		if uint64(version) <= known || k.newest.CompareAndSwap(known, uint64(version)) {
-			return
+			break
+		}
+	}
+	for k.Version() < version {
+		last := k.confirmedAt.Load()
+		if last <= since.UnixNano() {
+			return false
+		}
+		if k.confirmedAt.CompareAndSwap(last, 0) {
+			return true
 		}
 	}
+	return false
 }
 
 // Confirm records that the current configuration was the newest at a time. That
--- a/gatewaystarter/feeds.go
+++ b/gatewaystarter/feeds.go
@@ -45,9 +45,11 @@
 			p.gateway.KeepEvacuations(now)
 			p.peers.ForgetConfiguration()
 		},
-		OnCurrentAsOf: p.config.Confirm,
+		OnCurrentAsOf: p.confirmConfiguration,
 		OnOutageEnd:   func(time.Time) {},
-		Stale:         func(now time.Time) bool { return !p.gateway.ConfigurationFresh(now) },
+		Stale: func(now time.Time) bool {
+			return p.firstRead.believed.Load() && !p.gateway.ConfigurationFresh(now)
+		},
 		PeerCoverage: func(now time.Time) (time.Time, bool) {
 			age := p.config.Age(now)
 			return now.Add(-age), p.peers.HasOtherCollector(now) && age < time.Duration(collectorAgeShare*float64(p.options.Settings.Bounds.RevocationTime))
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -139,6 +139,8 @@
 	starts                   *streamsaver.Saver
 	metrics                  metrics.Registry
 	eraRises                 metrics.Counter
+	// firstRead holds back the confirmation of the configuration while the process starts.
+	firstRead firstRead
 	// boundRoutes and boundCustomers count those that the configuration binds to regions.
 	boundRoutes, boundCustomers atomic.Int64
 	// arrivals tells whether requests still arrive during shutdown.
@@ -230,6 +232,7 @@
 	close(p.watching)
 	storewatcher.New(ctx, p.options.Store, p.options.Logger, p.now, p.crashFeed())
 	peers.Start(ctx, p.configuration, p.directory)
+	go func() { p.believeReads(ctx) }()
 	p.crashes = crashsaver.New(ctx, crashsaver.Options{
 		Store:       p.options.Writer,
 		Topic:       p.options.CrashTopic,
--- a/peermessenger/configuration.go
+++ b/peermessenger/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configasker"
@@ -47,9 +48,28 @@
 	return rate.NewLimiter(rate.Limit(bytesPerSecond), max(maxSentConfigurationBytes, int(bytesPerSecond*sendBurst.Seconds())))
 }
 
+// heldConfiguration is the newest version that this gateway has held, and since when.
+type heldConfiguration struct {
+	version currantwood.ConfigurationVersion
+	since   time.Time
+}
+
+// configurationHeld returns for how long this gateway has held the version that it holds, in
+// microseconds; nil if it isn't known.
+func (m *Messenger) configurationHeld(now time.Time) *int64 {
+	held := m.held.Load()
+	if held == nil || held.version != m.Configuration.Version() {
+		return nil
+	}
+	return proto.Int64(now.Sub(held.since).Microseconds())
+}
+
 // RetainConfiguration keeps the record of the configuration that this gateway holds, for
 // gateways that ask for it.
 func (m *Messenger) RetainConfiguration(version currantwood.ConfigurationVersion, record currantwood.KeyedRecord) {
+	if held := m.held.Load(); held == nil || held.version < version {
+		m.held.Store(&heldConfiguration{version, m.Now()})
+	}
 	m.configuration.Store(&retainedConfiguration{
 		version:    version,
 		record:     record,
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/currantwood/currantwood"
@@ -118,11 +119,12 @@
 	// get the age of a configuration that arrives in between.
 	age := m.Configuration.Age(now)
 	digest := &peerwire.Digest{
-		Echo:               m.peers.LastState(peer.VM).SentAt,
-		EchoProcess:        m.peers.LastState(peer.VM).Process,
-		Configuration:      uint64(m.Configuration.Version()),
-		ConfigurationAgeUs: age.Microseconds(),
-		DirectoryAgeUs:     m.directoryTopic.Age(now).Microseconds(),
+		Echo:                m.peers.LastState(peer.VM).SentAt,
+		EchoProcess:         m.peers.LastState(peer.VM).Process,
+		Configuration:       uint64(m.Configuration.Version()),
+		ConfigurationAgeUs:  age.Microseconds(),
+		ConfigurationHeldUs: m.configurationHeld(now),
+		DirectoryAgeUs:      m.directoryTopic.Age(now).Microseconds(),
 		// The age of a time that is zero is the longest duration.
 		DirectoryFailedAgeUs: proto.Int64(now.Sub(m.directoryTopic.FailedAt()).Microseconds()),
 		Loads:                encodeLoads(m.peers.LoadsExcept(loads, peer.VM)),
@@ -197,7 +199,14 @@
 // answers.
 func (m *Messenger) applyConfigurationAge(now time.Time, from peerkeeper.Peer, d *peerwire.Digest) {
 	version := currantwood.ConfigurationVersion(d.GetConfiguration())
-	m.Configuration.NoteNewest(version)
+	// An older gateway doesn't say for how long it has held the version.
+	since := now
+	if d.ConfigurationHeldUs != nil {
+		since = now.Add(-time.Duration(d.GetConfigurationHeldUs()) * time.Microsecond)
+	}
+	if m.Configuration.NoteNewest(version, since) {
+		m.Logger.Warn("configuration was read from an older copy of the store", zap.Uint64("version", uint64(m.Configuration.Version())), zap.Uint64("newest", uint64(version)), zap.String("collector", string(from.VM)), zap.Duration("held", now.Sub(since)))
+	}
 	if version > m.Configuration.Version() {
 		m.obtainConfiguration(now, from, version)
 		return
--- a/peermessenger/interfaces.go
+++ b/peermessenger/interfaces.go
@@ -94,8 +94,9 @@
 // Configuration is the configuration that this gateway holds.
 type Configuration interface {
 	Version() currantwood.ConfigurationVersion
-	// NoteNewest notes that a version exists.
-	NoteNewest(version currantwood.ConfigurationVersion)
+	// NoteNewest notes that a version exists, and has since a time. It reports whether that
+	// shows that an older one was confirmed wrongly.
+	NoteNewest(version currantwood.ConfigurationVersion, since time.Time) (withdrawn bool)
 	// Age returns how long ago the configuration was last known to be the newest.
 	Age(now time.Time) time.Duration
 	// Confirm notes that the configuration was the newest at a time.
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -88,6 +88,8 @@
 	// configuration is the record of the configuration for gateways that ask for it; nil
 	// if there is none. mu doesn't protect it, since it is set while a topic's lock is held.
 	configuration atomic.Pointer[retainedConfiguration]
+	// held is since when this gateway has held its version; nil before the first.
+	held atomic.Pointer[heldConfiguration]
 	// configurationLimiter bounds the bytes of configurations that are sent.
 	configurationLimiter *rate.Limiter
 	// stateSpeedsAt and digestSpeedsAt are when speeds were sent last in a state and in
