Pass on no success without a signature

What callers saw: an answer 200 without the header of its signature, whose name the upstream had spoiled, as a success.

Cause: whether a response has a signature was decoded and read by nobody. That the header is lost on the way is ruled out: an empty one is passed on as such.

Change: a 2xx without a signature is a failed attempt that may have run, for calls, streams and resumes.

Evidence: "isn't passed on: a success without a signature", and with an empty one, failed before for calls.

Cost: a service whose successes bear no signature can't be served; the platform's all do.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -172,9 +172,23 @@
 		q.recordRejection(choice.View, load, outcome)
 		return nil, &rejectedError{x.Status}
 	}
+	if isSuccess(x.Status) && !x.Answer.Signed {
+		x.Abort()
+		q.possibleRuns++
+		q.recordEnd(choice.View, load, balancer.Failed)
+		return nil, errUnsigned
+	}
 	return x, nil
 }
 
+// errUnsigned means that an upstream responded with a success without a signature. It may have
+// run the request, but nothing shows that the response is its own.
+var errUnsigned = errors.New("success without a signature")
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // recordFailedStart reports a failed start to the balancer and, if the upstream
 // may have received the request, counts a possible run and records a crash.
 func (q *request) recordFailedStart(f failure, load balancer.Load, err error) {
@@ -214,7 +228,7 @@
 // recordServed counts a response of an upstream that was passed on, whatever its
 // status.
 func (q *request) recordServed(choice balancer.Choice, a *response) {
-	if a.status < http.StatusMultipleChoices && a.framed {
+	if isSuccess(a.status) && a.framed {
 		q.recordCompletion(a.sentAt)
 	}
 	q.g.instruments.served.Inc(1)
