Keep what a stream may go on with in one file

Change: gateway/continuation.go; the stream keeps the first response's type alone. Behaviour is unchanged.

Result: the specs of gateway and "A stream that has begun and goes on at an engine in trouble" pass.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,8 +48,8 @@
 	// version is that of the software of the upstream that sent the first event; empty
 	// before it, or if it is unknown. Guarded by mu.
 	version currantwood.SoftwareVersion
-	// first is what the first response of the stream was like; zero before. Guarded by mu.
-	first firstResponse
+	// contentType is the type of the first response of the stream. Guarded by mu.
+	contentType string
 	// current delivers events; next is where a move has resumed the stream,
 	// until relay switches to it. Both are changed only with mu held. current is
 	// changed only by the goroutine of serveStream, which therefore reads it
@@ -84,15 +84,6 @@
 	gapUpstream currantwood.UpstreamID
 }
 
-// firstResponse is the first response of a stream, whose header the client gets.
-type firstResponse struct {
-	Signed      bool
-	ContentType string
-}
-
-// errUnconfirmed means that an upstream isn't known to be the one that was chosen.
-var errUnconfirmed = errors.New("the upstream isn't known to be the incarnation that was chosen")
-
 // serveStream serves a request whose response is relayed event by event.
 func (q *request) serveStream(ctx context.Context) {
 	s := &stream{request: q, ctx: ctx, pacer: pacer.New(q.route.GapTarget)}
@@ -192,22 +183,6 @@
 	return false
 }
 
-// checkResumed ends the exchange with an upstream and returns an error if the stream has begun
-// and can't go on with its response. A response with an error to a client that has received
-// nothing in this attempt is passed on.
-func (s *stream) checkResumed(opened *upstreamStream, choice balancer.Choice) error {
-	if !s.hasBegun() || opened.exchange.Status != http.StatusOK && !s.headerWritten.Load() {
-		return nil
-	}
-	if err := s.checkContinues(opened); err != nil {
-		return s.rejectResume(opened, err)
-	}
-	if !s.confirms(choice.View) {
-		return s.rejectResume(opened, errUnconfirmed)
-	}
-	return nil
-}
-
 // streamStallTimeout is the longest time that a healthy engine leaves a
 // stream without an event.
 func (s *stream) streamStallTimeout() time.Duration {
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -26,29 +26,6 @@
 // at which the stream goes on may have ended with nothing but an error.
 func (s *stream) complete(up *upstreamStream) bool { return s.headerWritten.Load() && up.sentEvent }
 
-// errForeignEvent means that an upstream at which a stream goes on sent something that is none
-// of its events.
-var errForeignEvent = errors.New("a text among events with ids")
-
-// checkContinues returns an error if a response isn't a part of the stream that has begun: it
-// must be a success with a signature if the first one had one, and of the same type.
-func (s *stream) checkContinues(up *upstreamStream) error {
-	x := up.exchange
-	if x.Status != http.StatusOK {
-		return &rejectedError{x.Status}
-	}
-	if !s.headerWritten.Load() {
-		return nil
-	}
-	s.mu.Lock()
-	first := s.first
-	s.mu.Unlock()
-	if first.Signed && !x.Answer.Signed || first.ContentType != x.Header.Get("Content-Type") {
-		return errors.Errorf("not the rest of the stream: signed %t, type %q", x.Answer.Signed, x.Header.Get("Content-Type"))
-	}
-	return nil
-}
-
 // deliver writes one event to the client, or buffers it, unless the client has it already
 // or will have. It fails if the event's id doesn't follow that of the last one.
 func (s *stream) deliver(up *upstreamStream, event eventsplitter.Event) error {
@@ -102,7 +79,7 @@
 // writeHeader writes the header of the response.
 func (s *stream) writeHeader(up *upstreamStream) {
 	s.mu.Lock()
-	s.first = firstResponse{Signed: up.exchange.Answer.Signed, ContentType: up.exchange.Header.Get("Content-Type")}
+	s.contentType = up.exchange.Header.Get("Content-Type")
 	s.mu.Unlock()
 	copyEndToEndHeaders(s.w.Header(), up.exchange.Header)
 	// The deadline keeps a client that doesn't read from blocking the stream
