--- a/review/third/cases.go
+++ b/review/third/cases.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -156,79 +155,6 @@
 	return broken > 0
 }
 
-// slowReaderStop: streams whose client reads slowly, at a gateway that is stopped as planned.
-func slowReaderStop(d *deployment) (bool, error) {
-	if err := d.putConfiguration(route{"stream", "streaming", "writers", 39000, 1800, 1, false}); err != nil {
-		return false, err
-	}
-	for i := range 4 {
-		if _, err := d.startWorker(fmt.Sprintf("i-writer-%d", i+1), "writers", "-events", "551", "-gap", "10ms"); err != nil {
-			return false, err
-		}
-	}
-	if err := d.startGateways(4); err != nil {
-		return false, err
-	}
-	results := make([]result, 8)
-	var group sync.WaitGroup
-	for i := range results {
-		group.Go(func() { results[i] = d.readSlowly(i) })
-	}
-	time.Sleep(8 * time.Second)
-	if d.trouble {
-		d.note("SIGTERM to gateway 1")
-		d.gateways[0].signal(syscall.SIGTERM)
-	}
-	group.Wait()
-	for _, r := range results {
-		d.note("%s: status %d, whole %t, %d bytes, last event %t, %v, after %.1f s", r.id, r.status, r.whole, len(r.body), strings.Contains(r.body, " 551 of 551 "), r.err, r.took.Seconds())
-	}
-	for _, l := range d.lines() {
-		if l.event == "end" {
-			d.note("worker ended %s at %.3f s", l.request, l.at.Sub(d.began).Seconds())
-		}
-	}
-	broken := 0
-	for _, r := range results {
-		if !r.whole {
-			broken++
-		}
-	}
-	return broken > 0, nil
-}
-
-// readSlowly takes a stream at gateway 1 with a small window, 2 KB each 400 ms.
-func (d *deployment) readSlowly(i int) result {
-	q := request{
-		id: fmt.Sprintf("stream-%04d", i), method: http.MethodPost, path: "/stream/1", body: "prompt", deadline: 39 * time.Second,
-		header: http.Header{"X-Model": {"m"}, "X-Token-Counts": {"1000,2204"}, "X-Prefix-Hash": {fmt.Sprintf("aa%d:100", i)}},
-	}
-	began := time.Now()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
-	}}
-	conn, err := dialer.Dial("tcp", d.front(0))
-	if err != nil {
-		return result{id: q.id, err: err}
-	}
-	defer func() { _ = conn.Close() }()
-	if _, err := conn.Write([]byte(q.text())); err != nil {
-		return result{id: q.id, err: err}
-	}
-	r := readAnswer(&slowReader{conn: conn}, q, result{id: q.id})
-	r.took = time.Since(began)
-	return r
-}
-
-// slowReader reads at most 2 KB each 600 ms.
-type slowReader struct{ conn net.Conn }
-
-func (s *slowReader) Read(p []byte) (int, error) {
-	n, err := s.conn.Read(p[:min(len(p), 2048)])
-	time.Sleep(400 * time.Millisecond)
-	return n, err
-}
-
 // moveKeeps: streams at a worker that leaves and doesn't drop a request when its connection
 // closes.
 func moveKeeps(d *deployment) (bool, error) {
--- a/review/third/worker.go
+++ b/review/third/worker.go
@@ -400,4 +400,5 @@
 		s.running[id] = n + 1
 		s.mu.Unlock()
 	}
+	s.note("finished", id)
 }
