--- a/review/third/main.go
+++ b/review/third/main.go
@@ -24,6 +24,8 @@
 	"move-keeps":       moveKeeps,
 	"stale-seeds":      staleSeeds,
 	"half-close":       halfClose,
+	"long-ids":         longIDs,
+	"deadly-parts":     deadlyParts,
 }
 
 func main() {
--- a/review/third/worker.go
+++ b/review/third/worker.go
@@ -149,6 +149,8 @@
 	gap      time.Duration
 	work     time.Duration
 	padding  int
+	// deadly is the part of a prompt that crashes the worker; empty for none.
+	deadly string
 	// keep is whether a run goes on when its connection has closed.
 	keep    bool
 	address string
@@ -179,6 +181,7 @@
 	flags.DurationVar(&s.gap, "gap", 40*time.Millisecond, "time between two events")
 	flags.DurationVar(&s.work, "work", 15*time.Millisecond, "time that a call takes")
 	flags.IntVar(&s.padding, "padding", 280, "bytes of an event")
+	flags.StringVar(&s.deadly, "deadly", "", "part of a prompt, other than the last, that crashes the worker")
 	flags.BoolVar(&s.keep, "keep", false, "works on when the connection of a request has closed")
 	flags.StringVar(&s.address, "listen", "", "address")
 	log := flags.String("log", "", "file for what was run")
@@ -263,6 +266,7 @@
 	}
 	defer s.end(id)
 	w.Header().Set("X-Response-Seal", "seal-"+s.id)
+	s.crashOnPart(w, r, id)
 	if s.unframed {
 		w.Header().Set("Transfer-Encoding", "identity")
 		w.Header().Set("Connection", "close")
@@ -280,6 +284,19 @@
 	s.answer(w, id)
 }
 
+// crashOnPart ends the process as it begins to write the answer, if the prompt has the deadly part
+// other than as its last one.
+func (s *server) crashOnPart(w http.ResponseWriter, r *http.Request, id string) {
+	parts := strings.Split(r.Header.Get("X-Prefix-Hash"), ",")
+	for _, part := range parts[:len(parts)-1] {
+		if name, _, _ := strings.Cut(part, ":"); s.deadly != "" && name == s.deadly {
+			s.note("crash", id)
+			_ = http.NewResponseController(w).Flush()
+			os.Exit(exitNotRun)
+		}
+	}
+}
+
 // begin notes a run. It returns whether its answer is lost, and whether the run is accepted: one
 // that goes on from a copy needs that.
 func (s *server) begin(id, from string, stop context.CancelFunc) (lose, accepted bool) {
