--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -5,7 +5,7 @@
 for program in target/currantwood target/third; do
 	[ -x "$program" ] || { echo "$program is missing: build it first"; exit 2; }
 done
-timeout 110 target/third slow-reader-stop review/14
+timeout 110 target/third stale-seeds review/14
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
