End runs at engines that work on when their connection closes

What callers saw: nothing. Change: package runstopper orders the engine to stop the run over a connection of its own, 50 ms after the close, again if the order is lost, until the run is known to have ended. A log line and two counters say what became of it. Nobody waits for the order. The orders that silence.go sent for silent connections go the same way. It costs a connection to the engine for each run that doesn't end by itself.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -59,6 +59,8 @@
 		result, err := q.attempt(ctx, choice)
 		if err == nil {
 			defer q.g.responses.ReleaseBody(result.body)
+		} else {
+			q.endFailedRun(choice.View, err)
 		}
 		if q.clientDisconnected() {
 			q.recordDisconnect(choice)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/currantwood/currantwood/placement/evacuationkeeper"
 	"github.com/currantwood/currantwood/placement/warmupkeeper"
 	"github.com/currantwood/currantwood/ratekeeper"
+	"github.com/currantwood/currantwood/runstopper"
 	"github.com/currantwood/currantwood/streamkeeper"
 	"github.com/currantwood/currantwood/upstreamkeeper"
 )
@@ -86,6 +87,8 @@
 	streamStarts *streamkeeper.Keeper
 	// askStart asks other gateways where a stream began; see SetAskStart.
 	askStart AskStartFunc
+	// stopper makes engines end runs that aren't wanted any longer.
+	stopper *runstopper.Stopper
 	// eventInterval is the moving average of the time between two events of a
 	// stream; guarded by mu.
 	eventInterval time.Duration
@@ -129,6 +132,7 @@
 	retries, generationsMoved, generationsLost metrics.Counter
 	movesUnanswered, unrelatedResponses        metrics.Counter
 	runsStoppedUnheard, endedWithProcess       metrics.Counter
+	runsStopped, runEndsUnknown                metrics.Counter
 	crashesRecorded, crashesLearned            metrics.Counter
 	requestsBlocked, rateLimitChanges          metrics.Counter
 	leavingNotices, pauses, refusedPaused      metrics.Counter
@@ -171,6 +175,7 @@
 		room:          newRoomQueue(options.Settings.MemoryBytes, options.Random),
 		budget:        newBudget(options),
 		leaving:       make(map[currantwood.UpstreamID]leavingUpstream),
+		stopper:       runstopper.New(options.Mover, options.States, options.Now),
 	}
 	g.ending, g.endUnanswered = context.WithCancel(context.Background())
 	g.instruments = newInstruments(options.Metrics)
@@ -191,6 +196,8 @@
 		movesUnanswered:    metrics.NewRegisteredCounter("moves-unanswered", r),
 		endedWithProcess:   metrics.NewRegisteredCounter("requests-ended-with-process", r),
 		runsStoppedUnheard: metrics.NewRegisteredCounter("runs-stopped-unheard", r),
+		runsStopped:        metrics.NewRegisteredCounter("runs-stopped-after-close", r),
+		runEndsUnknown:     metrics.NewRegisteredCounter("run-ends-unknown", r),
 		unrelatedResponses: metrics.NewRegisteredCounter("unrelated-responses", r),
 		crashesRecorded:    metrics.NewRegisteredCounter("crashes-recorded", r),
 		crashesLearned:     metrics.NewRegisteredCounter("crashes-learned", r),
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -106,7 +106,7 @@
 		spare.err = errBudgetExhausted
 	}
 	if spare.err != nil {
-		s.endAtSource(from)
+		s.abortRun(from)
 		close(spare.done)
 		return spare
 	}
@@ -115,6 +115,8 @@
 		defer close(spare.done)
 		if spare.copied, spare.err = s.copyRun(from, spare.choice, true); spare.err == nil {
 			close(spare.ready)
+		} else if !spare.copied.SourceStopped {
+			s.abortRun(from)
 		}
 	}()
 	return spare
--- a/gateway/movecopy.go
+++ b/gateway/movecopy.go
@@ -26,7 +26,7 @@
 // copyRun copies the run's memory to an engine, and asks it meanwhile whether it may be
 // used still; if not, the error is errTargetUnusable. If stop is set, the source stops the
 // run first. If copyRun fails, it has reported the end of the target's load to the
-// balancer.
+// balancer, and only SourceStopped of the copy is valid.
 func (s *stream) copyRun(from *upstreamStream, choice balancer.Choice, stop bool) (currantwood.RunCopy, error) {
 	if !s.mayBeSent(choice.View) {
 		s.recordEnd(choice.View, s.moveLoad(), balancer.Neutral)
@@ -43,7 +43,7 @@
 	}
 	if err != nil {
 		s.recordRejection(choice.View, s.moveLoad(), balancer.Neutral)
-		return currantwood.RunCopy{}, err
+		return currantwood.RunCopy{SourceStopped: copied.SourceStopped}, err
 	}
 	outcome := balancer.Neutral
 	accepts := <-confirmed
@@ -53,7 +53,7 @@
 	if !accepts || !s.mayBeSent(choice.View) {
 		s.recordEnd(choice.View, s.moveLoad(), outcome)
 		s.freeCopy(copied)
-		return currantwood.RunCopy{}, errTargetUnusable
+		return currantwood.RunCopy{SourceStopped: copied.SourceStopped}, errTargetUnusable
 	}
 	return copied, nil
 }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -65,10 +65,12 @@
 func (s *stream) sendResume(ctx context.Context, choice balancer.Choice, copied currantwood.RunCopy) (*upstreamStream, error) {
 	opened, err := s.sendToUpstream(ctx, choice, s.moveLoad(), currantwood.UpstreamRequest{LastEvent: s.lastEvent.Load(), ResumeFrom: &copied})
 	if err != nil {
+		s.endFailedRun(choice.View, err)
 		return nil, err
 	}
 	if err := s.checkContinues(opened); err != nil {
 		opened.exchange.Abort()
+		s.endFailedRun(choice.View, err)
 		s.recordEnd(opened.view, opened.load, balancer.Failed)
 		return nil, err
 	}
@@ -144,13 +146,13 @@
 	s.mu.Lock()
 	if s.finished {
 		s.mu.Unlock()
-		r.opened.exchange.Abort()
+		s.abortRun(r.opened)
 		s.recordEnd(r.opened.view, r.opened.load, balancer.Neutral)
 		return true
 	}
 	s.next = r.opened
 	s.mu.Unlock()
-	from.exchange.Abort()
+	s.endMovedRun(from, a.copied, a.choice.View.Address)
 	s.g.instruments.generationsMoved.Inc(1)
 	s.log("run moved", append(a.fields, zap.Duration("response", s.g.Now().Sub(a.sentAt)), zap.Int64("last-event", s.lastEvent.Load()), zap.Int64("events-left", s.eventsLeft()))...)
 	return true
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -12,7 +12,6 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/balancer"
-	"github.com/currantwood/currantwood/upstreamkeeper"
 )
 
 // An open connection may go silent, without a reset, while new ones to the same engine work. The
@@ -99,7 +98,7 @@
 	}
 	s.startMoveBy(s.moveUnheard)
 	if next = s.awaitMove(); next == nil && !from.handedOver.Load() {
-		s.endAtSource(from)
+		s.abortRun(from)
 	}
 	return next
 }
@@ -159,48 +158,3 @@
 		s.freeCopy(copied)
 	}
 }
-
-// endAtSource closes the exchange with an engine, and stops the run also if the engine doesn't
-// hear of that.
-func (s *stream) endAtSource(from *upstreamStream) {
-	if silence, _ := from.exchange.Silence(s.g.Now()); silence >= silenceTimeout {
-		s.stopRun(from.view)
-	}
-	from.exchange.Abort()
-}
-
-// stopRun orders an engine to stop the run of the request and to free its memory. It returns at
-// once.
-func (s *stream) stopRun(view upstreamkeeper.View) {
-	engine := s.snapshot.Groups[s.group].Engine
-	if engine == nil || !engine.Moves {
-		return
-	}
-	s.g.instruments.runsStoppedUnheard.Inc(1)
-	// An order names the target of a copy, which isn't used.
-	order := currantwood.CopyOrder{Request: s.client.ID, From: view.Address, To: s.g.otherEngine(view), Stop: true}
-	go func() {
-		copied, err := s.g.Mover.Copy(order, copyTimeout)
-		s.log("run stopped, as its engine may not have heard of the end of the exchange", zap.String("upstream", string(view.ID)), zap.Bool("stopped", copied.SourceStopped), zap.Error(err))
-		if copied.Handle != "" {
-			s.freeCopy(copied)
-		}
-	}()
-}
-
-// otherEngine returns the address of another engine of the same group, one in the same
-// availability zone if there is one, else that of the engine itself.
-func (g *Gateway) otherEngine(view upstreamkeeper.View) string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	address := view.Address
-	for _, other := range g.upstreams.Available() {
-		if other.Group != view.Group || other.ID == view.ID {
-			continue
-		}
-		if address = other.Address; other.Zone == view.Zone {
-			break
-		}
-	}
-	return address
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -157,13 +157,11 @@
 			s.setCurrent(opened)
 			return true
 		}
+		s.endFailedRun(choice.View, err)
 		if s.clientDisconnected() {
 			s.recordDisconnect(choice)
 			return false
 		}
-		if unheard(err) && !unsent(err) && s.ctx.Err() == nil {
-			s.stopRun(choice.View)
-		}
 		s.log("upstream attempt failed", zap.String("upstream", string(choice.View.ID)), zap.Error(err), zap.Float64("score", choice.Score))
 		if s.possibleRuns > 0 {
 			final = &gatewayResponse{status: http.StatusBadGateway, reason: "upstream failed"}
@@ -297,7 +295,7 @@
 		cancel()
 	}
 	if next != nil {
-		next.exchange.Abort()
+		s.abortRun(next)
 		s.recordEnd(next.view, next.load, balancer.Neutral)
 	}
 }
--- a/gateway/upstreamstream.go
+++ b/gateway/upstreamstream.go
@@ -50,6 +50,8 @@
 	// handedOver is whether a move has ended the run here although no other engine has
 	// resumed it yet. See handOver.
 	handedOver atomic.Bool
+	// endOrdered is whether the engine is being made to end the run; see endRun.
+	endOrdered atomic.Bool
 	// cancel cancels the exchange, also while the upstream has not responded; nil if
 	// sendCancelable has set stream.cancelUpstream.
 	cancel context.CancelFunc
@@ -148,6 +150,9 @@
 	} else {
 		up.exchange.Abort()
 	}
+	if outcome != balancer.Served && !up.handedOver.Load() {
+		s.endRun(up, currantwood.RunCopy{}, "")
+	}
 	s.g.removeStream(up.view.ID, s)
 	s.recordEnd(up.view, up.load, outcome)
 }
