Gateways find each other whatever their seeds are

Cause: what is read once at the start was believed for good. The seeds of the settings were, a change waited for the next start, and a gateway that no seed led to others took itself for the only one. New metric `gateways-heard`, which tells a group that is alone from starts that are lost on their way: it was 1 at each of four, for good. Change: a collector announces its address in the store under one key that all collectors share, and reads it (discoverer); addresses that are found are contacted like seeds (contactkeeper). Changed seeds and the address of the store are applied at SIGHUP or within 5 s without; the log names the settings that wait for the next start. The least number of gateways, by which rates and the retry budget are shared, rises with the seeds.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -201,6 +201,15 @@
 	b.countKnown = b.countKnown || peers.Gateways >= cmp.Or(b.options.NamedGateways, b.options.MinGateways, minGateways)
 }
 
+// SetNamedGateways replaces Options.MinGateways and Options.NamedGateways, as the settings have
+// changed. That there are fewer gateways than were heard or assumed isn't believed.
+func (b *Budgeter) SetNamedGateways(least, named int) {
+	b.options.MinGateways, b.options.NamedGateways = least, named
+	if least > b.maxReportingGateways {
+		b.maxReportingGateways, b.countKnown = least, least < minGateways
+	}
+}
+
 // Peers returns what SetPeers set last.
 func (b *Budgeter) Peers() Peers { return b.peers }
 
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -37,6 +37,18 @@
 		Expect(b.Allows(start, group, MovedRun)).To(BeFalse())
 	})
 
+	// Guards against a gateway that took itself for the only one, as the settings named no other
+	// when it started.
+	It("gives up what is the others' when the settings name more gateways", func() {
+		alone := options
+		alone.MinGateways, alone.NamedGateways = 1, 1
+		b := New(alone, start)
+		before := retryWhileAllowed(b, start, MovedRun, 100)
+		b = New(alone, start)
+		b.SetNamedGateways(4, 3)
+		Expect(retryWhileAllowed(b, start, MovedRun, 100)).To(BeNumerically("<", before))
+	})
+
 	It("keeps a part for runs that are moved", func() {
 		b := New(options, start)
 		reported := GroupUsage{group: {Requests: 100, Retries: 35}}
--- a/cmd/currantwood/gateway.go
+++ b/cmd/currantwood/gateway.go
@@ -5,7 +5,6 @@
 	"flag"
 	"os"
 	"os/signal"
-	"reflect"
 	"syscall"
 	"time"
 
@@ -29,13 +28,13 @@
 
 const (
 	// settingsPollInterval is the time between two reads of the settings file, so
-	// that a change without a SIGHUP is logged, too.
+	// that a change without a SIGHUP is applied, too.
 	settingsPollInterval = 5 * time.Second
-	// maxIdleToStore is the maximum number of idle connections to the store. Four
-	// watchers, of the configuration, the directory, the crashes of requests and the
-	// starts of streams, each have at most one read in progress, and one append each of
-	// crashes and of starts may be.
-	maxIdleToStore = 6
+	// maxIdleToStore is the maximum number of idle connections to the store. Five
+	// watchers, of the configuration, the directory, the crashes of requests, the
+	// starts of streams and the gateways, each have at most one read in progress, and one
+	// append each of crashes, of starts and of this gateway's address may be.
+	maxIdleToStore = 8
 	// maxIdleToUpstream is the maximum number of idle connections to an upstream.
 	// At most one request for its state is in progress.
 	maxIdleToUpstream = 1
@@ -53,8 +52,7 @@
 }
 
 // runGateway serves until ctx is done. On SIGHUP and every settingsPollInterval it
-// compares the settings file with the one it read last; rereadSettings logs a
-// change, but applies nothing.
+// compares the settings file with the one it read last, and applies what it can of a change.
 func runGateway(ctx context.Context) error {
 	reread := make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP)
@@ -83,6 +81,7 @@
 		UpstreamTopic:       storeclient.UpstreamTopic,
 		CrashTopic:          storeclient.CrashTopic,
 		StartTopic:          storeclient.StartTopic,
+		GatewayTopic:        storeclient.GatewayTopic,
 	})
 	if err != nil {
 		return err
@@ -92,29 +91,31 @@
 	for {
 		select {
 		case <-reread:
-			settings = rereadSettings(logger, settings, true)
+			settings = rereadSettings(logger, process, store, settings, true)
 		case <-ticker.C:
-			settings = rereadSettings(logger, settings, false)
+			settings = rereadSettings(logger, process, store, settings, false)
 		case <-ctx.Done():
 			return process.Shutdown(context.Background())
 		}
 	}
 }
 
-// rereadSettings reads the settings file again and returns the settings read, or
-// last on an error. It logs a change from last and, if requested, also that there
-// was none; requested means that SIGHUP caused the call. Changed settings only
-// apply from the next start: the running process keeps its addresses and limits
-// and continues to serve requests.
-func rereadSettings(logger *zap.Logger, last currantwood.GatewaySettings, requested bool) currantwood.GatewaySettings {
+// rereadSettings reads the settings file again, has process and store apply a change from last and
+// returns the settings read, or last on an error. requested means that SIGHUP caused the call:
+// then it is also logged that nothing has changed.
+func rereadSettings(logger *zap.Logger, process *gatewaystarter.Process, store *storeclient.Client, last currantwood.GatewaySettings, requested bool) currantwood.GatewaySettings {
 	read, err := platformsettings.Reader{}.Read()
 	if err != nil {
 		logger.Error("cannot read settings, keeping the current ones", zap.Error(err))
 		return last
 	}
-	changed := !reflect.DeepEqual(read, last)
-	if requested || changed {
-		logger.Info("settings read again", zap.Bool("asked", requested), zap.Bool("changed", changed), zap.String("in-force", "at the next start"))
+	applied, waiting := read.ChangesFrom(last)
+	if requested || len(applied)+len(waiting) > 0 {
+		logger.Info("settings read again", zap.Bool("asked", requested), zap.Strings("applied", applied), zap.Strings("at-next-start", waiting))
+	}
+	process.ApplySettings(read)
+	if store.SetAddress(read.StoreAddress) {
+		logger.Info("address of the store changed", zap.String("address", read.StoreAddress))
 	}
 	return read
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -228,17 +228,26 @@
 
 func newBudget(options Options) *budgeter.Budgeter {
 	bounds := options.Settings.Bounds
-	others, _ := options.Settings.OtherSeeds()
 	return budgeter.New(budgeter.Options{
 		Window:        bounds.RetryWindow,
 		RetryShare:    bounds.RetryShare,
 		Reserve:       bounds.RetryReserve,
 		FirstStart:    options.Settings.FirstStart,
 		MinGateways:   options.Settings.MinGateways(),
-		NamedGateways: 1 + len(others),
+		NamedGateways: options.Settings.NamedGateways(),
 	}, options.Now())
 }
 
+// ApplySettings applies what changed settings say of the number of gateways.
+func (g *Gateway) ApplySettings(settings currantwood.GatewaySettings) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	least := settings.MinGateways()
+	g.rates.SetMinGateways(least)
+	g.warmUps.SetMinGateways(least)
+	g.budget.SetNamedGateways(least, settings.NamedGateways())
+}
+
 func newSample() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, 0.015) }
 
 // sampleSize is the number of values that a histogram's reservoir holds.
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"reflect"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,6 +53,24 @@
 	QueueRequests bool
 }
 
+// ChangesFrom returns the names of the fields that differ from those of earlier settings: those
+// that a running process applies, and those that wait for its next start, as its listeners, shares
+// and bounds were derived from them.
+func (s GatewaySettings) ChangesFrom(last GatewaySettings) (applied, waiting []string) {
+	now, before := reflect.ValueOf(s), reflect.ValueOf(last)
+	for i := range now.NumField() {
+		name := now.Type().Field(i).Name
+		switch {
+		case reflect.DeepEqual(now.Field(i).Interface(), before.Field(i).Interface()):
+		case name == "Seeds", name == "StoreAddress":
+			applied = append(applied, name)
+		default:
+			waiting = append(waiting, name)
+		}
+	}
+	return applied, waiting
+}
+
 // linkBitsPerCore is the link bandwidth, in bits per second, that counts as much
 // as one core.
 const linkBitsPerCore = 100e6
@@ -211,10 +231,20 @@
 // MinGateways returns the least number of gateways that there are, this one included. Up to
 // maxSeeds it is all of them: a larger fleet has maxSeeds seeds, one of which may be this VM.
 func (s GatewaySettings) MinGateways() int {
-	others, _ := s.OtherSeeds()
 	if len(s.Seeds) >= maxSeeds {
 		return maxSeeds + 1
 	}
+	return s.NamedGateways()
+}
+
+// PeerAddress returns the address, host:port, at which other gateways reach this one.
+func (s GatewaySettings) PeerAddress() string {
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
+}
+
+// NamedGateways returns the number of gateways that the settings name, this one included.
+func (s GatewaySettings) NamedGateways() int {
+	others, _ := s.OtherSeeds()
 	return 1 + len(others)
 }
 
--- a/gatewaysettings_test.go
+++ b/gatewaysettings_test.go
@@ -50,3 +50,17 @@
 		})
 	}
 }
+
+// TestChangesFrom guards against changed settings that are applied without a word, or not applied
+// without one.
+func TestChangesFrom(t *testing.T) {
+	last := GatewaySettings{VM: "a", Seeds: []string{"10.0.0.2:80"}, Cores: 1}
+	changed := last
+	changed.Seeds, changed.Cores, changed.Bounds.FailClosed = []string{"10.0.0.3:80"}, 2, true
+	applied, waiting := changed.ChangesFrom(last)
+	g := NewWithT(t)
+	g.Expect(applied).To(Equal([]string{"Seeds"}))
+	g.Expect(waiting).To(Equal([]string{"Cores", "Bounds"}))
+	applied, waiting = last.ChangesFrom(last)
+	g.Expect(append(applied, waiting...)).To(BeEmpty())
+}
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -19,6 +19,7 @@
 	"github.com/currantwood/currantwood/configkeeper"
 	"github.com/currantwood/currantwood/connkeeper"
 	"github.com/currantwood/currantwood/crashsaver"
+	"github.com/currantwood/currantwood/discoverer"
 	"github.com/currantwood/currantwood/drainer"
 	"github.com/currantwood/currantwood/gateway"
 	"github.com/currantwood/currantwood/ingress/apportioner"
@@ -116,8 +117,8 @@
 	EvacuationKeyPrefix string
 	UpstreamTopic       string
 	CrashTopic          string
-	// StartTopic locates where streams began.
-	StartTopic string
+	// StartTopic locates where streams began, and GatewayTopic the addresses of gateways.
+	StartTopic, GatewayTopic string
 }
 
 // Process is a running gateway process.
@@ -137,6 +138,7 @@
 	watching                 chan struct{}
 	crashes                  *crashsaver.Saver
 	starts                   *streamsaver.Saver
+	discovery                *discoverer.Discoverer
 	metrics                  metrics.Registry
 	eraRises                 metrics.Counter
 	// firstRead holds back the confirmation of the configuration while the process starts.
@@ -255,6 +257,7 @@
 		Responsible: peers.Collects,
 	})
 	p.gateway.SetAskStart(peers.AskStart)
+	p.startDiscovery(ctx)
 	statepoller.New(ctx, statepoller.Options{
 		Reader:       p.options.States,
 		Gateway:      p.gateway,
--- a/peerkeeper/keeper.go
+++ b/peerkeeper/keeper.go
@@ -248,6 +248,9 @@
 // this gateway counts as the collector.
 func (k *Keeper) SetDigestGateways(count int) { k.digestGateways = count }
 
+// DigestGateways returns what SetDigestGateways has set.
+func (k *Keeper) DigestGateways() int { return k.digestGateways }
+
 // CountGateways returns the number of gateways heard from within peerTimeout,
 // including this one.
 func (k *Keeper) CountGateways(now time.Time) int {
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -29,6 +29,7 @@
 
 	"github.com/currantwood/currantwood"
 	"github.com/currantwood/currantwood/configasker"
+	"github.com/currantwood/currantwood/contactkeeper"
 	"github.com/currantwood/currantwood/peerkeeper"
 	"github.com/currantwood/currantwood/sleeper"
 	"github.com/currantwood/currantwood/streamkeeper"
@@ -57,14 +58,14 @@
 type Messenger struct {
 	Options
 	conn net.PacketConn
-	// seeds are the hosts of Settings.Seeds with the peer port, without this VM's
-	// own.
-	seeds []string
 	// configurationTopic and directoryTopic are set by Start.
 	configurationTopic, directoryTopic Topic
 	// mu protects the fields below.
 	mu    sync.Mutex
 	peers *peerkeeper.Keeper
+	// contacts holds the addresses at which this gateway looks for others: the hosts of the
+	// seeds with the peer port, without this VM's own, and those that were found elsewhere.
+	contacts *contactkeeper.Keeper
 	// directoryCoveredAt is when an accepted digest last covered the directory
 	// without a gap; zero if none did.
 	directoryCoveredAt time.Time
@@ -111,20 +112,46 @@
 func New(options Options) (*Messenger, error) {
 	m := &Messenger{Options: options, process: rand.Uint64(), startedAt: options.Now(), questions: make(map[currantwood.Fingerprint][]chan streamkeeper.Origin), peers: peerkeeper.New(peerkeeper.Peer{VM: options.Settings.VM, Capacity: options.Settings.CapacityMillicores()})}
 	m.configurationLimiter = newConfigurationLimiter(options.Settings.LinkBitsPerSecond)
-	port := strconv.Itoa(options.Settings.PeerPort)
-	conn, err := net.ListenPacket("udp4", net.JoinHostPort(options.Settings.IP, port))
+	conn, err := net.ListenPacket("udp4", options.Settings.PeerAddress())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	m.conn = conn
-	hosts, invalid := options.Settings.OtherSeeds()
+	m.contacts = contactkeeper.New(m.seedAddresses(options.Settings))
+	return m, nil
+}
+
+// SetSeeds replaces the seeds by those of changed settings.
+func (m *Messenger) SetSeeds(settings currantwood.GatewaySettings) {
+	addresses := m.seedAddresses(settings)
+	m.mu.Lock()
+	changed := m.contacts.SetSeeds(addresses)
+	m.mu.Unlock()
+	if changed {
+		m.Logger.Info("seeds changed", zap.Strings("seeds", addresses))
+	}
+}
+
+// NoteFound notes the address of another gateway that was found elsewhere than in the settings.
+// It gets this gateway's state while no other gateway is known as the collector.
+func (m *Messenger) NoteFound(now time.Time, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contacts.Found(now, address)
+}
+
+// seedAddresses returns the addresses of the seeds in settings but this VM's own. One that can't
+// be parsed is logged and skipped.
+func (m *Messenger) seedAddresses(settings currantwood.GatewaySettings) []string {
+	hosts, invalid := settings.OtherSeeds()
 	for _, seed := range invalid {
-		options.Logger.Warn("invalid seed address", zap.String("seed", seed))
+		m.Logger.Warn("invalid seed address", zap.String("seed", seed))
 	}
+	var addresses []string
 	for _, host := range hosts {
-		m.seeds = append(m.seeds, net.JoinHostPort(host, port))
+		addresses = append(addresses, net.JoinHostPort(host, strconv.Itoa(settings.PeerPort)))
 	}
-	return m, nil
+	return addresses
 }
 
 // Start sends and receives datagrams in the background until ctx is done.
--- a/peermessenger/role.go
+++ b/peermessenger/role.go
@@ -90,6 +90,17 @@
 	return readpacer.Fleet{Gateways: m.peers.FleetSize(now), Rank: m.peers.Rank(), Collected: m.collectedLast}
 }
 
+// GatewaysHeard returns the number of gateways, this one included, that exchange their state:
+// as many as this one hears from as the collector, else as many as the collector does.
+func (m *Messenger) GatewaysHeard(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.peers.OtherCollector(now); known {
+		return m.peers.DigestGateways()
+	}
+	return m.peers.CountGateways(now)
+}
+
 // storeReachable reports whether this gateway's latest own reads of both topics
 // succeeded, however long ago.
 func (m *Messenger) storeReachable() bool {
--- a/peermessenger/starts.go
+++ b/peermessenger/starts.go
@@ -121,11 +121,11 @@
 	}
 }
 
-// sendQuestion asks the gateways that were heard of, and the seeds, as a process that has
+// sendQuestion asks the gateways that were heard of, and the contacts, as a process that has
 // just started may have heard nobody. It returns how many it asked.
 func (m *Messenger) sendQuestion(stream currantwood.Fingerprint) int {
-	asked := slices.Clone(m.seeds)
 	m.mu.Lock()
+	asked := m.contacts.All(m.Now())
 	for _, peer := range m.peers.Known(maxAsked) {
 		asked = append(asked, peer.Address)
 	}
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -12,11 +12,12 @@
 
 // sendState sends this gateway's state to the other gateway that is the
 // collector. If none is known, also because this one is the collector, it goes
-// to gateways and seed addresses that may answer with a referral.
+// to gateways and contacts that may answer with a referral.
 func (m *Messenger) sendState(now time.Time, state *peerwire.State) {
 	m.mu.Lock()
 	recipients := m.peers.StateRecipients(now)
 	_, known := m.peers.OtherCollector(now)
+	contacts := m.contacts.All(now)
 	m.mu.Unlock()
 	datagram := &peerwire.Datagram{Body: &peerwire.Datagram_State{State: state}}
 	for _, peer := range recipients {
@@ -25,8 +26,8 @@
 	if known {
 		return
 	}
-	for _, seed := range m.seeds {
-		m.send(seed, datagram)
+	for _, address := range contacts {
+		m.send(address, datagram)
 	}
 }
 
--- a/placement/warmupkeeper/keeper.go
+++ b/placement/warmupkeeper/keeper.go
@@ -94,6 +94,10 @@
 	}
 }
 
+// SetMinGateways raises the number of gateways that is assumed until others are heard, as the
+// settings now name more.
+func (k *Keeper) SetMinGateways(count int) { k.rates.SetMinGateways(count) }
+
 // SetLimit sets the warm-up rate of a group in requests per second; 0 means no limit.
 func (k *Keeper) SetLimit(group currantwood.GroupID, perSecond float64) {
 	if perSecond > 0 {
--- a/ratekeeper/keeper.go
+++ b/ratekeeper/keeper.go
@@ -170,6 +170,10 @@
 	k.silent = k.silent && count <= 1
 }
 
+// SetMinGateways raises the number of gateways that is assumed until others are heard, as the
+// settings now name more.
+func (k *Keeper) SetMinGateways(count int) { k.mostBefore = max(k.mostBefore, count) }
+
 // assumedGateways is the number of gateways that may send requests.
 func (k *Keeper) assumedGateways() int { return max(1, k.mostGateways, k.mostBefore) }
 
