--- a/abandonkeeper/keeper.go
+++ b/abandonkeeper/keeper.go
@@ -13,8 +13,10 @@
 	// retention is how long a run is kept. The record of a crashed upstream is
 	// removed after three missed heartbeats, within about 4 s.
 	retention = 6 * time.Second
-	// maxRuns bounds the runs that are kept for one upstream.
-	maxRuns = 64
+	// maxRuns bounds the runs that are kept for one upstream, and maxSuspects the suspects of
+	// these together; the last run is kept whatever it has.
+	maxRuns     = 64
+	maxSuspects = 4096
 )
 
 // Run is a run that was stopped.
@@ -30,18 +32,28 @@
 
 // Keeper holds abandoned runs. It is not safe for concurrent use.
 type Keeper struct {
-	// runs holds the runs at each upstream, the oldest first; at most maxRuns each
-	// and none empty.
+	// runs holds the runs at each upstream, the oldest first; at most maxRuns each, with at
+	// most maxSuspects unless it is one run, and none empty.
 	runs map[currantwood.UpstreamID][]Run
 }
 
 // New returns a keeper without runs.
 func New() *Keeper { return &Keeper{runs: make(map[currantwood.UpstreamID][]Run)} }
 
-// Add adds a run. If the upstream has maxRuns already, the oldest is dropped.
-func (k *Keeper) Add(upstream currantwood.UpstreamID, r Run) {
+// Add adds a run and returns how many of the oldest were dropped, as the upstream has too many.
+func (k *Keeper) Add(upstream currantwood.UpstreamID, r Run) (dropped int) {
 	list := append(k.runs[upstream], r)
-	k.runs[upstream] = list[max(0, len(list)-maxRuns):]
+	suspects := 0
+	for _, kept := range list {
+		suspects += len(kept.Suspects)
+	}
+	for len(list)-dropped > maxRuns || len(list)-dropped > 1 && suspects > maxSuspects {
+		suspects -= len(list[dropped].Suspects)
+		list[dropped] = Run{}
+		dropped++
+	}
+	k.runs[upstream] = list[dropped:]
+	return dropped
 }
 
 // Take removes and returns the runs of an upstream that were abandoned within
--- a/abandonkeeper/keeper_test.go
+++ b/abandonkeeper/keeper_test.go
@@ -24,6 +24,17 @@
 		Entry("the run was abandoned long before", int64(1), int64(2), 7*time.Second, 0),
 	)
 
+	// Guards against memory without bound for runs of requests with very many suspects.
+	It("bounds the suspects of the runs that it keeps at an upstream, and says how many runs are dropped", func() {
+		k := New()
+		many := make([]currantwood.Suspect, maxSuspects/2)
+		Expect(k.Add("u", Run{Suspects: many, Incarnation: 1})).To(BeZero())
+		Expect(k.Add("u", Run{Suspects: many, Incarnation: 2})).To(BeZero())
+		Expect(k.Add("u", Run{Suspects: many[:1], Incarnation: 3})).To(Equal(1))
+		Expect(k.Add("u", Run{Suspects: make([]currantwood.Suspect, 2*maxSuspects), Incarnation: 4})).To(Equal(2))
+		Expect(k.runs["u"]).To(HaveExactElements(HaveField("Incarnation", int64(4))))
+	})
+
 	It("returns a run once, and only those of the upstream", func() {
 		k := New()
 		k.Add("u", Run{Suspects: []currantwood.Suspect{{Fingerprint: 7}}, Incarnation: 1, AbandonedAt: start})
--- a/crashkeeper/completion.go
+++ b/crashkeeper/completion.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxCompletions bounds the suspects without crashes whose completions are kept.
-	maxCompletions = 4096
+	maxCompletions = 8192
 	// evictedCompletions is the number of them that are forgotten at once, those with
 	// the earliest completions, so that the table isn't sorted for each completion.
 	evictedCompletions = maxCompletions / 8
@@ -48,7 +48,7 @@
 	h.completedAt, h.probes = at, 0
 	cleared = h.count(now) < before
 	if cleared || firstKnown {
-		h.tellUntil = now.Add(sendWindow)
+		h.tell(now)
 	}
 	return cleared
 }
@@ -80,10 +80,10 @@
 	}
 }
 
-// RecentCompletions returns the completions to send to peers now, up to maxSent, the
-// newest first: those for which crashes no longer count, and those of suspects with
-// which a crash has just become known.
-func (k *Keeper) RecentCompletions(now time.Time) []AgedCompletion {
+// RecentCompletions returns the completions to send to peers now, up to limit, and counts them as
+// sent: of those for which crashes no longer count, and those of suspects with which a crash has
+// just become known, the ones that were sent least often, the newest first.
+func (k *Keeper) RecentCompletions(now time.Time, limit int) []AgedCompletion {
 	var recent []AgedCompletion
 	for s, h := range k.histories {
 		if !h.completedAt.IsZero() && !now.After(h.tellUntil) {
@@ -91,7 +91,12 @@
 		}
 	}
 	slices.SortFunc(recent, func(a, b AgedCompletion) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), a.Suspect.Compare(b.Suspect))
+		told := cmp.Compare(k.histories[a.Suspect].told, k.histories[b.Suspect].told)
+		return cmp.Or(told, cmp.Compare(a.Age, b.Age), a.Suspect.Compare(b.Suspect))
 	})
-	return recent[:min(len(recent), maxSent)]
+	recent = recent[:sendCount(len(recent), limit)]
+	for _, c := range recent {
+		k.histories[c.Suspect].told++
+	}
+	return recent
 }
--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -24,13 +24,17 @@
 	// sendWindow is how long a crash is sent to peers after it was first recorded
 	// here. Those of recurrent suspects are sent later, too, to peers that lack them.
 	sendWindow = 4 * time.Second
-	// maxSuspects bounds the number of suspects whose crashes are kept.
-	maxSuspects = 4096
+	// maxSuspects bounds the number of suspects whose crashes are kept. It is twice as many as
+	// one request has.
+	maxSuspects = 8192
 	// evictedSuspects is the number of suspects that are forgotten at once when
 	// maxSuspects have crashes, so that the table isn't sorted for each crash.
 	evictedSuspects = maxSuspects / 8
-	// maxSent bounds the number of crashes that Recent returns.
-	maxSent = 16
+	// minSent is the number of crashes, or of completions, that are sent at a time if there
+	// are more, and sentShare the share of them that is sent if that is more: each then goes out
+	// several times within sendWindow, as datagrams are lost.
+	minSent   = 16
+	sentShare = 1.0 / 16
 	// minRestartTime is the shortest time in which an upstream is back after a
 	// crash.
 	minRestartTime = 500 * time.Millisecond
@@ -93,6 +97,8 @@
 	at time.Time
 	// learnedAt is when it was recorded first here.
 	learnedAt time.Time
+	// sent counts how often it was sent to peers.
+	sent int
 }
 
 // history is what a suspect has to do with the crashes of upstreams.
@@ -104,8 +110,10 @@
 	// completedAt is when an upstream last ran a request with the suspect to the end;
 	// zero if none is known to have. Crashes until then don't count.
 	completedAt time.Time
-	// tellUntil is until when peers are told of that completion.
+	// tellUntil is until when peers are told of that completion, and told counts how often they
+	// were.
 	tellUntil time.Time
+	told      int
 	// probes counts the probes that this gateway has sent since that completion, and
 	// probedAt is when it sent the last one.
 	probes   int
@@ -141,6 +149,8 @@
 	// completions holds when upstreams last ran requests with suspects to the end,
 	// also of those without crashes; at most maxCompletions, none of a request.
 	completions map[currantwood.Suspect]time.Time
+	// forgotten counts the suspects that were forgotten although their crashes counted.
+	forgotten int64
 }
 
 // New returns a keeper without crashes.
@@ -204,7 +214,7 @@
 		h.reconcile(now, key, at)
 	}
 	if isNew || !at.After(h.completedAt) {
-		h.tellUntil = now.Add(sendWindow)
+		h.tell(now)
 	}
 	if h.isRecurrent(now) {
 		k.recurrent[c.Suspect] = h
@@ -220,12 +230,15 @@
 	if reported.Before(times.at) {
 		times.at = reported
 	} else if !times.at.After(h.completedAt) && reported.After(h.completedAt) {
-		times.learnedAt = now
-		h.tellUntil = now.Add(sendWindow)
+		times.learnedAt, times.sent = now, 0
+		h.tell(now)
 	}
 	h.crashes[key] = times
 }
 
+// tell makes peers be told of the completion for sendWindow.
+func (h *history) tell(now time.Time) { h.tellUntil, h.told = now.Add(sendWindow), 0 }
+
 // historyOf returns the history of a suspect, a new one if it had none.
 func (k *Keeper) historyOf(now time.Time, s currantwood.Suspect) *history {
 	h := k.histories[s]
@@ -307,9 +320,14 @@
 	})
 	for _, c := range candidates[:max(0, evictedSuspects-evicted)] {
 		k.forget(c.suspect)
+		k.forgotten++
 	}
 }
 
+// Forgotten returns how many suspects were forgotten although their crashes counted, as there were
+// too many.
+func (k *Keeper) Forgotten() int64 { return k.forgotten }
+
 // forget forgets a suspect.
 func (k *Keeper) forget(s currantwood.Suspect) {
 	delete(k.histories, s)
@@ -325,22 +343,40 @@
 	delete(k.recurrent, s)
 }
 
-// Recent returns the crashes to send to peers now: up to maxSent of those first
-// recorded here within sendWindow, including those that peers reported, the newest
-// first.
-func (k *Keeper) Recent(now time.Time) []AgedCrash {
-	var recent []AgedCrash
+// Recent returns the crashes to send to peers now, up to limit, and counts them as sent: of those
+// first recorded here within sendWindow, including those that peers reported, the ones that were
+// sent least often, the newest first.
+func (k *Keeper) Recent(now time.Time, limit int) []AgedCrash {
+	type recentCrash struct {
+		AgedCrash
+		history *history
+		key     crashKey
+	}
+	var recent []recentCrash
 	for s, h := range k.histories {
 		for key, times := range h.crashes {
 			if now.Sub(times.learnedAt) <= sendWindow {
-				recent = append(recent, newAgedCrash(now, s, key, times))
+				recent = append(recent, recentCrash{newAgedCrash(now, s, key, times), h, key})
 			}
 		}
 	}
-	slices.SortFunc(recent, func(a, b AgedCrash) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), a.Suspect.Compare(b.Suspect))
+	slices.SortFunc(recent, func(a, b recentCrash) int {
+		sent := cmp.Compare(a.history.crashes[a.key].sent, b.history.crashes[b.key].sent)
+		return cmp.Or(sent, cmp.Compare(a.Age, b.Age), a.Suspect.Compare(b.Suspect))
 	})
-	return recent[:min(len(recent), maxSent)]
+	var crashes []AgedCrash
+	for _, r := range recent[:sendCount(len(recent), limit)] {
+		times := r.history.crashes[r.key]
+		times.sent++
+		r.history.crashes[r.key] = times
+		crashes = append(crashes, r.AgedCrash)
+	}
+	return crashes
+}
+
+// sendCount returns how many of all that are to be sent are sent at a time.
+func sendCount(all, limit int) int {
+	return min(all, limit, max(minSent, int(sentShare*float64(all))))
 }
 
 func newAgedCrash(now time.Time, s currantwood.Suspect, key crashKey, times crashTimes) AgedCrash {
--- a/crashkeeper/keeper_test.go
+++ b/crashkeeper/keeper_test.go
@@ -1,6 +1,8 @@
 package crashkeeper
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -111,11 +113,55 @@
 			k.Record(start, AgedCrash{Crash: Crash{Suspect: request(i), Upstream: "a"}})
 		}
 		Expect(len(k.histories)).To(And(BeNumerically("<=", maxSuspects), BeNumerically(">", maxSuspects-evictedSuspects)))
-		Expect(k.Recent(start.Add(time.Second))).To(HaveLen(maxSent))
-		Expect(k.Recent(start.Add(time.Minute))).To(BeEmpty())
+		Expect(k.Recent(start.Add(time.Second), minSent)).To(HaveLen(minSent))
+		Expect(k.Recent(start.Add(time.Minute), minSent)).To(BeEmpty())
 		for i := range evictedSuspects {
 			k.Record(start.Add(time.Hour), AgedCrash{Crash: Crash{Suspect: request(1<<40 + i), Upstream: "a"}})
 		}
 		Expect(len(k.histories)).To(BeNumerically("<=", evictedSuspects))
 	})
+
+	// Guards against crashes of requests with many suspects, of which peers are told only the
+	// first few.
+	It("sends each recent crash several times, however many there are", func() {
+		k := New()
+		for i := range 1000 {
+			k.Record(start, AgedCrash{Crash: Crash{Suspect: request(i), Upstream: "a"}})
+		}
+		sent := make(map[currantwood.Suspect]int)
+		for range 80 {
+			for _, c := range k.Recent(start.Add(time.Second), 256) {
+				sent[c.Suspect]++
+			}
+		}
+		for i := range 1000 {
+			Expect(sent[request(i)]).To(BeNumerically(">=", 4))
+		}
+	})
+
+	// Guards against a suspect that is never blocked, as each crash of requests with as many
+	// suspects as a head holds displaces those before.
+	It("blocks a part that crashes upstreams in requests with very many parts, no two alike, beside other crashes", func() {
+		const parts = 4096
+		k := New()
+		deadly := part(1)
+		now := start
+		for crash := range maxPartCrashes {
+			suspects := []currantwood.Suspect{deadly}
+			for i := range parts - 1 {
+				suspects = append(suspects, part(1000+crash*parts+i))
+			}
+			// The part stands last where it counts: what comes before must not displace it.
+			slices.Reverse(suspects)
+			for _, s := range suspects {
+				k.RecordFailure(now, Failure{Suspect: s, Upstream: currantwood.UpstreamID(fmt.Sprint(crash)), Incarnation: 1, SentAt: now, Broken: true})
+			}
+			now = now.Add(time.Second)
+			for i := range 1000 {
+				k.Record(now, AgedCrash{Crash: Crash{Suspect: request(crash*1000 + i), Upstream: "other"}})
+			}
+		}
+		Expect(isBlocked(k, now, deadly)).To(BeTrue())
+		Expect(len(k.histories)).To(BeNumerically("<=", maxSuspects))
+	})
 })
--- a/crashkeeper/sync.go
+++ b/crashkeeper/sync.go
@@ -42,7 +42,7 @@
 			break
 		}
 		crashes = append(crashes, more...)
-		k.histories[s].tellUntil = now.Add(sendWindow)
+		k.histories[s].tell(now)
 		after = s
 	}
 	return crashes, after
--- a/crashkeeper/sync_test.go
+++ b/crashkeeper/sync_test.go
@@ -14,13 +14,13 @@
 // exchange sends from one keeper to another what the other lacks, as gateways do:
 // recent crashes always, those of recurrent requests if the sums differ.
 func exchange(now time.Time, from, to *Keeper, after currantwood.Suspect) currantwood.Suspect {
-	crashes := from.Recent(now)
+	crashes := from.Recent(now, minSent)
 	if from.Sum(now) != 0 && from.Sum(now) != to.Sum(now) {
 		var missing []AgedCrash
 		missing, after = from.RecurrentCrashes(now, after, 8)
 		crashes = append(crashes, missing...)
 	}
-	for _, c := range from.RecentCompletions(now) {
+	for _, c := range from.RecentCompletions(now, minSent) {
 		to.ApplyCompletion(now, c)
 	}
 	for _, c := range crashes {
--- a/crashkeeper/verdict.go
+++ b/crashkeeper/verdict.go
@@ -38,15 +38,25 @@
 // blocking returns the suspects that block a request with all of the given ones.
 func (k *Keeper) blocking(now time.Time, suspects []currantwood.Suspect) []currantwood.Suspect {
 	var blocking []currantwood.Suspect
+	// What is suspected beside them is the same for all.
+	var others []suspectHistory
 	for _, s := range suspects {
-		if k.blocks(now, s, suspects) {
+		h := k.histories[s]
+		if h == nil || !h.isSuspected(now, s) {
+			continue
+		}
+		if others == nil {
+			others = k.suspected(now)
+		}
+		if h.blocks(now, s, suspects, others) {
 			blocking = append(blocking, s)
 		}
 	}
 	return blocking
 }
 
-// blocks reports whether a suspect blocks a request with all of the given suspects.
+// blocks reports whether a suspect, whose history it is, blocks a request with all of the given
+// suspects. It must be suspected itself; others are all that are.
 //
 // Sound requests share paths and parts of prompts with others, so more than the number
 // of crashes counts for those. What crashes each upstream is never completed. A suspect
@@ -54,15 +64,10 @@
 // blocks only if enough of them aren't crashes with a suspect that never was. None
 // blocks if another suspect, which the request lacks, may have caused its crashes as
 // well.
-func (k *Keeper) blocks(now time.Time, s currantwood.Suspect, all []currantwood.Suspect) bool {
-	h := k.histories[s]
-	if h == nil || !h.isSuspected(now, s) {
-		return false
-	}
+func (h *history) blocks(now time.Time, s currantwood.Suspect, all []currantwood.Suspect, others []suspectHistory) bool {
 	if s.Kind == currantwood.SuspectRequest {
 		return true
 	}
-	others := k.suspected(now)
 	if !h.completedAt.IsZero() {
 		never := slices.DeleteFunc(slices.Clone(others), func(o suspectHistory) bool { return !o.history.completedAt.IsZero() })
 		if h.countWithout(now, never...) < crashLimit(s.Kind) {
--- a/crashsaver/saver.go
+++ b/crashsaver/saver.go
@@ -24,8 +24,9 @@
 	saveTimeout = 200 * time.Millisecond
 	// appendTimeout bounds an append.
 	appendTimeout = 1500 * time.Millisecond
-	// maxSuspects bounds the suspects in one append, about 500 bytes each.
-	maxSuspects = 200
+	// maxSuspects bounds the suspects in one append, about 500 bytes each; an append has at most
+	// 2 MB.
+	maxSuspects = 1000
 )
 
 // Crashes is what the gateway knows. Its methods are safe for concurrent use.
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -59,6 +59,9 @@
 		return refusal
 	}
 	q.group = q.pickGroup()
+	if refusal := q.reserveParts(); refusal != nil {
+		return refusal
+	}
 	if err := q.readBody(); err != nil {
 		return err
 	}
@@ -156,6 +159,32 @@
 	return parts[len(parts)-1].Group
 }
 
+const (
+	// bytesPerPart is the memory that a part of a prompt takes while its request is served: its
+	// id and its suspect.
+	bytesPerPart = 32
+	// unreservedParts is the number of parts of a prompt that aren't reserved.
+	unreservedParts = 64
+)
+
+// reserveParts reserves the memory for the parts of a long prompt. It refuses one that has more
+// parts than are decoded: parts that nobody watches could crash upstreams without end.
+func (q *request) reserveParts() *gatewayResponse {
+	if q.client.TooManyParts {
+		return &gatewayResponse{status: http.StatusRequestHeaderFieldsTooLarge, reason: "prompt has too many parts"}
+	}
+	parts := len(q.client.SharedParts)
+	if parts <= unreservedParts {
+		return nil
+	}
+	bytes := int64(parts) * bytesPerPart
+	if !q.g.requests.TryReserve(bytes) {
+		return &gatewayResponse{status: http.StatusServiceUnavailable, reason: "no memory for the parts of the prompt", retryAfter: upstreamRetryAfter, closeConnection: true}
+	}
+	q.partBytes = bytes
+	return nil
+}
+
 // readBody reads the body, which is held until the request ends. If all bodies together
 // leave no room for it, the request is refused.
 func (q *request) readBody() *gatewayResponse {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -64,21 +64,32 @@
 	now := q.g.Now()
 	stopped := q.clientDisconnected() || !f.broken && len(q.body) == 0
 	if stopped && !q.g.hasCrashed(f) {
-		q.g.abandoned.Add(f.view.ID, abandonkeeper.Run{Suspects: f.suspects(now, q.suspects), Incarnation: f.view.Incarnation, SentAt: f.sentAt, AbandonedAt: now})
+		dropped := q.g.abandoned.Add(f.view.ID, abandonkeeper.Run{Suspects: f.suspects(now, q.suspects), Incarnation: f.view.Incarnation, SentAt: f.sentAt, AbandonedAt: now})
 		q.g.mu.Unlock()
+		if dropped > 0 {
+			q.log("stopped runs forgotten, too many at an upstream", zap.String("upstream", string(f.view.ID)), zap.Int("runs", dropped))
+		}
 		return
 	}
 	doubt := q.g.crashDoubt(now, f)
+	suspects := f.suspects(now, q.suspects)
 	q.g.mu.Unlock()
 	if doubt != "" {
 		q.log("failure not counted as a crash", append(suspectFields(q.suspects[0]), zap.String("upstream", string(f.view.ID)), zap.Int64("incarnation", f.view.Incarnation), zap.String("reason", doubt), f.sinceFirstEvent(now))...)
 		return
 	}
-	recurrent := false
-	for _, suspect := range f.suspects(now, q.suspects) {
+	recurrent, unlogged := false, 0
+	for i, suspect := range suspects {
 		record, fields := q.g.recordFailure(now, crashkeeper.Failure{Suspect: suspect, Upstream: f.view.ID, Incarnation: f.view.Incarnation, SentAt: f.sentAt, Broken: f.broken})
 		recurrent = recurrent || record.New && record.Recurrent
-		q.log("crash recorded", append(fields, zap.Any("parts", q.client.SharedParts), f.sinceFirstEvent(now))...)
+		if i >= maxLoggedSuspects && !record.Recurrent {
+			unlogged++
+			continue
+		}
+		q.log("crash recorded", append(fields, zap.Any("parts", q.loggedParts()), zap.Int("all-parts", len(q.client.SharedParts)), f.sinceFirstEvent(now))...)
+	}
+	if unlogged > 0 {
+		q.log("crash recorded for further suspects", zap.String("upstream", string(f.view.ID)), zap.Int("suspects", unlogged))
 	}
 	if recurrent {
 		// Before the client hears of the failure and sends the request again: all
@@ -87,6 +98,15 @@
 	}
 }
 
+// maxLoggedSuspects is the number of suspects of one failure that have a line of their own in the
+// log although no other upstream has crashed with them, and of parts in each line.
+const maxLoggedSuspects = 20
+
+// loggedParts returns the first parts of the prompt, for log lines.
+func (q *request) loggedParts() []currantwood.PartID {
+	return q.client.SharedParts[:min(len(q.client.SharedParts), maxLoggedSuspects)]
+}
+
 // recordBrokenBody records a body that wasn't read to its end because of err as a
 // crash, unless this gateway stopped reading since it was too long.
 func (q *request) recordBrokenBody(err error, f failure) {
@@ -182,30 +202,33 @@
 // began to write the answer; parts of the prompt crash upstreams only then.
 func (q *request) recordCompletion(begunAt time.Time) {
 	now := q.g.Now()
-	for _, suspect := range q.suspects {
-		if suspect.Kind == currantwood.SuspectPart {
-			q.clearSuspect(now, suspect, begunAt)
-		} else {
-			q.clearSuspect(now, suspect, now)
+	q.clearSuspects(now, func(kind currantwood.SuspectKind) (time.Time, bool) {
+		if kind == currantwood.SuspectPart {
+			return begunAt, true
 		}
-	}
+		return now, true
+	})
 }
 
 // recordBegun notes that a stream that began at begunAt has gone on for beginTime.
 func (q *request) recordBegun(begunAt time.Time) {
-	for _, suspect := range q.suspects {
-		if suspect.Kind == currantwood.SuspectPart {
-			q.clearSuspect(q.g.Now(), suspect, begunAt)
-		}
-	}
+	q.clearSuspects(q.g.Now(), func(kind currantwood.SuspectKind) (time.Time, bool) {
+		return begunAt, kind == currantwood.SuspectPart
+	})
 }
 
-// clearSuspect notes that an upstream didn't crash with a suspect at a time.
-func (q *request) clearSuspect(now time.Time, suspect currantwood.Suspect, at time.Time) {
+// clearSuspects notes that an upstream didn't crash with suspects of the request. at returns at
+// what time it didn't with those of a kind, and whether that is known of them.
+func (q *request) clearSuspects(now time.Time, at func(kind currantwood.SuspectKind) (time.Time, bool)) {
+	var cleared []currantwood.Suspect
 	q.g.mu.Lock()
-	cleared := q.g.crashes.RecordCompletion(now, suspect, at)
+	for _, suspect := range q.suspects {
+		if completedAt, known := at(suspect.Kind); known && q.g.crashes.RecordCompletion(now, suspect, completedAt) {
+			cleared = append(cleared, suspect)
+		}
+	}
 	q.g.mu.Unlock()
-	if cleared {
+	for _, suspect := range cleared {
 		q.log("suspect cleared", suspectFields(suspect)...)
 	}
 }
--- a/gateway/crashsync.go
+++ b/gateway/crashsync.go
@@ -14,12 +14,20 @@
 // it serves without them.
 const crashLoadTimeout = 2 * time.Second
 
-// RecentCrashes returns the recent crashes to report to other gateways, and the
-// completions after which crashes don't count.
-func (g *Gateway) RecentCrashes(now time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
+// RecentCrashes returns up to limit of the recent crashes to report to other gateways, and as many
+// of the completions after which crashes don't count. Those that were returned least often go
+// first.
+func (g *Gateway) RecentCrashes(now time.Time, limit int) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.Recent(now), g.crashes.RecentCompletions(now)
+	return g.crashes.Recent(now, limit), g.crashes.RecentCompletions(now, limit)
+}
+
+// ForgottenSuspects returns how many suspects were forgotten although their crashes counted.
+func (g *Gateway) ForgottenSuspects() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crashes.Forgotten()
 }
 
 // CrashSum returns a checksum of the crashes that all gateways must know.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -85,6 +85,8 @@
 	// deadline is when the response must be complete, body or stream included.
 	deadline time.Time
 	body     []byte
+	// partBytes is the memory that is reserved for the parts of the prompt.
+	partBytes int64
 	// suspects is the result of findSuspects; nil until the body is read.
 	suspects []currantwood.Suspect
 	// probes is whether the request is sent although it has blocked suspects.
@@ -113,7 +115,10 @@
 }
 
 func (q *request) serve() {
-	defer func() { q.g.requests.ReleaseBody(q.body) }()
+	defer func() {
+		q.g.requests.ReleaseBody(q.body)
+		q.g.requests.Release(q.partBytes)
+	}()
 	if refusal := q.admit(); refusal != nil {
 		q.endRequest(refusal)
 		return
--- a/gatewaystarter/servers.go
+++ b/gatewaystarter/servers.go
@@ -111,6 +111,7 @@
 	fmt.Fprintf(w, "zones-evacuated %d\n", p.gateway.EvacuatedZones(p.now()))
 	fmt.Fprintf(w, "stream-buffer-bytes %d\n", p.gateway.StreamBufferBytes())
 	fmt.Fprintf(w, "upstreams-limited %d\n", p.gateway.LimitedUpstreams(p.now()))
+	fmt.Fprintf(w, "suspects-forgotten %d\n", p.gateway.ForgottenSuspects())
 	fmt.Fprintf(w, "gateways-heard %d\n", p.peers.GatewaysHeard(p.now()))
 	fmt.Fprintf(w, "requests-in-flight %d\n", p.gateway.InFlight())
 	fmt.Fprintf(w, "configuration-age-us %d\n", p.config.Age(p.now()).Microseconds())
--- a/peermessenger/codec.go
+++ b/peermessenger/codec.go
@@ -110,7 +110,8 @@
 // maxRateLimits bounds the rate limits in one datagram. One takes about 70 bytes.
 const maxRateLimits = 128
 
-// encodeRates encodes the rates with the highest demand.
+// encodeRates encodes up to maxRateLimits rates: those with the highest demand, and in the second
+// half, if there are more, others in turn.
 func encodeRates(now time.Time, rates ratekeeper.Rates) []*peerwire.RateLimit {
 	out := make([]*peerwire.RateLimit, 0, len(rates))
 	for id, r := range rates {
@@ -123,7 +124,25 @@
 	slices.SortFunc(out, func(a, b *peerwire.RateLimit) int {
 		return cmp.Or(cmp.Compare(b.GetDemand(), a.GetDemand()), cmp.Compare(a.GetUpstream(), b.GetUpstream()))
 	})
-	return out[:min(len(out), maxRateLimits)]
+	if len(out) <= maxRateLimits {
+		return out
+	}
+	first := maxRateLimits / 2
+	return append(out[:first:first], inTurn(now, out[first:], maxRateLimits-first)...)
+}
+
+// turnTime is how long inTurn returns the same items. Each datagram of a sender may have others.
+const turnTime = 15 * time.Millisecond
+
+// inTurn returns up to limit items; if there are more, others in each turnTime, until all were
+// returned. Which ones follows from the time alone.
+func inTurn[T any](now time.Time, items []T, limit int) []T {
+	if len(items) <= limit {
+		return items
+	}
+	turns := int64((len(items) + limit - 1) / limit)
+	first := int(now.UnixNano()/int64(turnTime)%turns) * limit
+	return items[first:min(len(items), first+limit)]
 }
 
 func decodeRates(now time.Time, limits []*peerwire.RateLimit) ratekeeper.Rates {
@@ -148,7 +167,7 @@
 // maxNotices bounds the notices in one datagram. One takes about 30 bytes.
 const maxNotices = 256
 
-// encodeNotices encodes notices, the first ones by the id of their upstream.
+// encodeNotices encodes up to maxNotices notices; if there are more, others in turn.
 func encodeNotices(now time.Time, notices noticekeeper.Notices) []*peerwire.Notice {
 	out := make([]*peerwire.Notice, 0, len(notices))
 	for id, n := range notices {
@@ -156,7 +175,7 @@
 		out = append(out, &peerwire.Notice{Upstream: string(id), Incarnation: n.Incarnation, Leaving: n.Leaving, PauseMs: left.Milliseconds(), ColdMs: max(0, n.ColdUntil.Sub(now)).Milliseconds()})
 	}
 	slices.SortFunc(out, func(a, b *peerwire.Notice) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
-	return out[:min(len(out), maxNotices)]
+	return inTurn(now, out, maxNotices)
 }
 
 func decodeNotices(now time.Time, notices []*peerwire.Notice) noticekeeper.Notices {
--- a/peermessenger/codec_test.go
+++ b/peermessenger/codec_test.go
@@ -49,3 +49,23 @@
 		Entry("infinite", math.Inf(1), false, 0.0),
 	)
 })
+
+var _ = Describe("inTurn", func() {
+	// Guards against items that are never sent, as there are always others before them.
+	It("returns all items within as many turns as they take", func() {
+		items := make([]int, 1000)
+		for i := range items {
+			items[i] = i
+		}
+		seen := make(map[int]bool)
+		for turn := range 4 {
+			returned := inTurn(time.Unix(0, 0).Add(time.Duration(turn)*turnTime), items, 256)
+			Expect(len(returned)).To(BeNumerically("<=", 256))
+			for _, item := range returned {
+				seen[item] = true
+			}
+		}
+		Expect(seen).To(HaveLen(1000))
+		Expect(inTurn(time.Unix(7, 0), items[:256], 256)).To(HaveLen(256))
+	})
+})
--- a/peermessenger/datagram.go
+++ b/peermessenger/datagram.go
@@ -2,7 +2,10 @@
 
 import (
 	"net"
+	"syscall"
+	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -25,10 +28,20 @@
 		m.Logger.Warn("invalid peer address", zap.String("address", address), zap.Error(err))
 		return
 	}
-	// Errors are ignored, as a datagram can be lost without one too: the next
-	// carries the same information. One that is too long for UDP isn't logged
-	// either.
-	_, _ = m.conn.WriteTo(data, to)
+	// Other errors are ignored, as a datagram can be lost without one too: the next
+	// carries the same information. One that is too long never arrives.
+	if _, err := m.conn.WriteTo(data, to); errors.Is(err, syscall.EMSGSIZE) && m.mayLogTooLong(m.Now()) {
+		m.Logger.Error("datagram too long to be sent", zap.String("to", address), zap.Int("bytes", len(data)))
+	}
+}
+
+// tooLongLogInterval is the time between two log lines about datagrams that are too long.
+const tooLongLogInterval = 10 * time.Second
+
+// mayLogTooLong reports whether a datagram that is too long is to be logged now.
+func (m *Messenger) mayLogTooLong(now time.Time) bool {
+	last := m.tooLongAt.Load()
+	return (last == 0 || now.UnixNano()-last >= int64(tooLongLogInterval)) && m.tooLongAt.CompareAndSwap(last, now.UnixNano())
 }
 
 // receive decodes a datagram and passes it to its handler.
--- a/peermessenger/digest.go
+++ b/peermessenger/digest.go
@@ -34,7 +34,7 @@
 	ranks, next := m.peers.Ranks(recipients)
 	m.mu.Unlock()
 	successors := encodeSuccessors(next)
-	recent, completed := m.Gateway.RecentCrashes(now)
+	recent, completed := m.Gateway.RecentCrashes(now, maxDigestCrashes)
 	crashes, completions, sum := encodeCrashes(recent), encodeCompletions(completed), m.Gateway.CrashSum(now)
 	notices, allNotices := encodeNotices(now, m.Gateway.KnownNotices(now, false)), encodeNotices(now, m.Gateway.KnownNotices(now, true))
 	evacuations := encodeEvacuations(m.Gateway.Evacuations(now))
--- a/peermessenger/interfaces.go
+++ b/peermessenger/interfaces.go
@@ -79,9 +79,9 @@
 	// SetBudgetPeers replaces what is known of the other gateways' use of the retry
 	// budgets.
 	SetBudgetPeers(now time.Time, peers budgeter.Peers)
-	// RecentCrashes returns the crashes that other gateways should learn of, and the
-	// completions after which crashes don't count.
-	RecentCrashes(now time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion)
+	// RecentCrashes returns up to limit of the crashes that other gateways should learn of, and
+	// as many of the completions after which crashes don't count.
+	RecentCrashes(now time.Time, limit int) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion)
 	// CrashSum returns a checksum of the crashes that all gateways must know.
 	CrashSum(now time.Time) uint64
 	// RecurrentCrashes returns up to limit of these crashes, those of the suspects
--- a/peermessenger/messenger.go
+++ b/peermessenger/messenger.go
@@ -40,6 +40,10 @@
 	readRetryDelay = 200 * time.Millisecond
 	// maxDatagramBytes is the longest datagram that is received.
 	maxDatagramBytes = 64 << 10
+	// maxStateCrashes and maxDigestCrashes bound the recent crashes, and the completions, in one
+	// state and in one digest: the collector sends that to all gateways.
+	maxStateCrashes  = 256
+	maxDigestCrashes = 16
 	// maxMissingCrashes bounds the crashes in one datagram that the receiver may
 	// lack. A crash takes about 45 bytes.
 	maxMissingCrashes = 32
@@ -100,6 +104,8 @@
 	// digestSpeedInterval is the time between two digests with speeds. It grows with the
 	// number of gateways.
 	digestSpeedInterval time.Duration
+	// tooLongAt is when it was logged last that a datagram is too long, as a UnixNano; 0 if never.
+	tooLongAt atomic.Int64
 	// process identifies this process among those of its VM.
 	process uint64
 	// startedAt is when this process created the Messenger.
--- a/peermessenger/messenger_test.go
+++ b/peermessenger/messenger_test.go
@@ -69,7 +69,7 @@
 }
 func (idleGateway) SetFleetWarmUpRates(time.Time, ratekeeper.Rates, int) {}
 func (idleGateway) SetBudgetPeers(time.Time, budgeter.Peers)             {}
-func (idleGateway) RecentCrashes(time.Time) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
+func (idleGateway) RecentCrashes(time.Time, int) ([]crashkeeper.AgedCrash, []crashkeeper.AgedCompletion) {
 	return nil, nil
 }
 func (idleGateway) SetCollects(bool)          {}
--- a/peermessenger/state.go
+++ b/peermessenger/state.go
@@ -34,7 +34,7 @@
 // buildState returns the state of this gateway.
 func (m *Messenger) buildState(now time.Time, storeReachable bool, loads balancer.Loads) *peerwire.State {
 	sum := m.Gateway.CrashSum(now)
-	recent, completed := m.Gateway.RecentCrashes(now)
+	recent, completed := m.Gateway.RecentCrashes(now, maxStateCrashes)
 	m.mu.Lock()
 	collector, _ := m.peers.OtherCollector(now)
 	missing := m.missingCrashes(now, collector.VM, sum)
--- a/routing.go
+++ b/routing.go
@@ -60,6 +60,8 @@
 	// SharedParts lists the parts of the prompt that other prompts may have, too, in
 	// order. The last part, which is the request's own, isn't among them.
 	SharedParts []PartID
+	// TooManyParts is whether the prompt has more parts than are decoded.
+	TooManyParts bool
 	// LastEvent is the number of the last event that the client received; -1 if
 	// it requests the stream from the start.
 	LastEvent int64
