Show that a head that stops is never a whole response

It can't happen here: the reader of responses wants the end of each line and an empty line, whatever the framing, and the service client's library reports an unexpected end.

Change: specs only. The fuzz test now wants each accepted response not to be whole without the last byte of its head, or of its body if that is framed.

--- a/responsereader/fuzz_test.go
+++ b/responsereader/fuzz_test.go
@@ -12,7 +12,8 @@
 )
 
 // FuzzReader checks that what is accepted is a response which net/http reads in the same way,
-// with fields whose names and values are sound. The seeds run with the other tests.
+// with fields whose names and values are sound, and that it isn't one without its last byte. The
+// seeds run with the other tests.
 func FuzzReader(f *testing.F) {
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -25,10 +26,15 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		response, err := New(bufio.NewReaderSize(bytes.NewReader(text), 16), newMemory()).Next(http.MethodGet)
+		source := bytes.NewReader(text)
+		in := bufio.NewReaderSize(source, 16)
+		response, err := New(in, newMemory()).Next(http.MethodGet)
 		if err != nil {
 			return
 		}
+		if head := text[:len(text)-source.Len()-in.Buffered()]; isWhole(head[:len(head)-1]) {
+			t.Fatalf("%q is read as whole without its last byte", head)
+		}
 		if response.Status < 200 || response.Status > 599 {
 			t.Fatalf("status %d", response.Status)
 		}
@@ -47,12 +53,21 @@
 		if err != nil {
 			return
 		}
+		if whole := text[:len(text)-source.Len()-in.Buffered()]; response.Framed && isWhole(whole[:len(whole)-1]) {
+			t.Fatalf("%q is read as whole without its last byte", whole)
+		}
 		if wantBody, wantErr := io.ReadAll(want.Body); wantErr != nil || !bytes.Equal(body, wantBody) {
 			t.Fatalf("body %q, net/http has %q, %v", body, wantBody, wantErr)
 		}
 	})
 }
 
+// isWhole reports whether text begins with a whole response.
+func isWhole(text []byte) bool {
+	_, _, err := read(http.MethodGet, string(text))
+	return err == nil
+}
+
 // readFinal reads the first response that isn't informational with net/http.
 func readFinal(t *testing.T, text []byte) *http.Response {
 	in := bufio.NewReaderSize(bytes.NewReader(text), maxHeadBytes)
--- a/responsereader/reader_test.go
+++ b/responsereader/reader_test.go
@@ -133,4 +133,27 @@
 		_, err = New(bufio.NewReaderSize(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), bufferBytes), memory).Next(http.MethodGet)
 		Expect(err).NotTo(HaveOccurred())
 	})
+
+	// Guards against a response that looks whole although its sender stopped within the head: a
+	// field or the framing that it would have had is missing.
+	DescribeTable("fails wherever within the head the connection ends",
+		func(head string) {
+			for end := range len(head) {
+				for _, in := range []io.Reader{strings.NewReader(head[:end]), iotest.OneByteReader(strings.NewReader(head[:end]))} {
+					_, _, err := readFrom(http.MethodGet, bufio.NewReaderSize(in, bufferBytes))
+					Expect(err).To(HaveOccurred(), "%q", head[:end])
+				}
+			}
+			_, err := New(bufio.NewReaderSize(strings.NewReader(head), bufferBytes), newMemory()).Next(http.MethodGet)
+			Expect(err).NotTo(HaveOccurred())
+		},
+		Entry("with a length", "HTTP/1.1 200 OK\r\nX-Note: a b\r\nContent-Length: 120\r\n\r\n"),
+		Entry("with a length first", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Note: a b\r\n\r\n"),
+		Entry("of chunks", "HTTP/1.1 200 OK\r\nX-Note: a\r\nTransfer-Encoding: chunked\r\n\r\n"),
+		Entry("without framing", "HTTP/1.1 200 OK\r\nX-Note: a\r\nX-Other: b\r\n\r\n"),
+		Entry("without content", "HTTP/1.1 204 No Content\r\nX-Note: a\r\n\r\n"),
+		Entry("in HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Note: a\r\n\r\n"),
+		Entry("with lines that end in LF", "HTTP/1.1 200\nX-Note: a\nContent-Length: 12\n\n"),
+		Entry("after an informational one", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+	)
 })
--- a/serviceclient/serviceclient_test.go
+++ b/serviceclient/serviceclient_test.go
@@ -136,4 +136,27 @@
 		Expect(err).To(HaveOccurred())
 		Expect(errors.Is(err, currantwood.ErrNotDispatched)).To(BeFalse())
 	})
+
+	// Guards against a response that looks whole although the service stopped within its head.
+	It("returns an error other than ErrNotDispatched wherever within the head a response ends", func() {
+		const head = "HTTP/1.1 200 OK\r\nX-Note: a\r\nContent-Length: 10\r\n\r\n"
+		var sent atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte(head[:sent.Load()]))
+			_ = conn.Close()
+		}))
+		defer server.Close()
+		client, _ := serviceclient.New(server.URL)
+		for end := range len(head) {
+			sent.Store(int32(end))
+			_, err := client.Call(context.Background(), payment("k1"))
+			Expect(err).To(HaveOccurred(), "%q", head[:end])
+			Expect(errors.Is(err, currantwood.ErrNotDispatched)).To(BeFalse())
+		}
+	})
 })
