Replace the spec of clientWriter that could wait for itself

Cause: the spec paused its client at event 30 of each 50 and resumed it at event 40. With events of the round before still in the buffer, a write in between waits for room there, and so for the client that only event 40 resumes.

Change: the client also resumes 50 ms after the pause, and writes fail after a minute. What is checked is the same: the order of all events across 60 pauses, no goroutine while the client keeps up, no memory held at the end.

--- a/gateway/clientwriter_test.go
+++ b/gateway/clientwriter_test.go
@@ -114,22 +114,29 @@
 	It("keeps the order across many pauses, and starts no goroutine while the client keeps up", func() {
 		client, canceled := newPausingClient(), false
 		out := newWriter(client, &canceled)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
 		want := ""
+		var resumption *time.Timer
 		for i := range 3000 {
 			if i%50 == 30 {
 				client.setPaused(true)
 				client.setSpare(directBytes / eventBufferBytes)
+				// With events of the round before still buffered, a write before the 40th may
+				// wait for the client.
+				resumption = time.AfterFunc(50*time.Millisecond, func() { client.setPaused(false) })
 			}
 			if i%50 == 40 {
+				resumption.Stop()
 				go client.setPaused(false)
 			}
-			Expect(out.write(context.Background(), event(i))).To(Succeed())
+			Expect(out.write(ctx, event(i))).To(Succeed())
 			if i < 30 {
 				Expect(out.changed).To(BeNil())
 			}
 			want += string(event(i))
 		}
-		Expect(out.drain(context.Background())).To(Succeed())
+		Expect(out.drain(ctx)).To(Succeed())
 		Expect(client.read()).To(Equal(want))
 		Expect(usedBytes()).To(BeZero())
 		Expect(canceled).To(BeFalse())
