--- a/gateway/endrequest.go
+++ b/gateway/endrequest.go
@@ -38,6 +38,15 @@
 	q.log("request ended by the gateway", append(fields, f.fields...)...)
 }
 
+// abortUnanswered closes the connection of a request that has ended without a response, as its
+// client has disconnected, by a panic with http.ErrAbortHandler. net/http would send an empty 200,
+// which a client that has closed only its sending side reads.
+func (q *request) abortUnanswered() {
+	if !q.responding.Load() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // addJitter lengthens a duration at random, so that clients that were refused
 // together don't retry together.
 func (g *Gateway) addJitter(d time.Duration) time.Duration {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -129,9 +129,10 @@
 	defer q.endWithProcess(cancel)()
 	if q.route.Stream {
 		q.serveStream(ctx)
-		return
+	} else {
+		q.serveCall(ctx)
 	}
-	q.serveCall(ctx)
+	q.abortUnanswered()
 }
 
 // maxAgeForKeys is the age of the configuration up to which its keys are
