Run an unsafe call once also if its route's streams are resumable

Callers saw: on an unsafe route that has resumeStreams and several attempts, each payment whose answer was lost ran at a second worker.

Cause: the retry of calls took the route's setting for streams for leave to run a request again. The failed attempt was counted as a possible run, which rules out the count.

Change: Route.RunsAgain decides for the retry and for the linter: repeatable requests, and streams that are resumable.

--- a/configcheck/linter/limits.go
+++ b/configcheck/linter/limits.go
@@ -25,7 +25,7 @@
 // checkAttempts reports a route whose attempts exceed the retry budget even if no other
 // request needs a retry. Only runs of repeatable and resumable requests are retried.
 func (c *check) checkAttempts(i int, route currantwood.Route) {
-	if c.Settings == nil || !route.Repeatable && !route.Resumable {
+	if c.Settings == nil || !route.RunsAgain() {
 		return
 	}
 	bounds := c.Settings.Bounds
--- a/configuration.go
+++ b/configuration.go
@@ -65,7 +65,8 @@
 	// Stream is whether the response is a stream of events.
 	Stream bool
 	// Resumable is whether a new run on another upstream may continue a broken
-	// stream after the last event that was delivered.
+	// stream after the last event that was delivered. It says nothing of requests that
+	// aren't streams.
 	Resumable bool
 	// Timeout limits the time to the final response; > 0.
 	Timeout time.Duration
@@ -88,6 +89,11 @@
 	Regions RegionSet
 }
 
+// RunsAgain reports whether a request that may have run may be sent to another upstream: from
+// the start if it is repeatable, after the last event that was delivered if it is a stream that
+// is resumable.
+func (r *Route) RunsAgain() bool { return r.Repeatable || r.Stream && r.Resumable }
+
 // WeightedGroup is a group and its relative share of a route's requests.
 type WeightedGroup struct {
 	Group  GroupID
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -93,12 +93,12 @@
 }
 
 // prepareRetry reports whether the request may be sent to another upstream, and
-// if so counts the retry. A request that may have run is sent again only if it
-// is repeatable or resumable, and none that has crashed too many upstreams. The
+// if so counts the retry. A request that may have run is sent again only if its
+// route allows that, and none that has crashed too many upstreams. The
 // limits on attempts, possible runs and time apply to every request. If the last attempt
 // reached an upstream, the retry is charged to the retry budget and must fit in it.
 func (q *request) prepareRetry(ctx context.Context) bool {
-	if q.possibleRuns > 0 && !(q.route.Repeatable || q.route.Resumable) {
+	if q.possibleRuns > 0 && !q.route.RunsAgain() {
 		return false
 	}
 	if q.possibleRuns >= q.route.MaxUpstreams || ctx.Err() != nil || len(q.attempted) >= maxAttempts {
