Leave the rest of whole responses to the kernel when the process ends

Callers saw: streams that their engines had sent whole broke off when a stopped gateway exited, 7.7 s after SIGTERM, as their clients read slowly.

Cause: what the gateway had accepted was held in the process only, while its write waited for the client. "stopped" counts such streams as cut off and the buffers hold bytes, so it isn't the kernel that drops them.

Change: 300 ms before its end, a stopping process makes the kernel take the rest of each whole response, of streams and of calls; the kernel sends it after the exit. A log line says how much.

It costs up to the memory for streams once more, for 300 ms.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -220,6 +220,7 @@
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	q.responding.Store(true)
 	q.w.WriteHeader(a.status)
+	defer q.leaveUnsent(func() int { return len(a.body) })()
 	if _, err := q.w.Write(a.body); err != nil {
 		q.recordDisconnect(choice)
 		return
--- a/gateway/clientwriter.go
+++ b/gateway/clientwriter.go
@@ -20,6 +20,8 @@
 	// maxBatchBytes bounds the events that are written before a flush once they are buffered.
 	// Progress is noted after each flush.
 	maxBatchBytes = 4 << 10
+	// chunkBytes is the most that frames an event of a response in chunks, and what ends one.
+	chunkBytes = 16
 	// bufferedEventBytes is what a buffered event takes beside its text.
 	bufferedEventBytes = 64
 	// bufferRetryInterval is the time between two attempts to reserve memory that other
@@ -55,6 +57,8 @@
 	running bool
 	// queue holds the buffered events that aren't being written yet.
 	queue []bufferedEvent
+	// writing is the length of the events that are being written, with what frames them.
+	writing int
 	// err is why nothing can be written any more; nil if that isn't so.
 	err error
 	// changed receives a value when the goroutine has written events or has ended. It is
@@ -202,7 +206,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.queue) == 0 || c.err != nil {
-		c.queue, c.running = nil, false
+		c.queue, c.running, c.writing = nil, false, 0
 		c.buffers.close(c)
 		c.signal()
 		return nil
@@ -214,6 +218,7 @@
 	}
 	batch := c.queue[:n:n]
 	c.queue = c.queue[n:]
+	c.writing = bytes + n*chunkBytes
 	return batch
 }
 
@@ -267,6 +272,18 @@
 	}
 }
 
+// unsentBytes returns the most that the buffered events have left to be written, with what frames
+// them.
+func (c *clientWriter) unsentBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	bytes := c.writing
+	for _, event := range c.queue {
+		bytes += len(event.text) + chunkBytes
+	}
+	return bytes + chunkBytes
+}
+
 // shorten makes writes fail soon, also the one under way.
 func (c *clientWriter) shorten() {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// Writable reports whether a short write to the client of a request wouldn't block. If it
 	// is nil, events aren't buffered for clients that read slowly.
 	Writable func(*http.Request) bool
+	// TakeUnsent makes the kernel take a number of bytes more for the client of a request, so
+	// that they are sent although the process ends. If it is nil, they are lost then.
+	TakeUnsent func(r *http.Request, bytes int)
 }
 
 // Gateway implements http.Handler. It is safe for concurrent use.
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -50,6 +50,20 @@
 	})
 }
 
+// leaveUnsent makes the kernel take the rest of a whole response for a client that reads slowly
+// when a stopping process is about to end. unsent returns the length of the rest. The function that
+// is returned prevents that; it is called once the response is written.
+func (q *request) leaveUnsent(unsent func() int) (stop func() bool) {
+	return context.AfterFunc(q.g.ending, func() {
+		if q.g.TakeUnsent == nil {
+			return
+		}
+		bytes := unsent()
+		q.log("rest of the response left to the kernel, as the process ends", zap.Int("bytes", bytes))
+		q.g.TakeUnsent(q.r, bytes)
+	})
+}
+
 // maxDuration is the longest time that the request is expected to take from now on, while
 // the gateway stops. It never takes longer than until its deadline. A call that may have
 // to end early is accepted only at first, while clients are still sent here; how long it
--- a/gateway/streamdelivery.go
+++ b/gateway/streamdelivery.go
@@ -98,6 +98,7 @@
 func (s *stream) finishResponse(up *upstreamStream) {
 	// Nothing may be moved or resumed any more.
 	s.finish()
+	defer s.leaveUnsent(s.out.unsentBytes)()
 	err := s.out.drain(s.ctx)
 	switch {
 	case err == nil:
--- a/gatewaystarter/starter.go
+++ b/gatewaystarter/starter.go
@@ -173,6 +173,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		ReclaimBody:   p.clientLimiter.ReclaimBody,
 		Writable:      p.clientLimiter.Writable,
+		TakeUnsent:    p.clientLimiter.TakeUnsent,
 		Settings:      options.Settings,
 		Logger:        options.Logger,
 		Now:           p.now,
