--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -4,8 +4,6 @@
 package crashkeeper
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/currantwood/currantwood"
@@ -91,51 +89,6 @@
 	Age time.Duration
 }
 
-// crashTimes tells when a crash was recorded.
-type crashTimes struct {
-	// at is when it was recorded first, at any gateway; its lifetime counts from then.
-	at time.Time
-	// learnedAt is when it was recorded first here.
-	learnedAt time.Time
-	// sent counts how often it was sent to peers.
-	sent int
-}
-
-// history is what a suspect has to do with the crashes of upstreams.
-type history struct {
-	crashes map[crashKey]crashTimes
-	// savedSum is the checksum of the crashes that are saved in the store; 0 if none
-	// are.
-	savedSum uint64
-	// completedAt is when an upstream last ran a request with the suspect to the end;
-	// zero if none is known to have. Crashes until then don't count.
-	completedAt time.Time
-	// tellUntil is until when peers are told of that completion, and told counts how often they
-	// were.
-	tellUntil time.Time
-	told      int
-	// probes counts the probes that this gateway has sent since that completion, and
-	// probedAt is when it sent the last one.
-	probes   int
-	probedAt time.Time
-}
-
-// counts reports whether a crash recorded at a time counts.
-func (h *history) counts(now, at time.Time) bool {
-	return now.Sub(at) <= crashLifetime && at.After(h.completedAt)
-}
-
-// count returns the number of crashes that count.
-func (h *history) count(now time.Time) int {
-	count := 0
-	for _, times := range h.crashes {
-		if h.counts(now, times.at) {
-			count++
-		}
-	}
-	return count
-}
-
 // Keeper holds recent crashes. It is not safe for concurrent use.
 type Keeper struct {
 	// histories holds those of suspects that have crashed upstreams, at most
@@ -222,23 +175,6 @@
 	return RecordResult{New: isNew, Count: h.count(now), Recurrent: h.isRecurrent(now)}
 }
 
-// reconcile settles at which of two times a known crash was recorded first: the
-// earlier one. If the crash counts by the reported time only, peers are sent the
-// earlier one.
-func (h *history) reconcile(now time.Time, key crashKey, reported time.Time) {
-	times := h.crashes[key]
-	if reported.Before(times.at) {
-		times.at = reported
-	} else if !times.at.After(h.completedAt) && reported.After(h.completedAt) {
-		times.learnedAt, times.sent = now, 0
-		h.tell(now)
-	}
-	h.crashes[key] = times
-}
-
-// tell makes peers be told of the completion for sendWindow.
-func (h *history) tell(now time.Time) { h.tellUntil, h.told = now.Add(sendWindow), 0 }
-
 // historyOf returns the history of a suspect, a new one if it had none.
 func (k *Keeper) historyOf(now time.Time, s currantwood.Suspect) *history {
 	h := k.histories[s]
@@ -251,137 +187,3 @@
 	}
 	return h
 }
-
-// find returns the key of a crash and whether the crash is recorded. One of an unknown
-// incarnation is taken for any other of the same upstream. If c has an incarnation and
-// the recorded crash doesn't, that one is forgotten in favor of c.
-func (h *history) find(c Crash) (key crashKey, known bool) {
-	if c.Incarnation != 0 {
-		delete(h.crashes, crashKey{upstream: c.Upstream})
-	}
-	for key := range h.crashes {
-		if key.upstream == c.Upstream && (c.Incarnation == 0 || key == c.key()) {
-			return key, true
-		}
-	}
-	return c.key(), false
-}
-
-// count returns the number of crashes of a suspect that count.
-func (k *Keeper) count(now time.Time, s currantwood.Suspect) int {
-	if h := k.histories[s]; h != nil {
-		return h.count(now)
-	}
-	return 0
-}
-
-// deleteExpired deletes the crashes that no longer count by their age.
-func (h *history) deleteExpired(now time.Time) {
-	for key, times := range h.crashes {
-		if now.Sub(times.at) > crashLifetime {
-			delete(h.crashes, key)
-		}
-	}
-}
-
-// newest returns when the last of the crashes was recorded.
-func (h *history) newest() time.Time {
-	var newest time.Time
-	for _, times := range h.crashes {
-		if times.at.After(newest) {
-			newest = times.at
-		}
-	}
-	return newest
-}
-
-// makeRoom forgets the suspects whose crashes no longer count and, if there are
-// fewer than evictedSuspects, as many more: those with the fewest crashes first, and
-// of these the ones that crashed an upstream longest ago.
-func (k *Keeper) makeRoom(now time.Time) {
-	type candidate struct {
-		suspect currantwood.Suspect
-		count   int
-		newest  time.Time
-	}
-	var candidates []candidate
-	evicted := 0
-	for s, h := range k.histories {
-		h.deleteExpired(now)
-		if len(h.crashes) == 0 {
-			k.forget(s)
-			evicted++
-			continue
-		}
-		candidates = append(candidates, candidate{s, k.count(now, s), h.newest()})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.count, b.count), a.newest.Compare(b.newest))
-	})
-	for _, c := range candidates[:max(0, evictedSuspects-evicted)] {
-		k.forget(c.suspect)
-		k.forgotten++
-	}
-}
-
-// Forgotten returns how many suspects were forgotten although their crashes counted, as there were
-// too many.
-func (k *Keeper) Forgotten() int64 { return k.forgotten }
-
-// forget forgets a suspect.
-func (k *Keeper) forget(s currantwood.Suspect) {
-	delete(k.histories, s)
-	delete(k.recurrent, s)
-}
-
-// forgetRecurrent notes that a suspect isn't recurrent, and forgets it if it has no
-// crashes.
-func (k *Keeper) forgetRecurrent(s currantwood.Suspect) {
-	if len(k.histories[s].crashes) == 0 {
-		k.forget(s)
-	}
-	delete(k.recurrent, s)
-}
-
-// Recent returns the crashes to send to peers now, up to limit, and counts them as sent: of those
-// first recorded here within sendWindow, including those that peers reported, the ones that were
-// sent least often, the newest first.
-func (k *Keeper) Recent(now time.Time, limit int) []AgedCrash {
-	type recentCrash struct {
-		AgedCrash
-		history *history
-		key     crashKey
-	}
-	var recent []recentCrash
-	for s, h := range k.histories {
-		for key, times := range h.crashes {
-			if now.Sub(times.learnedAt) <= sendWindow {
-				recent = append(recent, recentCrash{newAgedCrash(now, s, key, times), h, key})
-			}
-		}
-	}
-	slices.SortFunc(recent, func(a, b recentCrash) int {
-		sent := cmp.Compare(a.history.crashes[a.key].sent, b.history.crashes[b.key].sent)
-		return cmp.Or(sent, cmp.Compare(a.Age, b.Age), a.Suspect.Compare(b.Suspect))
-	})
-	var crashes []AgedCrash
-	for _, r := range recent[:sendCount(len(recent), limit)] {
-		times := r.history.crashes[r.key]
-		times.sent++
-		r.history.crashes[r.key] = times
-		crashes = append(crashes, r.AgedCrash)
-	}
-	return crashes
-}
-
-// sendCount returns how many of all that are to be sent are sent at a time.
-func sendCount(all, limit int) int {
-	return min(all, limit, max(minSent, int(sentShare*float64(all))))
-}
-
-func newAgedCrash(now time.Time, s currantwood.Suspect, key crashKey, times crashTimes) AgedCrash {
-	return AgedCrash{
-		Crash: Crash{Suspect: s, Upstream: key.upstream, Incarnation: key.incarnation, UnseenRestarts: key.unseenRestarts},
-		Age:   now.Sub(times.at),
-	}
-}
