Record crashes with known suspects first

Once the table of crashes is full, the suspects with one crash go, in any order among those of one request. The part that all such requests share could go while its second crash was about to be recorded, behind those of 4,095 new ones.

Change: the crashes of a request are recorded with the suspects that have crashes first, at failures and at runs that were stopped.

It costs a copy and a sort of a request's suspects for each crash.

--- a/crashkeeper/keeper.go
+++ b/crashkeeper/keeper.go
@@ -4,6 +4,7 @@
 package crashkeeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantwood/currantwood"
@@ -115,6 +116,22 @@
 	}
 }
 
+// KnownFirst returns the suspects of a request, those with crashes first. Recorded in that order,
+// the crashes of a request with many suspects don't displace those of its own suspects before.
+func (k *Keeper) KnownFirst(suspects []currantwood.Suspect) []currantwood.Suspect {
+	sorted := slices.Clone(suspects)
+	slices.SortStableFunc(sorted, func(a, b currantwood.Suspect) int { return k.rankOf(a) - k.rankOf(b) })
+	return sorted
+}
+
+// rankOf returns 0 for a suspect with crashes, else 1.
+func (k *Keeper) rankOf(s currantwood.Suspect) int {
+	if _, known := k.histories[s]; known {
+		return 0
+	}
+	return 1
+}
+
 // RecordFailure records a failed exchange as a crash of the upstream. A failure at
 // an incarnation whose crash is already recorded is the same crash, unless the
 // upstream has accepted and broken off a request that was sent to it
--- a/crashkeeper/keeper_test.go
+++ b/crashkeeper/keeper_test.go
@@ -153,7 +153,7 @@
 			}
 			// The part stands last where it counts: what comes before must not displace it.
 			slices.Reverse(suspects)
-			for _, s := range suspects {
+			for _, s := range k.KnownFirst(suspects) {
 				k.RecordFailure(now, Failure{Suspect: s, Upstream: currantwood.UpstreamID(fmt.Sprint(crash)), Incarnation: 1, SentAt: now, Broken: true})
 			}
 			now = now.Add(time.Second)
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -72,7 +72,7 @@
 		return
 	}
 	doubt := q.g.crashDoubt(now, f)
-	suspects := f.suspects(now, q.suspects)
+	suspects := q.g.crashes.KnownFirst(f.suspects(now, q.suspects))
 	q.g.mu.Unlock()
 	if doubt != "" {
 		q.log("failure not counted as a crash", append(suspectFields(q.suspects[0]), zap.String("upstream", string(f.view.ID)), zap.Int64("incarnation", f.view.Incarnation), zap.String("reason", doubt), f.sinceFirstEvent(now))...)
@@ -161,6 +161,9 @@
 func (g *Gateway) recordEnded(now time.Time, upstream currantwood.UpstreamID, running int64) {
 	g.mu.Lock()
 	runs := g.abandoned.Take(now, upstream, running)
+	for i := range runs {
+		runs[i].Suspects = g.crashes.KnownFirst(runs[i].Suspects)
+	}
 	g.mu.Unlock()
 	for _, run := range runs {
 		for _, suspect := range run.Suspects {
